--- /dev/null
+++ b/Makefile
@@ -0,0 +1,43 @@
+VENV ?= .venv
+PY := $(VENV)/bin/python
+SOURCES := acaciaspoke standins bench test
+
+.PHONY: venv test lint format bench bench-short bench-policy demo binary clean
+
+venv: $(VENV)/.installed
+
+$(VENV)/.installed: requirements.txt requirements-dev.txt
+	test -x $(PY) || python3 -m venv $(VENV)
+	$(VENV)/bin/pip install --quiet -r requirements-dev.txt
+	touch $@
+
+test: venv
+	$(PY) -m test
+
+lint: venv
+	$(VENV)/bin/pyink --check --quiet $(SOURCES)
+	$(VENV)/bin/ruff check --quiet $(SOURCES)
+
+format: venv
+	$(VENV)/bin/ruff check --quiet --fix $(SOURCES)
+	$(VENV)/bin/pyink --quiet $(SOURCES)
+
+bench: venv
+	$(PY) -m bench
+
+bench-short: venv
+	$(PY) -m bench --short
+
+bench-policy: venv
+	$(PY) -m bench.policy
+
+demo: venv
+	$(PY) -m standins.demo
+
+binary: venv
+	$(PY) -m PyInstaller --noconfirm --onefile --name acaciaspoke \
+	  --collect-data acaciaspoke --collect-all uvicorn \
+	  --distpath dist --workpath build acaciaspoke/__main__.py
+
+clean:
+	rm -rf build dist
--- /dev/null
+++ b/acaciaspoke/__main__.py
@@ -0,0 +1,6 @@
+"""Runs the command line."""
+
+from acaciaspoke.ui import main
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/acaciaspoke/config/__init__.py
@@ -0,0 +1,1 @@
+"""The numbered configuration: its types, patches and log."""
--- /dev/null
+++ b/acaciaspoke/config/schema.py
@@ -0,0 +1,178 @@
+"""Types of the configuration that operators patch.
+
+The whole configuration is one JSON object; every mapping is keyed by id, so
+that a merge patch can add, change or delete one entry.
+"""
+
+from enum import Enum
+
+import msgspec
+
+from acaciaspoke.ids import (
+    AccountId,
+    AdapterId,
+    ArtifactName,
+    ConfigVersion,
+    DomainId,
+    ModelId,
+    RankId,
+    ServiceId,
+    UpstreamId,
+)
+
+
+class ServiceKind(Enum):
+    """What stands behind a service."""
+
+    ENGINE = "engine"
+    PLAIN = "plain"
+
+
+class _Base(
+    msgspec.Struct,
+    frozen=True,
+    kw_only=True,
+    forbid_unknown_fields=True,
+):
+    """Common options of the configuration's types."""
+
+
+class Rank(_Base):
+    """A class of urgency with its targets.
+
+    Attributes:
+        level: 0 is the most urgent.
+        floor_share: Share of dispatches guaranteed while it has work, 0 to 1.
+        first_token_target_s: Target for the first token or a plain answer.
+        token_gap_target_ms: Target between two tokens.
+        attainment_target: Share of requests that should meet the targets.
+        worth: Weight of one request when placement compares ranks.
+        queue_limit: Waiting requests that one entry process accepts.
+        default_deadline_s: Deadline of requests that state none.
+    """
+
+    level: int
+    floor_share: float = 0.05
+    first_token_target_s: float = 2.0
+    token_gap_target_ms: float = 45.0
+    attainment_target: float = 0.95
+    worth: float = 1.0
+    queue_limit: int = 256
+    default_deadline_s: float = 60.0
+
+
+class Service(_Base):
+    """A group of upstreams that do the same work.
+
+    Attributes:
+        kind: Model engines, or a plain service routed to by path.
+        non_idempotent: ``METHOD /path-prefix`` of calls that may run only once.
+        refusal_statuses: Statuses with which an upstream says that it refused
+            the request before running it.
+        timeout_s: Longest time between two reads of an answer.
+        echoes_request_id: Whether upstreams return ``X-Request-Id``.
+    """
+
+    kind: ServiceKind
+    non_idempotent: tuple[str, ...] = ()
+    refusal_statuses: tuple[int, ...] = (429, 503)
+    timeout_s: float = 30.0
+    echoes_request_id: bool = True
+
+
+class Model(_Base):
+    """A base model.
+
+    Attributes:
+        service: The service whose engines run it.
+        memory_bytes: Accelerator memory of one copy.
+        version: The version to serve.
+    """
+
+    service: ServiceId
+    memory_bytes: int
+    version: str = "1"
+
+
+class Adapter(_Base):
+    """An adapter that runs beside its base model."""
+
+    model: ModelId
+    memory_bytes: int
+    version: str = "1"
+
+
+class Upstream(_Base):
+    """A model engine or a plain service instance.
+
+    Attributes:
+        address: ``ip:port``.
+        memory_bytes: Accelerator memory for models and adapters; 0 if plain.
+        slots: Requests that it runs at once.
+        checks_fencing: Whether it refuses orders with an old fencing token.
+    """
+
+    service: ServiceId
+    failure_domain: DomainId
+    address: str
+    memory_bytes: int = 0
+    slots: int = 16
+    checks_fencing: bool = False
+
+
+class Account(_Base):
+    """An account that many callers share.
+
+    Attributes:
+        key_sha256: Hex digest of its bearer key.
+    """
+
+    key_sha256: str
+
+
+class WeightStore(_Base):
+    """Limits of the platform's weight store and of adapter loading."""
+
+    model_loads_per_s: float = 3.0
+    concurrent_model_loads: int = 4
+    adapters_in_transit: int = 32
+
+
+class Config(_Base):
+    """The whole configuration of one version."""
+
+    version: ConfigVersion = ConfigVersion(0)
+    ranks: dict[RankId, Rank] = {}
+    services: dict[ServiceId, Service] = {}
+    models: dict[ModelId, Model] = {}
+    adapters: dict[AdapterId, Adapter] = {}
+    upstreams: dict[UpstreamId, Upstream] = {}
+    accounts: dict[AccountId, Account] = {}
+    weight_store: WeightStore = WeightStore()
+
+
+class Artifact(msgspec.Struct, frozen=True):
+    """A loadable thing: a version of a model or of an adapter."""
+
+    name: ArtifactName
+    version: str
+    memory_bytes: int
+    base_model: ArtifactName | None = None
+
+
+def artifact_of(
+    config: Config, name: ModelId | AdapterId | ArtifactName
+) -> Artifact | None:
+    """Returns the artifact in force under ``name``, or None if unknown."""
+    model = config.models.get(ModelId(name))
+    if model is not None:
+        return Artifact(ArtifactName(name), model.version, model.memory_bytes)
+    adapter = config.adapters.get(AdapterId(name))
+    if adapter is not None:
+        return Artifact(
+            ArtifactName(name),
+            adapter.version,
+            adapter.memory_bytes,
+            ArtifactName(adapter.model),
+        )
+    return None
--- /dev/null
+++ b/acaciaspoke/control/__init__.py
@@ -0,0 +1,1 @@
+"""The control process: configuration, membership, placement, orders."""
--- /dev/null
+++ b/acaciaspoke/entry/__init__.py
@@ -0,0 +1,1 @@
+"""The entry process: accepts callers and calls upstreams."""
--- /dev/null
+++ b/acaciaspoke/ids.py
@@ -0,0 +1,26 @@
+"""Identifier types, so that one kind of id cannot stand in for another."""
+
+from typing import NewType
+
+HostId = NewType("HostId", str)
+DomainId = NewType("DomainId", str)
+UpstreamId = NewType("UpstreamId", str)
+ServiceId = NewType("ServiceId", str)
+ModelId = NewType("ModelId", str)
+AdapterId = NewType("AdapterId", str)
+RankId = NewType("RankId", str)
+AccountId = NewType("AccountId", str)
+RequestId = NewType("RequestId", str)
+BootId = NewType("BootId", str)
+OrderId = NewType("OrderId", str)
+PatchId = NewType("PatchId", str)
+ClaimId = NewType("ClaimId", str)
+Fingerprint = NewType("Fingerprint", str)
+ConfigVersion = NewType("ConfigVersion", int)
+FencingToken = NewType("FencingToken", int)
+
+# A mailbox address such as "tcp://10.0.0.1:7000".
+Address = NewType("Address", str)
+
+# The name by which engines know a model or an adapter.
+ArtifactName = NewType("ArtifactName", str)
--- /dev/null
+++ b/acaciaspoke/net/__init__.py
@@ -0,0 +1,1 @@
+"""Typed messages between the processes of the system."""
--- /dev/null
+++ b/acaciaspoke/report/__init__.py
@@ -0,0 +1,1 @@
+"""Reports for operators."""
--- /dev/null
+++ b/acaciaspoke/util/__init__.py
@@ -0,0 +1,1 @@
+"""Helpers without knowledge of the domain."""
--- /dev/null
+++ b/acaciaspoke/util/net.py
@@ -0,0 +1,27 @@
+"""Addresses."""
+
+import ipaddress
+from typing import NamedTuple
+
+
+class HostPort(NamedTuple):
+    """An IP number and a port."""
+
+    ip: str
+    port: int
+
+
+def split_address(address: str) -> HostPort:
+    """Splits ``ip:port`` or ``[ipv6]:port``.
+
+    Raises:
+        ValueError: If the text is not an IP number and a port.
+    """
+    ip, separator, port = address.rpartition(":")
+    if not separator:
+        raise ValueError(f"{address!r} is not ip:port")
+    ip = ip.removeprefix("[").removesuffix("]")
+    ipaddress.ip_address(ip)
+    if not port.isdigit() or not 0 < int(port) < 65536:
+        raise ValueError(f"{address!r} has no valid port")
+    return HostPort(ip, int(port))
--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmarks; each prints one JSON object a line."""
--- /dev/null
+++ b/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for outside systems, used by tests, benchmarks and the demo."""
--- /dev/null
+++ b/test/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of acaciaspoke; the modules mirror those of the package."""
--- /dev/null
+++ b/test/util/test_chart.py
@@ -0,0 +1,35 @@
+"""Tests of the state chart interpreter."""
+
+import unittest
+from enum import Enum
+
+from acaciaspoke.util.chart import ChartError, Machine
+
+
+class Lease(Enum):
+    FOLLOWER = "follower"
+    HOLDER = "holder"
+
+
+class MachineTest(unittest.TestCase):
+
+    def test_follows_transitions(self):
+        machine = Machine("lease", Lease)
+        self.assertIs(machine.send("acquired"), Lease.HOLDER)
+        self.assertIs(machine.send("lapsed"), Lease.FOLLOWER)
+
+    def test_refuses_event_and_keeps_state(self):
+        """Guards against a machine that moves on an event out of order."""
+        machine = Machine("lease", Lease)
+        with self.assertRaises(ChartError):
+            machine.send("renewed")
+        self.assertIs(machine.state, Lease.FOLLOWER)
+
+    def test_refuses_states_that_differ_from_the_chart(self):
+        """Guards against a chart file and an Enum that drift apart."""
+
+        class Wrong(Enum):
+            FOLLOWER = "follower"
+
+        with self.assertRaises(ChartError):
+            Machine("lease", Wrong)
