Add the caller and upstream sides of the entry process

Connections to an upstream are owned by the request that took them; httpcore's pool is not used, since its assignment walks all connections at each close. The byte stream below httpcore counts written bytes, which decides whether a request can be told as not run, and tells when all parts of one read were handed over, so that they leave in one write.

--- /dev/null
+++ b/acaciaspoke/entry/app.py
@@ -0,0 +1,162 @@
+"""The ASGI application that callers talk to."""
+
+import time
+from collections.abc import Awaitable, Callable
+
+import anyio
+import msgspec
+from loguru import logger
+
+from acaciaspoke.config.schema import Config
+from acaciaspoke.entry.caller import Caller, CallerGoneError
+from acaciaspoke.entry.errors import CallerError, ErrorType, Outcome
+from acaciaspoke.entry.parse import (
+    CHAT_PATH,
+    SERVICES_PREFIX,
+    Parsed,
+    account_of,
+    new_request_id,
+    parse_chat,
+    parse_service,
+)
+from acaciaspoke.util.metrics import Metrics
+
+_JSON = [(b"content-type", b"application/json")]
+
+# Serves a parsed request; raises CallerError if it has no answer to give.
+Serve = Callable[[Parsed, Caller], Awaitable[None]]
+
+
+class EntryApp:
+    """Routes callers' requests by path and ends each of them.
+
+    Attributes:
+        open_requests: Requests that have not ended.
+    """
+
+    def __init__(
+        self,
+        *,
+        config: Callable[[], Config | None],
+        is_ready: Callable[[], bool],
+        serve: Serve,
+        metrics: Metrics,
+        max_body_bytes: int,
+        max_requests: int,
+    ):
+        self.open_requests = 0
+        self._config = config
+        self._is_ready = is_ready
+        self._serve = serve
+        self._metrics = metrics
+        self._max_body_bytes = max_body_bytes
+        self._max_requests = max_requests
+
+    async def __call__(self, scope, receive, send) -> None:
+        """Serves one request."""
+        if scope["type"] != "http":
+            return
+        headers = dict(scope["headers"])
+        caller_id = headers.get(b"x-request-id", b"").decode("latin-1")
+        caller = Caller(scope, receive, send, new_request_id(caller_id))
+        self.open_requests += 1
+        started_s = time.monotonic()
+        try:
+            with logger.contextualize(request_id=caller.request_id):
+                await self._answer(caller)
+        finally:
+            self.open_requests -= 1
+            elapsed_ms = (time.monotonic() - started_s) * 1000
+            self._metrics.timing_ms("entry.request", elapsed_ms)
+
+    async def _answer(self, caller: Caller) -> None:
+        try:
+            await self._route(caller)
+        except CallerError as error:
+            self._metrics.count(f"entry.error.{error.type.value}")
+            logger.info(
+                "answered {}: {} (outcome {})",
+                error.status,
+                error,
+                error.outcome.value,
+            )
+            await caller.fail(error)
+        except CallerGoneError:
+            self._metrics.count("entry.caller_gone")
+        except Exception:
+            logger.exception("request failed")
+            await caller.fail(
+                CallerError(
+                    ErrorType.INTERNAL, "internal error", Outcome.UNKNOWN
+                )
+            )
+
+    async def _route(self, caller: Caller) -> None:
+        if caller.path == "/healthz":
+            await caller.answer(200, _JSON, b'{"status":"ok"}')
+        elif caller.path == "/readyz":
+            ready = self._is_ready()
+            body = b'{"ready":true}' if ready else b'{"ready":false}'
+            await caller.answer(200 if ready else 503, _JSON, body)
+        elif caller.path == "/v1/models":
+            await self._list_models(caller)
+        elif caller.path == CHAT_PATH:
+            await self._serve_chat(caller)
+        elif caller.path.startswith(SERVICES_PREFIX):
+            await self._serve_parsed(caller, parse_service)
+        else:
+            raise CallerError(
+                ErrorType.NOT_FOUND, f"there is no path {caller.path!r}"
+            )
+
+    async def _serve_chat(self, caller: Caller) -> None:
+        if caller.method != "POST":
+            raise CallerError(
+                ErrorType.METHOD_NOT_ALLOWED, f"{CHAT_PATH} takes POST"
+            )
+        await self._serve_parsed(caller, parse_chat)
+
+    async def _list_models(self, caller: Caller) -> None:
+        config = self._require_config()
+        account_of(caller, config)
+        names = sorted([*config.models, *config.adapters])
+        data = [{"id": name, "object": "model"} for name in names]
+        body = msgspec.json.encode({"object": "list", "data": data})
+        await caller.answer(200, _JSON, body)
+
+    async def _serve_parsed(self, caller: Caller, parse) -> None:
+        config = self._require_config()
+        # Refused before the body is read, which an overload must not fill
+        # the memory with.
+        if self.open_requests > self._max_requests:
+            raise CallerError(
+                ErrorType.OVERLOADED,
+                f"{self._max_requests} requests are open already",
+                retry_after_s=1,
+            )
+        body = await caller.read_body(self._max_body_bytes)
+        parsed = parse(caller, body, config)
+        if not parsed.request.idempotent:
+            # It goes on when its caller leaves, so that its outcome is known
+            # when the caller asks again with the same key.
+            await self._serve(parsed, caller)
+            return
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(_cancel_when_gone, caller, tasks.cancel_scope)
+            await self._serve(parsed, caller)
+            tasks.cancel_scope.cancel()
+
+    def _require_config(self) -> Config:
+        config = self._config()
+        if config is None:
+            raise CallerError(
+                ErrorType.NOT_READY,
+                "this host has no configuration yet",
+                retry_after_s=2,
+            )
+        return config
+
+
+async def _cancel_when_gone(caller: Caller, scope: anyio.CancelScope) -> None:
+    await caller.wait_until_gone()
+    scope.cancel()
--- /dev/null
+++ b/acaciaspoke/entry/caller.py
@@ -0,0 +1,108 @@
+"""The caller's side of a request: an ASGI connection with a little state."""
+
+import math
+from collections.abc import Iterable
+
+from acaciaspoke.entry.errors import CallerError, ErrorType
+from acaciaspoke.ids import RequestId
+
+Headers = Iterable[tuple[bytes, bytes]]
+
+
+class CallerGoneError(Exception):
+    """The caller closed its connection."""
+
+
+class Caller:
+    """Reads a request from a caller and writes its answer.
+
+    Attributes:
+        started: Whether any part of the answer was sent.
+    """
+
+    def __init__(self, scope, receive, send, request_id: RequestId):
+        self.method: str = scope["method"]
+        self.path: str = scope["path"]
+        self.query: bytes = scope["query_string"]
+        self.headers: dict[bytes, bytes] = dict(scope["headers"])
+        self.request_id = request_id
+        self.started = False
+        self._receive = receive
+        self._send = send
+
+    def header(self, name: str) -> str:
+        """Returns a header's value, or an empty text."""
+        return self.headers.get(name.encode(), b"").decode("latin-1")
+
+    async def read_body(self, max_bytes: int) -> bytes:
+        """Reads the whole body.
+
+        Raises:
+            CallerError: If it is larger than ``max_bytes``.
+            CallerGoneError: If the caller left before its end.
+        """
+        parts: list[bytes] = []
+        size_bytes = 0
+        while True:
+            message = await self._receive()
+            if message["type"] == "http.disconnect":
+                raise CallerGoneError
+            part = message.get("body", b"")
+            size_bytes += len(part)
+            if size_bytes > max_bytes:
+                raise CallerError(
+                    ErrorType.TOO_LARGE, f"the body exceeds {max_bytes} bytes"
+                )
+            parts.append(part)
+            if not message.get("more_body"):
+                return b"".join(parts)
+
+    async def wait_until_gone(self) -> None:
+        """Returns when the caller has closed its connection."""
+        while True:
+            message = await self._receive()
+            if message["type"] == "http.disconnect":
+                return
+
+    async def start(self, status: int, headers: Headers) -> None:
+        """Sends the status and the headers."""
+        self.started = True
+        await self._send(
+            {
+                "type": "http.response.start",
+                "status": status,
+                "headers": [
+                    *headers,
+                    (b"x-request-id", self.request_id.encode("latin-1")),
+                ],
+            }
+        )
+
+    async def send(self, data: bytes, *, more: bool) -> None:
+        """Sends a part of the body."""
+        await self._send(
+            {"type": "http.response.body", "body": data, "more_body": more}
+        )
+
+    async def answer(self, status: int, headers: Headers, body: bytes) -> None:
+        """Sends a whole answer."""
+        length = (b"content-length", str(len(body)).encode())
+        await self.start(status, [*headers, length])
+        await self.send(body, more=False)
+
+    async def fail(self, error: CallerError) -> None:
+        """Sends an error.
+
+        An answer that has begun gets an error event and stays unfinished, so
+        that the server breaks the connection and no client can take the
+        answer for a whole one.
+        """
+        body = error.to_json(self.request_id)
+        if self.started:
+            await self.send(b"event: error\ndata: " + body + b"\n\n", more=True)
+            return
+        headers = [(b"content-type", b"application/json")]
+        if error.retry_after_s is not None:
+            seconds = str(max(1, math.ceil(error.retry_after_s)))
+            headers.append((b"retry-after", seconds.encode()))
+        await self.answer(error.status, headers, body)
--- /dev/null
+++ b/acaciaspoke/entry/parse.py
@@ -0,0 +1,285 @@
+"""Turns what a caller sent into a request and the call to an upstream."""
+
+import hashlib
+import re
+import time
+import uuid
+from typing import Any, NamedTuple
+from urllib.parse import quote
+
+import msgspec
+import xxhash
+
+from acaciaspoke.config.schema import Config, Rank, Service, ServiceKind
+from acaciaspoke.entry.caller import Caller
+from acaciaspoke.entry.errors import CallerError, ErrorType
+from acaciaspoke.entry.relay import UpstreamCall, relayed_headers
+from acaciaspoke.entry.request import Request
+from acaciaspoke.ids import (
+    AccountId,
+    AdapterId,
+    ArtifactName,
+    Fingerprint,
+    ModelId,
+    RankId,
+    RequestId,
+    ServiceId,
+)
+
+CHAT_PATH = "/v1/chat/completions"
+SERVICES_PREFIX = "/v1/services/"
+
+# The account of all callers while the configuration names no account.
+ANONYMOUS = AccountId("anonymous")
+
+MAX_DEADLINE_MS = 24 * 3600 * 1000
+MAX_WORK_KIND_CHARS = 64
+
+# The prompt's start that engines are likely to have in their prefix cache.
+PREFIX_CHARS = 2048
+
+_CALLER_REQUEST_ID = re.compile(r"[A-Za-z0-9._-]{1,64}")
+_IDEMPOTENCY_KEY = re.compile(r"[\x21-\x7e]{1,128}")
+_DROPPED_FROM_CALLER = frozenset(
+    [
+        b"authorization",
+        b"expect",
+        b"host",
+        b"idempotency-key",
+        b"x-deadline-ms",
+        b"x-rank",
+        b"x-work-kind",
+    ]
+)
+
+
+class Parsed(NamedTuple):
+    """A request, the call to an upstream, and its idempotency key if any."""
+
+    request: Request
+    call: UpstreamCall
+    idempotency_key: str
+
+
+def new_request_id(caller_id: str) -> RequestId:
+    """Makes a unique id that starts with the caller's own, if it has one.
+
+    The caller's id alone would not do: two callers can send the same one, and
+    answers are told apart by it.
+    """
+    unique = uuid.uuid4().hex
+    if _CALLER_REQUEST_ID.fullmatch(caller_id):
+        return RequestId(f"{caller_id}.{unique}")
+    return RequestId(unique)
+
+
+def account_of(caller: Caller, config: Config) -> AccountId:
+    """Returns the account whose bearer key the caller sent.
+
+    Raises:
+        CallerError: If there are accounts and the key is none of theirs.
+    """
+    if not config.accounts:
+        return ANONYMOUS
+    scheme, _, key = caller.header("authorization").partition(" ")
+    digest = hashlib.sha256(key.strip().encode("latin-1")).hexdigest()
+    if scheme.lower() == "bearer":
+        for account_id, account in config.accounts.items():
+            if account.key_sha256 == digest:
+                return account_id
+    raise CallerError(
+        ErrorType.UNAUTHENTICATED, "the bearer key belongs to no account"
+    )
+
+
+def parse_chat(caller: Caller, body: bytes, config: Config) -> Parsed:
+    """Reads a chat-completions request.
+
+    Raises:
+        CallerError: If it is malformed or names an unknown model or rank.
+    """
+    document = _chat_document(body)
+    name = ArtifactName(document["model"])
+    service_id = service_of_artifact(config, name)
+    rank_id, rank = _rank(caller, config)
+    document["priority"] = rank.level
+    prompt_start = str(document["messages"][0])[:PREFIX_CHARS]
+    request = _request(
+        caller,
+        config,
+        body,
+        service_id,
+        rank_id,
+        artifact=name,
+        prefix_hash=xxhash.xxh64_intdigest(f"{name}\0{prompt_start}"),
+        stream=document.get("stream") is True,
+    )
+    call = UpstreamCall(
+        request_id=caller.request_id,
+        method=b"POST",
+        target=CHAT_PATH.encode(),
+        headers=[(b"content-type", b"application/json")],
+        body=msgspec.json.encode(document),
+        stream=request.stream,
+    )
+    return Parsed(request, call, "")
+
+
+def _chat_document(body: bytes) -> dict[str, Any]:
+    try:
+        document = msgspec.json.decode(body)
+    except (msgspec.DecodeError, RecursionError) as error:
+        raise _bad(f"the body is not JSON: {error}") from error
+    if not isinstance(document, dict):
+        raise _bad("the body is not a JSON object")
+    if not isinstance(document.get("model"), str):
+        raise _bad("model: must be a text")
+    messages = document.get("messages")
+    if not isinstance(messages, list) or not messages:
+        raise _bad("messages: must be a list with at least one message")
+    if not isinstance(document.get("stream", False), bool):
+        raise _bad("stream: must be true or false")
+    return document
+
+
+def service_of_artifact(config: Config, name: ArtifactName) -> ServiceId:
+    """Returns the service that runs a model or an adapter.
+
+    Raises:
+        CallerError: If there is no such model or adapter.
+    """
+    adapter = config.adapters.get(AdapterId(name))
+    model_id = adapter.model if adapter else ModelId(name)
+    model = config.models.get(model_id)
+    if model is None:
+        raise CallerError(ErrorType.NOT_FOUND, f"there is no model {name!r}")
+    return model.service
+
+
+def parse_service(caller: Caller, body: bytes, config: Config) -> Parsed:
+    """Reads a request for a plain service.
+
+    Raises:
+        CallerError: If it is malformed, names an unknown service or rank, or
+            lacks the idempotency key that it needs.
+    """
+    rest = caller.path.removeprefix(SERVICES_PREFIX)
+    name, _, inner = rest.partition("/")
+    path = "/" + inner
+    service = config.services.get(ServiceId(name))
+    if service is None or service.kind is not ServiceKind.PLAIN:
+        raise CallerError(ErrorType.NOT_FOUND, f"there is no service {name!r}")
+    # Other spellings of a path could hide a call that may run only once.
+    if any(part in ("", ".", "..") for part in path.split("/")[1:-1]):
+        raise _bad("the path has empty or relative segments")
+    rank_id, _ = _rank(caller, config)
+    idempotent = not is_non_idempotent(service, caller.method, path)
+    request = _request(
+        caller,
+        config,
+        f"{caller.method} {path}?".encode() + caller.query + b"\0" + body,
+        ServiceId(name),
+        rank_id,
+        idempotent=idempotent,
+    )
+    target = quote(path).encode() + (b"?" if caller.query else b"")
+    key = "" if idempotent else _idempotency_key(caller)
+    headers = [
+        (name, value)
+        for name, value in relayed_headers(caller.headers.items())
+        if name not in _DROPPED_FROM_CALLER
+    ]
+    if key:
+        headers.append((b"idempotency-key", key.encode()))
+    call = UpstreamCall(
+        request_id=caller.request_id,
+        method=caller.method.encode(),
+        target=target + caller.query,
+        headers=headers,
+        body=body,
+        stream=False,
+    )
+    return Parsed(request, call, key)
+
+
+def is_non_idempotent(service: Service, method: str, path: str) -> bool:
+    """Tells whether the service declares that a call may run only once.
+
+    Letter case is ignored, since some services ignore it too.
+    """
+    for declared in service.non_idempotent:
+        declared_method, _, prefix = declared.partition(" ")
+        prefix = prefix.rstrip("/").lower()
+        below = path.lower() == prefix or path.lower().startswith(prefix + "/")
+        if declared_method.upper() == method.upper() and below:
+            return True
+    return False
+
+
+def _idempotency_key(caller: Caller) -> str:
+    key = caller.header("idempotency-key")
+    if not key:
+        raise _bad("this call needs an Idempotency-Key header")
+    if not _IDEMPOTENCY_KEY.fullmatch(key):
+        raise _bad("Idempotency-Key: must be 1 to 128 printable characters")
+    return key
+
+
+def _rank(caller: Caller, config: Config) -> tuple[RankId, Rank]:
+    name = caller.header("x-rank")
+    if name:
+        rank = config.ranks.get(RankId(name))
+        if rank is None:
+            known = ", ".join(sorted(config.ranks))
+            raise _bad(f"X-Rank: {name!r} is none of {known}")
+        return RankId(name), rank
+    if not config.ranks:
+        raise CallerError(
+            ErrorType.NOT_READY, "no ranks are configured", retry_after_s=5
+        )
+    # Work that does not say otherwise must not hold up work that does.
+    return max(config.ranks.items(), key=lambda item: item[1].level)
+
+
+def _deadline_s(caller: Caller, rank: Rank, now_s: float) -> float:
+    text = caller.header("x-deadline-ms")
+    if not text:
+        return now_s + rank.default_deadline_s
+    if not (text.isascii() and text.isdigit()):
+        raise _bad("X-Deadline-Ms: must be a whole number of milliseconds")
+    if len(text) > 9 or not 0 < int(text) <= MAX_DEADLINE_MS:
+        raise _bad(f"X-Deadline-Ms: must be from 1 to {MAX_DEADLINE_MS}")
+    return now_s + int(text) / 1000
+
+
+def _request(
+    caller: Caller,
+    config: Config,
+    content: bytes,
+    service: ServiceId,
+    rank: RankId,
+    **fields: Any,
+) -> Request:
+    now_s = time.monotonic()
+    account = account_of(caller, config)
+    kind = caller.header("x-work-kind")
+    if len(kind) > MAX_WORK_KIND_CHARS:
+        raise _bad(f"X-Work-Kind: longer than {MAX_WORK_KIND_CHARS} characters")
+    digest = hashlib.sha256(content).hexdigest()
+    whole = f"{account}\0{service}\0{digest}".encode()
+    return Request(
+        request_id=caller.request_id,
+        account=account,
+        service=service,
+        rank=rank,
+        work_kind=kind or fields.get("artifact") or service,
+        body_hash=digest,
+        fingerprint=Fingerprint(xxhash.xxh3_128_hexdigest(whole)),
+        deadline_s=_deadline_s(caller, config.ranks[rank], now_s),
+        arrived_s=now_s,
+        **fields,
+    )
+
+
+def _bad(message: str) -> CallerError:
+    return CallerError(ErrorType.BAD_REQUEST, message)
--- /dev/null
+++ b/acaciaspoke/entry/relay.py
@@ -0,0 +1,293 @@
+"""Carries one request to an upstream and its answer back.
+
+An attempt ends in one of four ways: the answer was relayed to its end; the
+upstream refused, or was never reached, so that nothing ran; the answer broke
+off; or the upstream answered some other request.
+"""
+
+import time
+from enum import Enum
+
+import anyio
+import h11
+import httpcore
+import msgspec
+
+from acaciaspoke.config.schema import Service
+from acaciaspoke.entry.caller import Caller, Headers
+from acaciaspoke.entry.pool import CONNECT_TIMEOUT_S, Connection
+from acaciaspoke.ids import RequestId
+
+# Larger answers than this are not held in memory for a caller.
+MAX_ANSWER_BYTES = 32 * 1024 * 1024
+
+# Long enough to hold the end marker with any white space that engines add.
+_TAIL_BYTES = 32
+_END_OF_STREAM = b"data: [DONE]"
+_EVENT = b"data:"
+
+# Headers that belong to one connection (RFC 9110, section 7.6.1), or that the
+# entry process sets itself.
+_NOT_RELAYED = frozenset(
+    [
+        b"connection",
+        b"content-length",
+        b"date",
+        b"keep-alive",
+        b"proxy-authenticate",
+        b"proxy-connection",
+        b"server",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+        b"x-request-id",
+    ]
+)
+
+
+class Ending(Enum):
+    """How an attempt ended."""
+
+    ANSWERED = "answered"
+    REFUSED = "refused"
+    NOT_SENT = "not_sent"
+    BROKEN = "broken"
+    TIMED_OUT = "timed_out"
+    MISMATCHED = "mismatched"
+
+
+class Timings:
+    """When the parts of an answer arrived; monotonic seconds."""
+
+    __slots__ = ("gaps_ms", "first_token_s", "last_token_s", "tokens")
+
+    def __init__(self) -> None:
+        self.first_token_s: float | None = None
+        self.last_token_s = 0.0
+        self.tokens = 0
+        self.gaps_ms: dict[int, int] = {}
+
+    def record(self, now_s: float, events: int) -> None:
+        """Counts events that arrived together."""
+        self.tokens += events
+        if self.first_token_s is None:
+            self.first_token_s = now_s
+        else:
+            gap_ms = int((now_s - self.last_token_s) * 1000)
+            self.gaps_ms[gap_ms] = self.gaps_ms.get(gap_ms, 0) + 1
+        self.last_token_s = now_s
+
+
+class Attempt(msgspec.Struct, kw_only=True):
+    """The result of one attempt at one upstream.
+
+    Attributes:
+        sent_bytes: Bytes of the request that may have reached the upstream.
+        body: The answer, if it was not streamed.
+    """
+
+    ending: Ending
+    sent_bytes: int = 0
+    status: int = 0
+    headers: list[tuple[bytes, bytes]] = []
+    body: bytes = b""
+    detail: str = ""
+
+
+class UpstreamCall(msgspec.Struct, frozen=True, kw_only=True):
+    """The request as it goes to an upstream."""
+
+    request_id: RequestId
+    method: bytes
+    target: bytes
+    headers: list[tuple[bytes, bytes]]
+    body: bytes
+    stream: bool
+
+
+def relayed_headers(headers: Headers) -> list[tuple[bytes, bytes]]:
+    """Leaves out the headers that belong to one connection only."""
+    return [
+        (name, value)
+        for name, value in headers
+        if name.lower() not in _NOT_RELAYED
+    ]
+
+
+async def attempt(
+    connection: Connection,
+    address: str,
+    call: UpstreamCall,
+    service: Service,
+    caller: Caller,
+    timings: Timings,
+) -> Attempt:
+    """Makes one attempt; a streamed answer goes to the caller at once.
+
+    Never raises for failures of the upstream; they are endings.
+    """
+    try:
+        response = await connection.http.handle_async_request(
+            _to_httpcore(address, call, service)
+        )
+    except (httpcore.ConnectError, httpcore.ConnectTimeout) as error:
+        return Attempt(ending=Ending.NOT_SENT, detail=str(error))
+    except httpcore.TimeoutException as error:
+        return _failed(connection, Ending.TIMED_OUT, error)
+    except _CONNECTION_ERRORS as error:
+        return _failed(connection, Ending.BROKEN, error)
+    try:
+        return await _read_answer(
+            connection, response, call, service, caller, timings
+        )
+    except httpcore.TimeoutException as error:
+        return _failed(connection, Ending.TIMED_OUT, error)
+    except _CONNECTION_ERRORS as error:
+        return _failed(connection, Ending.BROKEN, error)
+    finally:
+        with anyio.CancelScope(shield=True):
+            await response.aclose()
+
+
+_CONNECTION_ERRORS = (
+    httpcore.NetworkError,
+    httpcore.ProtocolError,
+    h11.ProtocolError,
+    anyio.ClosedResourceError,
+)
+
+
+def _failed(
+    connection: Connection, ending: Ending, error: Exception
+) -> Attempt:
+    if not connection.sent_bytes:
+        ending = Ending.NOT_SENT
+    return Attempt(
+        ending=ending, sent_bytes=connection.sent_bytes, detail=str(error)
+    )
+
+
+def _to_httpcore(
+    address: str, call: UpstreamCall, service: Service
+) -> httpcore.Request:
+    timeout_s = service.timeout_s
+    return httpcore.Request(
+        call.method,
+        httpcore.URL(
+            scheme=b"http",
+            host=address.rpartition(":")[0].strip("[]").encode(),
+            port=int(address.rpartition(":")[2]),
+            target=call.target,
+        ),
+        headers=[
+            (b"host", address.encode()),
+            (b"x-request-id", call.request_id.encode("latin-1")),
+            (b"content-length", str(len(call.body)).encode()),
+            *call.headers,
+        ],
+        content=call.body,
+        extensions={
+            "timeout": {
+                "connect": CONNECT_TIMEOUT_S,
+                "read": timeout_s,
+                "write": timeout_s,
+            }
+        },
+    )
+
+
+async def _read_answer(
+    connection: Connection,
+    response: httpcore.Response,
+    call: UpstreamCall,
+    service: Service,
+    caller: Caller,
+    timings: Timings,
+) -> Attempt:
+    result = Attempt(
+        ending=Ending.ANSWERED,
+        sent_bytes=connection.sent_bytes,
+        status=response.status,
+        headers=relayed_headers(response.headers),
+    )
+    if not _is_own_answer(response.headers, call.request_id, service):
+        result.ending = Ending.MISMATCHED
+        result.detail = "the answer names another request"
+    elif response.status in service.refusal_statuses:
+        await _read_whole(response, result)
+        result.ending = Ending.REFUSED
+    elif call.stream and _is_event_stream(response.headers):
+        await _relay_stream(connection, response, result, caller, timings)
+    else:
+        await _read_whole(response, result)
+        timings.record(time.monotonic(), 1)
+    return result
+
+
+def _is_own_answer(
+    headers: Headers, request_id: RequestId, service: Service
+) -> bool:
+    if not service.echoes_request_id:
+        return True
+    echoed = [
+        value for name, value in headers if name.lower() == b"x-request-id"
+    ]
+    return echoed == [request_id.encode("latin-1")]
+
+
+def _is_event_stream(headers: Headers) -> bool:
+    return any(
+        name.lower() == b"content-type"
+        and value.startswith(b"text/event-stream")
+        for name, value in headers
+    )
+
+
+async def _read_whole(response: httpcore.Response, result: Attempt) -> None:
+    parts = []
+    size_bytes = 0
+    async for part in response.stream:
+        size_bytes += len(part)
+        if size_bytes > MAX_ANSWER_BYTES:
+            result.ending = Ending.BROKEN
+            result.detail = f"the answer exceeds {MAX_ANSWER_BYTES} bytes"
+            return
+        parts.append(part)
+    result.body = b"".join(parts)
+
+
+async def _relay_stream(
+    connection: Connection,
+    response: httpcore.Response,
+    result: Attempt,
+    caller: Caller,
+    timings: Timings,
+) -> None:
+    # Parts that arrived in one read leave in one write.
+    parts: list[bytes] = []
+
+    async def flush() -> None:
+        if parts:
+            data = b"".join(parts)
+            parts.clear()
+            await caller.send(data, more=True)
+
+    await caller.start(result.status, result.headers)
+    tail = b""
+    connection.stream.before_read = flush
+    try:
+        async for part in response.stream:
+            parts.append(part)
+            tail = (tail + part)[-_TAIL_BYTES:]
+            events = part.count(_EVENT)
+            if events:
+                timings.record(time.monotonic(), events)
+    finally:
+        connection.stream.before_read = None
+    await flush()
+    if tail.rstrip().endswith(_END_OF_STREAM):
+        await caller.send(b"", more=False)
+    else:
+        result.ending = Ending.BROKEN
+        result.detail = "the stream ended without its end marker"
