Add the table client and its stand-in

Claims, leases, reservations and the configuration log all need the table service. The client sends every write at most once and tells a write that was certainly not applied (no byte of the body sent, or a status that the service answers before it applies) from one that may have been.

The HTTP base of the stand-ins now closes the connection on ConnectionAbortedError without logging it, and prints every other exception.

--- /dev/null
+++ b/acaciaspoke/platform/table.py
@@ -0,0 +1,300 @@
+"""Client of the platform's table service (etcd v3 JSON gateway form)."""
+
+import base64
+import time
+from collections.abc import Iterator, Sequence
+from typing import Any, NamedTuple, Self
+
+import msgspec
+
+from acaciaspoke.errors import AcaciaspokeError
+from acaciaspoke.util.http import HttpAnswer, HttpClient, HttpError
+from acaciaspoke.util.metrics import Metrics
+
+# Statuses that the service answers before it applies anything. Others, such
+# as 503 and 504, also stand for a write whose outcome the service lost.
+NOT_APPLIED = frozenset({400, 401, 403, 404, 429})
+
+
+class TableError(AcaciaspokeError):
+    """Base class of the errors of the table client."""
+
+
+class TableUnavailable(TableError):  # noqa: N818 - name from the design
+    """There is no answer, and it is certain that nothing was written."""
+
+
+class OutcomeUnknown(TableError):  # noqa: N818 - name from the design
+    """There is no answer to a write that may have happened."""
+
+
+class Row(NamedTuple):
+    """One row.
+
+    Attributes:
+        mod_revision: The revision of the table that last wrote the row.
+        create_revision: The revision that created it.
+    """
+
+    key: str
+    value: bytes
+    mod_revision: int
+    create_revision: int
+
+
+class Condition(NamedTuple):
+    """Holds while the row has this ``mod_revision``; 0 means no row."""
+
+    key: str
+    mod_revision: int = 0
+
+
+class Put(NamedTuple):
+    """Writes a row."""
+
+    key: str
+    value: bytes
+
+
+class Delete(NamedTuple):
+    """Deletes a row, if there is one."""
+
+    key: str
+
+
+class Transaction(NamedTuple):
+    """Writes that take effect together, if all the conditions hold."""
+
+    conditions: tuple[Condition, ...]
+    writes: tuple[Put | Delete, ...]
+
+
+class Committed(NamedTuple):
+    """The writes took effect.
+
+    Attributes:
+        revision: The ``mod_revision`` of the rows that were put.
+    """
+
+    revision: int
+
+
+class Conflict(NamedTuple):
+    """A condition did not hold, and nothing was written.
+
+    Attributes:
+        rows: The current row of each compared key; None if there is none.
+    """
+
+    rows: dict[str, Row | None]
+
+
+class TableClient:
+    """Reads and writes rows; an async context manager.
+
+    Nothing is retried here, because only a caller can tell whether a write
+    whose answer was lost may be sent again.
+    """
+
+    def __init__(self, address: str, timeout_s: float, metrics: Metrics):
+        self._http = HttpClient(address, timeout_s)
+        self._metrics = metrics
+
+    async def __aenter__(self) -> Self:
+        await self._http.__aenter__()
+        return self
+
+    async def __aexit__(self, *error) -> None:
+        await self._http.__aexit__(*error)
+
+    async def read(self, key: str, stale_ok: bool = False) -> Row | None:
+        """Returns the row of ``key``, or None if there is none.
+
+        Args:
+            key: The row's key.
+            stale_ok: Accept an older state in exchange for a cheaper read.
+
+        Raises:
+            TableUnavailable: If there is no answer.
+        """
+        request = {"key": _encode(key), "serializable": stale_ok}
+        return next(iter(await self._range(request)), None)
+
+    async def scan(
+        self,
+        prefix: str,
+        limit: int = 0,
+        start_after: str = "",
+        stale_ok: bool = False,
+    ) -> list[Row]:
+        """Returns the rows whose keys start with ``prefix``, in key order.
+
+        Args:
+            prefix: What the keys start with; not empty.
+            limit: The largest number of rows; 0 for all.
+            start_after: Skip the keys up to and including this one.
+            stale_ok: Accept an older state in exchange for a cheaper read.
+
+        Raises:
+            TableUnavailable: If there is no answer.
+        """
+        first = max(prefix, start_after + "\0") if start_after else prefix
+        request = {
+            "key": _encode(first),
+            "range_end": _encode(_end_of(prefix)),
+            "limit": str(limit),
+            "serializable": stale_ok,
+        }
+        return await self._range(request)
+
+    async def commit(self, transaction: Transaction) -> Committed | Conflict:
+        """Writes once, if all the conditions hold.
+
+        Raises:
+            TableUnavailable: If it is certain that nothing was written.
+            OutcomeUnknown: If the write may have happened.
+        """
+        answer = await self._write(_transaction(transaction))
+        return _outcome(transaction, answer, _revision(answer))
+
+    async def commit_each(
+        self, transactions: Sequence[Transaction]
+    ) -> list[Committed | Conflict]:
+        """Commits each transaction on its own terms, all in one write.
+
+        The conditions of all see the state before the write.
+
+        Raises:
+            ValueError: If two of them write the same key, which the table
+                service refuses.
+            TableUnavailable: If it is certain that nothing was written.
+            OutcomeUnknown: If the write may have happened.
+        """
+        if not transactions:
+            return []
+        keys = [w.key for item in transactions for w in item.writes]
+        if len(set(keys)) < len(keys):
+            raise ValueError("two transactions write the same key")
+        nested = [{"request_txn": _transaction(t)} for t in transactions]
+        answer = await self._write({"success": nested})
+        revision = _revision(answer)
+        parts = answer.get("responses", [])
+        if len(parts) != len(transactions):
+            raise OutcomeUnknown("the table answered with too few parts")
+        return [
+            _outcome(item, part["response_txn"], revision)
+            for item, part in zip(transactions, parts, strict=True)
+        ]
+
+    async def _range(self, request: dict[str, Any]) -> list[Row]:
+        try:
+            answer = await self._post("/v3/kv/range", request, "read")
+            if answer.status == 200:
+                return list(_rows(msgspec.json.decode(answer.body)))
+            problem = _problem(answer)
+        except (HttpError, msgspec.DecodeError) as error:
+            problem = str(error)
+        self._metrics.count("table.read_failed")
+        raise TableUnavailable(problem)
+
+    async def _write(self, request: dict[str, Any]) -> dict[str, Any]:
+        try:
+            answer = await self._post("/v3/kv/txn", request, "write")
+            if answer.status == 200:
+                return msgspec.json.decode(answer.body)
+            problem, certain = _problem(answer), answer.status in NOT_APPLIED
+        except HttpError as error:
+            problem, certain = str(error), not error.was_sent
+        except msgspec.DecodeError as error:
+            problem, certain = str(error), False
+        if certain:
+            self._metrics.count("table.write_failed")
+            raise TableUnavailable(problem)
+        self._metrics.count("table.write_unknown")
+        raise OutcomeUnknown(problem)
+
+    async def _post(
+        self, path: str, request: dict[str, Any], kind: str
+    ) -> HttpAnswer:
+        start_s = time.monotonic()
+        body = msgspec.json.encode(request)
+        answer = await self._http.request("POST", path, body)
+        elapsed_ms = (time.monotonic() - start_s) * 1000
+        self._metrics.timing_ms(f"table.{kind}_ms", elapsed_ms)
+        return answer
+
+
+def _encode(data: str | bytes) -> str:
+    data = data.encode() if isinstance(data, str) else data
+    return base64.b64encode(data).decode()
+
+
+def _end_of(prefix: str) -> bytes:
+    # Keys are UTF-8, which never contains the byte 0xff, so the last byte can
+    # always be raised.
+    data = prefix.encode()
+    return data[:-1] + bytes([data[-1] + 1])
+
+
+def _transaction(transaction: Transaction) -> dict[str, Any]:
+    return {
+        "compare": [
+            {
+                "target": "MOD",
+                "result": "EQUAL",
+                "key": _encode(condition.key),
+                "mod_revision": str(condition.mod_revision),
+            }
+            for condition in transaction.conditions
+        ],
+        "success": [_write_operation(write) for write in transaction.writes],
+        "failure": [
+            {"request_range": {"key": _encode(condition.key)}}
+            for condition in transaction.conditions
+        ],
+    }
+
+
+def _write_operation(write: Put | Delete) -> dict[str, Any]:
+    if isinstance(write, Delete):
+        return {"request_delete_range": {"key": _encode(write.key)}}
+    return {
+        "request_put": {
+            "key": _encode(write.key),
+            "value": _encode(write.value),
+        }
+    }
+
+
+def _revision(answer: dict[str, Any]) -> int:
+    return int(answer.get("header", {}).get("revision", 0))
+
+
+def _outcome(
+    transaction: Transaction, answer: dict[str, Any], revision: int
+) -> Committed | Conflict:
+    # The gateway leaves out fields that have their default value.
+    if answer.get("succeeded"):
+        return Committed(revision)
+    found = {
+        row.key: row
+        for part in answer.get("responses", [])
+        for row in _rows(part.get("response_range", {}))
+    }
+    keys = [condition.key for condition in transaction.conditions]
+    return Conflict({key: found.get(key) for key in keys})
+
+
+def _rows(answer: dict[str, Any]) -> Iterator[Row]:
+    for item in answer.get("kvs", []):
+        yield Row(
+            base64.b64decode(item["key"]).decode(),
+            base64.b64decode(item.get("value", "")),
+            int(item["mod_revision"]),
+            int(item["create_revision"]),
+        )
+
+
+def _problem(answer: HttpAnswer) -> str:
+    text = answer.body[:200].decode(errors="replace")
+    return f"the table service answered {answer.status}: {text}"
--- /dev/null
+++ b/acaciaspoke/util/http.py
@@ -0,0 +1,89 @@
+"""A small HTTP client over httpcore with one deadline per request."""
+
+from collections.abc import Mapping
+from typing import NamedTuple, Self
+
+import anyio
+import httpcore
+
+MAX_CONNECTIONS = 32
+
+
+class HttpError(Exception):
+    """A request without a whole answer.
+
+    Attributes:
+        was_sent: Whether the server may have the whole request. False only
+            if no byte of the body was written.
+    """
+
+    def __init__(self, problem: str, *, was_sent: bool):
+        super().__init__(problem)
+        self.was_sent = was_sent
+
+
+class HttpAnswer(NamedTuple):
+    """A whole answer."""
+
+    status: int
+    body: bytes
+
+
+class HttpClient:
+    """A pool of connections to one address; an async context manager."""
+
+    def __init__(self, address: str, timeout_s: float):
+        self._base = f"http://{address}"
+        self._timeout_s = timeout_s
+        self._pool = httpcore.AsyncConnectionPool(
+            max_connections=MAX_CONNECTIONS
+        )
+
+    async def __aenter__(self) -> Self:
+        await self._pool.__aenter__()
+        return self
+
+    async def __aexit__(self, *error) -> None:
+        await self._pool.__aexit__(*error)
+
+    async def request(
+        self,
+        method: str,
+        path: str,
+        body: bytes = b"",
+        headers: Mapping[str, str] | None = None,
+        timeout_s: float | None = None,
+    ) -> HttpAnswer:
+        """Sends a request once and reads its whole answer.
+
+        Raises:
+            HttpError: If there is no whole answer within the timeout.
+        """
+        was_sent = False
+
+        async def trace(event: str, _) -> None:
+            nonlocal was_sent
+            was_sent |= event.endswith("send_request_body.started")
+
+        timeout_s = self._timeout_s if timeout_s is None else timeout_s
+        try:
+            with anyio.fail_after(timeout_s):
+                response = await self._pool.request(
+                    method,
+                    self._base + path,
+                    headers=dict(headers or {}),
+                    content=body,
+                    extensions={"trace": trace},
+                )
+        except TimeoutError as error:
+            raise HttpError(
+                f"no answer within {timeout_s} s", was_sent=was_sent
+            ) from error
+        except (
+            httpcore.NetworkError,
+            httpcore.ProtocolError,
+            httpcore.TimeoutException,
+        ) as error:
+            problem = f"{type(error).__name__}: {error}"
+            raise HttpError(problem, was_sent=was_sent) from error
+        return HttpAnswer(response.status, response.content)
--- /dev/null
+++ b/standins/faults.py
@@ -0,0 +1,73 @@
+"""Faults that the stand-ins of the platform can be told to show."""
+
+import anyio
+import msgspec
+
+from standins.http import Call
+
+
+class Faults(msgspec.Struct, forbid_unknown_fields=True):
+    """How a stand-in misbehaves until it is told otherwise.
+
+    Attributes:
+        delay_s: Extra time before each answer.
+        refuse: Answer 429 to everything, without applying it.
+        drop_requests: How many of the next requests to drop unapplied.
+        drop_answers: How many of the next requests to apply without an answer.
+        writes_only: Whether only writes are dropped.
+        stale: Answer reads that may be stale from the state at the time when
+            this was set (table only).
+    """
+
+    delay_s: float = 0.0
+    refuse: bool = False
+    drop_requests: int = 0
+    drop_answers: int = 0
+    writes_only: bool = True
+    stale: bool = False
+
+
+class FaultyHandler:
+    """Base of a stand-in: takes faults and applies them to its answers."""
+
+    def __init__(self):
+        self.faults = Faults()
+
+    async def handle(self, call: Call) -> None:
+        """Answers one request, with the faults that are set."""
+        if call.path == "/standin/faults":
+            self.set_faults(msgspec.convert(await call.json(), Faults))
+            await call.answer({})
+        elif call.path.startswith("/standin/"):
+            await call.answer(*await self.respond(call, await call.body()))
+        else:
+            await self._handle_with_faults(call)
+
+    def set_faults(self, faults: Faults) -> None:
+        """Replaces the faults."""
+        self.faults = faults
+
+    def is_write(self, call: Call) -> bool:
+        """Tells whether a request changes something."""
+        return call.method != "GET"
+
+    async def respond(self, call: Call, body: bytes) -> tuple:
+        """Applies a request and returns the arguments of ``call.answer``."""
+        raise NotImplementedError
+
+    async def _handle_with_faults(self, call: Call) -> None:
+        body = await call.body()
+        faults = self.faults
+        await anyio.sleep(faults.delay_s)
+        if faults.refuse:
+            await call.answer({"message": "too many requests", "code": 8}, 429)
+            return
+        droppable = self.is_write(call) or not faults.writes_only
+        if droppable and faults.drop_requests:
+            faults.drop_requests -= 1
+            raise ConnectionAbortedError("told to drop the request")
+        answer = await self.respond(call, body)
+        if droppable and faults.drop_answers:
+            faults.drop_answers -= 1
+            raise ConnectionAbortedError("told to drop the answer")
+        await call.answer(*answer)
--- a/standins/http.py
+++ b/standins/http.py
@@ -1,5 +1,6 @@
 """A small base for the HTTP stand-ins: routes, JSON and serving by uvicorn."""
 
+import traceback
 from collections.abc import Awaitable, Callable
 from contextlib import asynccontextmanager, nullcontext
 from typing import Any
@@ -23,6 +24,7 @@
         }
         self.receive = receive
         self.send = send
+        self.started = False
 
     async def body(self) -> bytes:
         """Reads the whole request body."""
@@ -39,6 +41,7 @@
 
     async def start(self, status: int, headers: dict[str, str]) -> None:
         """Sends the status and the headers."""
+        self.started = True
         await self.send(
             {
                 "type": "http.response.start",
@@ -79,8 +82,19 @@
     """Makes an ASGI application of one handler."""
 
     async def app(scope, receive, send):
-        if scope["type"] == "http":
-            await handle(Call(scope, receive, send))
+        if scope["type"] != "http":
+            return
+        call = Call(scope, receive, send)
+        try:
+            await handle(call)
+        except ConnectionAbortedError:
+            # uvicorn closes the connection when an answer has no end; without
+            # a start it would answer 500 instead.
+            if not call.started:
+                await call.start(200, {"content-length": "1"})
+        except Exception:
+            traceback.print_exc()
+            raise
 
     return app
 
@@ -101,7 +115,8 @@
             asgi_app(handle),
             host=ip,
             port=port,
-            log_level="error",
+            # Dropped answers would be logged as errors.
+            log_level="critical",
             access_log=False,
             lifespan="off",
             timeout_graceful_shutdown=1,
--- /dev/null
+++ b/test/builders.py
@@ -0,0 +1,31 @@
+"""Builders of test data, in alphabetical order."""
+
+import socket
+from contextlib import asynccontextmanager
+
+from acaciaspoke.platform.table import TableClient
+from acaciaspoke.util.metrics import Metrics
+from standins.http import serving
+from standins.table import Table
+
+
+def next_address() -> str:
+    """Returns a free address of the loopback interface.
+
+    The kernel chooses the port, so that test runs side by side do not collide.
+    """
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return f"127.0.0.1:{probe.getsockname()[1]}"
+
+
+@asynccontextmanager
+async def table_service(timeout_s: float = 2.0):
+    """Serves a table stand-in; yields it and a client."""
+    table, address = Table(), next_address()
+    ip, port = address.split(":")
+    async with (
+        serving(table.handle, ip, int(port)),
+        TableClient(address, timeout_s, Metrics()) as client,
+    ):
+        yield table, client
