--- a/standins/http.py
+++ b/standins/http.py
@@ -65,8 +65,9 @@
         status: int = 200,
         headers: dict[str, str] | None = None,
     ) -> None:
-        """Sends a whole JSON answer."""
-        data = msgspec.json.encode(document)
+        """Sends a whole answer: bytes as they are, all else as JSON."""
+        is_raw = isinstance(document, bytes)
+        data = document if is_raw else msgspec.json.encode(document)
         await self.start(
             status,
             {
--- a/test/builders.py
+++ b/test/builders.py
@@ -20,12 +20,22 @@
 
 
 @asynccontextmanager
-async def table_service(timeout_s: float = 2.0):
-    """Serves a table stand-in; yields it and a client."""
-    table, address = Table(), next_address()
+async def stand_in(handler, make_client):
+    """Serves a stand-in; yields the client made for its address."""
+    address = next_address()
     ip, port = address.split(":")
     async with (
-        serving(table.handle, ip, int(port)),
-        TableClient(address, timeout_s, Metrics()) as client,
+        serving(handler.handle, ip, int(port)),
+        make_client(address) as client,
     ):
+        yield client
+
+
+@asynccontextmanager
+async def table_service(timeout_s: float = 2.0):
+    """Serves a table stand-in; yields it and a client."""
+    table = Table()
+    async with stand_in(
+        table, lambda address: TableClient(address, timeout_s, Metrics())
+    ) as client:
         yield table, client
