Add merge patches and the check of the whole configuration

A patch is accepted only if the whole result is valid, and an operator should see every wrong field at once. Ranges and forms of single fields are now part of the schema's types; rules between entries see the entries that have the right types, so that both kinds of fault are reported in one answer and no fault is reported twice.

A model or adapter is refused if its service has upstreams and none is large enough; a service without upstreams may still get them in a later patch.

--- /dev/null
+++ b/acaciaspoke/config/patch.py
@@ -0,0 +1,270 @@
+"""Merge patches (RFC 7396) of the configuration; the check of the whole."""
+
+import itertools
+import math
+import re
+from collections.abc import Iterable, Iterator, Mapping
+from typing import Any, NamedTuple
+
+import msgspec
+
+from acaciaspoke.config.schema import Config, Model, ServiceKind, Upstream
+from acaciaspoke.errors import FieldError
+from acaciaspoke.ids import ConfigVersion, ServiceId
+from acaciaspoke.util.check import convert_all
+from acaciaspoke.util.net import split_address
+
+# Ids are parts of table keys, of URLs and of metric names.
+_ID = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]{0,62}")
+
+# Sections that map ids to entries.
+SECTIONS = (
+    "ranks",
+    "services",
+    "models",
+    "adapters",
+    "upstreams",
+    "accounts",
+)
+
+
+def merge(target: Any, patch: Any) -> Any:
+    """Returns ``target`` changed by a merge patch; changes neither."""
+    if not isinstance(patch, dict):
+        return patch
+    merged = dict(target) if isinstance(target, dict) else {}
+    for key, value in patch.items():
+        if value is None:
+            merged.pop(key, None)
+        else:
+            merged[key] = merge(merged.get(key), value)
+    return merged
+
+
+def apply_patch(config: Config, patch: Any) -> Config:
+    """Returns the next version: ``config`` changed by a decoded patch.
+
+    Raises:
+        ExceptionGroup: Of ``FieldError``, one for each wrong field of the
+            whole result.
+    """
+    if not isinstance(patch, dict):
+        problem = FieldError("$", "a patch must be a JSON object")
+        raise ExceptionGroup("wrong patch", [problem])
+    problems = []
+    if "version" in patch:
+        problems.append(FieldError("version", "is set by the system"))
+    document = merge(msgspec.to_builtins(config), patch)
+    document["version"] = config.version + 1
+    changed, type_problems = convert_all(document, Config)
+    problems += type_problems
+    problems += check(document, changed)
+    if problems:
+        problems.sort(key=lambda problem: problem.path)
+        raise ExceptionGroup("wrong patch", problems)
+    return changed
+
+
+def apply_committed(
+    config: Config, version: ConfigVersion, patches: Iterable[str]
+) -> Config:
+    """Applies patches that were checked before they were committed.
+
+    Rules between entries are not checked again: a rule that a newer program
+    adds must not keep an accepted version from being in force.
+
+    Args:
+        config: The configuration before the patches.
+        version: The version that the last patch made.
+        patches: The patches as JSON text, in order.
+
+    Raises:
+        msgspec.ValidationError: If the result is not a configuration.
+    """
+    document = msgspec.to_builtins(config)
+    for text in patches:
+        document = merge(document, msgspec.json.decode(text))
+    document["version"] = version
+    return msgspec.convert(document, Config)
+
+
+class _Whole(NamedTuple):
+    """What the rules between entries see.
+
+    Attributes:
+        config: The entries that have the right types.
+        known: The ids of all entries by section, so that a reference to an
+            entry with wrong types is not reported as a second fault. A
+            section that is no object is left out.
+        all_upstreams: Whether every upstream has the right types.
+    """
+
+    config: Config
+    known: Mapping[str, frozenset[str]]
+    all_upstreams: bool
+
+    def lacks(self, section: str, entry_id: str) -> bool:
+        """Tells whether an id is certainly not in a section."""
+        return section in self.known and entry_id not in self.known[section]
+
+
+def check(document: dict, config: Config | None) -> Iterator[FieldError]:
+    """Yields what is wrong between the entries of a whole document.
+
+    Args:
+        document: The document as decoded JSON.
+        config: The document as types; None if some of it has wrong types,
+            in which case the rules see the entries that have the right ones.
+    """
+    sections = {
+        name: document.get(name, {})
+        for name in SECTIONS
+        if isinstance(document.get(name, {}), dict)
+    }
+    typed = config or _typed_part(sections)
+    whole = _Whole(
+        typed,
+        {name: frozenset(entries) for name, entries in sections.items()},
+        "upstreams" in sections
+        and len(sections["upstreams"]) == len(typed.upstreams),
+    )
+    return itertools.chain.from_iterable(
+        rule(whole)
+        for rule in (
+            _check_ids,
+            _check_names,
+            _check_references,
+            _check_ranks,
+            _check_upstreams,
+            _check_accounts,
+            _check_memory,
+        )
+    )
+
+
+def _typed_part(sections: Mapping[str, dict]) -> Config:
+    kept: dict[str, dict] = {name: {} for name in SECTIONS}
+    for name, entries in sections.items():
+        for entry_id, entry in entries.items():
+            document = {name: {entry_id: entry}}
+            part, _ = convert_all(document, Config)
+            if part is not None:
+                kept[name].update(getattr(part, name))
+    return Config(**kept)
+
+
+def _check_ids(whole: _Whole) -> Iterator[FieldError]:
+    rule = "an id has 1 to 63 letters, digits, '.', '_' or '-'"
+    for section, ids in whole.known.items():
+        for entry_id in ids:
+            if not _ID.fullmatch(entry_id):
+                yield FieldError(f"{section}.{entry_id}", rule)
+    for upstream_id, upstream in whole.config.upstreams.items():
+        if not _ID.fullmatch(upstream.failure_domain):
+            path = f"upstreams.{upstream_id}.failure_domain"
+            yield FieldError(path, rule)
+
+
+def _check_names(whole: _Whole) -> Iterator[FieldError]:
+    # Callers and engines address models and adapters by the same field.
+    models = whole.known.get("models", frozenset())
+    for name in models & whole.known.get("adapters", frozenset()):
+        yield FieldError(f"adapters.{name}", "a model has the same name")
+
+
+def _check_references(whole: _Whole) -> Iterator[FieldError]:
+    config = whole.config
+    for model_id, model in config.models.items():
+        path = f"models.{model_id}.service"
+        service = config.services.get(model.service)
+        if whole.lacks("services", model.service):
+            yield FieldError(path, f"no service {model.service!r}")
+        elif service is not None and service.kind is not ServiceKind.ENGINE:
+            yield FieldError(path, f"{model.service!r} has no model engines")
+    for adapter_id, adapter in config.adapters.items():
+        if whole.lacks("models", adapter.model):
+            path = f"adapters.{adapter_id}.model"
+            yield FieldError(path, f"no model {adapter.model!r}")
+    for upstream_id, upstream in config.upstreams.items():
+        if whole.lacks("services", upstream.service):
+            path = f"upstreams.{upstream_id}.service"
+            yield FieldError(path, f"no service {upstream.service!r}")
+
+
+def _check_ranks(whole: _Whole) -> Iterator[FieldError]:
+    ranks = whole.config.ranks
+    total = math.fsum(rank.floor_share for rank in ranks.values())
+    if total > 1 + 1e-9:
+        problem = f"the floor shares add up to {total:.3f}, more than 1"
+        for rank_id in ranks:
+            yield FieldError(f"ranks.{rank_id}.floor_share", problem)
+    levels = {rank_id: rank.level for rank_id, rank in ranks.items()}
+    yield from _check_unique(levels, "ranks", "level")
+
+
+def _check_upstreams(whole: _Whole) -> Iterator[FieldError]:
+    upstreams = whole.config.upstreams
+    for upstream_id, upstream in upstreams.items():
+        try:
+            split_address(upstream.address)
+        except ValueError as error:
+            path = f"upstreams.{upstream_id}.address"
+            yield FieldError(path, str(error))
+    addresses = {key: upstream.address for key, upstream in upstreams.items()}
+    yield from _check_unique(addresses, "upstreams", "address")
+
+
+def _check_accounts(whole: _Whole) -> Iterator[FieldError]:
+    keys = {
+        account_id: account.key_sha256
+        for account_id, account in whole.config.accounts.items()
+    }
+    yield from _check_unique(keys, "accounts", "key_sha256")
+
+
+def _check_unique(
+    values: Mapping[str, Any], section: str, field: str
+) -> Iterator[FieldError]:
+    first: dict[Any, str] = {}
+    for entry_id, value in values.items():
+        owner = first.setdefault(value, entry_id)
+        if owner != entry_id:
+            path = f"{section}.{entry_id}.{field}"
+            yield FieldError(path, f"{section}.{owner} has the same value")
+
+
+def _check_memory(whole: _Whole) -> Iterator[FieldError]:
+    config = whole.config
+    if not whole.all_upstreams:
+        return
+    largest = _largest_memory(config.upstreams.values())
+
+    def too_large(model: Model | None, needed_bytes: int) -> str:
+        # A service without upstreams may get them in a later patch.
+        if model is None or model.service not in largest:
+            return ""
+        room_bytes = largest[model.service]
+        if needed_bytes <= room_bytes:
+            return ""
+        return (
+            f"needs {needed_bytes} bytes, and the largest upstream of"
+            f" {model.service!r} has {room_bytes}"
+        )
+
+    for model_id, model in config.models.items():
+        if problem := too_large(model, model.memory_bytes):
+            yield FieldError(f"models.{model_id}.memory_bytes", problem)
+    for adapter_id, adapter in config.adapters.items():
+        model = config.models.get(adapter.model)
+        base_bytes = model.memory_bytes if model else 0
+        if problem := too_large(model, base_bytes + adapter.memory_bytes):
+            path = f"adapters.{adapter_id}.memory_bytes"
+            yield FieldError(path, f"with its model, {problem}")
+
+
+def _largest_memory(upstreams: Iterable[Upstream]) -> dict[ServiceId, int]:
+    largest: dict[ServiceId, int] = {}
+    for upstream in upstreams:
+        known_bytes = largest.get(upstream.service, 0)
+        largest[upstream.service] = max(known_bytes, upstream.memory_bytes)
+    return largest
--- a/acaciaspoke/config/schema.py
+++ b/acaciaspoke/config/schema.py
@@ -5,8 +5,10 @@
 """
 
 from enum import Enum
+from typing import Annotated
 
 import msgspec
+from msgspec import Meta
 
 from acaciaspoke.ids import (
     AccountId,
@@ -20,6 +22,16 @@
     UpstreamId,
 )
 
+Bytes = Annotated[int, Meta(ge=0, le=2**62)]
+ArtifactBytes = Annotated[int, Meta(ge=1, le=2**62)]
+Count = Annotated[int, Meta(ge=1, lt=2**31)]
+Digest = Annotated[str, Meta(pattern=r"^[0-9a-f]{64}\Z")]
+Operation = Annotated[str, Meta(pattern=r"^[A-Z]+ /\S*\Z")]
+Positive = Annotated[float, Meta(gt=0)]
+RefusalStatus = Annotated[int, Meta(ge=400, le=599)]
+Share = Annotated[float, Meta(ge=0, le=1)]
+Version = Annotated[str, Meta(pattern=r"^[A-Za-z0-9][A-Za-z0-9._-]{0,62}\Z")]
+
 
 class ServiceKind(Enum):
     """What stands behind a service."""
@@ -51,14 +63,14 @@
         default_deadline_s: Deadline of requests that state none.
     """
 
-    level: int
-    floor_share: float = 0.05
-    first_token_target_s: float = 2.0
-    token_gap_target_ms: float = 45.0
-    attainment_target: float = 0.95
-    worth: float = 1.0
-    queue_limit: int = 256
-    default_deadline_s: float = 60.0
+    level: Annotated[int, Meta(ge=0, le=1000)]
+    floor_share: Share = 0.05
+    first_token_target_s: Positive = 2.0
+    token_gap_target_ms: Positive = 45.0
+    attainment_target: Share = 0.95
+    worth: Positive = 1.0
+    queue_limit: Count = 256
+    default_deadline_s: Positive = 60.0
 
 
 class Service(_Base):
@@ -74,9 +86,9 @@
     """
 
     kind: ServiceKind
-    non_idempotent: tuple[str, ...] = ()
-    refusal_statuses: tuple[int, ...] = (429, 503)
-    timeout_s: float = 30.0
+    non_idempotent: tuple[Operation, ...] = ()
+    refusal_statuses: tuple[RefusalStatus, ...] = (429, 503)
+    timeout_s: Positive = 30.0
     echoes_request_id: bool = True
 
 
@@ -90,16 +102,16 @@
     """
 
     service: ServiceId
-    memory_bytes: int
-    version: str = "1"
+    memory_bytes: ArtifactBytes
+    version: Version = "1"
 
 
 class Adapter(_Base):
     """An adapter that runs beside its base model."""
 
     model: ModelId
-    memory_bytes: int
-    version: str = "1"
+    memory_bytes: ArtifactBytes
+    version: Version = "1"
 
 
 class Upstream(_Base):
@@ -115,8 +127,8 @@
     service: ServiceId
     failure_domain: DomainId
     address: str
-    memory_bytes: int = 0
-    slots: int = 16
+    memory_bytes: Bytes = 0
+    slots: Count = 16
     checks_fencing: bool = False
 
 
@@ -127,15 +139,15 @@
         key_sha256: Hex digest of its bearer key.
     """
 
-    key_sha256: str
+    key_sha256: Digest
 
 
 class WeightStore(_Base):
     """Limits of the platform's weight store and of adapter loading."""
 
-    model_loads_per_s: float = 3.0
-    concurrent_model_loads: int = 4
-    adapters_in_transit: int = 32
+    model_loads_per_s: Positive = 3.0
+    concurrent_model_loads: Count = 4
+    adapters_in_transit: Count = 32
 
 
 class Config(_Base):
--- a/test/builders.py
+++ b/test/builders.py
@@ -3,6 +3,8 @@
 import socket
 from contextlib import asynccontextmanager
 
+from acaciaspoke.config.patch import apply_patch
+from acaciaspoke.config.schema import Config
 from acaciaspoke.platform.table import TableClient
 from acaciaspoke.util.metrics import Metrics
 from standins.http import serving
@@ -19,6 +21,26 @@
         return f"127.0.0.1:{probe.getsockname()[1]}"
 
 
+def small_config() -> Config:
+    """Returns version 1 of a configuration with an entry of every kind."""
+    document = {
+        "ranks": {"gold": {"level": 0}, "base": {"level": 1}},
+        "services": {"engines": {"kind": "engine"}, "bank": {"kind": "plain"}},
+        "models": {"m1": {"service": "engines", "memory_bytes": 60}},
+        "adapters": {"a1": {"model": "m1", "memory_bytes": 1}},
+        "upstreams": {
+            "u1": {
+                "service": "engines",
+                "failure_domain": "d1",
+                "address": "10.0.0.1:8000",
+                "memory_bytes": 100,
+            },
+        },
+        "accounts": {"shared": {"key_sha256": "0" * 64}},
+    }
+    return apply_patch(Config(), document)
+
+
 @asynccontextmanager
 async def stand_in(handler, make_client):
     """Serves a stand-in; yields the client made for its address."""
