Add the configuration log

An accepted version must be in force everywhere, never revert, and survive lost answers and two operators at once. One transaction compares the head and the patch id and writes head, patch row and patch-id row. After a lost answer the patch id is read back; if it is absent, the same transaction is sent again, which its condition on the patch id makes safe. A version that was read back is not taken from the submitter's own result, because another submission under the same id may have won.

The check of a patch now tries one conversion first and searches for all problems only if that fails.

--- a/acaciaspoke/config/patch.py
+++ b/acaciaspoke/config/patch.py
@@ -56,7 +56,7 @@
         problems.append(FieldError("version", "is set by the system"))
     document = merge(msgspec.to_builtins(config), patch)
     document["version"] = config.version + 1
-    changed, type_problems = convert_all(document, Config)
+    changed, type_problems = _convert(document)
     problems += type_problems
     problems += check(document, changed)
     if problems:
@@ -65,6 +65,14 @@
     return changed
 
 
+def _convert(document: dict) -> tuple[Config | None, list[FieldError]]:
+    # The search for all problems takes many times as long as a conversion.
+    try:
+        return msgspec.convert(document, Config), []
+    except msgspec.ValidationError:
+        return convert_all(document, Config)
+
+
 def apply_committed(
     config: Config, version: ConfigVersion, patches: Iterable[str]
 ) -> Config:
@@ -146,10 +154,11 @@
     kept: dict[str, dict] = {name: {} for name in SECTIONS}
     for name, entries in sections.items():
         for entry_id, entry in entries.items():
-            document = {name: {entry_id: entry}}
-            part, _ = convert_all(document, Config)
-            if part is not None:
-                kept[name].update(getattr(part, name))
+            try:
+                part = msgspec.convert({name: {entry_id: entry}}, Config)
+            except msgspec.ValidationError:
+                continue
+            kept[name].update(getattr(part, name))
     return Config(**kept)
 
 
--- a/acaciaspoke/util/check.py
+++ b/acaciaspoke/util/check.py
@@ -4,6 +4,7 @@
 is converted on its own, so that a user sees all problems at once.
 """
 
+import functools
 import re
 import typing
 from typing import Any, TypeVar
@@ -55,12 +56,17 @@
             yield _problem_of(error, path)
 
 
+@functools.cache
+def _hints_and_fields(wanted: type):
+    hints = typing.get_type_hints(wanted, include_extras=True)
+    return hints, {f.name: f for f in msgspec.structs.fields(wanted)}
+
+
 def _struct_problems(document: Any, wanted: type, path: str):
     if not isinstance(document, dict):
         yield FieldError(path.lstrip(".") or "$", "must be an object")
         return
-    hints = typing.get_type_hints(wanted, include_extras=True)
-    fields = {field.name: field for field in msgspec.structs.fields(wanted)}
+    hints, fields = _hints_and_fields(wanted)
     for name in document.keys() - fields.keys():
         yield FieldError(f"{path}.{name}".lstrip("."), "unknown field")
     for name, field in fields.items():
--- a/standins/table.py
+++ b/standins/table.py
@@ -99,15 +99,16 @@
             return {"response_range": self._range(item["request_range"])}
         if "request_put" in item:
             put = item["request_put"]
-            self._put(
+            self.put(
                 base64.b64decode(put["key"]),
                 base64.b64decode(put.get("value", "")),
             )
             return {"response_put": {}}
-        self._delete(base64.b64decode(item["request_delete_range"]["key"]))
+        self.delete(base64.b64decode(item["request_delete_range"]["key"]))
         return {"response_delete_range": {}}
 
-    def _put(self, key: bytes, value: bytes) -> None:
+    def put(self, key: bytes, value: bytes) -> None:
+        """Writes a row at the current revision."""
         row = self.rows.get(key)
         if row is None:
             bisect.insort(self._keys, key)
@@ -116,7 +117,8 @@
             value=value, mod_revision=self.revision, version=row.version + 1
         )
 
-    def _delete(self, key: bytes) -> None:
+    def delete(self, key: bytes) -> None:
+        """Deletes a row, if there is one."""
         if self.rows.pop(key, None) is not None:
             del self._keys[bisect.bisect_left(self._keys, key)]
 
--- a/test/builders.py
+++ b/test/builders.py
@@ -5,12 +5,36 @@
 
 from acaciaspoke.config.patch import apply_patch
 from acaciaspoke.config.schema import Config
+from acaciaspoke.config.store import ConfigStore
+from acaciaspoke.platform.objects import ObjectsClient
 from acaciaspoke.platform.table import TableClient
 from acaciaspoke.util.metrics import Metrics
 from standins.http import serving
+from standins.objects import Objects
 from standins.table import Table
 
 
+@asynccontextmanager
+async def config_log(objects: Objects | None = None):
+    """Serves a table and an object store.
+
+    Yields the table's stand-in and a function that opens a ConfigStore, as
+    one more host would.
+    """
+    objects = objects or Objects()
+    async with (
+        table_service(timeout_s=0.5) as (table, client),
+        stand_in(
+            objects, lambda a: ObjectsClient(a, "bucket", 0.5, Metrics())
+        ) as objects_client,
+    ):
+
+        def open_store() -> ConfigStore:
+            return ConfigStore(client, objects_client, Metrics(), lambda: 1.0)
+
+        yield table, open_store
+
+
 def next_address() -> str:
     """Returns a free address of the loopback interface.
 
--- /dev/null
+++ b/test/config/test_store.py
@@ -0,0 +1,192 @@
+"""Tests of the configuration log against the platform's stand-ins."""
+
+import unittest
+
+import anyio
+import msgspec
+
+from acaciaspoke.config.store import (
+    SNAPSHOT_EVERY,
+    ConfigConflict,
+    ConfigLogError,
+    ConfigOutcomeUnknown,
+    ConfigStore,
+    ConfigUnavailable,
+    LogRow,
+    Submitted,
+    UnknownVersion,
+)
+from standins.faults import Faults
+from standins.objects import Objects
+from standins.table import Table
+from test.builders import config_log
+
+
+async def add_rank(store: ConfigStore, level: int, base: int, patch_id=""):
+    return await store.submit(
+        {"ranks": {f"r{level}": {"level": level, "floor_share": 0}}},
+        base_version=base,
+        patch_id=patch_id or f"p{level}",
+        author="op",
+    )
+
+
+def fill(table: Table, first: int, last: int) -> None:
+    """Puts the rows of many versions at once."""
+    for version in range(first, last + 1):
+        rank = {"level": version, "floor_share": 0}
+        patch = {"ranks": {f"r{version}": rank}}
+        row = LogRow(
+            version=version,
+            patch_id=f"p{version}",
+            author="op",
+            merge_patch=msgspec.json.encode(patch).decode(),
+        )
+        table.put(b"config/patch/%012d" % version, msgspec.json.encode(row))
+    table.put(b"config/head", b'{"version": %d}' % last)
+
+
+class SubmitTest(unittest.IsolatedAsyncioTestCase):
+
+    async def test_one_of_two_racing_operators_wins(self):
+        """Guards against a patch that overwrites one its author never saw."""
+        async with config_log() as (_, open_store):
+            stores, results = [open_store(), open_store()], []
+
+            async def submit(store, level):
+                try:
+                    results.append(await add_rank(store, level, 0))
+                except ConfigConflict as conflict:
+                    results.append(conflict.current)
+
+            async with anyio.create_task_group() as tasks:
+                for level, store in enumerate(stores):
+                    tasks.start_soon(submit, store, level)
+            self.assertCountEqual(results, [Submitted(1), 1])
+            config = await open_store().load()
+            self.assertEqual((config.version, len(config.ranks)), (1, 1))
+
+    async def test_repeated_id_answers_its_first_version(self):
+        """Guards against a patch that is applied twice."""
+        async with config_log() as (_, open_store):
+            store = open_store()
+            await add_rank(store, 0, 0, "same")
+            await add_rank(store, 1, 1)
+            repeated = await add_rank(open_store(), 2, 2, "same")
+            self.assertEqual(repeated, Submitted(1, read_back=True))
+            self.assertEqual((await store.load()).version, 2)
+
+    async def test_same_id_at_the_same_time_is_one_version(self):
+        """Guards against a host that takes its own patch for the winner's."""
+        async with config_log() as (_, open_store):
+            stores, versions = [open_store(), open_store()], []
+
+            async def submit(store, level):
+                result = await add_rank(store, level, 0, "same")
+                versions.append(result.version)
+
+            async with anyio.create_task_group() as tasks:
+                for level, store in enumerate(stores):
+                    tasks.start_soon(submit, store, level)
+            self.assertEqual(versions, [1, 1])
+            first, second = [await store.load() for store in stores]
+            self.assertEqual(first, second)
+
+    async def test_lost_answer_is_resolved_by_reading_back(self):
+        """Guards against an error or a second version after a lost answer."""
+        for faults in (Faults(drop_answers=1), Faults(drop_requests=1)):
+            with self.subTest(faults):
+                async with config_log() as (table, open_store):
+                    table.set_faults(faults)
+                    result = await add_rank(open_store(), 0, 0)
+                    self.assertEqual(result.version, 1)
+                    rows = await open_store().history()
+                    self.assertEqual([row.version for row in rows], [1])
+
+    async def test_outcome_that_cannot_be_read_back_is_unknown(self):
+        """Guards against "nothing was committed" after a lost answer."""
+        async with config_log() as (table, open_store):
+            table.set_faults(Faults(drop_requests=9))
+            with self.assertRaises(ConfigOutcomeUnknown):
+                await add_rank(open_store(), 0, 0)
+            table.set_faults(Faults(refuse=True))
+            with self.assertRaises(ConfigUnavailable):
+                await add_rank(open_store(), 0, 0)
+
+    async def test_wrong_patch_is_not_stored(self):
+        async with config_log() as (table, open_store):
+            with self.assertRaises(ExceptionGroup):
+                await add_rank(open_store(), -1, 0)
+            self.assertEqual(table.writes, 0)
+
+
+class LoadTest(unittest.IsolatedAsyncioTestCase):
+
+    async def test_stale_read_never_lowers_the_version(self):
+        """Guards against a version in force that reverts."""
+        async with config_log() as (table, open_store):
+            store = open_store()
+            await add_rank(store, 0, 0)
+            table.set_faults(Faults(stale=True))
+            await add_rank(store, 1, 1)
+            self.assertEqual((await store.refresh()).version, 2)
+            self.assertFalse(store.adopt(await store.history()))
+            self.assertEqual((await open_store().load()).version, 2)
+
+    async def test_table_that_lost_rows_is_reported(self):
+        """Guards against versions that are given out a second time."""
+        async with config_log() as (table, open_store):
+            store = open_store()
+            await add_rank(store, 0, 0)
+            for key in list(table.rows):
+                table.delete(key)
+            self.assertEqual((await store.load()).version, 1)
+            with self.assertRaises(ConfigLogError):
+                await add_rank(store, 1, 1)
+
+    async def test_rows_after_a_gap_wait(self):
+        """Guards against a patch that is applied to the wrong version."""
+        async with config_log() as (_, open_store):
+            store, other = open_store(), open_store()
+            for level in range(3):
+                await add_rank(store, level, level)
+            third, second, first = await store.history()
+            self.assertFalse(other.adopt([third, second]))
+            self.assertTrue(other.adopt([third, first]))
+            self.assertEqual(other.config.version, 1)
+            self.assertTrue(other.adopt([first, second, third]))
+            self.assertEqual(other.config, store.config)
+
+    async def test_history_and_old_versions(self):
+        async with config_log() as (_, open_store):
+            store = open_store()
+            for level in range(4):
+                await add_rank(store, level, level)
+            rows = await store.history(limit=2)
+            self.assertEqual([row.version for row in rows], [4, 3])
+            self.assertEqual((rows[0].author, rows[0].patch_id), ("op", "p3"))
+            rows = await store.history(limit=9, before=3)
+            self.assertEqual([row.version for row in rows], [2, 1])
+            self.assertEqual(len((await open_store().at(2)).ranks), 2)
+            with self.assertRaises(UnknownVersion):
+                await store.at(5)
+
+    async def test_snapshots_replace_patch_rows_and_may_be_missing(self):
+        """Guards against a restart that depends on the object store."""
+        objects = Objects()
+        async with config_log(objects) as (table, open_store):
+            fill(table, 1, SNAPSHOT_EVERY - 1)
+            await add_rank(open_store(), SNAPSHOT_EVERY, SNAPSHOT_EVERY - 1)
+            (first,) = objects.objects
+            fill(table, SNAPSHOT_EVERY + 1, 2 * SNAPSHOT_EVERY + 3)
+            # The host that committed the second snapshot's version failed.
+            expected = await open_store().load()
+            self.assertEqual(len(expected.ranks), 2 * SNAPSHOT_EVERY + 3)
+            self.assertEqual(len(objects.objects), 2)
+            del objects.objects[first]
+            objects.set_faults(Faults(refuse=True))
+            self.assertEqual(await open_store().load(), expected)
+            objects.set_faults(Faults())
+            for version in range(2 * SNAPSHOT_EVERY + 1):
+                table.delete(b"config/patch/%012d" % version)
+            self.assertEqual(await open_store().load(), expected)
