Add the administration API and the config commands

Operators change the configuration through any control process.

config patch repeats its patch id after a lost answer, and names the id when the outcome stays unknown. Tests no longer print the package's log lines.

--- /dev/null
+++ b/acaciaspoke/ui/__init__.py
@@ -0,0 +1,25 @@
+"""The command line: one module per group of subcommands."""
+
+import sys
+
+import click
+
+from acaciaspoke.errors import UserError
+from acaciaspoke.ui import config
+
+
+@click.group()
+def commands() -> None:
+    """Serves many models on fewer accelerators."""
+
+
+commands.add_command(config.config)
+
+
+def main(arguments: list[str] | None = None) -> None:
+    """Runs a command; prints a ``UserError`` as one line and exits with 1."""
+    try:
+        commands(arguments, prog_name="acaciaspoke")
+    except UserError as error:
+        click.echo(f"acaciaspoke: {error}", err=True)
+        sys.exit(1)
--- a/standins/http.py
+++ b/standins/http.py
@@ -108,12 +108,17 @@
         return nullcontext()
 
 
-@asynccontextmanager
-async def serving(handle: Handler, ip: str, port: int):
+def serving(handle: Handler, ip: str, port: int):
     """Serves a handler while the context is open."""
+    return serving_app(asgi_app(handle), ip, port)
+
+
+@asynccontextmanager
+async def serving_app(app, ip: str, port: int):
+    """Serves an ASGI application while the context is open."""
     server = _Server(
         uvicorn.Config(
-            asgi_app(handle),
+            app,
             host=ip,
             port=port,
             # Dropped answers would be logged as errors.
--- a/test/builders.py
+++ b/test/builders.py
@@ -6,6 +6,7 @@
 from acaciaspoke.config.patch import apply_patch
 from acaciaspoke.config.schema import Config
 from acaciaspoke.config.store import ConfigStore
+from acaciaspoke.control.admin import Operations
 from acaciaspoke.platform.objects import ObjectsClient
 from acaciaspoke.platform.table import TableClient
 from acaciaspoke.util.metrics import Metrics
@@ -14,6 +15,22 @@
 from standins.table import Table
 
 
+def admin_operations(**changes) -> Operations:
+    """Returns operations of an administration API that has version 1."""
+
+    async def unused(*_, **__):
+        raise AssertionError("not called in this test")
+
+    async def config(_):
+        return small_config()
+
+    async def ready():
+        return ""
+
+    operations = Operations(*[unused] * len(Operations._fields))
+    return operations._replace(config=config, not_ready=ready, **changes)
+
+
 @asynccontextmanager
 async def config_log(objects: Objects | None = None):
     """Serves a table and an object store.
