--- a/standins/http.py
+++ b/standins/http.py
@@ -65,8 +65,9 @@
         status: int = 200,
         headers: dict[str, str] | None = None,
     ) -> None:
-        """Sends a whole JSON answer."""
-        data = msgspec.json.encode(document)
+        """Sends a whole answer: bytes as they are, all else as JSON."""
+        is_raw = isinstance(document, bytes)
+        data = document if is_raw else msgspec.json.encode(document)
         await self.start(
             status,
             {
@@ -107,12 +108,17 @@
         return nullcontext()
 
 
-@asynccontextmanager
-async def serving(handle: Handler, ip: str, port: int):
+def serving(handle: Handler, ip: str, port: int):
     """Serves a handler while the context is open."""
+    return serving_app(asgi_app(handle), ip, port)
+
+
+@asynccontextmanager
+async def serving_app(app, ip: str, port: int):
+    """Serves an ASGI application while the context is open."""
     server = _Server(
         uvicorn.Config(
-            asgi_app(handle),
+            app,
             host=ip,
             port=port,
             # Dropped answers would be logged as errors.
