--- a/acaciaspoke/entry/request.py
+++ b/acaciaspoke/entry/request.py
@@ -20,8 +20,8 @@
         artifact: The model or adapter, or None for a plain service.
         work_kind: The kind of work that the caller named in ``X-Work-Kind``.
         body_hash: Hex digest of the body; ties an idempotency key to a body.
-        prefix_hash: Hash of the start of the prompt; requests with an equal
-            one profit from the same prefix cache. 0 means no affinity.
+        prefix_hash: 64-bit hash of the start of the prompt; requests with an
+            equal one profit from the same prefix cache. 0 means no affinity.
         fingerprint: Hash of account, model and body; equal when a caller
             sends the same request again.
         deadline_s: Monotonic time after which the answer is of no use.
