Add the choice of an upstream and its concurrency limits

Many entry processes see the same late reports and must neither herd on one upstream nor overfill its slots together.

Routing estimates load as the last report corrected by own requests since, and takes the own failure domain first, prefix affinity under a load cap, and else two random choices. Equal requests that run at once stay on one upstream, which bounds what copies of a crashing request can take down. The limit starts at a share of the slots, borrows what reports show idle and shrinks on refusals.

--- /dev/null
+++ b/acaciaspoke/entry/routing.py
@@ -0,0 +1,305 @@
+"""What an entry process knows of the upstreams, and the choice of one."""
+
+import random
+from collections.abc import Callable, Collection, Iterable, Mapping
+
+import msgspec
+import xxhash
+
+from acaciaspoke.config.schema import Upstream
+from acaciaspoke.entry.request import Request
+from acaciaspoke.ids import (
+    ArtifactName,
+    BootId,
+    DomainId,
+    Fingerprint,
+    RequestId,
+    ServiceId,
+    UpstreamId,
+)
+from acaciaspoke.net.messages import UpstreamState, UpstreamView
+
+# Prefix affinity may raise an upstream's load to this factor above the mean of
+# the candidates; beyond that the queue costs more than a cold prefix cache.
+AFFINITY_LOAD_FACTOR = 1.25
+
+
+class InFlight(msgspec.Struct, frozen=True):
+    """A request of this entry process that runs on an upstream."""
+
+    request: Request
+    sent_s: float
+    suspect: bool
+
+
+class UpstreamStatus:
+    """An upstream as this entry process sees it.
+
+    Attributes:
+        in_flight: Own requests that run there.
+    """
+
+    def __init__(self, upstream: UpstreamId, config: Upstream):
+        self.upstream = upstream
+        self.config = config
+        self.state = UpstreamState.UNKNOWN
+        self.boot_id = BootId("")
+        self.resident: Mapping[ArtifactName, str] = {}
+        self.in_flight: dict[RequestId, InFlight] = {}
+        self.report_s = float("-inf")
+        self._reported = 0
+        self._sent_since = 0
+        self._finished_since = 0
+
+    @property
+    def load(self) -> int:
+        """Requests there: the last report, corrected by what happened since."""
+        estimate = self._reported + self._sent_since - self._finished_since
+        return max(estimate, len(self.in_flight), 0)
+
+    @property
+    def load_share(self) -> float:
+        """The load as a share of the slots."""
+        return self.load / max(1, self.config.slots)
+
+    def report(self, view: UpstreamView, now_s: float) -> bool:
+        """Takes a report; returns whether it is newer than the last."""
+        self.state = view.state
+        self.resident = view.resident
+        taken_s = now_s - view.report_age_s
+        if taken_s <= self.report_s and view.boot_id == self.boot_id:
+            return False
+        self.boot_id = view.boot_id
+        self.report_s = taken_s
+        self._reported = view.running + view.waiting
+        self._sent_since = sum(
+            1 for sent in self.in_flight.values() if sent.sent_s > taken_s
+        )
+        self._finished_since = 0
+        return True
+
+    def sent(self, request: Request, now_s: float, *, suspect: bool) -> None:
+        """Notes that a request was sent there."""
+        self.in_flight[request.request_id] = InFlight(request, now_s, suspect)
+        self._sent_since += 1
+
+    def finished(self, request_id: RequestId) -> InFlight | None:
+        """Notes that a request ended there, however it ended."""
+        ended = self.in_flight.pop(request_id, None)
+        if ended is None:
+            return None
+        if ended.sent_s > self.report_s:
+            self._sent_since -= 1
+        else:
+            self._finished_since += 1
+        return ended
+
+
+class Fleet:
+    """The upstreams that this entry process knows, by what they can run."""
+
+    def __init__(self, upstreams: Mapping[UpstreamId, Upstream]):
+        self.upstreams: dict[UpstreamId, UpstreamStatus] = {}
+        self._by_service: dict[ServiceId, list[UpstreamStatus]] = {}
+        self._by_artifact: dict[
+            tuple[ServiceId, ArtifactName], list[UpstreamStatus]
+        ] = {}
+        self._runs_on: dict[Fingerprint, dict[UpstreamId, int]] = {}
+        self.set_upstreams(upstreams)
+
+    def set_upstreams(self, upstreams: Mapping[UpstreamId, Upstream]) -> None:
+        """Takes the upstreams of a new configuration version."""
+        for upstream, config in upstreams.items():
+            if upstream in self.upstreams:
+                self.upstreams[upstream].config = config
+            else:
+                self.upstreams[upstream] = UpstreamStatus(upstream, config)
+        for upstream in [u for u in self.upstreams if u not in upstreams]:
+            for request_id in list(self.upstreams[upstream].in_flight):
+                self.finished(upstream, request_id)
+            del self.upstreams[upstream]
+        self._by_service.clear()
+        for status in self.upstreams.values():
+            self._by_service.setdefault(status.config.service, []).append(
+                status
+            )
+        self._index_artifacts()
+
+    def update(
+        self, views: Iterable[UpstreamView], now_s: float
+    ) -> list[UpstreamStatus]:
+        """Takes views from the control process; returns the newly reported."""
+        changed = False
+        fresh = []
+        for view in views:
+            status = self.upstreams.get(view.upstream)
+            if status is None:
+                continue
+            changed |= status.resident.keys() != view.resident.keys()
+            if status.report(view, now_s):
+                fresh.append(status)
+        if changed:
+            self._index_artifacts()
+        return fresh
+
+    def holders(
+        self, service: ServiceId, artifact: ArtifactName | None
+    ) -> list[UpstreamStatus]:
+        """Returns the upstreams that hold the artifact, in any state."""
+        if artifact is None:
+            return self._by_service.get(service, [])
+        return self._by_artifact.get((service, artifact), [])
+
+    def sent(
+        self,
+        upstream: UpstreamId,
+        request: Request,
+        now_s: float,
+        *,
+        suspect: bool = False,
+    ) -> None:
+        """Notes that a request was sent to an upstream."""
+        self.upstreams[upstream].sent(request, now_s, suspect=suspect)
+        runs = self._runs_on.setdefault(request.fingerprint, {})
+        runs[upstream] = runs.get(upstream, 0) + 1
+
+    def finished(
+        self, upstream: UpstreamId, request_id: RequestId
+    ) -> InFlight | None:
+        """Notes the end of a request; returns None if it was not known."""
+        status = self.upstreams.get(upstream)
+        ended = status.finished(request_id) if status else None
+        if ended is None:
+            return None
+        runs = self._runs_on[ended.request.fingerprint]
+        runs[upstream] -= 1
+        if not runs[upstream]:
+            del runs[upstream]
+        if not runs:
+            del self._runs_on[ended.request.fingerprint]
+        return ended
+
+    def runs_on(self, fingerprint: Fingerprint) -> Collection[UpstreamId]:
+        """Returns the upstreams that run a request of this fingerprint."""
+        return self._runs_on.get(fingerprint, {}).keys()
+
+    def _index_artifacts(self) -> None:
+        self._by_artifact.clear()
+        for status in self.upstreams.values():
+            for name in status.resident:
+                key = (status.config.service, name)
+                self._by_artifact.setdefault(key, []).append(status)
+
+
+def choose_upstream(
+    request: Request,
+    fleet: Fleet,
+    *,
+    own_domain: DomainId,
+    has_room: Callable[[UpstreamStatus], bool],
+    rng: random.Random,
+    tried: Collection[UpstreamId] = (),
+    suspect: bool = False,
+    version: str | None = None,
+) -> UpstreamId | None:
+    """Returns the upstream to send a request to, or None for none now.
+
+    Args:
+        request: The request.
+        fleet: The upstreams.
+        own_domain: The failure domain of this entry process.
+        has_room: Whether the concurrency limit leaves room on an upstream.
+        rng: Draws the two choices.
+        tried: Upstreams on which this request already failed.
+        suspect: Whether a request of this fingerprint was in flight in a crash.
+        version: The artifact's version in force. Upstreams with another
+            version serve only while no live one has it.
+    """
+    candidates = [
+        status
+        for status in fleet.holders(request.service, request.artifact)
+        if status.state is UpstreamState.LIVE and status.upstream not in tried
+    ]
+    if version is not None and request.artifact is not None:
+        candidates = [
+            s for s in candidates if s.resident[request.artifact] == version
+        ] or candidates
+    candidates = [
+        status
+        for status in _isolated(request, fleet, candidates, suspect)
+        if has_room(status)
+    ]
+    nearest = _nearest(candidates, own_domain)
+    if not nearest:
+        return None
+    return (
+        _by_affinity(request.prefix_hash, nearest) or _two_choices(nearest, rng)
+    ).upstream
+
+
+def _isolated(
+    request: Request,
+    fleet: Fleet,
+    candidates: list[UpstreamStatus],
+    suspect: bool,
+) -> list[UpstreamStatus]:
+    """Returns the candidates that the request may share with what runs there.
+
+    Equal requests that run at the same time stay on one upstream, so that
+    copies of a request that crashes engines take down at most one upstream
+    per entry process before the first crash is seen.
+    """
+    runs_on = fleet.runs_on(request.fingerprint)
+    if suspect:
+        if runs_on:
+            return []
+        return [
+            status
+            for status in candidates
+            if not any(sent.suspect for sent in status.in_flight.values())
+        ]
+    if runs_on:
+        return [s for s in candidates if s.upstream in runs_on]
+    return candidates
+
+
+def _nearest(
+    candidates: list[UpstreamStatus], own_domain: DomainId
+) -> list[UpstreamStatus]:
+    """Returns own candidates with a free slot, else others, else the own.
+
+    Crossing failure domains costs about a millisecond, waiting for a slot
+    much more.
+    """
+    free = [s for s in candidates if s.load < s.config.slots]
+    own = [s for s in free if s.config.failure_domain == own_domain]
+    return own or free or candidates
+
+
+def _by_affinity(
+    prefix_hash: int, candidates: list[UpstreamStatus]
+) -> UpstreamStatus | None:
+    if not prefix_hash or len(candidates) == 1:
+        return None
+    preferred = max(
+        candidates,
+        key=lambda s: _weight(s.upstream, prefix_hash),
+    )
+    mean = sum(s.load_share for s in candidates) / len(candidates)
+    # One request must always fit, or affinity would never begin.
+    one = 1 / max(1, preferred.config.slots)
+    if preferred.load_share <= max(mean * AFFINITY_LOAD_FACTOR, one):
+        return preferred
+    return None
+
+
+def _weight(upstream: UpstreamId, prefix_hash: int) -> int:
+    return xxhash.xxh3_64_intdigest(upstream.encode(), seed=prefix_hash)
+
+
+def _two_choices(
+    candidates: list[UpstreamStatus], rng: random.Random
+) -> UpstreamStatus:
+    if len(candidates) == 1:
+        return candidates[0]
+    return min(rng.sample(candidates, 2), key=lambda s: s.load_share)
--- /dev/null
+++ b/test/entry/test_limits.py
@@ -0,0 +1,59 @@
+"""Tests of the concurrency limits."""
+
+import unittest
+
+from acaciaspoke.entry.limits import ConcurrencyLimits
+from test.entry.builders import fleet, request, view
+
+
+def one_upstream(slots=16):
+    f = fleet({"u1": "d1"}, slots=slots)
+    return f, f.upstreams["u1"]
+
+
+class ConcurrencyLimitsTest(unittest.TestCase):
+
+    def test_starts_at_the_share_of_live_entry_processes(self):
+        """Guards against entry processes that each use all slots."""
+        _, status = one_upstream()
+        self.assertEqual(ConcurrencyLimits(8).limit(status), 2)
+        self.assertEqual(ConcurrencyLimits(100).limit(status), 1)
+
+    def test_borrows_idle_slots_and_gives_them_back(self):
+        """Guards against idle slots, and against keeping what others need."""
+        f, status = one_upstream()
+        limits = ConcurrencyLimits(8)
+        for n in range(60):
+            while limits.has_room(status):
+                f.sent("u1", request(), n)
+            f.update([view("u1", running=len(status.in_flight))], n + 0.5)
+            limits.reported(status)
+        self.assertGreaterEqual(limits.limit(status), 14)
+        for r in list(status.in_flight)[2:]:
+            f.finished("u1", r)
+        for n in range(60, 90):
+            f.update([view("u1", running=16, waiting=8)], n)
+            limits.reported(status)
+        self.assertEqual(limits.limit(status), 2)
+
+    def test_refusals_of_one_round_count_once(self):
+        """Guards against a window that one burst of refusals closes."""
+        _, status = one_upstream()
+        limits = ConcurrencyLimits(1)
+        for _ in range(10):
+            limits.refused(status, sent_s=1.0, now_s=2.0)
+        self.assertEqual(limits.limit(status), 12)
+        limits.refused(status, sent_s=2.5, now_s=3.0)
+        self.assertEqual(limits.limit(status), 8)
+
+    def test_window_never_closes(self):
+        """Guards against an upstream that is never tried again."""
+        f, status = one_upstream()
+        limits = ConcurrencyLimits(1)
+        for n in range(50):
+            limits.refused(status, sent_s=n, now_s=n)
+        self.assertTrue(limits.has_room(status))
+        for n in range(50, 100):
+            f.update([view("u1")], n)
+            limits.reported(status)
+        self.assertEqual(limits.limit(status), 16)
--- /dev/null
+++ b/test/entry/test_routing.py
@@ -0,0 +1,123 @@
+"""Tests of the choice of an upstream."""
+
+import random
+import unittest
+from collections import Counter
+
+from acaciaspoke.entry.routing import choose_upstream
+from acaciaspoke.net.messages import UpstreamState
+from test.entry.builders import fleet, request, view
+
+TWO_DOMAINS = {"u1": "d1", "u2": "d1", "u3": "d2"}
+
+
+def choose(f, r=None, **kwargs):
+    defaults = {
+        "own_domain": "d1",
+        "has_room": lambda status: True,
+        "rng": random.Random(1),
+    }
+    return choose_upstream(r or request(), f, **(defaults | kwargs))
+
+
+class ChoiceTest(unittest.TestCase):
+
+    def test_only_live_holders_are_chosen(self):
+        """Guards against new work for an upstream that leaves (I6)."""
+        f = fleet(TWO_DOMAINS)
+        f.update([view("u1", state=UpstreamState.LEAVING)], 1.0)
+        f.update([view("u2", resident=("m2",))], 1.0)
+        self.assertEqual({choose(f) for _ in range(9)}, {"u3"})
+        self.assertIsNone(choose(f, tried={"u3"}))
+        self.assertEqual(choose(f, request(artifact="m2")), "u2")
+
+    def test_spills_when_the_own_domain_is_full(self):
+        """Guards against waiting beside idle upstreams of another domain."""
+        f = fleet(TWO_DOMAINS, slots=1)
+        self.assertIn(choose(f), ("u1", "u2"))
+        f.sent("u1", request(), 1.0)
+        f.sent("u2", request(), 1.0)
+        self.assertEqual(choose(f), "u3")
+
+    def test_wanted_version_first_but_another_before_none(self):
+        """Guards against a model that is out of reach during a change (I2)."""
+        f = fleet({"u1": "d1", "u2": "d1"})
+        f.update(
+            [
+                view("u2").__class__(
+                    upstream="u2",
+                    state=UpstreamState.LIVE,
+                    resident={"m1": "2"},
+                )
+            ],
+            1.0,
+        )
+        self.assertEqual(choose(f, version="2"), "u2")
+        self.assertEqual(choose(f, version="2", tried={"u2"}), "u1")
+
+    def test_does_not_herd_on_one_late_report(self):
+        """Guards against sending all to what a late report calls idle."""
+        f = fleet({f"u{n}": "d1" for n in range(4)}, slots=8)
+        f.update([view("u0", running=0)], 1.0)
+        f.update([view(f"u{n}", running=4) for n in (1, 2, 3)], 1.0)
+        counts = Counter()
+        for _ in range(12):
+            r = request()
+            upstream = choose(f, r, rng=random.Random(counts.total()))
+            f.sent(upstream, r, 1.1)
+            counts[upstream] += 1
+        self.assertLessEqual(counts["u0"], 8)
+
+    def test_load_counts_each_request_once(self):
+        """Guards against own requests counted beside the report with them."""
+        f = fleet({"u1": "d1"})
+        first, second = request(), request()
+        f.sent("u1", first, 1.0)
+        f.update([view("u1", running=3)], 2.0)
+        f.sent("u1", second, 2.5)
+        self.assertEqual(f.upstreams["u1"].load, 4)
+        f.finished("u1", first.request_id)
+        f.finished("u1", second.request_id)
+        self.assertEqual(f.upstreams["u1"].load, 2)
+        self.assertIsNone(f.finished("u1", second.request_id))
+
+
+class AffinityTest(unittest.TestCase):
+
+    def test_equal_prefixes_meet_until_the_load_cap(self):
+        """Guards against a cold cache, and against one overloaded engine."""
+        f = fleet({f"u{n}": "d1" for n in range(4)}, slots=16)
+        chosen = []
+        for n in range(32):
+            r = request(prefix_hash=7)
+            chosen.append(choose(f, r, rng=random.Random(n)))
+            f.sent(chosen[-1], r, 1.0)
+        favourite, count = Counter(chosen).most_common(1)[0]
+        self.assertEqual(chosen[0], favourite)
+        self.assertLessEqual(count, 32 / 4 * 1.25 + 2)
+
+
+class IsolationTest(unittest.TestCase):
+
+    def test_suspect_runs_as_sole_suspect(self):
+        """Guards against two suspects of which neither can be told apart."""
+        f = fleet({"u1": "d1", "u2": "d1"})
+        for _ in range(2):
+            r = request()
+            f.sent(choose(f, r, suspect=True), r, 1.0, suspect=True)
+        self.assertEqual(
+            [len(s.in_flight) for s in f.upstreams.values()], [1, 1]
+        )
+        self.assertIsNone(choose(f, suspect=True))
+
+    def test_copies_stay_on_one_upstream(self):
+        """Guards against copies of a crashing request on every upstream."""
+        f = fleet({f"u{n}": "d1" for n in range(8)})
+        copies = [request(fingerprint="same") for _ in range(6)]
+        for n, r in enumerate(copies):
+            f.sent(choose(f, r, rng=random.Random(n)), r, 1.0)
+        self.assertEqual(len(f.runs_on("same")), 1)
+        upstream = next(iter(f.runs_on("same")))
+        for r in copies:
+            f.finished(upstream, r.request_id)
+        self.assertFalse(f.runs_on("same"))
