--- /dev/null
+++ b/acaciaspoke/entry/suspects.py
@@ -0,0 +1,214 @@
+"""Requests that may crash the upstreams that run them.
+
+When an upstream crashes, every request in flight there becomes a suspect by
+its fingerprint. A suspect runs only as the sole suspect of an upstream, and a
+fingerprint is blocked after two crashes as the sole suspect or three in any
+case.
+
+The bound: a request that crashes each upstream that runs it takes down at most
+``MAX_CRASHES + E - 1`` upstreams of a failure domain with E entry processes
+until its suspicion expires. It rests on two rules. An entry process runs
+copies of a fingerprint on one upstream at a time (see routing.py), and after a
+crash it holds the fingerprint until the other entry processes have heard of
+the crash (``Verdict.HELD`` until ``shared``). When the first ``MAX_CRASHES``
+crashes have been heard of, the fingerprint is blocked everywhere; the process
+that reported the last of them has no copy running, and each of the E - 1
+others has at most one whose crash is still to be seen or heard of. A process
+that has not heard within ``HOLD_LIMIT_S``, because the failure domain is
+divided, counts as a failure domain of its own. A success voids the crashes
+before it, so that a popular harmless request is not blocked by chance; the
+bound then starts again.
+"""
+
+from collections.abc import Iterable
+from enum import Enum
+
+import msgspec
+
+from acaciaspoke.ids import BootId, Fingerprint
+from acaciaspoke.net.messages import Suspicion
+
+MAX_SOLE_CRASHES = 2
+MAX_CRASHES = 3
+EXPIRY_S = 600.0
+
+# A hold ends by itself, as the control process may be down.
+HOLD_LIMIT_S = 2.0
+
+
+class Verdict(Enum):
+    """What may be done with a request of a fingerprint."""
+
+    CLEAN = "clean"
+    SUSPECT = "suspect"
+    HELD = "held"
+    BLOCKED = "blocked"
+
+
+class _Crash(msgspec.Struct, frozen=True):
+    """A crash with when it was seen, by this process's clock."""
+
+    sole: bool
+    at_s: float
+
+
+class _Record(msgspec.Struct):
+    """What is known of a fingerprint.
+
+    Attributes:
+        crashes: By the boot of the upstream that crashed.
+        voided: Crashes that a later success has cleared.
+    """
+
+    crashes: dict[str, _Crash] = {}
+    voided: dict[str, _Crash] = {}
+
+    def standing(self) -> list[_Crash]:
+        return [c for b, c in self.crashes.items() if b not in self.voided]
+
+    def changed_s(self) -> float:
+        both = (*self.crashes.values(), *self.voided.values())
+        return max((c.at_s for c in both), default=float("-inf"))
+
+
+class Suspects:
+    """The suspicions that one process knows.
+
+    What it holds per fingerprint only grows until it expires as a whole.
+    Merging takes the union of crashes, the conjunction of ``sole`` and the
+    earlier of two times, so it may repeat and come in any order.
+    """
+
+    def __init__(self):
+        self._records: dict[Fingerprint, _Record] = {}
+        self._held_until_s: dict[Fingerprint, float] = {}
+
+    def verdict(self, fingerprint: Fingerprint, now_s: float) -> Verdict:
+        """Returns what may be done with a request now."""
+        record = self._records.get(fingerprint)
+        if record is None or _expired(record, now_s):
+            return Verdict.CLEAN
+        standing = record.standing()
+        sole = sum(1 for crash in standing if crash.sole)
+        if sole >= MAX_SOLE_CRASHES or len(standing) >= MAX_CRASHES:
+            return Verdict.BLOCKED
+        if now_s < self._held_until_s.get(fingerprint, now_s):
+            return Verdict.HELD
+        return Verdict.SUSPECT if standing else Verdict.CLEAN
+
+    def crashed(
+        self,
+        boot_id: BootId,
+        in_flight: Iterable[tuple[Fingerprint, bool]],
+        now_s: float,
+    ) -> tuple[Suspicion, ...]:
+        """Records a crash; returns the suspicions to share.
+
+        Until ``shared`` is called for them, the fingerprints are held.
+
+        Args:
+            boot_id: The boot of the upstream that ended.
+            in_flight: The requests that were in flight there, each with
+                whether it was sent as a suspect.
+            now_s: The time.
+        """
+        sent_as = dict[Fingerprint, bool]()
+        for fingerprint, suspect in in_flight:
+            sent_as[fingerprint] = sent_as.get(fingerprint, False) or suspect
+        sole = sum(sent_as.values()) == 1
+        for fingerprint, suspect in sent_as.items():
+            crashes = {boot_id: _Crash(suspect and sole, now_s)}
+            self._merge(fingerprint, _Record(crashes=crashes), now_s)
+            self._held_until_s[fingerprint] = now_s + HOLD_LIMIT_S
+        return self.suspicions(now_s, sent_as)
+
+    def shared(self, fingerprints: Iterable[Fingerprint]) -> None:
+        """Ends the hold after others have taken the suspicions."""
+        for fingerprint in fingerprints:
+            self._held_until_s.pop(fingerprint, None)
+
+    def succeeded(
+        self, fingerprint: Fingerprint, now_s: float
+    ) -> tuple[Suspicion, ...]:
+        """Clears a fingerprint after a run; returns what to share."""
+        record = self._records.get(fingerprint)
+        if record is None or not record.standing():
+            return ()
+        voided = {
+            boot: _Crash(crash.sole, now_s)
+            for boot, crash in record.crashes.items()
+        }
+        self._merge(fingerprint, _Record(voided=voided), now_s)
+        return self.suspicions(now_s, (fingerprint,))
+
+    def merge(self, suspicions: Iterable[Suspicion], now_s: float) -> None:
+        """Takes suspicions from other processes."""
+        for suspicion in suspicions:
+            if suspicion.age_s >= EXPIRY_S:
+                continue
+            at_s = now_s - suspicion.age_s
+            crashes = {
+                boot: _Crash(sole, at_s)
+                for boot, sole in suspicion.crashes.items()
+            }
+            self._merge(
+                suspicion.fingerprint,
+                _Record(voided=crashes)
+                if suspicion.cleared
+                else _Record(crashes=crashes),
+                now_s,
+            )
+
+    def suspicions(
+        self, now_s: float, fingerprints: Iterable[Fingerprint] | None = None
+    ) -> tuple[Suspicion, ...]:
+        """Returns what is known, of all or of some fingerprints.
+
+        A fingerprint yields up to two values: its crashes, and the crashes
+        that a success has voided, marked as cleared.
+        """
+        if fingerprints is None:
+            fingerprints = tuple(self._records)
+        return tuple(
+            Suspicion(
+                fingerprint=fingerprint,
+                crashes={b: crash.sole for b, crash in sorted(part.items())},
+                cleared=cleared,
+                age_s=now_s - max(crash.at_s for crash in part.values()),
+            )
+            for fingerprint in fingerprints
+            if (record := self._records.get(fingerprint)) is not None
+            for part, cleared in (
+                (record.crashes, False),
+                (record.voided, True),
+            )
+            if part
+        )
+
+    def expire(self, now_s: float) -> None:
+        """Forgets fingerprints without a change for ``EXPIRY_S``."""
+        for fingerprint, record in list(self._records.items()):
+            if _expired(record, now_s):
+                del self._records[fingerprint]
+                self._held_until_s.pop(fingerprint, None)
+
+    def _merge(
+        self, fingerprint: Fingerprint, other: _Record, now_s: float
+    ) -> None:
+        record = self._records.get(fingerprint)
+        if record is None or _expired(record, now_s):
+            record = self._records[fingerprint] = _Record()
+        _union(record.crashes, other.crashes)
+        _union(record.voided, other.voided)
+
+
+def _union(into: dict[str, _Crash], other: dict[str, _Crash]) -> None:
+    for boot, crash in other.items():
+        known = into.get(boot, crash)
+        into[boot] = _Crash(
+            known.sole and crash.sole, min(known.at_s, crash.at_s)
+        )
+
+
+def _expired(record: _Record, now_s: float) -> bool:
+    return now_s - record.changed_s() >= EXPIRY_S
