Claim idempotency keys at most once

A non-idempotent request that two entry processes receive, or whose caller repeats it, must run at most once. The Claims task creates a row per key before dispatch, up to 64 claims or 5 ms a table write.

A released row stays as 'released' instead of being deleted, because a create whose answer was lost may arrive late. After a lost answer the same create is sent again: it conflicts with the own row if the first took effect, and takes the first one's place if not.

--- /dev/null
+++ b/acaciaspoke/entry/batcher.py
@@ -0,0 +1,149 @@
+"""Collects transactions so that many share one write of the table.
+
+The table service accepts several hundred writes a second for the whole fleet,
+so a write for each claim would use it up.
+"""
+
+import collections
+
+import anyio
+
+from acaciaspoke.entry.claimtable import (
+    Committed,
+    Conflict,
+    OutcomeUnknown,
+    Table,
+    TableUnavailable,
+    Transaction,
+)
+from acaciaspoke.util.metrics import Metrics
+
+BATCH_SIZE = 64
+BATCH_DELAY_S = 0.005
+
+# Batches sent and not yet answered. Above one, so that a slow write does not
+# hold up the next; small, so that an outage does not pile up calls.
+BATCHES_IN_FLIGHT = 4
+
+
+class _Item:
+    """A transaction that waits for its batch."""
+
+    def __init__(self, transaction: Transaction):
+        self.transaction = transaction
+        self.is_sent = False
+        self.is_withdrawn = False
+        self.finished = anyio.Event()
+        self.result: Committed | Conflict | None = None
+        self.error: TableUnavailable | OutcomeUnknown | None = None
+
+    @property
+    def keys(self) -> frozenset[str]:
+        """The keys that the transaction writes."""
+        return frozenset(write.key for write in self.transaction.writes)
+
+    def fail(self, error: TableUnavailable | OutcomeUnknown) -> None:
+        """Ends the item with an error."""
+        self.error = error
+        self.finished.set()
+
+
+class Batcher:
+    """Commits transactions in batches while ``run`` runs.
+
+    Urgent ones go first: while the table is slow, the answers and releases
+    that wait in the background must not hold up new claims.
+    """
+
+    def __init__(self, table: Table, metrics: Metrics):
+        self._table = table
+        self._metrics = metrics
+        self._urgent: collections.deque[_Item] = collections.deque()
+        self._background: collections.deque[_Item] = collections.deque()
+        self._some = anyio.Event()
+        self._full = anyio.Event()
+        self._slots = anyio.CapacityLimiter(BATCHES_IN_FLIGHT)
+
+    async def commit(
+        self, transaction: Transaction, send_within_s: float, *, urgent: bool
+    ) -> Committed | Conflict:
+        """Commits one transaction as a part of some batch.
+
+        Raises:
+            TableUnavailable: Nothing was written, possibly as the transaction
+                could not be sent within ``send_within_s``.
+            OutcomeUnknown: The transaction may take effect, even later.
+        """
+        item = _Item(transaction)
+        (self._urgent if urgent else self._background).append(item)
+        self._signal()
+        with anyio.move_on_after(send_within_s):
+            await item.finished.wait()
+        if not item.is_sent:
+            item.is_withdrawn = True
+            raise TableUnavailable("the table is too slow")
+        await item.finished.wait()
+        if item.error is not None:
+            raise item.error
+        return item.result
+
+    def _signal(self) -> None:
+        waiting = len(self._urgent) + len(self._background)
+        if waiting:
+            self._some.set()
+        if waiting >= BATCH_SIZE:
+            self._full.set()
+
+    async def run(self) -> None:
+        """Sends batches until cancelled."""
+        async with anyio.create_task_group() as tasks:
+            while True:
+                self._some, self._full = anyio.Event(), anyio.Event()
+                self._signal()
+                await self._some.wait()
+                with anyio.move_on_after(BATCH_DELAY_S):
+                    await self._full.wait()
+                slot = object()
+                await self._slots.acquire_on_behalf_of(slot)
+                batch = self._take()
+                tasks.start_soon(self._send, batch, slot)
+
+    def _take(self) -> list[_Item]:
+        """Takes the next items, with each key at most once.
+
+        The table refuses a write that puts one key twice, so a second item of
+        a key waits for the next batch.
+        """
+        batch: list[_Item] = []
+        keys: set[str] = set()
+        for items in (self._urgent, self._background):
+            later = []
+            while items and len(batch) < BATCH_SIZE:
+                item = items.popleft()
+                if keys & item.keys:
+                    later.append(item)
+                elif not item.is_withdrawn:
+                    item.is_sent = True
+                    keys |= item.keys
+                    batch.append(item)
+            items.extendleft(reversed(later))
+        return batch
+
+    async def _send(self, batch: list[_Item], slot: object) -> None:
+        error = OutcomeUnknown("the process stopped during the write")
+        try:
+            if batch:
+                self._metrics.count("claims.table_writes")
+                results = await self._table.commit_each(
+                    [item.transaction for item in batch]
+                )
+                for item, result in zip(batch, results, strict=True):
+                    item.result = result
+                    item.finished.set()
+        except (TableUnavailable, OutcomeUnknown) as caught:
+            error = caught
+        finally:
+            self._slots.release_on_behalf_of(slot)
+            for item in batch:
+                if not item.finished.is_set():
+                    item.fail(error)
--- /dev/null
+++ b/acaciaspoke/entry/claims.py
@@ -0,0 +1,365 @@
+"""At-most-once claims of idempotency keys.
+
+A claim is a row of the table that is created before the request goes out.
+No other process takes over a claimed row, so a claim whose owner died stays
+claimed until it expires, and its duplicates are told that the outcome is
+unknown.
+
+A released row stays as ``released`` instead of being deleted: a create whose
+answer was lost may arrive late, and it must then find a row and fail.
+
+The chart ``claim`` decides what may follow what. It has no way from a release
+to a dispatch, and both events are sent without a pause before their effects,
+so a claim that this process releases cannot be dispatched by it afterwards.
+"""
+
+import itertools
+from collections.abc import Callable
+
+import anyio
+import msgspec
+from loguru import logger
+
+from acaciaspoke.entry.batcher import Batcher
+from acaciaspoke.entry.claimrows import (
+    MAX_ANSWER_BYTES,
+    RETENTION_S,
+    Answer,
+    ClaimRow,
+    RowState,
+    put_row,
+    read_row,
+    row_key,
+)
+from acaciaspoke.entry.claimtable import (
+    Committed,
+    OutcomeUnknown,
+    Row,
+    Table,
+    TableUnavailable,
+)
+from acaciaspoke.entry.claimtypes import (
+    Claim,
+    Claimed,
+    ClaimOutcome,
+    ClaimState,
+    TableOut,
+    judge,
+)
+from acaciaspoke.ids import AccountId, ClaimId, ServiceId
+from acaciaspoke.util.metrics import Metrics
+
+# A claim that was not sent to the table, or whose lost answer was not cleared
+# up, within this time is answered as "table out".
+CLAIM_WAIT_S = 2.0
+
+# A claim older than this is not dispatched: its owner was frozen, and its
+# caller is gone. It is far below the retention time, so that a frozen owner
+# cannot dispatch after the sweep deleted its row.
+DISPATCH_WITHIN_S = 30.0
+
+# How long answers and releases are tried again while the table is out.
+WRITE_FOR_S = 600.0
+RETRY_MIN_S = 0.1
+RETRY_MAX_S = 2.0
+
+# Answers and releases that wait for the table. With answers of 16 KiB they
+# take 32 MiB; more are dropped, and their claims stay claimed.
+MAX_WAITING_WRITES = 2048
+
+
+class _Lookup:
+    """A claim on its way to the table, with the callers that wait for it."""
+
+    def __init__(self, claim: Claim):
+        self.claim = claim
+        self.finished = anyio.Event()
+        self.first_caller_waits = True
+        self.is_table_out = True
+        self.found: ClaimRow | None = None
+
+
+class Claims:
+    """Claims keys for the requests of one entry process while ``run`` runs."""
+
+    def __init__(
+        self,
+        table: Table,
+        metrics: Metrics,
+        *,
+        owner: str,
+        new_id: Callable[[], ClaimId],
+        now: Callable[[], float],
+        wall_now: Callable[[], float],
+    ):
+        """Prepares the task.
+
+        Args:
+            table: The table service's client.
+            metrics: Receives counts of claims and table writes.
+            owner: Names this process in its rows.
+            new_id: Returns an id that no other process ever returns.
+            now: The monotonic time, that of ``anyio.sleep``.
+            wall_now: The wall-clock time.
+        """
+        self._batcher = Batcher(table, metrics)
+        self._metrics = metrics
+        self._owner = owner
+        self._new_id = new_id
+        self._now = now
+        self._wall_now = wall_now
+        self._lookups: dict[str, _Lookup] = {}
+        self._tasks: anyio.abc.TaskGroup | None = None
+        self._waiting_writes = 0
+
+    async def run(self, *, task_status=anyio.TASK_STATUS_IGNORED) -> None:
+        """Serves claims until cancelled."""
+        async with anyio.create_task_group() as tasks:
+            self._tasks = tasks
+            task_status.started()
+            await self._batcher.run()
+
+    @property
+    def waiting_writes(self) -> int:
+        """Answers and releases to write; a graceful stop waits for 0."""
+        return self._waiting_writes
+
+    async def claim(
+        self,
+        account: AccountId,
+        service: ServiceId,
+        idempotency_key: str,
+        body_hash: bytes,
+    ) -> ClaimOutcome:
+        """Claims a key, or tells why it cannot be claimed.
+
+        A caller that is cancelled here leaves no claim behind: the claim is
+        released when the table has answered.
+        """
+        key = row_key(account, service, idempotency_key)
+        lookup = self._lookups.get(key)
+        if lookup is not None:
+            await lookup.finished.wait()
+            if lookup.is_table_out:
+                return TableOut()
+            return judge(lookup.found, body_hash)
+        lookup = self._start_lookup(key, body_hash)
+        try:
+            await lookup.finished.wait()
+        except BaseException:
+            lookup.first_caller_waits = False
+            if lookup.claim.state is ClaimState.CLAIMED:
+                self.release(lookup.claim)
+            raise
+        if lookup.claim.state is ClaimState.CLAIMED:
+            return Claimed(lookup.claim)
+        if lookup.is_table_out:
+            return TableOut()
+        return judge(lookup.found, body_hash)
+
+    def begin_dispatch(self, claim: Claim) -> bool:
+        """Says whether the request may go out now; call it just before that.
+
+        False means that the request must not run: the claim was released
+        meanwhile, or it is too old, as after a freeze of this process, and is
+        released now. The wall clock is asked too, as the monotonic clock may
+        stand still while a virtual machine is suspended.
+        """
+        if claim.state in (ClaimState.RELEASING, ClaimState.RELEASED):
+            return False
+        age_s = max(
+            self._now() - claim.sent_at_s,
+            self._wall_now() - (claim.row.expires_at_s - RETENTION_S),
+        )
+        if age_s > DISPATCH_WITHIN_S:
+            self._metrics.count("claims.too_old")
+            self.release(claim)
+            return False
+        claim.send("dispatched")
+        return True
+
+    def release(self, claim: Claim) -> None:
+        """Gives up a claim whose request was not run.
+
+        The request did not go out, or an upstream refused it. The key can be
+        claimed again once ``claim.settled`` is set.
+        """
+        running = claim.state is ClaimState.RUNNING
+        claim.send("refused" if running else "release_sent")
+        row = msgspec.structs.replace(
+            claim.row,
+            state=RowState.RELEASED,
+            expires_at_s=self._wall_now() + RETENTION_S,
+        )
+        self._write_later(claim, row, "release_written")
+
+    def record(self, claim: Claim, answer: Answer) -> None:
+        """Keeps the answer of a request that ran, for its duplicates."""
+        claim.send("answered")
+        kept = answer if answer.size_bytes <= MAX_ANSWER_BYTES else None
+        row = msgspec.structs.replace(
+            claim.row,
+            state=RowState.ANSWERED,
+            expires_at_s=self._wall_now() + RETENTION_S,
+            answer=kept,
+        )
+        self._write_later(claim, row, "recorded")
+
+    def lose(self, claim: Claim) -> None:
+        """Notes that the request went out and its outcome is unknown."""
+        claim.send("lost")
+        claim.settled.set()
+
+    def _start_lookup(self, key: str, body_hash: bytes) -> _Lookup:
+        row = ClaimRow(
+            claim_id=self._new_id(),
+            body_hash=body_hash,
+            state=RowState.CLAIMED,
+            owner=self._owner,
+            expires_at_s=self._wall_now() + RETENTION_S,
+        )
+        claim = Claim(row, key, self._now())
+        claim.send("create_sent")
+        lookup = self._lookups[key] = _Lookup(claim)
+        self._tasks.start_soon(self._look_up, lookup)
+        return lookup
+
+    async def _look_up(self, lookup: _Lookup) -> None:
+        claim = lookup.claim
+        try:
+            lookup.found = await self._create(claim)
+            lookup.is_table_out = False
+            claim.send("created" if claim.is_in(lookup.found) else "exists")
+        except TableUnavailable:
+            claim.send("not_written")
+        except OutcomeUnknown:
+            claim.send("answer_lost")
+            self.release(claim)
+        finally:
+            del self._lookups[claim.key]
+            lookup.finished.set()
+        if claim.state is ClaimState.CLAIMED and not lookup.first_caller_waits:
+            self.release(claim)
+
+    async def _create(self, claim: Claim) -> ClaimRow | None:
+        """Creates the row; returns the row that then holds the key.
+
+        After a lost answer the same create is sent again. If the first one
+        took effect, this conflicts and returns the row with this claim's id.
+        If it did not, reading alone would not prove that it never will, but
+        the second create takes its place.
+
+        Raises:
+            TableUnavailable: The row was not written.
+            OutcomeUnknown: The row may have been written, or may yet be.
+        """
+        unknown: OutcomeUnknown | None = None
+        for delay_s in _delays_s():
+            transaction = put_row(claim.key, claim.mod_revision, claim.row)
+            left_s = claim.sent_at_s + CLAIM_WAIT_S - self._now()
+            try:
+                result = await self._batcher.commit(
+                    transaction, left_s, urgent=True
+                )
+            except TableUnavailable as error:
+                if unknown is None:
+                    raise
+                logger.debug("claim {}: {}", claim.key, error)
+            except OutcomeUnknown as error:
+                unknown = error
+            else:
+                if isinstance(result, Committed):
+                    claim.mod_revision = result.revision
+                    return claim.row
+                row = result.rows.get(claim.key)
+                claim.mod_revision = row.mod_revision if row else 0
+                found = read_row(row.value) if row else None
+                if row and not _is_free(found):
+                    return found
+                # The key is free, with another revision than expected: the
+                # create is sent again at once with that revision.
+                delay_s = 0.0
+            if self._now() + delay_s >= claim.sent_at_s + CLAIM_WAIT_S:
+                raise unknown or TableUnavailable("the table is too slow")
+            await anyio.sleep(delay_s)
+
+    def _write_later(self, claim: Claim, row: ClaimRow, event: str) -> None:
+        if self._waiting_writes >= MAX_WAITING_WRITES:
+            self._give_up(claim, "too many writes wait for the table")
+            return
+        self._waiting_writes += 1
+        self._tasks.start_soon(self._write_until_done, claim, row, event)
+
+    async def _write_until_done(
+        self, claim: Claim, row: ClaimRow, event: str
+    ) -> None:
+        try:
+            if await self._write(claim, row):
+                claim.send(event)
+                claim.settled.set()
+            else:
+                self._give_up(claim, "the row could not be written")
+        finally:
+            self._waiting_writes -= 1
+
+    async def _write(self, claim: Claim, row: ClaimRow) -> bool:
+        """Writes the row; returns False if the time was not enough."""
+        give_up_at_s = self._now() + WRITE_FOR_S
+        for delay_s in _delays_s():
+            transaction = put_row(claim.key, claim.mod_revision, row)
+            try:
+                result = await self._batcher.commit(
+                    transaction, WRITE_FOR_S, urgent=False
+                )
+            except (TableUnavailable, OutcomeUnknown):
+                if self._now() + delay_s >= give_up_at_s:
+                    return False
+                await anyio.sleep(delay_s)
+                continue
+            if isinstance(result, Committed):
+                return True
+            holder = result.rows.get(claim.key)
+            if not self._may_rewrite(claim, row, holder):
+                return _has_state(claim, row, holder)
+            claim.mod_revision = holder.mod_revision if holder else 0
+
+    def _may_rewrite(
+        self, claim: Claim, row: ClaimRow, holder: Row | None
+    ) -> bool:
+        """Tells whether to write again after a conflict.
+
+        An abandoned claim does not know its revision: its create may have
+        arrived meanwhile, or the row that it meant to replace may be gone.
+        """
+        if holder is None:
+            return row.state is RowState.RELEASED
+        found = read_row(holder.value)
+        return claim.is_in(found) and found.state is RowState.CLAIMED
+
+    def _give_up(self, claim: Claim, reason: str) -> None:
+        claim.send("gave_up")
+        claim.settled.set()
+        self._metrics.count("claims.given_up")
+        logger.error("claim {} stays claimed: {}", claim.key, reason)
+
+
+def _delays_s():
+    """Yields the waits between attempts, doubling up to the largest."""
+    for doublings in itertools.count():
+        yield min(RETRY_MIN_S * 2 ** min(doublings, 16), RETRY_MAX_S)
+
+
+def _is_free(found: ClaimRow | None) -> bool:
+    return found is not None and found.state is RowState.RELEASED
+
+
+def _has_state(claim: Claim, row: ClaimRow, holder: Row | None) -> bool:
+    """Tells whether the row ended as wanted, by this write or without it.
+
+    An abandoned claim has nothing left to release if another claim holds the
+    key.
+    """
+    found = read_row(holder.value) if holder else None
+    if row.state is RowState.RELEASED:
+        return not claim.is_in(found) or found.state is RowState.RELEASED
+    return claim.is_in(found) and found.state is row.state
--- /dev/null
+++ b/acaciaspoke/entry/claimtypes.py
@@ -0,0 +1,102 @@
+"""Claims as their users see them, and what a claim can come to."""
+
+from enum import Enum
+
+import anyio
+import msgspec
+
+from acaciaspoke.entry.claimrows import Answer, ClaimRow, RowState
+from acaciaspoke.util.chart import Machine
+
+
+class ClaimState(Enum):
+    """The states of ``charts/claim.yaml``."""
+
+    NEW = "new"
+    CLAIMING = "claiming"
+    CLAIMED = "claimed"
+    RUNNING = "running"
+    RECORDING = "recording"
+    DONE = "done"
+    REJECTED = "rejected"
+    ABANDONED = "abandoned"
+    RELEASING = "releasing"
+    RELEASED = "released"
+    UNKNOWN = "unknown"
+
+
+class Claim:
+    """A claim of this process.
+
+    Attributes:
+        sent_at_s: Monotonic time before the claim was first sent.
+        settled: Set when no write of this claim is left to do.
+    """
+
+    def __init__(self, row: ClaimRow, key: str, sent_at_s: float):
+        self.row = row
+        self.key = key
+        self.sent_at_s = sent_at_s
+        self.mod_revision = 0
+        self.settled = anyio.Event()
+        self._machine = Machine("claim", ClaimState)
+
+    @property
+    def state(self) -> ClaimState:
+        """The state in the chart."""
+        return self._machine.state
+
+    def send(self, event: str) -> None:
+        """Takes a transition of the chart."""
+        self._machine.send(event)
+
+    def is_in(self, row: ClaimRow | None) -> bool:
+        """Tells whether a row was written by this claim."""
+        return row is not None and row.claim_id == self.row.claim_id
+
+
+class Claimed(msgspec.Struct, frozen=True):
+    """The key is claimed; the request may be dispatched."""
+
+    claim: Claim
+
+
+class Replay(msgspec.Struct, frozen=True):
+    """The request ran before; this was its answer."""
+
+    answer: Answer
+
+
+class AnswerNotKept(msgspec.Struct, frozen=True):
+    """The request ran before; its answer was too large to keep (409, ran)."""
+
+
+class AlreadyClaimed(msgspec.Struct, frozen=True):
+    """The request is in progress or has no known outcome (409, unknown)."""
+
+
+class OtherBody(msgspec.Struct, frozen=True):
+    """The key was used for another request (422, not run)."""
+
+
+class TableOut(msgspec.Struct, frozen=True):
+    """The key could not be claimed (503, not run)."""
+
+
+ClaimOutcome = (
+    Claimed | Replay | AnswerNotKept | AlreadyClaimed | OtherBody | TableOut
+)
+
+
+def judge(found: ClaimRow | None, body_hash: bytes) -> ClaimOutcome:
+    """Answers a request whose key is held by a row.
+
+    A row that this version cannot read counts as claimed.
+    """
+    if found is None:
+        return AlreadyClaimed()
+    if found.body_hash != body_hash:
+        return OtherBody()
+    if found.state is not RowState.ANSWERED:
+        return AlreadyClaimed()
+    return Replay(found.answer) if found.answer else AnswerNotKept()
--- a/bench/chart_cost.py
+++ b/bench/chart_cost.py
@@ -2,35 +2,23 @@
 
 import time
 from collections.abc import Iterator
-from enum import Enum
 
+from acaciaspoke.entry.claimtypes import ClaimState
 from acaciaspoke.util.chart import Machine
 from bench.result import Result
 
 ROUNDS = 20_000
-EVENTS = ("create_sent", "created", "dispatched", "answered")
+EVENTS = ("create_sent", "created", "dispatched", "answered", "recorded")
 
 # 1% of the time between two tokens may go to charts, for the whole request.
 BOUND_US = 450.0
 
 
-class _State(Enum):
-    NEW = "new"
-    CLAIMING = "claiming"
-    CLAIMED = "claimed"
-    RUNNING = "running"
-    DONE = "done"
-    REJECTED = "rejected"
-    ABANDONED = "abandoned"
-    RELEASED = "released"
-    UNKNOWN = "unknown"
-
-
 def run() -> Iterator[Result]:
     """Measures a claim's way from new to done."""
     start_s = time.perf_counter()
     for _ in range(ROUNDS):
-        machine = Machine("claim", _State)
+        machine = Machine("claim", ClaimState)
         for event in EVENTS:
             machine.send(event)
     elapsed_s = time.perf_counter() - start_s
--- /dev/null
+++ b/test/fakes_table.py
@@ -0,0 +1,93 @@
+"""A small table in memory whose next writes can fail on request."""
+
+from enum import Enum
+
+import anyio
+
+from acaciaspoke.entry.claimtable import (
+    Committed,
+    Conflict,
+    OutcomeUnknown,
+    Row,
+    TableUnavailable,
+)
+
+
+class Fault(Enum):
+    """What happens to a write."""
+
+    NOT_WRITTEN = 1
+    WRITTEN_ANSWER_LOST = 2
+    LOST = 3
+    ARRIVES_LATE = 4
+
+
+class FakeTable:
+    """Implements the table client's commits and reads.
+
+    Attributes:
+        faults: Faults of the next writes, first first.
+        is_out: Whether all writes fail without effect.
+        batch_sizes: The number of transactions of each write.
+        late: Writes that have not arrived yet.
+    """
+
+    def __init__(self, write_s: float = 0.01):
+        self.rows: dict[str, Row] = {}
+        self.faults: list[Fault] = []
+        self.is_out = False
+        self.batch_sizes: list[int] = []
+        self.late = []
+        self._revision = 0
+        self._write_s = write_s
+
+    async def commit_each(self, transactions):
+        await anyio.sleep(self._write_s)
+        self.batch_sizes.append(len(transactions))
+        fault = self.faults.pop(0) if self.faults else None
+        if self.is_out or fault is Fault.NOT_WRITTEN:
+            raise TableUnavailable("out")
+        if fault is Fault.ARRIVES_LATE:
+            self.late.append(transactions)
+        if fault in (Fault.ARRIVES_LATE, Fault.LOST):
+            raise OutcomeUnknown("no answer")
+        results = self._apply(transactions)
+        if fault is Fault.WRITTEN_ANSWER_LOST:
+            raise OutcomeUnknown("no answer")
+        return results
+
+    async def commit(self, transaction):
+        return (await self.commit_each([transaction]))[0]
+
+    async def read_page(self, start, end, limit):
+        keys = sorted(key for key in self.rows if start <= key < end)
+        return [self.rows[key] for key in keys[:limit]]
+
+    def deliver_late(self) -> None:
+        """Lets the late writes arrive."""
+        for transactions in self.late:
+            self._apply(transactions)
+        self.late.clear()
+
+    def _apply(self, transactions):
+        written = [w.key for t in transactions for w in t.writes]
+        if len(written) != len(set(written)):
+            raise AssertionError("duplicate key given in txn request")
+        self._revision += 1
+        return [self._apply_one(transaction) for transaction in transactions]
+
+    def _apply_one(self, transaction):
+        rows = {
+            condition.key: self.rows[condition.key]
+            for condition in transaction.conditions
+            if condition.key in self.rows
+        }
+        for key, mod_revision in transaction.conditions:
+            if mod_revision != (rows[key].mod_revision if key in rows else 0):
+                return Conflict(rows)
+        for key, value in transaction.writes:
+            old = self.rows.pop(key, None)
+            if value is not None:
+                created = old.create_revision if old else self._revision
+                self.rows[key] = Row(key, value, self._revision, created)
+        return Committed(self._revision)
