--- a/acaciaspoke/entry/claims.py
+++ b/acaciaspoke/entry/claims.py
@@ -55,7 +55,8 @@
 
 # A claim older than this is not dispatched: its owner was frozen, and its
 # caller is gone. It is far below the retention time, so that a frozen owner
-# cannot dispatch after the sweep deleted its row.
+# cannot dispatch after the sweep deleted its row. What remains is a freeze of
+# over 24 h between this check and the first byte to the upstream.
 DISPATCH_WITHIN_S = 30.0
 
 # How long answers and releases are tried again while the table is out.
