--- a/acaciaspoke/report/burn.py
+++ b/acaciaspoke/report/burn.py
@@ -305,13 +305,19 @@
     """
     largest = LARGEST_THRESHOLD_SHARE / budget
     return tuple(
-        Alert(
-            name=rule.name,
-            short_s=rule.short_s,
-            long_s=rule.long_s,
-            threshold=min(rule.burn_rate, largest),
-            firing=min(burn_rates[rule.short_s], burn_rates[rule.long_s])
-            >= min(rule.burn_rate, largest),
-        )
+        _judge(rule, min(rule.burn_rate, largest), burn_rates)
         for rule in ALERT_RULES
     )
+
+
+def _judge(
+    rule: AlertRule, threshold: float, burn_rates: Mapping[float, float]
+) -> Alert:
+    both = (burn_rates[rule.short_s], burn_rates[rule.long_s])
+    return Alert(
+        name=rule.name,
+        short_s=rule.short_s,
+        long_s=rule.long_s,
+        threshold=threshold,
+        firing=min(both) >= threshold,
+    )
