--- a/acaciaspoke/entry/batcher.py
+++ b/acaciaspoke/entry/batcher.py
@@ -8,11 +8,11 @@
 
 import anyio
 
-from acaciaspoke.entry.claimtable import (
+from acaciaspoke.platform.table import (
     Committed,
     Conflict,
     OutcomeUnknown,
-    Table,
+    TableClient,
     TableUnavailable,
     Transaction,
 )
@@ -55,7 +55,7 @@
     that wait in the background must not hold up new claims.
     """
 
-    def __init__(self, table: Table, metrics: Metrics):
+    def __init__(self, table: TableClient, metrics: Metrics):
         self._table = table
         self._metrics = metrics
         self._urgent: collections.deque[_Item] = collections.deque()
--- a/acaciaspoke/entry/claimrows.py
+++ b/acaciaspoke/entry/claimrows.py
@@ -2,25 +2,24 @@
 
 import hashlib
 import urllib.parse
-from collections.abc import Awaitable, Callable, Sequence
 from enum import Enum
 
 import msgspec
 
-from acaciaspoke.entry.claimtable import (
+from acaciaspoke.ids import AccountId, ClaimId, ServiceId
+from acaciaspoke.platform.table import (
     Committed,
     Condition,
+    Delete,
+    Put,
     Row,
-    Table,
+    TableClient,
     Transaction,
-    Write,
 )
-from acaciaspoke.ids import AccountId, ClaimId, ServiceId
 
 PREFIX = "claim/"
 
 # The end of the key range, as "0" follows "/".
-PREFIX_END = "claim0"
 
 RETENTION_S = 24 * 3600.0
 
@@ -105,7 +104,7 @@
 def put_row(key: str, mod_revision: int, row: ClaimRow) -> Transaction:
     """Writes a row if it still has the given revision."""
     return Transaction(
-        (Condition(key, mod_revision),), (Write(key, _encode(row)),)
+        (Condition(key, mod_revision),), (Put(key, _encode(row)),)
     )
 
 
@@ -121,7 +120,7 @@
     """The result of a step of the sweep.
 
     Attributes:
-        next_key: Where the next step starts; empty at the end of the claims.
+        next_key: After which the next step starts; empty at the end.
     """
 
     next_key: str
@@ -129,11 +128,8 @@
     deleted: int
 
 
-ReadPage = Callable[[str, str, int], Awaitable[Sequence[Row]]]
-
-
 async def sweep_step(
-    table: Table, read_page: ReadPage, start_key: str, wall_now_s: float
+    table: TableClient, start_after: str, wall_now_s: float
 ) -> SweepStep:
     """Reads one page of claims and deletes the expired ones in one write.
 
@@ -145,17 +141,15 @@
     version cannot read stays.
 
     Args:
-        table: Commits the deletions.
-        read_page: Returns up to a number of rows from a key up to, but not
-            including, another, in key order.
-        start_key: Where to start; empty for the first claim.
+        table: Read and written, one page each.
+        start_after: The key after which to start; empty for the first claim.
         wall_now_s: The wall-clock time of this host.
 
     Raises:
-        TableUnavailable: Nothing was deleted.
-        OutcomeUnknown: The step may be repeated.
+        TableUnavailable: If nothing was deleted.
+        OutcomeUnknown: If rows may have been deleted; the step may be repeated.
     """
-    rows = await read_page(start_key or PREFIX, PREFIX_END, SWEEP_ROWS)
+    rows = await table.scan(PREFIX, SWEEP_ROWS, start_after)
     expired = [row for row in rows if _is_expired(row, wall_now_s)]
     deleted = 0
     if expired:
@@ -163,7 +157,7 @@
             [
                 Transaction(
                     (Condition(row.key, row.mod_revision),),
-                    (Write(row.key, None),),
+                    (Delete(row.key),),
                 )
                 for row in expired
             ]
@@ -171,7 +165,7 @@
         deleted = sum(isinstance(result, Committed) for result in results)
     more = len(rows) == SWEEP_ROWS
     return SweepStep(
-        next_key=rows[-1].key + "\0" if more else "",
+        next_key=rows[-1].key if more else "",
         seen=len(rows),
         deleted=deleted,
     )
--- a/acaciaspoke/entry/claims.py
+++ b/acaciaspoke/entry/claims.py
@@ -31,13 +31,6 @@
     read_row,
     row_key,
 )
-from acaciaspoke.entry.claimtable import (
-    Committed,
-    OutcomeUnknown,
-    Row,
-    Table,
-    TableUnavailable,
-)
 from acaciaspoke.entry.claimtypes import (
     Claim,
     Claimed,
@@ -47,6 +40,13 @@
     judge,
 )
 from acaciaspoke.ids import AccountId, ClaimId, ServiceId
+from acaciaspoke.platform.table import (
+    Committed,
+    OutcomeUnknown,
+    Row,
+    TableClient,
+    TableUnavailable,
+)
 from acaciaspoke.util.metrics import Metrics
 
 # A claim that was not sent to the table, or whose lost answer was not cleared
@@ -85,7 +85,7 @@
 
     def __init__(
         self,
-        table: Table,
+        table: TableClient,
         metrics: Metrics,
         *,
         owner: str,
--- a/test/entry/test_claims.py
+++ b/test/entry/test_claims.py
@@ -208,7 +208,7 @@
         async with running(table) as frozen, running(table) as other:
             mine = (await claim(frozen)).claim
             await anyio.sleep(RETENTION_S + CLOCK_TOLERANCE_S + 1)
-            await sweep_step(table, table.read_page, "", wall_now())
+            await sweep_step(table, "", wall_now())
             self.assertIsInstance(await claim(other), Claimed)
             self.assertFalse(frozen.begin_dispatch(mine))
             await mine.settled.wait()
@@ -341,12 +341,12 @@
         async with running(table) as claims:
             await gather(*(claim(claims, str(i)) for i in range(100)))
         age_s = RETENTION_S + CLOCK_TOLERANCE_S
-        step = await sweep_step(table, table.read_page, "", WALL_S + age_s)
+        step = await sweep_step(table, "", WALL_S + age_s)
         self.assertEqual((step.seen, step.deleted), (64, 0))
         late_s = WALL_S + age_s + 10
-        step = await sweep_step(table, table.read_page, "", late_s)
+        step = await sweep_step(table, "", late_s)
         self.assertEqual((step.seen, step.deleted), (64, 64))
-        step = await sweep_step(table, table.read_page, step.next_key, late_s)
+        step = await sweep_step(table, step.next_key, late_s)
         self.assertEqual((step.deleted, step.next_key), (36, ""))
         self.assertEqual(table.rows, {})
 
@@ -361,8 +361,9 @@
             await release(claims, mine)
             self.assertIsInstance(await claim(claims), Claimed)
 
-        async def read_page(*_):
+        async def scan(*_):
             return old_rows
 
-        step = await sweep_step(table, read_page, "", late_s)
+        table.scan = scan
+        step = await sweep_step(table, "", late_s)
         self.assertEqual((step.deleted, len(table.rows)), (0, 1))
--- a/test/fakes_table.py
+++ b/test/fakes_table.py
@@ -4,10 +4,11 @@
 
 import anyio
 
-from acaciaspoke.entry.claimtable import (
+from acaciaspoke.platform.table import (
     Committed,
     Conflict,
     OutcomeUnknown,
+    Put,
     Row,
     TableUnavailable,
 )
@@ -59,8 +60,12 @@
     async def commit(self, transaction):
         return (await self.commit_each([transaction]))[0]
 
-    async def read_page(self, start, end, limit):
-        keys = sorted(key for key in self.rows if start <= key < end)
+    async def scan(self, prefix, limit, start_after=""):
+        keys = sorted(
+            key
+            for key in self.rows
+            if key.startswith(prefix) and key > start_after
+        )
         return [self.rows[key] for key in keys[:limit]]
 
     def deliver_late(self) -> None:
@@ -85,9 +90,11 @@
         for key, mod_revision in transaction.conditions:
             if mod_revision != (rows[key].mod_revision if key in rows else 0):
                 return Conflict(rows)
-        for key, value in transaction.writes:
-            old = self.rows.pop(key, None)
-            if value is not None:
+        for write in transaction.writes:
+            old = self.rows.pop(write.key, None)
+            if isinstance(write, Put):
                 created = old.create_revision if old else self._revision
-                self.rows[key] = Row(key, value, self._revision, created)
+                self.rows[write.key] = Row(
+                    write.key, write.value, self._revision, created
+                )
         return Committed(self._revision)
