--- /dev/null
+++ b/acaciaspoke/entry/dispatch.py
@@ -0,0 +1,353 @@
+"""Decides which waiting request goes to which upstream, and when.
+
+``Dispatcher`` holds the state of these decisions and does no I/O. The tasks in
+``process.py`` and ``exchange.py`` tell it what happened; after each event
+they take its decisions by ``decide``.
+"""
+
+import functools
+import random
+from collections import Counter
+from collections.abc import Iterable, Iterator
+from typing import NamedTuple
+
+import msgspec
+
+from acaciaspoke.config.schema import Config, artifact_of
+from acaciaspoke.entry.errors import CallerError, ErrorType
+from acaciaspoke.entry.limits import ConcurrencyLimits
+from acaciaspoke.entry.queue import RefusalReason, RequestQueue
+from acaciaspoke.entry.request import Request
+from acaciaspoke.entry.retry import RetryBudget
+from acaciaspoke.entry.routing import Fleet, UpstreamStatus, choose_upstream
+from acaciaspoke.entry.suspects import Suspects, Verdict
+from acaciaspoke.ids import (
+    ArtifactName,
+    BootId,
+    DomainId,
+    RankId,
+    RequestId,
+    UpstreamId,
+)
+from acaciaspoke.net.messages import FleetView, Suspicion, UpstreamState
+
+# When an artifact has no copy, a caller that was refused may try again after
+# about the time that a load takes.
+COLD_RETRY_AFTER_S = 2.0
+
+
+class Assignment(NamedTuple):
+    """A request may go to an upstream now."""
+
+    request: Request
+    upstream: UpstreamId
+    address: str
+    boot_id: BootId
+
+
+class Dropped(NamedTuple):
+    """A request left the queue without having run."""
+
+    request: Request
+    error: CallerError
+
+
+Decision = Assignment | Dropped
+
+
+class _Waiting(msgspec.Struct):
+    """What is kept of a request beside its place in the queue.
+
+    Attributes:
+        tried: Upstreams on which it failed.
+        apart: Whether it is queued apart from others for its artifact.
+    """
+
+    request: Request
+    tried: set[UpstreamId] = set()
+    apart: bool = False
+
+
+class _Round(msgspec.Struct):
+    """What one search of the queue has found.
+
+    Attributes:
+        chosen: The upstream for the request that is taken.
+        rejected: Requests to drop.
+        isolated: Requests that became suspects while they waited.
+    """
+
+    chosen: UpstreamId | None = None
+    rejected: list[tuple[Request, ErrorType]] = []
+    isolated: list[Request] = []
+
+
+class Dispatcher:
+    """The queue, the upstreams and the limits of one entry process.
+
+    Attributes:
+        config: The configuration in force, or None before the first.
+        suspects: Fingerprints of requests that were in flight in crashes.
+        budget: The retry budget of the process.
+    """
+
+    def __init__(self, own_domain: DomainId, rng: random.Random):
+        self.config: Config | None = None
+        self.suspects = Suspects()
+        self.budget = RetryBudget()
+        self._own_domain = own_domain
+        self._rng = rng
+        self._queue = RequestQueue({}, rng)
+        self._fleet = Fleet({})
+        self._limits = ConcurrencyLimits()
+        self._waiting: dict[RequestId, _Waiting] = {}
+        self._in_flight: dict[RequestId, Assignment] = {}
+        self._arrivals: dict[ArtifactName, Counter[RankId]] = {}
+        self._cold: set[ArtifactName] = set()
+
+    # What happens.
+
+    def set_config(self, config: Config) -> bool:
+        """Puts a configuration in force unless a newer one is already."""
+        if self.config is not None and config.version <= self.config.version:
+            return False
+        self.config = config
+        self._queue.set_ranks(config.ranks)
+        self._fleet.set_upstreams(config.upstreams)
+        return True
+
+    def set_fleet(self, view: FleetView, now_s: float) -> None:
+        """Takes what the control process knows of the upstreams."""
+        self._limits.set_entry_processes(view.entry_processes)
+        for status in self._fleet.update(view.upstreams, now_s):
+            self._limits.reported(status)
+
+    def merge_suspicions(
+        self, suspicions: Iterable[Suspicion], now_s: float
+    ) -> None:
+        """Takes what other entry processes know of crashing requests."""
+        self.suspects.merge(suspicions, now_s)
+
+    def submit(self, request: Request, now_s: float) -> None:
+        """Admits a request to the queue.
+
+        Raises:
+            CallerError: If it is refused; it has not run.
+        """
+        self._check_blocked(request, now_s)
+        if request.artifact is not None:
+            counter = self._arrivals.setdefault(request.artifact, Counter())
+            counter[request.rank] += 1
+        refusal = self._queue.offer(request, now_s)
+        if refusal is not None:
+            raise CallerError(
+                ErrorType.OVERLOADED,
+                _REFUSALS[refusal.reason],
+                retry_after_s=refusal.retry_after_s,
+            )
+        self.budget.note_request(now_s)
+        self._waiting[request.request_id] = _Waiting(request)
+
+    def retry(
+        self, request: Request, tried: set[UpstreamId], now_s: float
+    ) -> None:
+        """Queues a request again after an attempt that failed.
+
+        Raises:
+            CallerError: If it may not run any more.
+        """
+        self._check_blocked(request, now_s)
+        self.budget.note_retry(now_s)
+        verdict = self.suspects.verdict(request.fingerprint, now_s)
+        apart = verdict is not Verdict.CLEAN
+        self._waiting[request.request_id] = _Waiting(request, tried, apart)
+        self._queue.put_back(request, now_s, apart=apart)
+
+    def cancel(self, request_id: RequestId, now_s: float) -> None:
+        """Forgets a request, whether it waits or is in flight."""
+        self._queue.cancel(request_id, now_s)
+        self._waiting.pop(request_id, None)
+        self._end(request_id)
+
+    def succeeded(
+        self, request: Request, now_s: float
+    ) -> tuple[Suspicion, ...]:
+        """Notes a whole answer; returns suspicions that it clears."""
+        status = self._end(request.request_id)
+        if status is not None:
+            self._limits.succeeded(status)
+        return self.suspects.succeeded(request.fingerprint, now_s)
+
+    def refused(self, request: Request, now_s: float) -> None:
+        """Notes that an upstream refused a request."""
+        assignment = self._in_flight.get(request.request_id)
+        if assignment is None:
+            return
+        status = self._fleet.upstreams.get(assignment.upstream)
+        sent = status and status.in_flight.get(request.request_id)
+        self._end(request.request_id)
+        if sent:
+            self._limits.refused(status, sent.sent_s, now_s)
+
+    def failed(self, request: Request) -> None:
+        """Notes the end of an attempt in any other way."""
+        self._end(request.request_id)
+
+    def connection_lost(self, upstream: UpstreamId, now_s: float) -> None:
+        """Notes a broken connection; the upstream gets no work for now."""
+        status = self._fleet.upstreams.get(upstream)
+        if status is not None:
+            status.lost(now_s)
+
+    def crashed(
+        self, upstream: UpstreamId, boot_id: BootId, now_s: float
+    ) -> tuple[Suspicion, ...]:
+        """Notes that an upstream crashed; returns the suspicions to share."""
+        status = self._fleet.upstreams.get(upstream)
+        if status is None:
+            return ()
+        in_flight = [
+            (sent.request.fingerprint, sent.suspect)
+            for sent in status.in_flight.values()
+        ]
+        return self.suspects.crashed(boot_id, in_flight, now_s)
+
+    # What follows.
+
+    def decide(self, now_s: float) -> Iterator[Decision]:
+        """Yields what can be decided now; each request at most once."""
+        for request in self._queue.expire(now_s):
+            yield self._drop(request, ErrorType.DEADLINE_EXCEEDED, _EXPIRED)
+        self._cold.clear()
+        while True:
+            found = _Round()
+            request = self._queue.take(
+                now_s, functools.partial(self._place, now_s, found)
+            )
+            # Done after the search, which must not lose its place.
+            yield from self._settle(found, now_s)
+            if request is not None:
+                yield self._assign(request, found.chosen, now_s)
+            elif not found.rejected and not found.isolated:
+                return
+
+    def take_demand(
+        self,
+    ) -> tuple[dict[ArtifactName, dict[RankId, int]], tuple[ArtifactName, ...]]:
+        """Returns the arrivals since the last call and what is cold."""
+        arrivals, self._arrivals = self._arrivals, {}
+        return (
+            {name: dict(ranks) for name, ranks in arrivals.items()},
+            tuple(sorted(self._cold)),
+        )
+
+    def queued(self) -> dict[RankId, int]:
+        """Returns the number of waiting requests per rank."""
+        return self._queue.waiting()
+
+    @property
+    def in_flight(self) -> int:
+        """Requests at upstreams."""
+        return len(self._in_flight)
+
+    def _check_blocked(self, request: Request, now_s: float) -> None:
+        verdict = self.suspects.verdict(request.fingerprint, now_s)
+        if verdict is Verdict.BLOCKED:
+            raise CallerError(ErrorType.REQUEST_BLOCKED, _BLOCKED)
+
+    def _place(self, now_s: float, found: "_Round", request: Request) -> bool:
+        """Finds an upstream; tells whether the request may be taken now."""
+        waiting = self._waiting[request.request_id]
+        verdict = self.suspects.verdict(request.fingerprint, now_s)
+        if verdict is Verdict.BLOCKED:
+            found.rejected.append((request, ErrorType.REQUEST_BLOCKED))
+            return False
+        if verdict is not Verdict.CLEAN and not waiting.apart:
+            found.isolated.append(request)
+            return False
+        version = None
+        if request.artifact is not None:
+            artifact = artifact_of(self.config, request.artifact)
+            if artifact is None:
+                found.rejected.append((request, ErrorType.NOT_FOUND))
+                return False
+            version = artifact.version
+            self._note_cold(request, artifact.name)
+        if verdict is Verdict.HELD:
+            return False
+        level = self._level(request)
+        found.chosen = choose_upstream(
+            request,
+            self._fleet,
+            own_domain=self._own_domain,
+            has_room=lambda status: self._limits.has_room(status, level),
+            rng=self._rng,
+            tried=waiting.tried,
+            suspect=verdict is Verdict.SUSPECT,
+            version=version,
+        )
+        return found.chosen is not None
+
+    def _settle(self, found: "_Round", now_s: float) -> Iterator[Dropped]:
+        for request, error_type in found.rejected:
+            self._queue.cancel(request.request_id, now_s)
+            yield self._drop(request, error_type, _REJECTIONS[error_type])
+        for request in found.isolated:
+            self._queue.cancel(request.request_id, now_s)
+            self._waiting[request.request_id].apart = True
+            self._queue.put_back(request, now_s, apart=True)
+
+    def _level(self, request: Request) -> int:
+        rank = self.config.ranks.get(request.rank)
+        return rank.level if rank else 0
+
+    def _note_cold(self, request: Request, name: ArtifactName) -> None:
+        holders = self._fleet.holders(request.service, name)
+        if not any(s.state is UpstreamState.LIVE for s in holders):
+            self._cold.add(name)
+
+    def _assign(
+        self, request: Request, upstream: UpstreamId, now_s: float
+    ) -> Assignment:
+        del self._waiting[request.request_id]
+        status = self._fleet.upstreams[upstream]
+        verdict = self.suspects.verdict(request.fingerprint, now_s)
+        self._fleet.sent(
+            upstream, request, now_s, suspect=verdict is Verdict.SUSPECT
+        )
+        assignment = Assignment(
+            request, upstream, status.config.address, status.boot_id
+        )
+        self._in_flight[request.request_id] = assignment
+        return assignment
+
+    def _end(self, request_id: RequestId) -> UpstreamStatus | None:
+        assignment = self._in_flight.pop(request_id, None)
+        if assignment is None:
+            return None
+        self._fleet.finished(assignment.upstream, request_id)
+        return self._fleet.upstreams.get(assignment.upstream)
+
+    def _drop(
+        self, request: Request, error_type: ErrorType, message: str
+    ) -> Dropped:
+        self._waiting.pop(request.request_id, None)
+        retry_after_s = None
+        if request.artifact in self._cold:
+            retry_after_s = COLD_RETRY_AFTER_S
+        error = CallerError(error_type, message, retry_after_s=retry_after_s)
+        return Dropped(request, error)
+
+
+_BLOCKED = "the upstreams that ran this request crashed; it is blocked for now"
+_EXPIRED = "the deadline passed before an upstream was free"
+_REMOVED = "the model was removed while the request waited"
+_REJECTIONS = {
+    ErrorType.REQUEST_BLOCKED: _BLOCKED,
+    ErrorType.NOT_FOUND: _REMOVED,
+}
+_REFUSALS = {
+    RefusalReason.QUEUE_FULL: "the queue of this rank is full",
+    RefusalReason.KIND_FULL: "the queue of this kind of work is full",
+    RefusalReason.DEADLINE: "the wait would be longer than the deadline",
+}
--- a/acaciaspoke/entry/retry.py
+++ b/acaciaspoke/entry/retry.py
@@ -1,10 +1,10 @@
 """What a caller may be told of a failed request, and whether to try again."""
 
 import math
-from enum import Enum
 
 import msgspec
 
+from acaciaspoke.entry.errors import Outcome
 from acaciaspoke.entry.request import Request
 
 BUDGET_SHARE = 0.1
@@ -17,14 +17,6 @@
 MAX_TRIES = 3
 
 
-class Outcome(Enum):
-    """Whether a request was run."""
-
-    NOT_RUN = "not_run"
-    RAN = "ran"
-    UNKNOWN = "unknown"
-
-
 class Exchange(msgspec.Struct, kw_only=True):
     """What passed between this process and an upstream for one request.
 
