Make the tests of racing operators deterministic

Both racers now come to their commits before either goes on; before, one could finish first and the conflict came from the read of the head.

A request without a body counts as sent once its headers are begun.

--- a/acaciaspoke/util/http.py
+++ b/acaciaspoke/util/http.py
@@ -14,7 +14,7 @@
 
     Attributes:
         was_sent: Whether the server may have the whole request. False only
-            if no byte of the body was written.
+            if its last part, the body if there is one, was not begun.
     """
 
     def __init__(self, problem: str, *, was_sent: bool):
@@ -60,10 +60,11 @@
             HttpError: If there is no whole answer within the timeout.
         """
         was_sent = False
+        last_part = "body" if body else "headers"
 
         async def trace(event: str, _) -> None:
             nonlocal was_sent
-            was_sent |= event.endswith("send_request_body.started")
+            was_sent |= event.endswith(f"send_request_{last_part}.started")
 
         timeout_s = self._timeout_s if timeout_s is None else timeout_s
         try:
--- a/test/builders.py
+++ b/test/builders.py
@@ -36,7 +36,7 @@
     """Serves a table and an object store.
 
     Yields the table's stand-in and a function that opens a ConfigStore, as
-    one more host would.
+    one more host would, on the table's client or on what wraps it.
     """
     objects = objects or Objects()
     async with (
@@ -46,8 +46,9 @@
         ) as objects_client,
     ):
 
-        def open_store() -> ConfigStore:
-            return ConfigStore(client, objects_client, Metrics(), lambda: 1.0)
+        def open_store(wrap=lambda table: table) -> ConfigStore:
+            table = wrap(client)
+            return ConfigStore(table, objects_client, Metrics(), lambda: 1.0)
 
         yield table, open_store
 
--- a/test/config/test_store.py
+++ b/test/config/test_store.py
@@ -1,6 +1,7 @@
 """Tests of the configuration log against the platform's stand-ins."""
 
 import unittest
+from types import SimpleNamespace
 
 import anyio
 import msgspec
@@ -16,6 +17,7 @@
     Submitted,
     UnknownVersion,
 )
+from acaciaspoke.platform.table import TableClient
 from standins.faults import Faults
 from standins.objects import Objects
 from standins.table import Table
@@ -46,12 +48,31 @@
     table.put(b"config/head", b'{"version": %d}' % last)
 
 
+class Race:
+    """Lets commits go on only when all racers have come to theirs."""
+
+    def __init__(self, racers: int):
+        self._missing = racers
+        self._start = anyio.Event()
+
+    def wrap(self, table: TableClient):
+        async def commit(transaction):
+            self._missing -= 1
+            if not self._missing:
+                self._start.set()
+            await self._start.wait()
+            return await table.commit(transaction)
+
+        return SimpleNamespace(read=table.read, scan=table.scan, commit=commit)
+
+
 class SubmitTest(unittest.IsolatedAsyncioTestCase):
 
     async def test_one_of_two_racing_operators_wins(self):
         """Guards against a patch that overwrites one its author never saw."""
         async with config_log() as (_, open_store):
-            stores, results = [open_store(), open_store()], []
+            race, results = Race(2), []
+            stores = [open_store(race.wrap) for _ in range(2)]
 
             async def submit(store, level):
                 try:
@@ -79,7 +100,8 @@
     async def test_same_id_at_the_same_time_is_one_version(self):
         """Guards against a host that takes its own patch for the winner's."""
         async with config_log() as (_, open_store):
-            stores, versions = [open_store(), open_store()], []
+            race, versions = Race(2), []
+            stores = [open_store(race.wrap) for _ in range(2)]
 
             async def submit(store, level):
                 result = await add_rank(store, level, 0, "same")
--- a/test/platform/test_hosts.py
+++ b/test/platform/test_hosts.py
@@ -2,6 +2,8 @@
 
 import unittest
 
+import msgspec
+
 from acaciaspoke.platform.hosts import (
     HostEntry,
     HostsClient,
@@ -10,6 +12,7 @@
     HostsUnavailable,
     parse_hosts,
 )
+from acaciaspoke.util.http import HttpClient
 from acaciaspoke.util.metrics import Metrics
 from standins.faults import Faults
 from standins.hosts import Hosts
@@ -47,6 +50,18 @@
             with self.assertRaises(HostsUnavailable):
                 await client.fetch()
 
+    async def test_stand_in_is_told_by_http(self):
+        """Guards against demo scripts whose faults change nothing."""
+        hosts = Hosts()
+        async with stand_in(hosts, lambda a: HttpClient(a, 2.0)) as http:
+            document = {"hosts": [group("live", "10.0.0.1:1")]}
+            body = msgspec.json.encode(document)
+            await http.request("POST", "/standin/hosts", body)
+            answer = await http.request("GET", "/")
+            self.assertEqual(len(parse_hosts(answer.body)), 1)
+            await http.request("POST", "/standin/faults", b'{"refuse": true}')
+            self.assertEqual((await http.request("GET", "/")).status, 429)
+
     def test_refuses_a_list_with_one_wrong_entry(self):
         """Guards against a live host that looks gone as its entry is wrong."""
         for body in (
