Report unusable rows of the configuration log as ConfigLogError

A row that a newer program wrote, or a damaged one, raised a msgspec error that no caller of the log expects. The version in hand stays in force.

--- a/acaciaspoke/config/store.py
+++ b/acaciaspoke/config/store.py
@@ -8,7 +8,7 @@
 import itertools
 import time
 from collections.abc import Callable, Iterable
-from typing import NamedTuple
+from typing import NamedTuple, TypeVar
 
 import msgspec
 from loguru import logger
@@ -33,6 +33,8 @@
 )
 from acaciaspoke.util.metrics import Metrics
 
+T = TypeVar("T")
+
 # Bounds the work of a restart to two snapshot reads and 511 patch rows, if one
 # of the last two snapshots can be read.
 SNAPSHOT_EVERY = 256
@@ -107,6 +109,9 @@
 
     Rows that are older, repeated or after a gap change nothing, so that the
     version is never lowered.
+
+    Raises:
+        ConfigLogError: If the result is not a configuration.
     """
     by_version = {row.version: row.merge_patch for row in rows}
     versions = itertools.takewhile(
@@ -116,7 +121,12 @@
     if not patches:
         return config
     version = ConfigVersion(config.version + len(patches))
-    return apply_committed(config, version, patches)
+    try:
+        return apply_committed(config, version, patches)
+    except msgspec.DecodeError as error:
+        # A newer program may have accepted fields that this one lacks.
+        problem = f"cannot apply the log up to version {version}: {error}"
+        raise ConfigLogError(problem) from error
 
 
 class ConfigStore:
@@ -163,7 +173,11 @@
         return self.config
 
     def adopt(self, rows: Iterable[PatchRow]) -> bool:
-        """Applies rows from anywhere; tells whether the version rose."""
+        """Applies rows from anywhere; tells whether the version rose.
+
+        Raises:
+            ConfigLogError: If the result is not a configuration.
+        """
         return self._raise_to(advance(self.config, rows))
 
     async def patches_after(
@@ -180,7 +194,7 @@
             )
         except TableUnavailable as error:
             raise ConfigUnavailable(str(error)) from error
-        return [msgspec.json.decode(row.value, type=LogRow) for row in rows]
+        return [_decode(row, LogRow) for row in rows]
 
     async def history(
         self, limit: int = 50, before: ConfigVersion | None = None
@@ -382,7 +396,14 @@
 def _version_of(row: Row | None) -> ConfigVersion:
     if row is None:
         return ConfigVersion(0)
-    return msgspec.json.decode(row.value, type=_Head).version
+    return _decode(row, _Head).version
+
+
+def _decode(row: Row, wanted: type[T]) -> T:
+    try:
+        return msgspec.json.decode(row.value, type=wanted)
+    except msgspec.DecodeError as error:
+        raise ConfigLogError(f"wrong row {row.key}: {error}") from error
 
 
 def _patch_key(version: ConfigVersion) -> str:
--- a/test/config/test_store.py
+++ b/test/config/test_store.py
@@ -166,6 +166,22 @@
             with self.assertRaises(ConfigLogError):
                 await add_rank(store, 1, 1)
 
+    async def test_unusable_patch_keeps_the_version_in_hand(self):
+        """Guards against a failure that nothing above the log expects."""
+        async with config_log() as (table, open_store):
+            store = open_store()
+            await add_rank(store, 0, 0)
+            for text in ('{"newer": 1}', "not JSON"):
+                row = LogRow(
+                    version=2, patch_id="p", author="op", merge_patch=text
+                )
+                with self.subTest(text), self.assertRaises(ConfigLogError):
+                    store.adopt([row])
+            self.assertEqual(store.config.version, 1)
+            table.put(b"config/head", b"[]")
+            with self.assertRaises(ConfigLogError):
+                await store.load()
+
     async def test_rows_after_a_gap_wait(self):
         """Guards against a patch that is applied to the wrong version."""
         async with config_log() as (_, open_store):
