--- a/test/config/test_store.py
+++ b/test/config/test_store.py
@@ -1,6 +1,7 @@
 """Tests of the configuration log against the platform's stand-ins."""
 
 import unittest
+from types import SimpleNamespace
 
 import anyio
 import msgspec
@@ -16,6 +17,7 @@
     Submitted,
     UnknownVersion,
 )
+from acaciaspoke.platform.table import TableClient
 from standins.faults import Faults
 from standins.objects import Objects
 from standins.table import Table
@@ -46,12 +48,31 @@
     table.put(b"config/head", b'{"version": %d}' % last)
 
 
+class Race:
+    """Lets commits go on only when all racers have come to theirs."""
+
+    def __init__(self, racers: int):
+        self._missing = racers
+        self._start = anyio.Event()
+
+    def wrap(self, table: TableClient):
+        async def commit(transaction):
+            self._missing -= 1
+            if not self._missing:
+                self._start.set()
+            await self._start.wait()
+            return await table.commit(transaction)
+
+        return SimpleNamespace(read=table.read, scan=table.scan, commit=commit)
+
+
 class SubmitTest(unittest.IsolatedAsyncioTestCase):
 
     async def test_one_of_two_racing_operators_wins(self):
         """Guards against a patch that overwrites one its author never saw."""
         async with config_log() as (_, open_store):
-            stores, results = [open_store(), open_store()], []
+            race, results = Race(2), []
+            stores = [open_store(race.wrap) for _ in range(2)]
 
             async def submit(store, level):
                 try:
@@ -79,7 +100,8 @@
     async def test_same_id_at_the_same_time_is_one_version(self):
         """Guards against a host that takes its own patch for the winner's."""
         async with config_log() as (_, open_store):
-            stores, versions = [open_store(), open_store()], []
+            race, versions = Race(2), []
+            stores = [open_store(race.wrap) for _ in range(2)]
 
             async def submit(store, level):
                 result = await add_rank(store, level, 0, "same")
@@ -144,6 +166,22 @@
             with self.assertRaises(ConfigLogError):
                 await add_rank(store, 1, 1)
 
+    async def test_unusable_patch_keeps_the_version_in_hand(self):
+        """Guards against a failure that nothing above the log expects."""
+        async with config_log() as (table, open_store):
+            store = open_store()
+            await add_rank(store, 0, 0)
+            for text in ('{"newer": 1}', "not JSON"):
+                row = LogRow(
+                    version=2, patch_id="p", author="op", merge_patch=text
+                )
+                with self.subTest(text), self.assertRaises(ConfigLogError):
+                    store.adopt([row])
+            self.assertEqual(store.config.version, 1)
+            table.put(b"config/head", b"[]")
+            with self.assertRaises(ConfigLogError):
+                await store.load()
+
     async def test_rows_after_a_gap_wait(self):
         """Guards against a patch that is applied to the wrong version."""
         async with config_log() as (_, open_store):
