Wire the entry process and the commands

The entry process now serves requests by queue, routing, claims and relay. Report and status commands call the administration API through the operators' HTTP client.

--- a/acaciaspoke/config/store.py
+++ b/acaciaspoke/config/store.py
@@ -17,7 +17,7 @@
 from acaciaspoke.config.schema import Config
 from acaciaspoke.errors import AcaciaspokeError
 from acaciaspoke.ids import ConfigVersion, PatchId
-from acaciaspoke.net.messages import PatchRow
+from acaciaspoke.net.messages import ConfigPush, PatchRow
 from acaciaspoke.platform.objects import ObjectsClient, ObjectsError
 from acaciaspoke.platform.table import (
     Committed,
@@ -129,6 +129,19 @@
         raise ConfigLogError(problem) from error
 
 
+def apply_pushed(config: Config, push: ConfigPush) -> Config:
+    """Returns what is in force after a push; never an older version.
+
+    Raises:
+        msgspec.ValidationError: If the push holds no configuration.
+    """
+    if push.snapshot:
+        snapshot = msgspec.json.decode(push.snapshot, type=Config)
+        if snapshot.version > config.version:
+            config = snapshot
+    return advance(config, push.patches)
+
+
 class ConfigStore:
     """The log and the newest version read from it.
 
--- a/acaciaspoke/entry/claimrows.py
+++ b/acaciaspoke/entry/claimrows.py
@@ -19,8 +19,6 @@
 
 PREFIX = "claim/"
 
-# The end of the key range, as "0" follows "/".
-
 RETENTION_S = 24 * 3600.0
 
 # The sweep leaves a row for this long after its expiry. The clocks of the
--- a/acaciaspoke/entry/errors.py
+++ b/acaciaspoke/entry/errors.py
@@ -32,6 +32,7 @@
     NO_UPSTREAM = "no_upstream"
     NOT_READY = "not_ready"
     UPSTREAM_FAILED = "upstream_failed"
+    UPSTREAM_TIMEOUT = "upstream_timeout"
     ANSWER_MISMATCH = "answer_mismatch"
     STREAM_CUT = "stream_cut"
     REQUEST_BLOCKED = "request_blocked"
@@ -52,6 +53,7 @@
     ErrorType.NO_UPSTREAM: 503,
     ErrorType.NOT_READY: 503,
     ErrorType.UPSTREAM_FAILED: 502,
+    ErrorType.UPSTREAM_TIMEOUT: 504,
     ErrorType.ANSWER_MISMATCH: 502,
     ErrorType.STREAM_CUT: 502,
     ErrorType.REQUEST_BLOCKED: 422,
--- /dev/null
+++ b/acaciaspoke/entry/exchange.py
@@ -0,0 +1,303 @@
+"""Serves a parsed request: admission, claim, attempts, answer.
+
+The dispatcher decides; this module waits for its decisions, makes the
+attempts, and turns their endings into answers and errors.
+"""
+
+import time
+from collections.abc import Awaitable, Callable
+from typing import NamedTuple
+
+import anyio
+import msgspec
+from loguru import logger
+
+from acaciaspoke.entry import endings
+from acaciaspoke.entry.caller import Caller
+from acaciaspoke.entry.claimrows import Answer
+from acaciaspoke.entry.claims import Claims
+from acaciaspoke.entry.claimtypes import Claim
+from acaciaspoke.entry.dispatch import Assignment, Dispatcher, Dropped
+from acaciaspoke.entry.errors import CallerError, ErrorType
+from acaciaspoke.entry.parse import Parsed
+from acaciaspoke.entry.pool import ConnectionPool
+from acaciaspoke.entry.relay import Attempt, Ending, Timings, attempt
+from acaciaspoke.entry.request import Request
+from acaciaspoke.entry.retry import Exchange, may_retry
+from acaciaspoke.ids import BootId, RequestId, UpstreamId
+from acaciaspoke.report.histograms import ServiceWindows
+from acaciaspoke.util.metrics import Metrics
+
+# Finds out whether an upstream crashed after a connection to it broke, and
+# shares the suspicions; returns when that is done.
+ExamineCrash = Callable[[UpstreamId, BootId, str], Awaitable[None]]
+
+
+class Hooks(NamedTuple):
+    """What the exchange needs of the process around it.
+
+    Attributes:
+        examine_crash: Called after a connection with a request on it broke.
+        share: Passes suspicions on to the control process.
+    """
+
+    examine_crash: ExamineCrash
+    share: Callable[[tuple], None]
+
+
+class Exchanges:
+    """The requests in progress of one entry process."""
+
+    def __init__(
+        self,
+        dispatcher: Dispatcher,
+        claims: Claims,
+        windows: ServiceWindows,
+        hooks: Hooks,
+        metrics: Metrics,
+    ):
+        self._dispatcher = dispatcher
+        self._claims = claims
+        self._windows = windows
+        self._hooks = hooks
+        self._metrics = metrics
+        self._pools: dict[tuple[str, bool], ConnectionPool] = {}
+        self._replies: dict[RequestId, anyio.abc.ObjectSendStream] = {}
+
+    async def aclose(self) -> None:
+        """Closes the connections to all upstreams."""
+        for pool in self._pools.values():
+            await pool.aclose()
+
+    def dispatch(self) -> None:
+        """Takes the dispatcher's decisions and wakes their requests."""
+        for decision in self._dispatcher.decide(time.monotonic()):
+            reply = self._replies.pop(decision.request.request_id, None)
+            if reply is not None:
+                reply.send_nowait(decision)
+                reply.close()
+
+    async def serve(self, parsed: Parsed, caller: Caller) -> None:
+        """Serves a request to its end.
+
+        Raises:
+            CallerError: If there is no answer; it tells what became of the
+                request.
+        """
+        request = parsed.request
+        timings = Timings()
+        succeeded = False
+        try:
+            await self._serve(parsed, caller, timings)
+            succeeded = True
+        except CallerError as error:
+            if error.type in _CALLERS_FAULT:
+                raise
+            self._record(request, timings, succeeded=False)
+            raise
+        finally:
+            self._dispatcher.cancel(request.request_id, time.monotonic())
+            self._replies.pop(request.request_id, None)
+            self.dispatch()
+        self._record(request, timings, succeeded=succeeded)
+
+    async def _serve(
+        self, parsed: Parsed, caller: Caller, timings: Timings
+    ) -> None:
+        request = parsed.request
+        claim: Claim | None = None
+        tried: set[UpstreamId] = set()
+        exchanges: list[Exchange] = []
+        self._dispatcher.submit(request, time.monotonic())
+        while True:
+            assignment = await self._assignment(request, claim, exchanges)
+            if not request.idempotent:
+                claim = await self._claim(parsed, caller)
+                if claim is None:
+                    return
+            try:
+                result = await self._attempt(
+                    assignment, parsed, caller, timings
+                )
+            except BaseException:
+                if claim is not None:
+                    self._claims.lose(claim)
+                raise
+            exchange = endings.to_exchange(result, relayed=caller.started)
+            exchanges.append(exchange)
+            self._note_claim(claim, result, exchange)
+            if result.ending is Ending.ANSWERED:
+                await self._answer(request, result, caller)
+                return
+            await self._note_failure(assignment, result)
+            tried.add(assignment.upstream)
+            now_s = time.monotonic()
+            if not may_retry(
+                request,
+                exchange,
+                tries=len(exchanges),
+                budget=self._dispatcher.budget,
+                now_s=now_s,
+            ):
+                raise endings.to_error(result, exchanges)
+            self._metrics.count("entry.retry")
+            logger.info(
+                "retrying after {} at {}: {}",
+                result.ending.value,
+                assignment.upstream,
+                result.detail,
+            )
+            self._requeue(request, tried, exchanges, now_s)
+
+    def _requeue(
+        self,
+        request: Request,
+        tried: set[UpstreamId],
+        exchanges: list[Exchange],
+        now_s: float,
+    ) -> None:
+        try:
+            self._dispatcher.retry(request, set(tried), now_s)
+        except CallerError as error:
+            raise endings.with_history(error, exchanges) from error
+
+    async def _assignment(
+        self,
+        request: Request,
+        claim: Claim | None,
+        exchanges: list[Exchange],
+    ) -> Assignment:
+        send, receive = anyio.create_memory_object_stream[Assignment | Dropped](
+            1
+        )
+        self._replies[request.request_id] = send
+        self.dispatch()
+        with receive:
+            decision = await receive.receive()
+        if isinstance(decision, Dropped):
+            raise endings.with_history(decision.error, exchanges)
+        return decision
+
+    async def _claim(self, parsed: Parsed, caller: Caller) -> Claim | None:
+        """Claims the key; returns None after a kept answer was replayed."""
+        request = parsed.request
+        outcome = await self._claims.claim(
+            request.account,
+            request.service,
+            parsed.idempotency_key,
+            bytes.fromhex(request.body_hash),
+        )
+        claim = endings.claimed_or_raise(outcome)
+        if isinstance(claim, Answer):
+            self._metrics.count("entry.replayed")
+            headers = endings.kept_headers(claim)
+            headers.append((b"idempotency-replayed", b"true"))
+            await caller.answer(claim.status, headers, claim.body)
+            return None
+        if not self._claims.begin_dispatch(claim):
+            raise CallerError(
+                ErrorType.KEY_STORE_OUT,
+                "the claim of the idempotency key is too old",
+                retry_after_s=1,
+            )
+        return claim
+
+    async def _attempt(
+        self,
+        assignment: Assignment,
+        parsed: Parsed,
+        caller: Caller,
+        timings: Timings,
+    ) -> Attempt:
+        service = parsed.service
+        pool = self._pool(assignment.address, service.echoes_request_id)
+        connection = await pool.take()
+        left_ms = (parsed.request.deadline_s - time.monotonic()) * 1000
+        call = msgspec.structs.replace(
+            parsed.call,
+            headers=[
+                *parsed.call.headers,
+                (b"x-deadline-ms", str(max(1, int(left_ms))).encode()),
+            ],
+        )
+        clean = False
+        try:
+            result = await attempt(
+                connection, assignment.address, call, service, caller, timings
+            )
+            clean = result.ending in (Ending.ANSWERED, Ending.REFUSED)
+            return result
+        finally:
+            with anyio.CancelScope(shield=True):
+                await pool.give_back(connection, clean=clean)
+
+    def _pool(self, address: str, echoes: bool) -> ConnectionPool:
+        # Without an echoed request id, a late answer on a connection that is
+        # used again could not be told from the right one.
+        key = (address, echoes)
+        if key not in self._pools:
+            self._pools[key] = ConnectionPool(address, reuse=echoes)
+        return self._pools[key]
+
+    def _note_claim(
+        self, claim: Claim | None, result: Attempt, exchange: Exchange
+    ) -> None:
+        if claim is None:
+            return
+        if result.ending is Ending.ANSWERED:
+            self._claims.record(claim, endings.to_kept_answer(result))
+        elif endings.is_not_run(exchange):
+            self._claims.release(claim)
+        else:
+            self._claims.lose(claim)
+
+    async def _answer(
+        self, request: Request, result: Attempt, caller: Caller
+    ) -> None:
+        now_s = time.monotonic()
+        cleared = self._dispatcher.succeeded(request, now_s)
+        if cleared:
+            self._hooks.share(cleared)
+        if not caller.started:
+            await caller.answer(result.status, result.headers, result.body)
+
+    async def _note_failure(
+        self, assignment: Assignment, result: Attempt
+    ) -> None:
+        now_s = time.monotonic()
+        if result.ending is Ending.REFUSED:
+            self._dispatcher.refused(assignment.request, now_s)
+            return
+        if result.ending in (Ending.BROKEN, Ending.NOT_SENT):
+            self._dispatcher.connection_lost(assignment.upstream, now_s)
+        if result.ending is Ending.BROKEN:
+            # The request stays in flight until it is known whether the
+            # upstream crashed, and is among the suspects if it did.
+            await self._hooks.examine_crash(
+                assignment.upstream, assignment.boot_id, assignment.address
+            )
+        self._dispatcher.failed(assignment.request)
+
+    def _record(
+        self, request: Request, timings: Timings, *, succeeded: bool
+    ) -> None:
+        rank = self._dispatcher.config.ranks.get(request.rank)
+        if rank is None:
+            return
+        first_token_s = None
+        if timings.first_token_s is not None:
+            first_token_s = timings.first_token_s - request.arrived_s
+        self._windows.record(
+            request.rank,
+            rank,
+            request.service,
+            time.monotonic(),
+            succeeded=succeeded,
+            first_token_s=first_token_s,
+            gaps=timings.gaps if request.stream else None,
+        )
+
+
+_CALLERS_FAULT = frozenset(
+    [ErrorType.NOT_FOUND, ErrorType.KEY_REUSED, ErrorType.KEY_IN_USE]
+)
--- a/acaciaspoke/entry/parse.py
+++ b/acaciaspoke/entry/parse.py
@@ -54,11 +54,16 @@
 
 
 class Parsed(NamedTuple):
-    """A request, the call to an upstream, and its idempotency key if any."""
+    """What a caller asked for.
+
+    Attributes:
+        idempotency_key: Empty if the request needs none.
+    """
 
     request: Request
     call: UpstreamCall
-    idempotency_key: str
+    service: Service
+    idempotency_key: str = ""
 
 
 def new_request_id(caller_id: str) -> RequestId:
@@ -122,7 +127,7 @@
         body=msgspec.json.encode(document),
         stream=request.stream,
     )
-    return Parsed(request, call, "")
+    return Parsed(request, call, config.services[service_id])
 
 
 def _chat_document(body: bytes) -> dict[str, Any]:
@@ -199,7 +204,7 @@
         body=body,
         stream=False,
     )
-    return Parsed(request, call, key)
+    return Parsed(request, call, service, key)
 
 
 def is_non_idempotent(service: Service, method: str, path: str) -> bool:
--- /dev/null
+++ b/acaciaspoke/entry/process.py
@@ -0,0 +1,255 @@
+"""The entry process: wires its parts and runs its tasks."""
+
+import random
+import time
+import uuid
+
+import anyio
+from loguru import logger
+
+from acaciaspoke.config.schema import Config
+from acaciaspoke.config.store import apply_pushed
+from acaciaspoke.entry.app import EntryApp
+from acaciaspoke.entry.claims import Claims
+from acaciaspoke.entry.crashes import CrashExaminer
+from acaciaspoke.entry.dispatch import Dispatcher
+from acaciaspoke.entry.exchange import Exchanges, Hooks
+from acaciaspoke.ids import BootId, ClaimId
+from acaciaspoke.net.mailbox import Mailbox, receive_forever
+from acaciaspoke.net.messages import (
+    ConfigPush,
+    Demand,
+    EntryHello,
+    FleetView,
+    Message,
+    SuspicionAck,
+    SuspicionNotice,
+    Windows,
+    WindowsRequest,
+)
+from acaciaspoke.platform.table import TableClient
+from acaciaspoke.report.histograms import ServiceWindows
+from acaciaspoke.settings import EntrySettings, Settings
+from acaciaspoke.util.drain import Drain, stop_on_signals
+from acaciaspoke.util.metrics import Metrics
+from acaciaspoke.util.server import HttpServer
+
+HELLO_INTERVAL_S = 1.0
+
+# Demand is reported this often; what has no copy is reported at once with it.
+DEMAND_INTERVAL_S = 0.25
+
+# Deadlines of waiting requests are looked at this often.
+EXPIRY_INTERVAL_S = 0.05
+SUSPECT_EXPIRY_INTERVAL_S = 10.0
+
+
+class EntryProcess:
+    """The parts of an entry process and what messages do to them."""
+
+    def __init__(
+        self,
+        settings: Settings,
+        entry: EntrySettings,
+        mailbox: Mailbox,
+        table: TableClient,
+        metrics: Metrics,
+    ):
+        self.drain = Drain()
+        self._settings = settings
+        self._entry = entry
+        self._mailbox = mailbox
+        self._metrics = metrics
+        self._boot = BootId(uuid.uuid4().hex)
+        self._dispatcher = Dispatcher(settings.domain_id, random.Random())
+        self._windows = ServiceWindows()
+        self._window_requests, self._window_inbox = (
+            anyio.create_memory_object_stream[WindowsRequest](16)
+        )
+        self.claims = Claims(
+            table,
+            metrics,
+            owner=f"{settings.host}/{self._boot}",
+            new_id=lambda: ClaimId(uuid.uuid4().hex),
+            now=time.monotonic,
+            wall_now=time.time,
+        )
+        self._crashes = CrashExaminer(
+            self._dispatcher, self._post, entry.mailbox
+        )
+        self.exchanges = Exchanges(
+            self._dispatcher,
+            self.claims,
+            self._windows,
+            Hooks(self._crashes.examine, self._crashes.share),
+            metrics,
+        )
+        self.app = EntryApp(
+            config=lambda: self._dispatcher.config,
+            is_ready=lambda: self.is_ready,
+            serve=self.exchanges.serve,
+            metrics=metrics,
+            max_body_bytes=entry.max_body_bytes,
+            max_requests=entry.max_requests,
+        )
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether the balancer should send requests."""
+        return self.drain.serving and self._dispatcher.config is not None
+
+    def handle(self, message: Message) -> None:
+        """Acts on a message from the control process."""
+        now_s = time.monotonic()
+        match message:
+            case ConfigPush():
+                self._take_config(message)
+            case FleetView():
+                self._dispatcher.set_fleet(message, now_s)
+                self.exchanges.dispatch()
+            case SuspicionNotice():
+                self._dispatcher.merge_suspicions(message.suspicions, now_s)
+                self.exchanges.dispatch()
+            case SuspicionAck():
+                self._crashes.acknowledged(message.sequence)
+            case WindowsRequest():
+                self._queue_window_request(message)
+            case _:
+                logger.warning("unexpected {}", type(message).__name__)
+
+    def _take_config(self, push: ConfigPush) -> None:
+        config = apply_pushed(self._dispatcher.config or Config(), push)
+        if self._dispatcher.set_config(config):
+            logger.info("configuration version {} is in force", config.version)
+            self._say_hello()
+            self.exchanges.dispatch()
+
+    def _queue_window_request(self, request: WindowsRequest) -> None:
+        try:
+            self._window_requests.send_nowait(request)
+        except anyio.WouldBlock:
+            self._metrics.count("entry.window_request_dropped")
+
+    async def answer_window_requests(self) -> None:
+        """Sends service-level windows to those who asked."""
+        async for request in self._window_inbox:
+            now_s = time.monotonic()
+            windows = await self._windows.collect(now_s)
+            self._mailbox.post(
+                request.reply_to,
+                Windows(
+                    sender=self._entry.mailbox,
+                    sequence=request.sequence,
+                    windows=windows,
+                    trends=tuple(self._windows.trends(now_s)),
+                ),
+            )
+
+    async def say_hello(self) -> None:
+        """Tells the control process again and again that this one runs."""
+        while True:
+            self._say_hello()
+            queued = self._dispatcher.queued()
+            self._metrics.gauge("entry.queued", sum(queued.values()))
+            self._metrics.gauge("entry.in_flight", self._dispatcher.in_flight)
+            await anyio.sleep(HELLO_INTERVAL_S)
+
+    def _say_hello(self) -> None:
+        config = self._dispatcher.config
+        self._post(
+            EntryHello(
+                address=self._entry.mailbox,
+                boot=self._boot,
+                config_version=config.version if config else Config().version,
+                queued=self._dispatcher.queued(),
+                in_flight=self._dispatcher.in_flight,
+                draining=not self.drain.serving,
+            )
+        )
+
+    async def report_demand(self) -> None:
+        """Tells the control process what callers ask for."""
+        while True:
+            await anyio.sleep(DEMAND_INTERVAL_S)
+            arrivals, cold = self._dispatcher.take_demand()
+            if arrivals or cold:
+                self._post(
+                    Demand(
+                        sender=self._entry.mailbox,
+                        arrivals=arrivals,
+                        cold=cold,
+                        interval_s=DEMAND_INTERVAL_S,
+                    )
+                )
+
+    async def expire(self) -> None:
+        """Drops waiting requests whose deadline has passed."""
+        while True:
+            await anyio.sleep(EXPIRY_INTERVAL_S)
+            self.exchanges.dispatch()
+
+    async def expire_suspicions(self) -> None:
+        """Forgets old suspicions."""
+        while True:
+            await anyio.sleep(SUSPECT_EXPIRY_INTERVAL_S)
+            self._dispatcher.suspects.expire(time.monotonic())
+
+    def _post(self, message: Message) -> bool:
+        return self._mailbox.post(self._settings.control.mailbox, message)
+
+
+async def run_entry(settings: Settings, index: int) -> None:
+    """Runs an entry process until it was told to stop and has drained.
+
+    Args:
+        settings: The settings of the host.
+        index: Which of its entry processes this is.
+
+    Raises:
+        MailboxError: If the mailbox address is taken.
+        ServerError: If the address for callers is taken.
+    """
+    entry = settings.entry[index]
+    metrics = Metrics(settings.statsd)
+    platform = settings.platform
+    with Mailbox(entry.mailbox, metrics) as mailbox:
+        async with TableClient(
+            platform.table, platform.timeout_s, metrics
+        ) as table:
+            process = EntryProcess(settings, entry, mailbox, table, metrics)
+            await _run_tasks(process, entry, mailbox)
+
+
+async def _run_tasks(
+    process: EntryProcess, entry: EntrySettings, mailbox: Mailbox
+) -> None:
+    server = HttpServer(process.app, entry.listen)
+    async with anyio.create_task_group() as background:
+        await background.start(process.claims.run)
+        background.start_soon(stop_on_signals, process.drain)
+        background.start_soon(receive_forever, mailbox, process.handle)
+        background.start_soon(process.say_hello)
+        background.start_soon(process.report_demand)
+        background.start_soon(process.expire)
+        background.start_soon(process.expire_suspicions)
+        background.start_soon(process.answer_window_requests)
+        background.start_soon(
+            process.drain.run, entry.drain_notice_s, server.stop
+        )
+        logger.info("accepting callers on {}", entry.listen)
+        await server.serve()
+        process.drain.finished()
+        await _flush_claims(process.claims)
+        await process.exchanges.aclose()
+        logger.info("stopped")
+        background.cancel_scope.cancel()
+
+
+async def _flush_claims(claims: Claims) -> None:
+    # What is not written by then leaves its key claimed, which is safe.
+    with anyio.move_on_after(FLUSH_CLAIMS_S):
+        while claims.waiting_writes:
+            await anyio.sleep(0.02)
+
+
+FLUSH_CLAIMS_S = 30.0
--- a/acaciaspoke/entry/relay.py
+++ b/acaciaspoke/entry/relay.py
@@ -17,6 +17,7 @@
 from acaciaspoke.entry.caller import Caller, Headers
 from acaciaspoke.entry.pool import CONNECT_TIMEOUT_S, Connection
 from acaciaspoke.ids import RequestId
+from acaciaspoke.report.histograms import TokenGaps
 
 # Larger answers than this are not held in memory for a caller.
 MAX_ANSWER_BYTES = 32 * 1024 * 1024
@@ -62,25 +63,26 @@
 
 
 class Timings:
-    """When the parts of an answer arrived; monotonic seconds."""
+    """When the parts of an answer arrived.
 
-    __slots__ = ("gaps_ms", "first_token_s", "last_token_s", "tokens")
+    Attributes:
+        first_token_s: Monotonic time of the first token, or of the answer.
+        gaps: The times between the tokens.
+    """
+
+    __slots__ = ("first_token_s", "gaps")
 
     def __init__(self) -> None:
         self.first_token_s: float | None = None
-        self.last_token_s = 0.0
-        self.tokens = 0
-        self.gaps_ms: dict[int, int] = {}
-
-    def record(self, now_s: float, events: int) -> None:
-        """Counts events that arrived together."""
-        self.tokens += events
-        if self.first_token_s is None:
+        self.gaps: TokenGaps | None = None
+
+    def record(self, now_s: float) -> None:
+        """Notes a token, or several that arrived together."""
+        if self.gaps is None:
             self.first_token_s = now_s
+            self.gaps = TokenGaps(now_s)
         else:
-            gap_ms = int((now_s - self.last_token_s) * 1000)
-            self.gaps_ms[gap_ms] = self.gaps_ms.get(gap_ms, 0) + 1
-        self.last_token_s = now_s
+            self.gaps.token(now_s)
 
 
 class Attempt(msgspec.Struct, kw_only=True):
@@ -251,7 +253,7 @@
         )
     else:
         await _read_whole(response, result, guard)
-        timings.record(time.monotonic(), 1)
+        timings.record(time.monotonic())
     return result
 
 
@@ -316,9 +318,8 @@
             tail = (tail + part)[-_TAIL_BYTES:]
             now_s = time.monotonic()
             guard.active(now_s)
-            events = part.count(_EVENT)
-            if events:
-                timings.record(now_s, events)
+            if _EVENT in part:
+                timings.record(now_s)
     finally:
         connection.stream.before_read = None
     await flush()
--- a/acaciaspoke/ui/__init__.py
+++ b/acaciaspoke/ui/__init__.py
@@ -5,7 +5,7 @@
 import click
 
 from acaciaspoke.errors import UserError
-from acaciaspoke.ui import config
+from acaciaspoke.ui import config, report, serve
 
 
 @click.group()
@@ -14,6 +14,11 @@
 
 
 commands.add_command(config.config)
+commands.add_command(report.report)
+commands.add_command(report.status)
+commands.add_command(serve.control)
+commands.add_command(serve.entry)
+commands.add_command(serve.settings)
 
 
 def main(arguments: list[str] | None = None) -> None:
--- /dev/null
+++ b/acaciaspoke/ui/serve.py
@@ -0,0 +1,80 @@
+"""The commands that run processes, and ``acaciaspoke settings``."""
+
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+
+import anyio
+import click
+
+from acaciaspoke.control.process import run_control
+from acaciaspoke.entry.process import run_entry
+from acaciaspoke.errors import UserError
+from acaciaspoke.net.mailbox import MailboxError
+from acaciaspoke.settings import Settings, load_settings
+from acaciaspoke.util.log import set_up_logs
+from acaciaspoke.util.server import ServerError
+
+_SETTINGS = click.Path(dir_okay=False, path_type=Path)
+
+
+@click.command()
+@click.option("--settings", "path", type=_SETTINGS, required=True)
+@click.option(
+    "--index",
+    type=click.IntRange(0),
+    default=0,
+    show_default=True,
+    help="Which of the host's entry processes this is.",
+)
+def entry(path: Path, index: int) -> None:
+    """Runs an entry process: accepts callers and calls upstreams."""
+    settings = load_settings(path)
+    if index >= len(settings.entry):
+        raise UserError(f"{path}: entry[{index}]: is missing")
+    names = _names(settings)
+    set_up_logs(settings.log_level, process=f"entry-{index}", **names)
+    _run(run_entry, settings, index)
+
+
+@click.command()
+@click.option("--settings", "path", type=_SETTINGS, required=True)
+def control(path: Path) -> None:
+    """Runs a control process: configuration, membership, placement."""
+    settings = load_settings(path)
+    set_up_logs(settings.log_level, process="control", **_names(settings))
+    _run(run_control, settings)
+
+
+@click.group()
+def settings() -> None:
+    """Works with the settings of a host."""
+
+
+@settings.command()
+@click.argument("path", type=_SETTINGS)
+def check(path: Path) -> None:
+    """Checks the settings in PATH; names every wrong field."""
+    found = load_settings(path)
+    click.echo(
+        f"{path}: host {found.host} in {found.failure_domain},"
+        f" {len(found.entry)} entry processes"
+    )
+
+
+def _names(found: Settings) -> dict[str, str]:
+    return {"host": found.host, "failure_domain": found.failure_domain}
+
+
+def _run(process: Callable[..., Awaitable[None]], *arguments) -> None:
+    try:
+        anyio.run(process, *arguments, backend_options={"use_uvloop": True})
+    except* (MailboxError, ServerError) as group:
+        raise UserError("; ".join(map(str, _leaves(group)))) from group
+
+
+def _leaves(group: BaseExceptionGroup):
+    for error in group.exceptions:
+        if isinstance(error, BaseExceptionGroup):
+            yield from _leaves(error)
+        else:
+            yield error
--- a/test/ui/test_report.py
+++ b/test/ui/test_report.py
@@ -3,12 +3,14 @@
 import tempfile
 import unittest
 from pathlib import Path
+from unittest import mock
 
 import msgspec
 from click.testing import CliRunner
 
 from acaciaspoke.errors import UserError
-from acaciaspoke.ui.report import report_commands
+from acaciaspoke.ui import client, commands
+from acaciaspoke.util.http import HttpAnswer
 from test.report.sample import report, windows
 from test.report.test_status import sample
 
@@ -18,8 +20,13 @@
         "/v1/burn": msgspec.json.encode(report(windows((1,) * 4, 2))),
         "/v1/status": msgspec.json.encode(sample()),
     }
-    commands = {item.name: item for item in report_commands(answers.get)}
-    return CliRunner().invoke(commands[arguments[0]], arguments[1:])
+
+    async def request(_self, _method, path, *_):
+        return HttpAnswer(200, answers[path])
+
+    target = ("--admin", "127.0.0.1:1")
+    with mock.patch.object(client.HttpClient, "request", request):
+        return CliRunner().invoke(commands, [*arguments, *target])
 
 
 class ReportCommandsTest(unittest.TestCase):
