Add SWIM membership of the control processes

Control processes need to know their live peers without a cost that grows with the number of hosts, and hosts cut off from the platform have to learn of leaving upstreams from their peers. Other domains are known by a few contacts.

The bound is 27 KB/s.

Messages gain Ping.view_digest, ConfigPush.sender and .version, and Outgoing.

--- a/acaciaspoke/net/messages.py
+++ b/acaciaspoke/net/messages.py
@@ -7,6 +7,7 @@
 """
 
 from enum import Enum
+from typing import NamedTuple
 
 import msgspec
 
@@ -75,13 +76,20 @@
 
 
 class Ping(_Message):
-    """A liveness probe that carries gossip."""
+    """A liveness probe that carries gossip.
+
+    Attributes:
+        view_digest: Hashes of parts of what the sender knows of its domain's
+            members and of leaving upstreams; the answer has what a receiver
+            knows of the parts that differ.
+    """
 
     sender: Member
     sequence: int
     members: tuple[Member, ...] = ()
     leaving: tuple[LeavingNotice, ...] = ()
     suspicions: tuple["Suspicion", ...] = ()
+    view_digest: bytes = b""
 
 
 class Ack(_Message):
@@ -129,10 +137,15 @@
     Attributes:
         snapshot: A whole configuration as JSON text, if the receiver needs it.
         patches: The patches that follow the snapshot or the receiver's version.
+        sender: The control process that sent it.
+        version: The version in force at the sender, which may be higher than
+            the last patch here.
     """
 
     snapshot: str = ""
     patches: tuple[PatchRow, ...] = ()
+    sender: Address = Address("")
+    version: ConfigVersion = ConfigVersion(0)
 
 
 class EntryHello(_Message):
@@ -333,6 +346,14 @@
     | Windows
 )
 
+
+class Outgoing(NamedTuple):
+    """A message that a decision module wants sent."""
+
+    address: Address
+    message: Message
+
+
 _encoder = msgspec.msgpack.Encoder()
 _decoder = msgspec.msgpack.Decoder(Message)
 
--- /dev/null
+++ b/bench/gossip.py
@@ -0,0 +1,118 @@
+"""Traffic of membership gossip per host, with the real encoder."""
+
+import random
+from collections.abc import Iterator
+
+from acaciaspoke.control.membership import Membership
+from acaciaspoke.ids import Address, BootId, DomainId, HostId, UpstreamId
+from acaciaspoke.net.messages import Ack, LeavingNotice, Member, Ping
+from bench.result import Result
+from test.fakes import FakeNetwork
+
+MEMBER_COUNTS = (10, 50, 300)
+FOREIGN_DOMAINS = 6
+FOREIGN_HOSTS = 2
+SETTLE_S = 60.0
+MEASURED_S = 30.0
+
+# The bound for all control traffic of a host, sent and received.
+BOUND_BYTES_PER_S = 27_000.0
+
+# Much more than the target of 2,000 restarts a day in 7 domains, which is
+# one every 300 s in a domain.
+RESTART_INTERVAL_S = 10.0
+NOTICES_PER_RESTART = 5
+
+
+def _member(name: str, number: int, boot: int = 0) -> Member:
+    return Member(
+        host=HostId(name),
+        boot=BootId(f"{number + 4096 * boot:032x}"),
+        failure_domain=DomainId(name.partition("-host-")[0]),
+        address=Address(f"tcp://10.{number >> 8}.{number & 255}.1:7000"),
+        admin_address=f"10.{number >> 8}.{number & 255}.1:7001",
+        entry_processes=4,
+    )
+
+
+def _start(network: FakeNetwork, me: Member, seeds: list[Address]):
+    node = Membership(
+        me,
+        seeds,
+        random.Random(me.boot),
+        lambda _mine, theirs: theirs,
+        network.now_s,
+    )
+
+    def handle(message, now_s):
+        if isinstance(message, Ping):
+            return node.on_ping(message, now_s)
+        if isinstance(message, Ack):
+            return node.on_ack(message, now_s)
+        return node.on_ping_request(message, now_s)
+
+    network.add(me.address, handle, node.tick)
+    return node
+
+
+def _traffic(network: FakeNetwork, hosts: list[Member]) -> list[float]:
+    return [
+        network.sent_bytes[host.address] + network.received_bytes[host.address]
+        for host in hosts
+    ]
+
+
+def _measure(count: int, churn: bool) -> tuple[float, float]:
+    """Returns the mean and the largest bytes per second of a host."""
+    network = FakeNetwork(1)
+    hosts = [_member(f"az1-host-{i:04}", i) for i in range(count)]
+    foreign = [
+        _member(f"az{domain + 2}-host-{i:04}", 1024 + 16 * domain + i)
+        for domain in range(FOREIGN_DOMAINS)
+        for i in range(FOREIGN_HOSTS)
+    ]
+    seeds = [hosts[0].address, *(host.address for host in foreign)]
+    nodes = [_start(network, host, seeds) for host in hosts + foreign]
+    network.run(SETTLE_S)
+    before = _traffic(network, hosts)
+    steps = int(MEASURED_S / RESTART_INTERVAL_S)
+    for step in range(steps):
+        if churn:
+            restarted = hosts[1 + step]
+            _start(network, _member(restarted.host, 1 + step, boot=1), seeds)
+            nodes[0].note_leaving(
+                LeavingNotice(
+                    upstream=UpstreamId(f"az1-engine-{step:02}-{i:02}"),
+                    leaving=True,
+                    list_revision=step + 1,
+                )
+                for i in range(NOTICES_PER_RESTART)
+            )
+        network.run(RESTART_INTERVAL_S)
+    # The seed and restarted hosts count as well as the others.
+    rates = [
+        (after - earlier) / (steps * RESTART_INTERVAL_S)
+        for earlier, after in zip(before, _traffic(network, hosts), strict=True)
+    ]
+    return sum(rates) / len(rates), max(rates)
+
+
+def run() -> Iterator[Result]:
+    """Measures a quiet domain and one with restarts and leaving upstreams."""
+    for count in MEMBER_COUNTS:
+        for churn in (False, True):
+            mean, most = _measure(count, churn)
+            name = f"gossip.{count}.{'churn' if churn else 'quiet'}"
+            unit = "B/s per host, sent and received"
+            yield Result(
+                name=f"{name}.mean",
+                value=mean,
+                unit=unit,
+                bound=BOUND_BYTES_PER_S,
+            )
+            yield Result(
+                name=f"{name}.max",
+                value=most,
+                unit=unit,
+                bound=BOUND_BYTES_PER_S,
+            )
