--- a/standins/http.py
+++ b/standins/http.py
@@ -1,5 +1,6 @@
 """A small base for the HTTP stand-ins: routes, JSON and serving by uvicorn."""
 
+import traceback
 from collections.abc import Awaitable, Callable
 from contextlib import asynccontextmanager, nullcontext
 from typing import Any
@@ -23,6 +24,7 @@
         }
         self.receive = receive
         self.send = send
+        self.started = False
 
     async def body(self) -> bytes:
         """Reads the whole request body."""
@@ -39,6 +41,7 @@
 
     async def start(self, status: int, headers: dict[str, str]) -> None:
         """Sends the status and the headers."""
+        self.started = True
         await self.send(
             {
                 "type": "http.response.start",
@@ -62,8 +65,9 @@
         status: int = 200,
         headers: dict[str, str] | None = None,
     ) -> None:
-        """Sends a whole JSON answer."""
-        data = msgspec.json.encode(document)
+        """Sends a whole answer: bytes as they are, all else as JSON."""
+        is_raw = isinstance(document, bytes)
+        data = document if is_raw else msgspec.json.encode(document)
         await self.start(
             status,
             {
@@ -79,8 +83,19 @@
     """Makes an ASGI application of one handler."""
 
     async def app(scope, receive, send):
-        if scope["type"] == "http":
-            await handle(Call(scope, receive, send))
+        if scope["type"] != "http":
+            return
+        call = Call(scope, receive, send)
+        try:
+            await handle(call)
+        except ConnectionAbortedError:
+            # uvicorn closes the connection when an answer has no end; without
+            # a start it would answer 500 instead.
+            if not call.started:
+                await call.start(200, {"content-length": "1"})
+        except Exception:
+            traceback.print_exc()
+            raise
 
     return app
 
@@ -93,15 +108,21 @@
         return nullcontext()
 
 
-@asynccontextmanager
-async def serving(handle: Handler, ip: str, port: int):
+def serving(handle: Handler, ip: str, port: int):
     """Serves a handler while the context is open."""
+    return serving_app(asgi_app(handle), ip, port)
+
+
+@asynccontextmanager
+async def serving_app(app, ip: str, port: int):
+    """Serves an ASGI application while the context is open."""
     server = _Server(
         uvicorn.Config(
-            asgi_app(handle),
+            app,
             host=ip,
             port=port,
-            log_level="error",
+            # Dropped answers would be logged as errors.
+            log_level="critical",
             access_log=False,
             lifespan="off",
             timeout_graceful_shutdown=1,
