Add the control process without upstreams yet

Suspicions now travel as one value per fingerprint, crashes and voided crashes together: gossip keeps one value per fingerprint, and the two former values would have replaced each other there.

--- a/acaciaspoke/config/store.py
+++ b/acaciaspoke/config/store.py
@@ -142,6 +142,18 @@
     return advance(config, push.patches)
 
 
+def apply_row(config: Config, row: PatchRow) -> Config:
+    """Returns the version that one committed patch makes.
+
+    Raises:
+        ConfigLogError: If the patch does not fit the configuration.
+    """
+    try:
+        return advance(config, [row])
+    except msgspec.MsgspecError as error:
+        raise ConfigLogError(f"patch {row.version}: {error}") from error
+
+
 class ConfigStore:
     """The log and the newest version read from it.
 
@@ -172,6 +184,14 @@
         head, _ = await self._head(stale_ok=False)
         return await self._take(head)
 
+    async def head(self, *, stale_ok: bool) -> ConfigVersion:
+        """Returns the number of the last version.
+
+        Raises:
+            ConfigUnavailable: If the table does not answer.
+        """
+        return (await self._head(stale_ok=stale_ok))[0]
+
     async def refresh(self) -> Config:
         """Reads the head by a cheap read, which may be stale, and follows it.
 
@@ -185,6 +205,10 @@
             self.adopt(await self.patches_after(self.config.version))
         return self.config
 
+    def hold(self, config: Config) -> None:
+        """Takes a version in hand that was learned elsewhere."""
+        self._raise_to(config)
+
     def adopt(self, rows: Iterable[PatchRow]) -> bool:
         """Applies rows from anywhere; tells whether the version rose.
 
--- /dev/null
+++ b/acaciaspoke/control/burn.py
@@ -0,0 +1,118 @@
+"""Collects service-level windows for the burn report."""
+
+import itertools
+from collections.abc import Iterable
+from datetime import UTC, datetime
+
+import anyio
+
+from acaciaspoke.config.schema import Config
+from acaciaspoke.ids import Address, HostId
+from acaciaspoke.net.mailbox import Mailbox
+from acaciaspoke.net.messages import (
+    HostEntries,
+    Member,
+    Windows,
+    WindowsRequest,
+)
+from acaciaspoke.report.burn import BurnMerger, BurnReport, Source
+
+# How long the answers of all hosts are waited for.
+COLLECT_TIMEOUT_S = 3.0
+CHECK_INTERVAL_S = 0.02
+
+
+class _Collection:
+    """Who has answered one question.
+
+    Attributes:
+        expected: The entry processes of each host that has named them.
+        windows: The answers of entry processes.
+    """
+
+    def __init__(self) -> None:
+        self.expected: dict[HostId, tuple[Address, ...]] = {}
+        self.windows: dict[Address, Windows] = {}
+
+    def is_complete(self, hosts: Iterable[HostId]) -> bool:
+        return all(
+            host in self.expected
+            and all(entry in self.windows for entry in self.expected[host])
+            for host in hosts
+        )
+
+
+class BurnCollector:
+    """Asks the entry processes of a failure domain for their windows.
+
+    Each control process passes the question on to its own entry processes and
+    names them, so that the asking one knows whose answer is missing.
+    """
+
+    def __init__(self, mailbox: Mailbox, reply_to: Address):
+        self._mailbox = mailbox
+        self._reply_to = reply_to
+        self._sequence = itertools.count(1)
+        self._collections: dict[int, _Collection] = {}
+
+    def pass_on(
+        self,
+        request: WindowsRequest,
+        host: HostId,
+        entries: Iterable[Address],
+    ) -> None:
+        """Answers another control process's question, or this one's own."""
+        entries = tuple(entries)
+        for address in entries:
+            self._mailbox.post(address, request)
+        named = HostEntries(
+            sender=host, sequence=request.sequence, entries=entries
+        )
+        self._mailbox.post(request.reply_to, named)
+
+    def take_entries(self, message: HostEntries) -> None:
+        """Takes the names of a host's entry processes."""
+        collection = self._collections.get(message.sequence)
+        if collection is not None:
+            collection.expected[message.sender] = message.entries
+
+    def take_windows(self, message: Windows) -> None:
+        """Takes the answer of an entry process."""
+        collection = self._collections.get(message.sequence)
+        if collection is not None:
+            collection.windows[message.sender] = message
+
+    async def collect(
+        self, members: Iterable[Member], config: Config
+    ) -> BurnReport:
+        """Returns the report; names the hosts that did not answer."""
+        addresses = {member.host: member.address for member in members}
+        sequence = next(self._sequence)
+        collection = self._collections[sequence] = _Collection()
+        request = WindowsRequest(reply_to=self._reply_to, sequence=sequence)
+        for address in addresses.values():
+            self._mailbox.post(address, request)
+        with anyio.move_on_after(COLLECT_TIMEOUT_S):
+            while not collection.is_complete(addresses):
+                await anyio.sleep(CHECK_INTERVAL_S)
+        del self._collections[sequence]
+        return await _merge(collection, addresses, config)
+
+
+async def _merge(
+    collection: _Collection, hosts: Iterable[HostId], config: Config
+) -> BurnReport:
+    merger = BurnMerger()
+    for host in hosts:
+        if host not in collection.expected:
+            merger.miss(Source(host, Address("")), "the host did not answer")
+        for entry in collection.expected.get(host, ()):
+            answer = collection.windows.get(entry)
+            if answer is None:
+                merger.miss(Source(host, entry), "no answer")
+            else:
+                merger.add(Source(host, entry), answer)
+            # One process's windows take some time to add up.
+            await anyio.lowlevel.checkpoint()
+    made_at = datetime.now(UTC).isoformat(timespec="seconds")
+    return merger.report(config.ranks, config.version, made_at)
--- /dev/null
+++ b/acaciaspoke/control/configtask.py
@@ -0,0 +1,78 @@
+"""Keeps the configuration in force up to date from the table."""
+
+import time
+from collections.abc import Callable
+
+import anyio
+from loguru import logger
+
+from acaciaspoke.config.store import (
+    SNAPSHOT_EVERY,
+    ConfigError,
+    ConfigStore,
+    ConfigUnavailable,
+)
+from acaciaspoke.control.configwatch import ConfigWatch
+from acaciaspoke.control.membership import Membership
+from acaciaspoke.net.messages import Outgoing
+
+CHECK_INTERVAL_S = 0.1
+
+
+class ConfigTask:
+    """Reads the log when the watch asks for it.
+
+    Args:
+        store: The log.
+        watch: Decides when to read, and holds the version in force.
+        membership: Who else is there.
+        send: Sends messages to peers.
+        changed: Called after the version in force has risen.
+    """
+
+    def __init__(
+        self,
+        store: ConfigStore,
+        watch: ConfigWatch,
+        membership: Membership,
+        send: Callable[[list[Outgoing]], None],
+        changed: Callable[[], None],
+    ):
+        self._store = store
+        self._watch = watch
+        self._membership = membership
+        self._send = send
+        self._changed = changed
+
+    async def run(self) -> None:
+        """Polls the log until cancelled."""
+        while True:
+            now_s = time.monotonic()
+            if self._watch.poll_due(self._membership.live(), now_s):
+                await self.poll()
+            self._watch.tick(time.monotonic())
+            await anyio.sleep(CHECK_INTERVAL_S)
+
+    async def poll(self) -> None:
+        """Reads the head, and what follows the version in force."""
+        linearizable = not self._watch.ready
+        try:
+            head = await self._store.head(stale_ok=not linearizable)
+            missing = self._watch.on_head(head, linearizable)
+            if len(missing) > SNAPSHOT_EVERY:
+                self._watch.restore(await self._store.load())
+            elif missing:
+                await self._read_rows()
+        except ConfigUnavailable as error:
+            logger.warning("configuration log: {}", error)
+            live = self._membership.live()
+            self._send(self._watch.on_table_unavailable(live, time.monotonic()))
+            return
+        except ConfigError as error:
+            logger.error("configuration log: {}", error)
+            return
+        self._changed()
+
+    async def _read_rows(self) -> None:
+        rows = await self._store.patches_after(self._watch.version)
+        self._send(self._watch.on_rows(rows, self._membership.live()))
--- /dev/null
+++ b/acaciaspoke/control/process.py
@@ -0,0 +1,309 @@
+"""The control process: wires its parts and runs its tasks."""
+
+import random
+import time
+import uuid
+from collections.abc import Iterable
+
+import anyio
+from loguru import logger
+
+from acaciaspoke.config.schema import Config
+from acaciaspoke.config.store import ConfigStore, Submitted, apply_row
+from acaciaspoke.control.admin import Operations, admin_app
+from acaciaspoke.control.burn import BurnCollector
+from acaciaspoke.control.configtask import ConfigTask
+from acaciaspoke.control.configwatch import ConfigWatch
+from acaciaspoke.control.entries import Entries
+from acaciaspoke.control.membership import Membership
+from acaciaspoke.entry.suspects import merge_suspicions
+from acaciaspoke.ids import Address, BootId, ConfigVersion, HostId
+from acaciaspoke.net.mailbox import Mailbox, receive_forever
+from acaciaspoke.net.messages import (
+    Ack,
+    ConfigPull,
+    ConfigPush,
+    EntryHello,
+    FleetView,
+    HostEntries,
+    Member,
+    Message,
+    Outgoing,
+    Ping,
+    PingRequest,
+    SuspicionAck,
+    SuspicionNotice,
+    Windows,
+    WindowsRequest,
+)
+from acaciaspoke.platform.objects import ObjectsClient
+from acaciaspoke.platform.table import TableClient
+from acaciaspoke.report.status import make_status
+from acaciaspoke.settings import Settings
+from acaciaspoke.util.drain import Drain, stop_on_signals
+from acaciaspoke.util.metrics import Metrics
+from acaciaspoke.util.server import HttpServer
+
+TICK_INTERVAL_S = 0.1
+FLEET_INTERVAL_S = 0.5
+
+# Long enough for the announcement of the leave to reach some peers.
+LEAVE_NOTICE_S = 0.5
+
+
+class ControlProcess:
+    """The parts of a control process and what messages do to them."""
+
+    def __init__(
+        self,
+        settings: Settings,
+        mailbox: Mailbox,
+        store: ConfigStore,
+        metrics: Metrics,
+    ):
+        now_s = time.monotonic()
+        rng = random.Random()
+        self.drain = Drain()
+        self._settings = settings
+        self._mailbox = mailbox
+        self._store = store
+        self._metrics = metrics
+        self._entries = Entries()
+        me = Member(
+            host=settings.host_id,
+            boot=BootId(uuid.uuid4().hex),
+            failure_domain=settings.domain_id,
+            address=settings.control.mailbox,
+            admin_address=settings.control.listen,
+        )
+        self._membership = Membership(
+            me, settings.control.seeds, rng, merge_suspicions, now_s
+        )
+        self._watch = ConfigWatch(
+            settings.host_id, settings.control.mailbox, apply_row, rng, now_s
+        )
+        self.config_task = ConfigTask(
+            store, self._watch, self._membership, self.send, self._changed
+        )
+        self._burn = BurnCollector(mailbox, settings.control.mailbox)
+        self.app = admin_app(
+            self._operations(), settings.control.admin_token_sha256
+        )
+
+    def send(self, outgoing: Iterable[Outgoing]) -> None:
+        """Posts messages that a decision module wants sent."""
+        for item in outgoing:
+            self._mailbox.post(item.address, item.message)
+
+    def handle(self, message: Message) -> None:
+        """Acts on a message from a peer or an entry process."""
+        now_s = time.monotonic()
+        match message:
+            case Ping():
+                self.send(self._membership.on_ping(message, now_s))
+                self.send(self._watch.on_peer(message.sender, now_s))
+            case Ack():
+                self.send(self._membership.on_ack(message, now_s))
+                self.send(self._watch.on_peer(message.sender, now_s))
+            case PingRequest():
+                self.send(self._membership.on_ping_request(message, now_s))
+            case ConfigPull():
+                self.send(self._watch.on_pull(message, now_s))
+            case ConfigPush():
+                live = self._membership.live()
+                self.send(self._watch.on_push(message, live, now_s))
+                self._changed()
+            case EntryHello():
+                self._hear_entry(message, now_s)
+            case SuspicionNotice():
+                self._take_suspicions(message, now_s)
+            case WindowsRequest():
+                self._burn.pass_on(
+                    message,
+                    self._settings.host_id,
+                    self._entries.addresses(),
+                )
+            case HostEntries():
+                self._burn.take_entries(message)
+            case Windows():
+                self._burn.take_windows(message)
+            case _:
+                logger.warning("unexpected {}", type(message).__name__)
+
+    def _hear_entry(self, hello: EntryHello, now_s: float) -> None:
+        if self._entries.hear(hello, now_s):
+            logger.info("entry process {} runs", hello.address)
+            self._send_fleet([hello.address])
+            self._send_suspicions([hello.address], now_s)
+        if hello.config_version < self._watch.version:
+            self._bring_up_to_date(hello)
+        self._membership.set_entry_processes(self._entries.count())
+
+    def _bring_up_to_date(self, hello: EntryHello) -> None:
+        pull = ConfigPull(
+            reply_to=hello.address, after_version=hello.config_version
+        )
+        self.send(self._watch.on_pull(pull, time.monotonic()))
+
+    def _changed(self) -> None:
+        """Passes on a version in force that has risen."""
+        if self._watch.version == self._membership.me.config_version:
+            return
+        logger.info("configuration version {}", self._watch.version)
+        self._metrics.gauge("control.config_version", self._watch.version)
+        self._store.hold(self._watch.config)
+        self._membership.set_config_version(self._watch.version)
+        self._membership.set_upstreams(self._watch.config.upstreams)
+        for hello in self._entries.hellos():
+            self._bring_up_to_date(hello)
+
+    def _take_suspicions(self, notice: SuspicionNotice, now_s: float) -> None:
+        self._membership.note_suspicions(notice.suspicions, now_s)
+        self._send_suspicions(self._entries.addresses(), now_s)
+        if not notice.reply_to:
+            return
+        # Crashes are rare and the news is urgent, so that it goes to each
+        # host at once; gossip repeats it.
+        forwarded = SuspicionNotice(suspicions=notice.suspicions)
+        own = self._settings.control.mailbox
+        for member in self._membership.live():
+            if member.address != own:
+                self._mailbox.post(member.address, forwarded)
+        ack = SuspicionAck(sequence=notice.sequence)
+        self._mailbox.post(notice.reply_to, ack)
+
+    def _send_suspicions(
+        self, addresses: Iterable[Address], now_s: float
+    ) -> None:
+        suspicions = tuple(self._membership.suspicions(now_s))
+        if suspicions:
+            for address in addresses:
+                notice = SuspicionNotice(suspicions=suspicions)
+                self._mailbox.post(address, notice)
+
+    def _send_fleet(self, addresses: Iterable[Address]) -> None:
+        view = FleetView(
+            upstreams=(),
+            entry_processes=max(1, self._membership.entry_processes()),
+        )
+        for address in addresses:
+            self._mailbox.post(address, view)
+
+    async def tick(self) -> None:
+        """Does what is due, several times a second."""
+        while True:
+            now_s = time.monotonic()
+            self.send(self._membership.tick(now_s))
+            self._entries.expire(now_s)
+            self._membership.set_entry_processes(self._entries.count())
+            await anyio.sleep(TICK_INTERVAL_S)
+
+    async def send_fleet(self) -> None:
+        """Tells the entry processes of the upstreams again and again."""
+        while True:
+            self._send_fleet(self._entries.addresses())
+            await anyio.sleep(FLEET_INTERVAL_S)
+
+    def leave(self) -> None:
+        """Announces that this process stops."""
+        self.send(self._membership.leave())
+
+    # The administration API.
+
+    def _operations(self) -> Operations:
+        return Operations(
+            config=self._config_at,
+            submit=self._submit,
+            history=self._store.history,
+            host_versions=self._host_versions,
+            status=self._status,
+            burn=self._burn_report,
+            not_ready=self._not_ready,
+        )
+
+    async def _config_at(self, version: ConfigVersion | None) -> Config:
+        if version is None:
+            return self._watch.config
+        return await self._store.at(version)
+
+    async def _submit(self, patch: object, **details) -> Submitted:
+        submitted = await self._store.submit(patch, **details)
+        await self.config_task.poll()
+        return submitted
+
+    async def _host_versions(self) -> dict[HostId, ConfigVersion]:
+        versions = {
+            member.host: member.config_version
+            for member in self._membership.known()
+        }
+        own = self._entries.lowest_version(self._watch.version)
+        return versions | {self._settings.host_id: own}
+
+    async def _status(self):
+        return make_status(
+            own=self._membership.me,
+            config=self._watch.config,
+            members=[
+                *self._membership.known(),
+                *self._membership.foreign_contacts(),
+            ],
+            leases={},
+            upstreams=(),
+            entries=self._entries.hellos(),
+        )
+
+    async def _burn_report(self):
+        return await self._burn.collect(
+            self._membership.known(), self._watch.config
+        )
+
+    async def _not_ready(self) -> str:
+        if not self.drain.serving:
+            return "the process is stopping"
+        return "" if self._watch.ready else "no configuration is confirmed"
+
+
+async def run_control(settings: Settings) -> None:
+    """Runs the control process until it was told to stop.
+
+    Raises:
+        MailboxError: If the mailbox address is taken.
+        ServerError: If the address of the administration API is taken.
+    """
+    metrics = Metrics(settings.statsd)
+    platform = settings.platform
+    with Mailbox(settings.control.mailbox, metrics) as mailbox:
+        async with (
+            TableClient(platform.table, platform.timeout_s, metrics) as table,
+            ObjectsClient(
+                platform.objects or platform.table,
+                platform.bucket,
+                platform.timeout_s,
+                metrics,
+            ) as objects,
+        ):
+            store = ConfigStore(
+                table, objects if platform.objects else None, metrics
+            )
+            process = ControlProcess(settings, mailbox, store, metrics)
+            await _run_tasks(process, settings, mailbox)
+
+
+async def _run_tasks(
+    process: ControlProcess, settings: Settings, mailbox: Mailbox
+) -> None:
+    server = HttpServer(process.app, settings.control.listen)
+    async with anyio.create_task_group() as background:
+        background.start_soon(stop_on_signals, process.drain)
+        background.start_soon(receive_forever, mailbox, process.handle)
+        background.start_soon(process.tick)
+        background.start_soon(process.send_fleet)
+        background.start_soon(process.config_task.run)
+        background.start_soon(process.drain.run, 0.0, server.stop)
+        logger.info("administration API on {}", settings.control.listen)
+        await server.serve()
+        process.drain.finished()
+        process.leave()
+        await anyio.sleep(LEAVE_NOTICE_S)
+        logger.info("stopped")
+        background.cancel_scope.cancel()
--- a/acaciaspoke/control/view.py
+++ b/acaciaspoke/control/view.py
@@ -288,9 +288,9 @@
         held = self._suspicions.get(fingerprint)
         mine = held.aged(now_s) if held else None
         merged = self._merge_suspicion(mine, suspicion)
-        if mine is None or (merged.crashes, merged.cleared) != (
+        if mine is None or (merged.crashes, merged.voided) != (
             mine.crashes,
-            mine.cleared,
+            mine.voided,
         ):
             self._suspicions[fingerprint] = _HeldSuspicion(merged, now_s)
             self._suspicion_updates.add(fingerprint)
--- a/acaciaspoke/entry/suspects.py
+++ b/acaciaspoke/entry/suspects.py
@@ -151,38 +151,30 @@
                 boot: _Crash(sole, at_s)
                 for boot, sole in suspicion.crashes.items()
             }
-            self._merge(
-                suspicion.fingerprint,
-                _Record(voided=crashes)
-                if suspicion.cleared
-                else _Record(crashes=crashes),
-                now_s,
-            )
+            voided = {
+                boot: _Crash(suspicion.crashes.get(boot, False), at_s)
+                for boot in suspicion.voided
+            }
+            self._merge(suspicion.fingerprint, _Record(crashes, voided), now_s)
 
     def suspicions(
         self, now_s: float, fingerprints: Iterable[Fingerprint] | None = None
     ) -> tuple[Suspicion, ...]:
-        """Returns what is known, of all or of some fingerprints.
-
-        A fingerprint yields up to two values: its crashes, and the crashes
-        that a success has voided, marked as cleared.
-        """
+        """Returns what is known, of all or of some fingerprints."""
         if fingerprints is None:
             fingerprints = tuple(self._records)
         return tuple(
             Suspicion(
                 fingerprint=fingerprint,
-                crashes={b: crash.sole for b, crash in sorted(part.items())},
-                cleared=cleared,
-                age_s=now_s - max(crash.at_s for crash in part.values()),
+                crashes={
+                    boot: crash.sole
+                    for boot, crash in sorted(record.crashes.items())
+                },
+                voided=tuple(sorted(record.voided)),
+                age_s=now_s - record.changed_s(),
             )
             for fingerprint in fingerprints
             if (record := self._records.get(fingerprint)) is not None
-            for part, cleared in (
-                (record.crashes, False),
-                (record.voided, True),
-            )
-            if part
         )
 
     def expire(self, now_s: float) -> None:
@@ -202,6 +194,25 @@
         _union(record.voided, other.voided)
 
 
+def merge_suspicions(held: Suspicion | None, heard: Suspicion) -> Suspicion:
+    """Merges what two processes know of a fingerprint, in any order.
+
+    The result's age is that of the later change.
+    """
+    if held is None:
+        return heard
+    boots = sorted(held.crashes.keys() | heard.crashes.keys())
+    return Suspicion(
+        fingerprint=held.fingerprint,
+        crashes={
+            boot: held.crashes.get(boot, True) and heard.crashes.get(boot, True)
+            for boot in boots
+        },
+        voided=tuple(sorted({*held.voided, *heard.voided})),
+        age_s=min(held.age_s, heard.age_s),
+    )
+
+
 def _union(into: dict[str, _Crash], other: dict[str, _Crash]) -> None:
     for boot, crash in other.items():
         known = into.get(boot, crash)
--- a/acaciaspoke/net/messages.py
+++ b/acaciaspoke/net/messages.py
@@ -264,13 +264,13 @@
     Attributes:
         crashes: Boots of upstreams that ended with such a request in flight,
             with whether it was the only suspect there.
-        cleared: Whether a later run of the request succeeded.
+        voided: The crashes that a later success of the request has cleared.
         age_s: Time since the last change.
     """
 
     fingerprint: Fingerprint
-    crashes: dict[str, bool]
-    cleared: bool = False
+    crashes: dict[BootId, bool]
+    voided: tuple[BootId, ...] = ()
     age_s: float = 0.0
 
 
@@ -293,12 +293,23 @@
 
 
 class WindowsRequest(_Message):
-    """Asks an entry process for its service-level windows."""
+    """Asks for service-level windows.
+
+    A control process passes it on to the entry processes of its host.
+    """
 
     reply_to: Address
     sequence: int
 
 
+class HostEntries(_Message):
+    """Names the entry processes to which a question was passed on."""
+
+    sender: HostId
+    sequence: int
+    entries: tuple[Address, ...]
+
+
 class ServiceWindow(msgspec.Struct, frozen=True, kw_only=True):
     """Requests of one rank and service in one stretch of time.
 
@@ -355,6 +366,7 @@
     | SuspicionNotice
     | SuspicionAck
     | WindowsRequest
+    | HostEntries
     | Windows
 )
 
