Extend the engine stand-in by orders, memory and a weight store

Placement and reservations need an engine that can be told to lose, delay or half-answer an order. The stand-in now takes the orders of the model repository extension and counts overcommits instead of refusing them, as a test that can't see an overcommit proves nothing. It checks the fence on arrival and again when it takes memory, and a restart breaks the connections of the old boot.

--- a/standins/engine.py
+++ b/standins/engine.py
@@ -1,8 +1,9 @@
 """A stand-in for a model engine.
 
 It speaks the chat-completions form, answers with a text that names the
-request, and can be told through ``POST /standin/faults`` to misbehave:
-``{"delay_s", "crash_on", "cut_after", "wrong_request_id", "refuse"}``.
+request, and can be told through ``POST /standin/faults`` to misbehave (see
+``Faults``). It accepts orders in the form of the KServe/Triton model
+repository extension and applies them to a ``Repository``.
 """
 
 import itertools
@@ -13,8 +14,11 @@
 import msgspec
 
 from standins.http import Call
+from standins.repository import RefusedError, Repository
+from standins.weights import WeightStore
 
 CRASH_EXIT_STATUS = 70
+REPOSITORY = "/v2/repository/"
 
 
 class Faults(msgspec.Struct):
@@ -26,6 +30,11 @@
         cut_after: Tokens after which a stream breaks; negative for never.
         wrong_request_id: Echo another request's id.
         refuse: Answer 429 to everything.
+        lose_orders: Orders to drop; their connections break.
+        lose_answers: Orders to apply without an answer.
+        late_orders: Orders to apply late.
+        late_s: By how much these orders are late.
+        stale_reports: Reports that repeat the one before.
     """
 
     delay_s: float = 0.0
@@ -33,59 +42,151 @@
     cut_after: int = -1
     wrong_request_id: bool = False
     refuse: bool = False
+    lose_orders: int = 0
+    lose_answers: int = 0
+    late_orders: int = 0
+    late_s: float = 0.0
+    stale_reports: int = 0
+
+    def take(self, name: str) -> bool:
+        """Uses up one of a number of faults; false if none is left."""
+        left = getattr(self, name)
+        setattr(self, name, max(0, left - 1))
+        return left > 0
 
 
 class Engine:
-    """State of one stand-in engine."""
+    """State of one stand-in engine.
+
+    Attributes:
+        repository: The artifacts in memory and the counter of overcommits.
+        orders: Load and unload orders that have arrived, in order.
+    """
 
     def __init__(
         self,
         slots: int = 16,
         token_gap_s: float = 0.01,
         memory_bytes: int = 0,
+        checks_fencing: bool = False,
+        weights: WeightStore | None = None,
     ):
         self.boot_id = uuid.uuid4().hex
         self.slots = slots
         self.token_gap_s = token_gap_s
-        self.memory_bytes = memory_bytes
+        self.repository = Repository(memory_bytes, checks_fencing)
+        self.weights = weights
+        self.orders: list[str] = []
         self.faults = Faults()
         self.running = 0
         self.waiting = 0
         self.served = 0
         self._sequence = itertools.count(1)
         self._slots = anyio.Semaphore(slots)
+        self._last_report: dict = {}
+        self._boots_of_clients: dict[tuple[str, int], str] = {}
+
+    def restart(self) -> None:
+        """Starts a new boot with empty memory.
+
+        Connections of the old boot break at their next request, and orders
+        that it had not applied are lost, as with a real process.
+        """
+        self.boot_id = uuid.uuid4().hex
+        self._sequence = itertools.count(1)
+        overcommits = self.repository.overcommits
+        self.repository = Repository(
+            self.repository.memory_bytes, self.repository.checks_fencing
+        )
+        self.repository.overcommits = overcommits
 
     async def handle(self, call: Call) -> None:
         """Answers one request."""
+        boot_id = self._boots_of_clients.setdefault(call.client, self.boot_id)
+        if boot_id != self.boot_id:
+            del self._boots_of_clients[call.client]
+            await _break_connection(call)
+            return
         routes = {
             "/v1/chat/completions": self._complete,
             "/v2/report": self._report,
             "/standin/faults": self._set_faults,
         }
         handler = routes.get(call.path)
-        if handler is None:
+        if call.path.startswith(REPOSITORY):
+            await self._order(call)
+        elif handler is None:
             await call.answer({"error": "no such path"}, 404)
-            return
-        await handler(call)
+        else:
+            await handler(call)
 
     async def _set_faults(self, call: Call) -> None:
         self.faults = msgspec.convert(await call.json(), Faults)
         await call.answer({})
 
     async def _report(self, call: Call) -> None:
-        await call.answer(
-            {
+        if not self._last_report or not self.faults.take("stale_reports"):
+            self._last_report = {
                 "boot_id": self.boot_id,
                 "sequence": next(self._sequence),
                 "slots": self.slots,
                 "running": self.running,
                 "waiting": self.waiting,
-                "memory_bytes": self.memory_bytes,
-                "resident": [],
-                "recent_order_ids": [],
-                "fencing_token": 0,
-            }
-        )
+            } | self.repository.report()
+        await call.answer(self._last_report)
+
+    async def _order(self, call: Call) -> None:
+        parameters = (await call.json()).get("parameters", {})
+        path = call.path.removeprefix(REPOSITORY)
+        if path == "index":
+            await self._index(call, parameters)
+            return
+        name, _, verb = path.removeprefix("models/").rpartition("/")
+        self.orders.append(f"{verb} {name}")
+        if self.faults.take("lose_orders"):
+            await _break_connection(call)
+            return
+        boot_id = self.boot_id
+        if self.faults.take("late_orders"):
+            await anyio.sleep(self.faults.late_s)
+        try:
+            if verb == "load":
+                self.repository.check_load(name, parameters)
+                await self._fetch_weights(parameters)
+            if boot_id != self.boot_id:
+                await _break_connection(call)
+                return
+            # The fence is checked again here: a load that was under way when
+            # the fence was raised must not take memory afterwards.
+            apply = {
+                "load": self.repository.load,
+                "unload": self.repository.unload,
+            }[verb]
+            apply(name, parameters)
+        except RefusedError as refusal:
+            await call.answer({"error": str(refusal)}, refusal.status)
+            return
+        if self.faults.take("lose_answers"):
+            await _break_connection(call)
+            return
+        await call.answer({})
+
+    async def _index(self, call: Call, parameters: dict) -> None:
+        try:
+            if "fencing_token" in parameters:
+                self.repository.fence(parameters["fencing_token"])
+        except RefusedError as refusal:
+            await call.answer({"error": str(refusal)}, refusal.status)
+            return
+        await call.answer(self.repository.index())
+
+    async def _fetch_weights(self, parameters: dict) -> None:
+        if self.weights is None:
+            return
+        if parameters.get("base_model"):
+            await self.weights.load_adapter()
+        else:
+            await self.weights.load_model()
 
     async def _complete(self, call: Call) -> None:
         body = await call.body()
@@ -141,6 +242,11 @@
         await call.chunk(b"data: [DONE]\n\n", more=False)
 
 
+async def _break_connection(call: Call) -> None:
+    # An answer that ends before its length makes the server close.
+    await call.start(200, {"content-length": "1", "connection": "close"})
+
+
 def _echo(call: Call) -> dict[str, str]:
     request_id = call.headers.get("x-request-id", "")
     return {"x-request-id": request_id} if request_id else {}
--- a/standins/http.py
+++ b/standins/http.py
@@ -21,6 +21,7 @@
         self.headers = {
             name.decode(): value.decode() for name, value in scope["headers"]
         }
+        self.client: tuple[str, int] = tuple(scope.get("client") or ("", 0))
         self.receive = receive
         self.send = send
 
--- /dev/null
+++ b/standins/weights.py
@@ -0,0 +1,75 @@
+"""A stand-in for the weight store, from which engines load artifacts.
+
+Model loads start at a limited rate, and only some of them run at full speed;
+the rest wait their turn. Adapter loads take a few milliseconds each as long
+as few are in transit, and proportionally longer beyond the limit.
+"""
+
+from collections.abc import Awaitable, Callable
+
+import anyio
+
+
+class WeightStore:
+    """Makes loads take their time.
+
+    Attributes:
+        model_loads: Model loads that have been started.
+        most_models_at_once: The largest number of model loads at one time.
+        most_adapters_in_transit: The same for adapter loads.
+    """
+
+    def __init__(
+        self,
+        *,
+        model_loads_per_s: float = 3.0,
+        concurrent_model_loads: int = 4,
+        model_load_s: float = 1.0,
+        adapters_in_transit: int = 32,
+        adapter_load_s: float = 0.0075,
+        sleep: Callable[[float], Awaitable[None]] = anyio.sleep,
+        clock: Callable[[], float] = anyio.current_time,
+    ):
+        self._gap_s = 1.0 / model_loads_per_s
+        self._model_load_s = model_load_s
+        self._full_speed = concurrent_model_loads
+        self._adapter_limit = adapters_in_transit
+        self._adapter_load_s = adapter_load_s
+        self._sleep = sleep
+        self._clock = clock
+        self._next_start_s = 0.0
+        self._models = 0
+        self._adapters = 0
+        self.model_loads = 0
+        self.most_models_at_once = 0
+        self.most_adapters_in_transit = 0
+
+    async def load_model(self) -> None:
+        """Waits as long as one model load takes.
+
+        The bandwidth is shared: beyond the number at full speed, each load
+        takes proportionally longer.
+        """
+        now_s = self._clock()
+        start_s = max(now_s, self._next_start_s)
+        self._next_start_s = start_s + self._gap_s
+        self._models += 1
+        self.model_loads += 1
+        self.most_models_at_once = max(self.most_models_at_once, self._models)
+        try:
+            slowdown = max(1.0, self._models / self._full_speed)
+            await self._sleep(start_s - now_s + self._model_load_s * slowdown)
+        finally:
+            self._models -= 1
+
+    async def load_adapter(self) -> None:
+        """Waits as long as one adapter load takes."""
+        self._adapters += 1
+        self.most_adapters_in_transit = max(
+            self.most_adapters_in_transit, self._adapters
+        )
+        try:
+            slowdown = max(1.0, self._adapters / self._adapter_limit)
+            await self._sleep(self._adapter_load_s * slowdown)
+        finally:
+            self._adapters -= 1
--- /dev/null
+++ b/test/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the stand-ins that other tests rely on."""
