--- /dev/null
+++ b/standins/plain.py
@@ -0,0 +1,98 @@
+"""A stand-in for a plain service, such as a ledger or a booking desk.
+
+``GET`` answers with the path. ``POST /bookings`` books, and never checks the
+idempotency key itself, so that a booking that was sent twice is seen as two.
+"""
+
+import itertools
+import os
+import uuid
+from collections import Counter
+
+import anyio
+import msgspec
+
+from standins.http import Call
+
+CRASH_EXIT_STATUS = 70
+
+
+class Faults(msgspec.Struct, forbid_unknown_fields=True):
+    """How the stand-in misbehaves.
+
+    Attributes:
+        delay_s: Extra time before each answer.
+        crash_on: Text in a request body that ends the process.
+        drop_answers: How many of the next requests to run without an answer.
+        wrong_request_id: Echo another request's id.
+        refuse: Answer 429 to everything without running it.
+    """
+
+    delay_s: float = 0.0
+    crash_on: str = ""
+    drop_answers: int = 0
+    wrong_request_id: bool = False
+    refuse: bool = False
+
+
+class PlainService:
+    """State of one stand-in service.
+
+    Attributes:
+        runs: How often the request of each idempotency key has run.
+    """
+
+    def __init__(self, slots: int = 64):
+        self.boot_id = uuid.uuid4().hex
+        self.slots = slots
+        self.faults = Faults()
+        self.runs: Counter[str] = Counter()
+        self.running = 0
+        self._sequence = itertools.count(1)
+
+    async def handle(self, call: Call) -> None:
+        """Answers one request."""
+        if call.path == "/standin/faults":
+            self.faults = msgspec.convert(await call.json(), Faults)
+            await call.answer({})
+        elif call.path == "/standin/runs":
+            await call.answer(dict(self.runs))
+        elif call.path == "/v2/report":
+            await call.answer(self._report())
+        else:
+            await self._serve(call)
+
+    def _report(self) -> dict:
+        return {
+            "boot_id": self.boot_id,
+            "sequence": next(self._sequence),
+            "slots": self.slots,
+            "running": self.running,
+            "waiting": 0,
+        }
+
+    async def _serve(self, call: Call) -> None:
+        body = await call.body()
+        faults = self.faults
+        request_id = call.headers.get("x-request-id", "")
+        if faults.wrong_request_id:
+            request_id = uuid.uuid4().hex
+        headers = {"x-request-id": request_id}
+        if faults.refuse:
+            await call.answer({"error": "busy"}, 429, headers)
+            return
+        if faults.crash_on and faults.crash_on.encode() in body:
+            os._exit(CRASH_EXIT_STATUS)
+        self.running += 1
+        try:
+            await anyio.sleep(faults.delay_s)
+            if call.method == "POST":
+                self.runs[call.headers.get("idempotency-key", "")] += 1
+            if faults.drop_answers:
+                faults.drop_answers -= 1
+                raise ConnectionAbortedError("told to drop the answer")
+            await call.answer(
+                {"path": call.path, "body": body.decode()}, 200, headers
+            )
+        finally:
+            self.running -= 1
