--- a/bench/result.py
+++ b/bench/result.py
@@ -9,6 +9,8 @@
     Attributes:
         bound: The largest allowed value, or the smallest if ``at_least``.
             None for a value that is only reported.
+        spread: The lowest and the highest value over the rounds, if there
+            were several.
     """
 
     name: str
@@ -16,6 +18,7 @@
     unit: str
     bound: float | None = None
     at_least: bool = False
+    spread: tuple[float, float] | None = None
 
     @property
     def ok(self) -> bool:
@@ -29,4 +32,6 @@
     def to_json(self) -> str:
         """Returns the result as one line of JSON."""
         fields = msgspec.structs.asdict(self) | {"ok": self.ok}
+        if self.spread is None:
+            del fields["spread"]
         return msgspec.json.encode(fields).decode()
--- a/standins/deployment.py
+++ b/standins/deployment.py
@@ -26,6 +26,7 @@
         plain: Instances of the plain service per failure domain.
         engine_options: Options of the engine stand-ins.
         entry_options: Settings of the entry processes beside addresses.
+        host_options: Settings of the hosts beside those of their processes.
     """
 
     domains: tuple[str, ...] = ("d1", "d2")
@@ -35,6 +36,7 @@
     engine_options: tuple[str, ...] = ("slots=16", "token_gap_s=0.005")
     engine_memory_bytes: int = 1000
     entry_options: dict = {}
+    host_options: dict = {}
 
 
 class Host(NamedTuple):
@@ -171,7 +173,7 @@
                 }
                 | self.shape.entry_options
             ],
-        }
+        } | self.shape.host_options
         host.settings.write_text(json.dumps(settings, indent=2))
         return host
 
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -8,7 +8,10 @@
 
 import itertools
 import os
+import time
 import uuid
+from collections.abc import Coroutine
+from typing import Any
 
 import anyio
 import msgspec
@@ -201,7 +204,7 @@
             self.waiting -= 1
             self.running += 1
             try:
-                await self._run(call, request)
+                await _until_gone(call, self._run(call, request))
             finally:
                 self.running -= 1
 
@@ -236,12 +239,38 @@
                 "object": "chat.completion.chunk",
                 "model": request["model"],
                 "choices": [{"index": 0, "delta": {"content": token}}],
+                # Benchmarks measure from here how long a token travels.
+                "sent_s": time.monotonic(),
             }
             await call.chunk(b"data: " + msgspec.json.encode(event) + b"\n\n")
             await anyio.sleep(self.token_gap_s)
         await call.chunk(b"data: [DONE]\n\n", more=False)
 
 
+async def _until_gone(call: Call, work: Coroutine[Any, Any, None]) -> None:
+    """Does the work; cancels it when the client closes its connection.
+
+    Otherwise the slots of closed streams would stay taken to their last token.
+    """
+
+    async def cancel_when_gone(scope: anyio.CancelScope) -> None:
+        while (await call.receive())["type"] != "http.disconnect":
+            pass
+        scope.cancel()
+
+    failure: ConnectionAbortedError | None = None
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(cancel_when_gone, tasks.cancel_scope)
+        try:
+            await work
+        except ConnectionAbortedError as error:
+            # Raised after the task group, which would wrap it.
+            failure = error
+        tasks.cancel_scope.cancel()
+    if failure is not None:
+        raise failure
+
+
 async def _break_connection(call: Call) -> None:
     # An answer that ends before its length makes the server close.
     await call.start(200, {"content-length": "1", "connection": "close"})
