--- /dev/null
+++ b/test/entry/test_transport.py
@@ -0,0 +1,144 @@
+"""Tests of the byte streams to upstreams."""
+
+import asyncio
+import socket
+import struct
+import unittest
+from contextlib import asynccontextmanager
+
+import anyio
+import httpcore
+
+from acaciaspoke.entry.transport import HIGH_WATER_BYTES, UpstreamBackend
+
+# More than the buffers of two sockets and of a stream.
+FLOOD_BYTES = 32 * 1024 * 1024
+
+
+@asynccontextmanager
+async def connected():
+    """Yields a stream and the peer's reader and writer."""
+    accepted = asyncio.Queue()
+    server = await asyncio.start_server(
+        lambda *ends: accepted.put_nowait(ends), "127.0.0.1", 0
+    )
+    port = server.sockets[0].getsockname()[1]
+    stream = await UpstreamBackend().connect_tcp("127.0.0.1", port)
+    reader, writer = await accepted.get()
+    try:
+        yield stream, reader, writer
+    finally:
+        await stream.aclose()
+        writer.transport.abort()
+        server.close()
+
+
+async def until(condition):
+    with anyio.fail_after(10):
+        while not condition():
+            await asyncio.sleep(0.001)
+
+
+class ReadTest(unittest.IsolatedAsyncioTestCase):
+
+    async def test_parts_that_arrived_come_before_the_end(self):
+        # An answer whose last bytes come with the end must not be cut.
+        async with connected() as (stream, _, writer):
+            writer.write(b"whole answer")
+            writer.close()
+            await until(lambda: stream._protocol.ended)
+            self.assertEqual(await stream.read(5), b"whole")
+            self.assertEqual(await stream.read(100), b" answer")
+            self.assertEqual(await stream.read(100), b"")
+
+    async def test_a_reset_is_an_error_and_not_an_end(self):
+        # Taken for an end, a crash of the upstream would look like an answer
+        # without a length that is complete.
+        async with connected() as (stream, _, writer):
+            raw = writer.get_extra_info("socket")
+            raw.setsockopt(
+                socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0)
+            )
+            writer.transport.abort()
+            with self.assertRaises(httpcore.ReadError):
+                await stream.read(100)
+
+    async def test_a_timeout_loses_no_bytes(self):
+        async with connected() as (stream, _, writer):
+            with self.assertRaises(httpcore.ReadTimeout):
+                await stream.read(100, timeout=0.01)
+            writer.write(b"late")
+            self.assertEqual(await stream.read(100), b"late")
+
+    async def test_a_read_after_the_close_fails(self):
+        async with connected() as (stream, _, _writer):
+            await stream.aclose()
+            with self.assertRaises(httpcore.ReadError):
+                await stream.read(100)
+
+    async def test_a_fast_upstream_does_not_fill_the_memory(self):
+        # While a caller takes nothing, nothing is read from the stream.
+        async with connected() as (stream, _, writer):
+            writer.write(bytes(FLOOD_BYTES))
+            await until(lambda: stream._protocol._read_paused)
+            await asyncio.sleep(0.05)
+            held_bytes = stream._protocol._arrived_bytes
+            self.assertLess(held_bytes, HIGH_WATER_BYTES + 1024 * 1024)
+            left_bytes = FLOOD_BYTES
+            with anyio.fail_after(10):
+                while left_bytes:
+                    left_bytes -= len(await stream.read(64 * 1024))
+
+    async def test_parts_are_handed_on_before_a_wait(self):
+        # A token must not stay here until the next one arrives, nor leave
+        # alone while another one is here already.
+        async with connected() as (stream, _, writer):
+            waits = []
+
+            async def note():
+                waits.append(stream.written_bytes)
+
+            stream.before_read = note
+            writer.write(b"abcdef")
+            self.assertEqual(await stream.read(3), b"abc")
+            self.assertEqual(len(waits), 1)
+            self.assertEqual(await stream.read(3), b"def")
+            self.assertEqual(len(waits), 1)
+
+
+class WriteTest(unittest.IsolatedAsyncioTestCase):
+
+    async def test_a_write_waits_for_a_slow_upstream(self):
+        async with connected() as (stream, reader, _):
+            with self.assertRaises(httpcore.WriteTimeout):
+                await stream.write(bytes(FLOOD_BYTES), timeout=0.05)
+            # The caller may be told "not run" only if nothing went out.
+            self.assertEqual(stream.written_bytes, FLOOD_BYTES)
+            with anyio.fail_after(10):
+                await reader.readexactly(FLOOD_BYTES)
+
+    async def test_a_write_after_the_close_fails(self):
+        async with connected() as (stream, _, _writer):
+            await stream.aclose()
+            with self.assertRaises(httpcore.WriteError):
+                await stream.write(b"x")
+
+
+class IdleTest(unittest.IsolatedAsyncioTestCase):
+
+    async def test_an_idle_stream_tells_of_bytes_and_of_the_end(self):
+        # A request on such a connection would read another one's answer, or
+        # fail although its upstream is well.
+        for last_act in ("write", "close"):
+            with self.subTest(last_act):
+                async with connected() as (stream, _, writer):
+                    self.assertFalse(stream.get_extra_info("is_readable"))
+                    if last_act == "write":
+                        writer.write(b"nobody asked")
+                    else:
+                        writer.close()
+                    await until(lambda: stream.get_extra_info("is_readable"))
+
+
+if __name__ == "__main__":
+    unittest.main()
