--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -19,7 +19,9 @@
 
 
 @click.command()
-@click.option("--short", is_flag=True, help="Measure for a shorter time, as in CI.")
+@click.option(
+    "--short", is_flag=True, help="Measure for a shorter time, as in CI."
+)
 @click.argument("names", nargs=-1, type=click.Choice(list(BENCHMARKS)))
 def main(short: bool, names: tuple[str, ...]) -> None:
     """Runs the benchmarks NAMES, or all; fails if a bound is missed."""
--- a/bench/load.py
+++ b/bench/load.py
@@ -39,8 +39,8 @@
 class Load(msgspec.Struct, tag=True, kw_only=True):
     """Keeps a number of streams open and measures what they receive.
 
-    The first streams are shorter by random amounts, so that the streams end
-    evenly over time from the beginning.
+    The first streams are shorter by different amounts, so that the streams
+    end evenly over time from the beginning.
 
     Attributes:
         process: Id of the process whose processor time is measured.
@@ -260,15 +260,18 @@
                 await asyncio.sleep(1.0)
             tokens = plan.tokens
 
-    rng = random.Random(1)
+    # Even lengths in a random order: drawn ones would make the number of
+    # requests in a short time a matter of luck.
+    places = list(range(plan.streams))
+    random.Random(1).shuffle(places)
     callers = [
         asyncio.create_task(
             caller(
-                max(1, int(rng.random() * plan.tokens)),
+                max(1, plan.tokens * place // plan.streams),
                 plan.warm_up_s * 0.8 * number / plan.streams,
             )
         )
-        for number in range(plan.streams)
+        for number, place in enumerate(places)
     ]
     await asyncio.sleep(plan.warm_up_s)
     measuring = True
