--- a/acaciaspoke/control/process.py
+++ b/acaciaspoke/control/process.py
@@ -16,6 +16,7 @@
 from acaciaspoke.control.configwatch import ConfigWatch
 from acaciaspoke.control.entries import Entries
 from acaciaspoke.control.membership import Membership
+from acaciaspoke.control.versions import VersionCollector
 from acaciaspoke.entry.suspects import merge_suspicions
 from acaciaspoke.ids import Address, BootId, ConfigVersion, HostId
 from acaciaspoke.net.mailbox import Mailbox, receive_forever
@@ -23,6 +24,7 @@
     Ack,
     ConfigPull,
     ConfigPush,
+    DomainVersions,
     EntryHello,
     FleetView,
     HostEntries,
@@ -33,6 +35,7 @@
     PingRequest,
     SuspicionAck,
     SuspicionNotice,
+    VersionsRequest,
     Windows,
     WindowsRequest,
 )
@@ -69,6 +72,7 @@
         self._store = store
         self._metrics = metrics
         self._entries = Entries()
+        self._passed_on = ConfigVersion(0)
         me = Member(
             host=settings.host_id,
             boot=BootId(uuid.uuid4().hex),
@@ -86,6 +90,7 @@
             store, self._watch, self._membership, self.send, self._changed
         )
         self._burn = BurnCollector(mailbox, settings.control.mailbox)
+        self._versions = VersionCollector(mailbox, settings.control.mailbox)
         self.app = admin_app(
             self._operations(), settings.control.admin_token_sha256
         )
@@ -123,6 +128,14 @@
                     self._settings.host_id,
                     self._entries.addresses(),
                 )
+            case VersionsRequest():
+                self._versions.answer(
+                    message,
+                    self._settings.domain_id,
+                    self._membership.known(),
+                )
+            case DomainVersions():
+                self._versions.take(message)
             case HostEntries():
                 self._burn.take_entries(message)
             case Windows():
@@ -137,7 +150,14 @@
             self._send_suspicions([hello.address], now_s)
         if hello.config_version < self._watch.version:
             self._bring_up_to_date(hello)
+        self._announce_entries()
+
+    def _announce_entries(self) -> None:
         self._membership.set_entry_processes(self._entries.count())
+        # A version is in force on a host when all its processes have it.
+        self._membership.set_config_version(
+            self._entries.lowest_version(self._watch.version)
+        )
 
     def _bring_up_to_date(self, hello: EntryHello) -> None:
         pull = ConfigPull(
@@ -147,12 +167,12 @@
 
     def _changed(self) -> None:
         """Passes on a version in force that has risen."""
-        if self._watch.version == self._membership.me.config_version:
+        if self._watch.version == self._passed_on:
             return
+        self._passed_on = self._watch.version
         logger.info("configuration version {}", self._watch.version)
         self._metrics.gauge("control.config_version", self._watch.version)
         self._store.hold(self._watch.config)
-        self._membership.set_config_version(self._watch.version)
         self._membership.set_upstreams(self._watch.config.upstreams)
         for hello in self._entries.hellos():
             self._bring_up_to_date(hello)
@@ -195,7 +215,7 @@
             now_s = time.monotonic()
             self.send(self._membership.tick(now_s))
             self._entries.expire(now_s)
-            self._membership.set_entry_processes(self._entries.count())
+            self._announce_entries()
             await anyio.sleep(TICK_INTERVAL_S)
 
     async def send_fleet(self) -> None:
@@ -232,12 +252,12 @@
         return submitted
 
     async def _host_versions(self) -> dict[HostId, ConfigVersion]:
-        versions = {
+        own_domain = {
             member.host: member.config_version
             for member in self._membership.known()
         }
-        own = self._entries.lowest_version(self._watch.version)
-        return versions | {self._settings.host_id: own}
+        contacts = self._membership.foreign_contacts()
+        return own_domain | await self._versions.ask(contacts)
 
     async def _status(self):
         return make_status(
--- a/acaciaspoke/net/messages.py
+++ b/acaciaspoke/net/messages.py
@@ -302,6 +302,21 @@
     sequence: int
 
 
+class VersionsRequest(_Message):
+    """Asks a control process for the versions of its failure domain's hosts."""
+
+    reply_to: Address
+    sequence: int
+
+
+class DomainVersions(_Message):
+    """The version in force at each known host of a failure domain."""
+
+    failure_domain: DomainId
+    sequence: int
+    versions: dict[HostId, ConfigVersion]
+
+
 class HostEntries(_Message):
     """Names the entry processes to which a question was passed on."""
 
@@ -367,6 +382,8 @@
     | SuspicionAck
     | WindowsRequest
     | HostEntries
+    | VersionsRequest
+    | DomainVersions
     | Windows
 )
 
