--- a/acaciaspoke/entry/crashes.py
+++ b/acaciaspoke/entry/crashes.py
@@ -37,7 +37,7 @@
     except HttpError as error:
         # Only a refused connection tells that the process is gone; a silent
         # upstream may be slow or cut off.
-        return "ConnectError" in str(error)
+        return error.no_listener
     except (msgspec.DecodeError, msgspec.ValidationError):
         return False
     return report.boot_id != boot_id
--- a/acaciaspoke/util/http.py
+++ b/acaciaspoke/util/http.py
@@ -15,11 +15,16 @@
     Attributes:
         was_sent: Whether the server may have the whole request. False only
             if its last part, the body if there is one, was not begun.
+        no_listener: Whether the connection was refused, which tells that no
+            process listens on the address.
     """
 
-    def __init__(self, problem: str, *, was_sent: bool):
+    def __init__(
+        self, problem: str, *, was_sent: bool, no_listener: bool = False
+    ):
         super().__init__(problem)
         self.was_sent = was_sent
+        self.no_listener = no_listener
 
 
 class HttpAnswer(NamedTuple):
@@ -46,6 +51,10 @@
     async def __aexit__(self, *error) -> None:
         await self._pool.__aexit__(*error)
 
+    async def aclose(self) -> None:
+        """Closes all connections."""
+        await self._pool.aclose()
+
     async def request(
         self,
         method: str,
@@ -86,5 +95,9 @@
             httpcore.TimeoutException,
         ) as error:
             problem = f"{type(error).__name__}: {error}"
-            raise HttpError(problem, was_sent=was_sent) from error
+            raise HttpError(
+                problem,
+                was_sent=was_sent,
+                no_listener=isinstance(error, httpcore.ConnectError),
+            ) from error
         return HttpAnswer(response.status, response.content)
