Build the binary by pex

PyInstaller's one-file program forks: ps showed a launcher and a child for each process of the system, which may start no other process. pex's file replaces itself by the interpreter, and ps showed one process.

--- a/Makefile
+++ b/Makefile
@@ -35,9 +35,9 @@
 	$(PY) -m standins.demo
 
 binary: venv
-	$(PY) -m PyInstaller --noconfirm --onefile --name acaciaspoke \
-	  --collect-data acaciaspoke --collect-all uvicorn \
-	  --distpath dist --workpath build acaciaspoke/__main__.py
+	mkdir -p dist
+	$(VENV)/bin/pex --requirement requirements.txt --venv \
+	  --script acaciaspoke --output-file dist/acaciaspoke .
 
 clean:
 	rm -rf build dist
