Keep room for urgent work in limits and queue

Change: work leaves 1/8 of the slots free per more urgent level in recent use; the queue tells limits and engines the level at which a request is dispatched, which is the most urgent one while a floor is due; only kinds without a long backlog may wait inside engines; windows are rounded at random, so that those of all entry processes add up to the slots.

--- a/acaciaspoke/entry/limits.py
+++ b/acaciaspoke/entry/limits.py
@@ -1,7 +1,8 @@
 """How many requests this entry process may have in flight per upstream."""
 
-import math
+import random
 
+from acaciaspoke.entry.queue import Urgency
 from acaciaspoke.entry.routing import UpstreamStatus
 from acaciaspoke.ids import UpstreamId
 
@@ -9,25 +10,39 @@
 # processes are refused at the same time, so a half would leave slots idle.
 DECREASE_FACTOR = 0.7
 
-# Share of the slots that a request leaves free per level that is more urgent,
-# and the most that it leaves.
-RESERVE_PER_LEVEL = 0.0
-MAX_RESERVE = 0.25
+# Share of the slots that a request leaves free for each more urgent level that
+# was in use during the last RESERVE_MEMORY_S. Engines do not preempt, so work
+# that filled all slots would hold up urgent work for as long as it runs.
+RESERVE_PER_LEVEL = 0.125
+RESERVE_MEMORY_S = 60.0
+
+# Requests above the window, and part of the window, that the most urgent work
+# may have waiting inside the engine, where it goes before what other entry
+# processes send. Kinds that flood may not, or the others would wait behind
+# them there.
+URGENT_EXTRA = 2
+URGENT_EXTRA_SHARE = 0.5
 
 
 class ConcurrencyLimits:
     """Windows per upstream: a share of the slots, adapted to refusals.
 
-    A window starts at the share of one of the live entry processes. It grows
-    by one per window of successes, up to all slots, while reports show idle
-    slots, which borrows what other entry processes leave idle. It returns
-    towards the share when reports show waiting requests, and shrinks below it
-    on refusals.
+    A window starts at the share of one of the live entry processes. While
+    reports show idle slots, it grows up to all slots, which borrows what other
+    entry processes leave idle. It returns towards the share when reports show
+    waiting requests, and shrinks below it on refusals.
+
+    Args:
+        entry_processes: Live entry processes that share the upstreams.
+        rng: Rounds windows so that those of all entry processes add up to
+            about the slots.
     """
 
-    def __init__(self, entry_processes: int = 1):
+    def __init__(self, entry_processes: int, rng: random.Random):
         self._entry_processes = max(1, entry_processes)
+        self._rng = rng
         self._windows: dict[UpstreamId, _Window] = {}
+        self._level_used_s: dict[int, float] = {}
 
     def set_entry_processes(self, entry_processes: int) -> None:
         """Takes the number of live entry processes that share the slots."""
@@ -36,31 +51,49 @@
     def limit(self, status: UpstreamStatus) -> int:
         """Returns how many own requests may be in flight on an upstream."""
         window = self._window(status)
-        # Rounded up: with more entry processes than slots, each may still use
-        # every upstream, and the engine queues or refuses what is too much.
-        return max(1, math.ceil(window.size - 1e-9))
+        return max(1, int(window.size + window.rounding))
+
+    def note_arrival(self, level: int, now_s: float) -> None:
+        """Notes work of a rank's level, which others then leave room for."""
+        self._level_used_s[level] = now_s
 
-    def has_room(self, status: UpstreamStatus, level: int = 0) -> bool:
-        """Returns whether a request of a rank's level may be sent there.
+    def has_room(
+        self, status: UpstreamStatus, urgency: Urgency, now_s: float
+    ) -> bool:
+        """Returns whether a request may be sent to an upstream.
 
         Args:
             status: The upstream.
-            level: The level of the request's rank; 0 is the most urgent.
+            urgency: How the queue offers the request.
+            now_s: The time.
         """
         own = len(status.in_flight)
-        if own >= self.limit(status):
-            return False
-        reserve = min(MAX_RESERVE, RESERVE_PER_LEVEL * level)
-        if not reserve:
-            return True
-        usable = status.config.slots * (1.0 - reserve)
-        return own == 0 or status.load + 1 <= usable
+        limit = self.limit(status)
+        slots = status.config.slots
+        reserved = sum(
+            1
+            for other, used_s in self._level_used_s.items()
+            if other < urgency.level and now_s - used_s < RESERVE_MEMORY_S
+        )
+        if reserved:
+            usable = slots * (1.0 - min(0.5, RESERVE_PER_LEVEL * reserved))
+            load = status.load + 1.0
+            if urgency.flooding:
+                # The other entry processes see the same room and have the
+                # same backlog, so what this one sends counts for each.
+                sent = status.net_sent + 1 - self._window(status).rounding
+                load = status.reported + self._entry_processes * sent
+            return own < limit and load <= usable
+        if urgency.flooding:
+            return own < limit
+        share = int(URGENT_EXTRA_SHARE * self._window(status).size)
+        return own < limit + max(URGENT_EXTRA, share)
 
     def succeeded(self, status: UpstreamStatus) -> None:
         """Grows the window after an answer, if it was in use."""
         window = self._window(status)
         idle = status.load < status.config.slots
-        if idle and len(status.in_flight) + 1 >= math.floor(window.size):
+        if idle and len(status.in_flight) + 1 >= int(window.size):
             window.size += 1.0 / max(1.0, window.size)
             window.size = min(window.size, status.config.slots)
 
@@ -80,6 +113,7 @@
     def reported(self, status: UpstreamStatus) -> None:
         """Moves the window after a new report of the upstream."""
         window = self._window(status)
+        window.rounding = self._rng.random()
         share = self._share(status)
         if status.load > status.config.slots:
             # What was borrowed goes back while others wait for it.
@@ -98,14 +132,15 @@
     def _window(self, status: UpstreamStatus) -> "_Window":
         window = self._windows.get(status.upstream)
         if window is None:
-            window = _Window(self._share(status))
+            window = _Window(self._share(status), self._rng.random())
             self._windows[status.upstream] = window
         return window
 
 
 class _Window:
-    __slots__ = ("decreased_s", "size")
+    __slots__ = ("decreased_s", "rounding", "size")
 
-    def __init__(self, size: float):
+    def __init__(self, size: float, rounding: float):
         self.size = size
+        self.rounding = rounding
         self.decreased_s = float("-inf")
--- a/acaciaspoke/entry/queue.py
+++ b/acaciaspoke/entry/queue.py
@@ -22,6 +22,9 @@
 # One kind alone then fills 3/4 of it, and every new kind still finds room.
 KIND_ROOM_FACTOR = 3.0
 
+# A kind with more than this part of its rank's queue waiting is flooding.
+FLOOD_SHARE = 1 / 64
+
 # Callers choose the names of kinds. A caller that invents a name per request
 # must not gain a share of the rank with each, so later names share one kind.
 MAX_KINDS = 32
@@ -54,6 +57,21 @@
     retry_after_s: float
 
 
+class Urgency(NamedTuple):
+    """How a request may be dispatched now.
+
+    Attributes:
+        level: The level of its rank, or the most urgent one while the floor of
+            its rank is due: limits and engines that prefer urgent work would
+            otherwise undo the floor.
+        flooding: Whether its kind has a long backlog, so that limits give
+            what they keep for bursts to other kinds.
+    """
+
+    level: int
+    flooding: bool
+
+
 class RequestQueue:
     """Holds admitted requests until they are dispatched.
 
@@ -123,7 +141,7 @@
         self._insert(request, now_s, apart=apart)
 
     def take(
-        self, now_s: float, dispatchable: Callable[[Request], bool]
+        self, now_s: float, dispatchable: Callable[[Request, Urgency], bool]
     ) -> Request | None:
         """Removes and returns the next request to dispatch.
 
@@ -132,11 +150,17 @@
             dispatchable: Whether a request has a free upstream. It is asked
                 only of the earliest request per rank, kind and artifact, so
                 its cost grows with the artifacts that have none, not with
-                the requests that wait for them.
+                the requests that wait for them. The last one asked, with its
+                urgency, is the one that is returned.
         """
         blocked = []
+        most_urgent = min(q.rank.level for q in self._ranks.values())
         for queue in self._in_order():
-            entry = queue.find(now_s, dispatchable, self._expire_entry)
+            due = queue.credit >= CREDIT_DUE
+            level = most_urgent if due else queue.rank.level
+            entry = queue.find(
+                now_s, level, due, dispatchable, self._expire_entry
+            )
             if entry is None:
                 blocked.append(queue)
                 continue
@@ -294,7 +318,7 @@
             heapq.heapify(line.heap)
         heapq.heappush(self.heads, line.head())
 
-    def find(self, now_s, dispatchable, expire) -> _Entry | None:
+    def find(self, now_s, urgency, dispatchable, expire) -> _Entry | None:
         skipped: list[_Item] = []
         asked: set[_Line] = set()
         found = None
@@ -310,7 +334,7 @@
                 continue
             asked.add(entry.line)
             skipped.append(item)
-            if dispatchable(entry.request):
+            if dispatchable(entry.request, urgency):
                 found = entry
         for item in skipped:
             heapq.heappush(self.heads, item)
@@ -369,13 +393,17 @@
         self.waiting += 1
         return item
 
-    def find(self, now_s, dispatchable, expire) -> _Entry | None:
+    def find(self, now_s, level, due, dispatchable, expire) -> _Entry | None:
         """Returns the request to dispatch next without removing it."""
+        long_backlog = self.rank.queue_limit * FLOOD_SHARE
         for kind in sorted(
             (k for k in self._kinds.values() if k.waiting),
             key=lambda k: k.start,
         ):
-            entry = kind.find(now_s, dispatchable, expire)
+            # What a floor owes is bounded, so it floods nothing.
+            flooding = not due and kind.waiting > long_backlog
+            urgency = Urgency(level, flooding)
+            entry = kind.find(now_s, urgency, dispatchable, expire)
             if entry is not None:
                 return entry
             # A kind without a free upstream counts as idle, or it would later
--- a/acaciaspoke/entry/routing.py
+++ b/acaciaspoke/entry/routing.py
@@ -41,6 +41,7 @@
 
     Attributes:
         in_flight: Own requests that run there.
+        reported: Running and waiting requests in the last report.
     """
 
     def __init__(self, upstream: UpstreamId, config: Upstream):
@@ -52,15 +53,19 @@
         self.in_flight: dict[RequestId, InFlight] = {}
         self.report_s = float("-inf")
         self.lost_s = float("-inf")
-        self._reported = 0
+        self.reported = 0
         self._sent_since = 0
         self._finished_since = 0
 
     @property
     def load(self) -> int:
         """Requests there: the last report, corrected by what happened since."""
-        estimate = self._reported + self._sent_since - self._finished_since
-        return max(estimate, len(self.in_flight), 0)
+        return max(self.reported + self.net_sent, len(self.in_flight), 0)
+
+    @property
+    def net_sent(self) -> int:
+        """Own requests sent since the last report, less those that ended."""
+        return self._sent_since - self._finished_since
 
     @property
     def load_share(self) -> float:
@@ -80,7 +85,7 @@
             return False
         self.boot_id = view.boot_id
         self.report_s = taken_s
-        self._reported = view.running + view.waiting
+        self.reported = view.running + view.waiting
         self._sent_since = sum(
             1 for sent in self.in_flight.values() if sent.sent_s > taken_s
         )
