Keep crashes and cleared crashes of a fingerprint apart in gossip

The suspicions of entry processes come as up to two values for a fingerprint, its crashes and those that a success has cleared. Under one key the second replaced the first. The test account of the configuration watch gets a key digest that the schema now requires.

--- a/acaciaspoke/control/membership.py
+++ b/acaciaspoke/control/membership.py
@@ -83,7 +83,8 @@
         me: This process; the state must be alive.
         seeds: Mailboxes to join through.
         merge_suspicion: Merges a suspicion heard of into the one held (None
-            if there is none); must give the same result in any order.
+            if there is none) of the same fingerprint and ``cleared``; must
+            give the same result in any order.
     """
 
     def __init__(
--- a/acaciaspoke/control/view.py
+++ b/acaciaspoke/control/view.py
@@ -23,6 +23,10 @@
 
 MergeSuspicion = Callable[[Suspicion | None, Suspicion], Suspicion]
 
+# Crashes and the crashes that a success has cleared are told apart, so that
+# each of the two only grows and merging may come in any order.
+SuspicionKey = tuple[Fingerprint, bool]
+
 # Suspicions of members last this long for each power of ten of members, so
 # that the refutation has the time to spread.
 MEMBER_SUSPECT_S = 5.0
@@ -101,10 +105,10 @@
         self._deadlines: dict[HostId, float] = {}
         self._notices: dict[UpstreamId, LeavingNotice] = {}
         self._upstreams: frozenset[UpstreamId] | None = None
-        self._suspicions: dict[Fingerprint, _HeldSuspicion] = {}
+        self._suspicions: dict[SuspicionKey, _HeldSuspicion] = {}
         self._member_updates: Updates[HostId] = Updates()
         self._notice_updates: Updates[UpstreamId] = Updates()
-        self._suspicion_updates: Updates[Fingerprint] = Updates()
+        self._suspicion_updates: Updates[SuspicionKey] = Updates()
         self._digest: bytes | None = None
 
     # Reading.
@@ -284,16 +288,13 @@
         """Merges a suspicion; spreads it on if it told anything new."""
         if suspicion.age_s > FORGET_SUSPICION_S:
             return
-        fingerprint = suspicion.fingerprint
-        held = self._suspicions.get(fingerprint)
+        key = (suspicion.fingerprint, suspicion.cleared)
+        held = self._suspicions.get(key)
         mine = held.aged(now_s) if held else None
         merged = self._merge_suspicion(mine, suspicion)
-        if mine is None or (merged.crashes, merged.cleared) != (
-            mine.crashes,
-            mine.cleared,
-        ):
-            self._suspicions[fingerprint] = _HeldSuspicion(merged, now_s)
-            self._suspicion_updates.add(fingerprint)
+        if mine is None or merged.crashes != mine.crashes:
+            self._suspicions[key] = _HeldSuspicion(merged, now_s)
+            self._suspicion_updates.add(key)
 
     # Time.
 
@@ -308,10 +309,10 @@
                 self._member_updates.discard(host)
             else:
                 self.set_state(member, MemberState.DEAD, now_s)
-        for fingerprint, held in list(self._suspicions.items()):
+        for key, held in list(self._suspicions.items()):
             if held.suspicion.age_s + now_s - held.at_s > FORGET_SUSPICION_S:
-                del self._suspicions[fingerprint]
-                self._suspicion_updates.discard(fingerprint)
+                del self._suspicions[key]
+                self._suspicion_updates.discard(key)
 
     def postpone(self, by_s: float) -> None:
         """Moves all deadlines, after this process was paused itself."""
@@ -325,11 +326,11 @@
         """Returns the updates for one message to a member of the domain."""
         count = len(self._members)
         hosts = self._member_updates.take(MEMBERS_PER_MESSAGE, count)
-        prints = self._suspicion_updates.take(SUSPICIONS_PER_MESSAGE, count)
+        keys = self._suspicion_updates.take(SUSPICIONS_PER_MESSAGE, count)
         return Gossip(
             members=[self._members[host] for host in hosts],
             leaving=self.take_notices(),
-            suspicions=[self._suspicions[item].aged(now_s) for item in prints],
+            suspicions=[self._suspicions[item].aged(now_s) for item in keys],
         )
 
     def take_notices(self) -> list[LeavingNotice]:
--- a/test/control/test_configwatch.py
+++ b/test/control/test_configwatch.py
@@ -25,7 +25,7 @@
     """Stands in for the patch module: adds an account named by the patch."""
     if not row.merge_patch:
         raise AcaciaspokeError("empty patch")
-    added = {AccountId(row.merge_patch): Account(key_sha256="0")}
+    added = {AccountId(row.merge_patch): Account(key_sha256="0" * 64)}
     return msgspec.structs.replace(config, accounts=config.accounts | added)
 
 
--- a/test/control/test_membership.py
+++ b/test/control/test_membership.py
@@ -27,7 +27,10 @@
     """Unites the crashes, as any merge function has to."""
     crashes = (mine.crashes if mine else {}) | theirs.crashes
     return Suspicion(
-        fingerprint=theirs.fingerprint, crashes=crashes, age_s=theirs.age_s
+        fingerprint=theirs.fingerprint,
+        crashes=crashes,
+        cleared=theirs.cleared,
+        age_s=theirs.age_s,
     )
 
 
@@ -295,10 +298,18 @@
             )
             cluster.nodes[name].note_suspicions([suspicion], cluster.net.now_s)
 
+        cleared = Suspicion(
+            fingerprint=Fingerprint("f"), crashes={"a-1": True}, cleared=True
+        )
+        cluster.nodes["a-3"].note_suspicions([cleared], cluster.net.now_s)
+
         def united() -> bool:
             return all(
-                [set(item.crashes) for item in node.suspicions(0.0)]
-                == [{"a-1", "a-2"}]
+                {
+                    (item.cleared, *sorted(item.crashes))
+                    for item in node.suspicions(0.0)
+                }
+                == {(False, "a-1", "a-2"), (True, "a-1")}
                 for node in cluster.nodes.values()
             )
 
