Add the lease of a failure domain

One control process of a domain may plan, also when hosts are paused or the table loses answers. The lease is a row changed by compare-and-put; a holder counts its time from when it sent the write and an observer from when it saw the row change. A write whose outcome is unknown is resolved by reading the row back, or by the conflict of the next write, and comparing write ids. Only candidates compete at first, so that 2,000 hosts do not use up the table's reads. Fencing tokens have the epoch above a 24-bit counter.

A test with random pauses and faults found that a renewal that arrived after the lease had lapsed brought back its epoch with the counter at zero; the counter now goes on.

The fake table gains a read.

--- /dev/null
+++ b/test/control/test_lease.py
@@ -0,0 +1,229 @@
+"""Tests of the lease on a virtual clock and a table that fails on request."""
+
+import itertools
+import random
+import unittest
+
+import anyio
+
+from acaciaspoke.control.lease import (
+    Lease,
+    LeaseState,
+    NotHolder,
+    Write,
+    carry_out,
+)
+from acaciaspoke.ids import BootId, DomainId, HostId
+from acaciaspoke.platform.table import Conflict, Put, Transaction
+from test.fakes_table import FakeTable, Fault
+from test.virtualtime import run
+
+LEASE_S = 10.0
+
+
+class Host:
+    """A control process's lease with the loop that drives it."""
+
+    def __init__(self, number: int, table: FakeTable, candidate=True):
+        self.table = table
+        self.candidate = candidate
+        self.paused_until_s = 0.0
+        self.lease = Lease(
+            DomainId("a"),
+            HostId(f"h{number}"),
+            BootId(f"b{number}"),
+            LEASE_S,
+            random.Random(number),
+        )
+
+    @property
+    def held(self) -> bool:
+        return self.lease.is_held(anyio.current_time())
+
+    async def loop(self):
+        while True:
+            pause_s = self.paused_until_s - anyio.current_time()
+            await anyio.sleep(max(pause_s, 0.1))
+            now_s = anyio.current_time()
+            await self.do(self.lease.step(now_s, self.candidate))
+
+    async def do(self, todo):
+        # A pause may also fall between a decision and its effect.
+        await anyio.sleep(max(self.paused_until_s - anyio.current_time(), 0))
+        await carry_out(todo, self.lease, self.table, anyio.current_time)
+
+
+async def until(condition, limit_s: float) -> float:
+    start_s = anyio.current_time()
+    with anyio.fail_after(limit_s):
+        while not condition():
+            await anyio.sleep(0.05)
+    return anyio.current_time() - start_s
+
+
+def with_hosts(count: int, **table):
+    """Runs a test coroutine with so many hosts that compete."""
+
+    def wrap(test):
+        async def main(self):
+            shared = FakeTable(**table)
+            hosts = [Host(number, shared) for number in range(count)]
+            async with anyio.create_task_group() as group:
+                for host in hosts:
+                    group.start_soon(host.loop)
+                await test(self, shared, hosts)
+                group.cancel_scope.cancel()
+
+        def wrapped(self):
+            run(main, self)
+
+        wrapped.__name__, wrapped.__doc__ = test.__name__, test.__doc__
+        return wrapped
+
+    return wrap
+
+
+async def the_holder(hosts: list[Host], limit_s: float = 5) -> Host:
+    await until(lambda: any(host.held for host in hosts), limit_s)
+    [holder] = [host for host in hosts if host.held]
+    return holder
+
+
+class LeaseTest(unittest.TestCase):
+
+    @with_hosts(3)
+    async def test_one_holder_that_renews(self, table, hosts):
+        """Guards against a holder that loses its lease without a fault."""
+        holder = await the_holder(hosts)
+        for _ in range(600):
+            await anyio.sleep(0.1)
+            self.assertEqual([h for h in hosts if h.held], [holder])
+
+    @with_hosts(2)
+    async def test_paused_holder_wakes(self, table, hosts):
+        """Guards against a holder that acts on a lease that has lapsed."""
+        holder = await the_holder(hosts)
+        [other] = [host for host in hosts if host is not holder]
+        now_s = anyio.current_time()
+        condition = holder.lease.condition(now_s)
+        token = holder.lease.next_token(now_s)
+        holder.paused_until_s = now_s + 30
+        waited_s = await until(lambda: other.held, 15)
+        self.assertGreater(waited_s, LEASE_S - 3)
+        # Awake, but no step was taken yet: the state is out of date.
+        self.assertIs(holder.lease.state, LeaseState.HOLDER)
+        self.assertFalse(holder.held)
+        with self.assertRaises(NotHolder):
+            holder.lease.next_token(anyio.current_time())
+        late = Transaction((condition,), (Put("reservation/u", b""),))
+        self.assertIsInstance(await table.commit(late), Conflict)
+        newer = other.lease.next_token(anyio.current_time())
+        self.assertGreater(newer, token)
+        await anyio.sleep(60)
+        self.assertEqual([h for h in hosts if h.held], [other])
+
+    @with_hosts(2)
+    async def test_lost_renewal_answers(self, table, hosts):
+        """Guards against a holder that gives up a lease it has renewed."""
+        holder = await the_holder(hosts)
+        table.faults = [Fault.WRITTEN_ANSWER_LOST, Fault.LOST] * 10
+        for _ in range(400):
+            await anyio.sleep(0.1)
+            self.assertTrue(holder.held)
+        self.assertLess(len(table.faults), 10)
+
+    @with_hosts(1)
+    async def test_renewal_that_arrives_late(self, table, hosts):
+        """Guards against a conflict with an own write taken as a take-over."""
+        holder = await the_holder(hosts)
+        table.faults = [Fault.ARRIVES_LATE]
+        await until(lambda: table.late, 5)
+        # The row was read back unchanged, and the next renewal is on its way.
+        await anyio.sleep(0.5)
+        table.deliver_late()
+        for _ in range(200):
+            await anyio.sleep(0.1)
+            self.assertTrue(holder.held)
+        token = holder.lease.next_token(anyio.current_time())
+        self.assertEqual(token >> 24, 1)
+
+    @with_hosts(1)
+    async def test_acquisition_found_too_late(self, table, hosts):
+        """Guards against validity that counts from when an answer came."""
+        table.faults = [Fault.ARRIVES_LATE] + [Fault.NOT_WRITTEN] * 30
+        await until(lambda: table.late, 5)
+        await anyio.sleep(LEASE_S)
+        table.deliver_late()
+        await anyio.sleep(3)
+        self.assertFalse(hosts[0].held)
+        holder = await the_holder(hosts, 60)
+        token = holder.lease.next_token(anyio.current_time())
+        self.assertEqual(token >> 24, 2)
+
+    @with_hosts(1, write_s=4.0)
+    async def test_validity_counts_from_sending(self, table, hosts):
+        """Guards against a slow answer that stretches the lease."""
+        holder = await the_holder(hosts, 20)
+        sent_s = anyio.current_time() - 4.0
+        table.is_out = True
+        await until(lambda: not holder.held, 20)
+        self.assertLess(anyio.current_time(), sent_s + LEASE_S)
+
+    @with_hosts(2)
+    async def test_hand_back_is_taken_at_once(self, table, hosts):
+        """Guards against a planned stop that costs the domain an expiry."""
+        holder = await the_holder(hosts)
+        token = holder.lease.next_token(anyio.current_time())
+        todo = holder.lease.hand_back(anyio.current_time())
+        self.assertIsInstance(todo, Write)
+        self.assertFalse(holder.held)
+        await holder.do(todo)
+        other = await the_holder(hosts, 3)
+        self.assertIsNot(other, holder)
+        newer = other.lease.next_token(anyio.current_time())
+        self.assertGreater(newer, token)
+
+    @with_hosts(2)
+    async def test_candidates_come_first(self, table, hosts):
+        """Guards against a whole domain that writes the row at once."""
+        hosts[0].candidate = False
+        self.assertIs(await the_holder(hosts), hosts[1])
+        hosts[1].paused_until_s = float("inf")
+        await until(lambda: hosts[0].held, 4 * LEASE_S)
+
+    def test_never_two_holders(self):
+        """Guards against overlapping leases and fencing tokens that go back."""
+        for seed in range(20):
+            with self.subTest(seed=seed):
+                run(self.check_exclusion, seed)
+
+    async def check_exclusion(self, seed: int):
+        rng = random.Random(seed)
+        table = FakeTable(write_s=0.3)
+        hosts = [Host(number, table) for number in range(3)]
+        tokens = [0]
+        holders = set()
+        async with anyio.create_task_group() as group:
+            for host in hosts:
+                group.start_soon(host.loop)
+            for step in itertools.count():
+                await anyio.sleep(0.05)
+                now_s = anyio.current_time()
+                held = [host for host in hosts if host.held]
+                self.assertLessEqual(len(held), 1)
+                if held:
+                    holders.add(held[0])
+                    tokens.append(held[0].lease.next_token(now_s))
+                    self.assertGreater(tokens[-1], tokens[-2])
+                if step % 40 == 0:
+                    table.deliver_late()
+                    table.faults = rng.choices(
+                        [None, *Fault], weights=[4, 1, 1, 1, 1], k=5
+                    )
+                    victim = rng.choice(hosts)
+                    victim.paused_until_s = now_s + rng.uniform(0, 15)
+                if now_s > 400:
+                    break
+            group.cancel_scope.cancel()
+        self.assertGreater(len(holders), 1)
+        self.assertGreater(len(tokens), 100)
--- a/test/fakes_table.py
+++ b/test/fakes_table.py
@@ -60,6 +60,12 @@
     async def commit(self, transaction):
         return (await self.commit_each([transaction]))[0]
 
+    async def read(self, key, stale_ok=False):
+        await anyio.sleep(self._write_s)
+        if self.is_out:
+            raise TableUnavailable("out")
+        return self.rows.get(key)
+
     async def scan(self, prefix, limit, start_after=""):
         keys = sorted(
             key
