--- a/acaciaspoke/net/messages.py
+++ b/acaciaspoke/net/messages.py
@@ -206,12 +206,14 @@
     """What a control process knows of an upstream.
 
     Attributes:
+        sequence: Of the report, which orders the reports of one boot.
         report_age_s: Age of the report when the message was sent.
     """
 
     upstream: UpstreamId
     state: UpstreamState
     boot_id: BootId = BootId("")
+    sequence: int = 0
     running: int = 0
     waiting: int = 0
     resident: dict[ArtifactName, str] = {}
@@ -236,6 +238,40 @@
     upstreams: tuple[UpstreamView, ...]
 
 
+class Load(msgspec.Struct, frozen=True, array_like=True):
+    """The load of one upstream, as short as a few bytes.
+
+    Attributes:
+        content_hash: Hash of the boot id and the resident artifacts, by which
+            a receiver finds that it missed a change of them.
+        age_ds: Age of the report in tenths of a second.
+    """
+
+    content_hash: int
+    sequence: int
+    running: int
+    waiting: int
+    age_ds: int
+
+
+class UpstreamLoads(_Message):
+    """A control process passes on the loads that it polled.
+
+    It is sent far more often than ``UpstreamReports``, which is too large for
+    each host to get from each other one every few seconds.
+    """
+
+    sender: HostId
+    loads: dict[UpstreamId, Load]
+
+
+class UpstreamPull(_Message):
+    """Asks for ``UpstreamReports`` of some upstreams."""
+
+    reply_to: Address
+    upstreams: tuple[UpstreamId, ...]
+
+
 class Demand(_Message):
     """Requests that entry processes saw since their last message.
 
@@ -350,6 +386,8 @@
     | EntryHello
     | FleetView
     | UpstreamReports
+    | UpstreamLoads
+    | UpstreamPull
     | Demand
     | ConnectionLost
     | SuspicionNotice
