--- a/test/control/test_membership.py
+++ b/test/control/test_membership.py
@@ -4,6 +4,7 @@
 import unittest
 
 from acaciaspoke.control.membership import Membership
+from acaciaspoke.entry.suspects import merge_suspicions
 from acaciaspoke.ids import (
     Address,
     BootId,
@@ -23,14 +24,6 @@
 from test.fakes import FakeNetwork
 
 
-def merge(mine: Suspicion | None, theirs: Suspicion) -> Suspicion:
-    """Unites the crashes, as any merge function has to."""
-    crashes = (mine.crashes if mine else {}) | theirs.crashes
-    return Suspicion(
-        fingerprint=theirs.fingerprint, crashes=crashes, age_s=theirs.age_s
-    )
-
-
 class Cluster:
     """Membership instances on a fake network."""
 
@@ -58,7 +51,7 @@
             entry_processes=1,
         )
         rng = random.Random(self.started)
-        node = Membership(me, self.seeds, rng, merge, self.net.now_s)
+        node = Membership(me, self.seeds, rng, merge_suspicions, self.net.now_s)
         self.nodes[name] = node
 
         def handle(message, now_s):
@@ -295,10 +288,20 @@
             )
             cluster.nodes[name].note_suspicions([suspicion], cluster.net.now_s)
 
+        cleared = Suspicion(
+            fingerprint=Fingerprint("f"),
+            crashes={"a-1": True},
+            voided=("a-1",),
+        )
+        cluster.nodes["a-3"].note_suspicions([cleared], cluster.net.now_s)
+
         def united() -> bool:
             return all(
-                [set(item.crashes) for item in node.suspicions(0.0)]
-                == [{"a-1", "a-2"}]
+                [
+                    (sorted(item.crashes), item.voided)
+                    for item in node.suspicions(0.0)
+                ]
+                == [(["a-1", "a-2"], ("a-1",))]
                 for node in cluster.nodes.values()
             )
 
