Count what ended only in place of what a flooding kind sends

Cause: each entry process took its own ended requests as a sign that the others had ended as many, so batch work held 10.2 of 16 slots on average and filled the reserve.

--- a/acaciaspoke/entry/limits.py
+++ b/acaciaspoke/entry/limits.py
@@ -81,8 +81,11 @@
             if urgency.flooding:
                 # The other entry processes see the same room and have the
                 # same backlog, so what this one sends counts for each.
+                # What ended here counts only in place of what it sends, as
+                # others may have had nothing that ended.
                 sent = status.net_sent + 1 - self._window(status).rounding
-                load = status.reported + self._entry_processes * sent
+                sent_by_all = self._entry_processes * max(0.0, sent)
+                load = status.reported + sent_by_all
             return own < limit and load <= usable
         if urgency.flooding:
             return own < limit
