Serve requests end to end through separate processes

Thin path: callers, queue, routing by polled reports, claims, relay, and the numbered configuration over two failure domains. Placement is still missing, so engines must hold their models already.

The priority that an engine gets is now decided at dispatch: a rank whose floor is due goes out as the most urgent one, or an engine that honours priorities would undo the floor.

--- /dev/null
+++ b/acaciaspoke/control/fleet.py
@@ -0,0 +1,166 @@
+"""Learns of the upstreams and tells peers and entry processes of them."""
+
+import random
+import time
+from collections.abc import Callable, Iterable
+
+import anyio
+import msgspec
+
+from acaciaspoke.config.schema import Config
+from acaciaspoke.control.hostlist import HostListWatch
+from acaciaspoke.control.membership import Membership
+from acaciaspoke.control.polling import HOSTS_INTERVAL_S, Poller, fetch_hosts
+from acaciaspoke.control.reports import ReportSpread
+from acaciaspoke.control.upstreams import Upstreams
+from acaciaspoke.ids import Address
+from acaciaspoke.net.messages import (
+    ConnectionLost,
+    Message,
+    Outgoing,
+    UpstreamLoads,
+    UpstreamPull,
+    UpstreamReports,
+    UpstreamView,
+)
+from acaciaspoke.platform.hosts import HostsClient
+from acaciaspoke.util.metrics import Metrics
+from acaciaspoke.util.rendezvous import choose
+
+POLL_CHECK_INTERVAL_S = 0.1
+
+# Messages to entry processes can be dropped; all is told again this often.
+REFRESH_INTERVAL_S = 5.0
+
+# Hosts per failure domain that fetch the platform's host list.
+LIST_READERS = 3
+
+
+class _Told(msgspec.Struct):
+    """What an entry process was told last.
+
+    Attributes:
+        change: The number of the last change that it was told.
+        refreshed_s: When it was told all.
+    """
+
+    change: int = 0
+    refreshed_s: float = float("-inf")
+
+
+class Fleet:
+    """The upstreams as this host knows them, and the tasks that learn.
+
+    Attributes:
+        upstreams: What is known.
+    """
+
+    def __init__(
+        self,
+        membership: Membership,
+        hosts: HostsClient | None,
+        send: Callable[[Iterable[Outgoing]], None],
+        metrics: Metrics,
+        rng: random.Random,
+    ):
+        me = membership.me
+        self.upstreams = Upstreams(me.host, me.failure_domain, rng)
+        self._membership = membership
+        self._hosts = hosts
+        self._send = send
+        self._config = Config()
+        self._list_watch = HostListWatch()
+        self._spread = ReportSpread(me, self.upstreams, rng)
+        self._poller = Poller(self.upstreams, metrics)
+        self._told: dict[Address, _Told] = {}
+
+    def set_config(self, config: Config, now_s: float) -> None:
+        """Takes a new configuration version."""
+        self._config = config
+        self.upstreams.set_config(config.upstreams, now_s)
+
+    def handle(self, message: Message, now_s: float) -> bool:
+        """Acts on a message about upstreams; returns whether it was one."""
+        match message:
+            case UpstreamReports():
+                self._spread.on_reports(message, now_s)
+            case UpstreamLoads():
+                self._send(self._spread.on_loads(message, now_s))
+            case UpstreamPull():
+                self._send(self._spread.on_pull(message, now_s))
+            case ConnectionLost():
+                self.upstreams.on_connection_lost(message, now_s)
+            case _:
+                return False
+        return True
+
+    def tick(self, entries: Iterable[Address], now_s: float) -> None:
+        """Does what is due, several times a second."""
+        live = self._membership.live()
+        self.upstreams.set_members(live)
+        self.upstreams.rank_pollers()
+        self.upstreams.on_notices(self._membership.notices())
+        self._spread.set_members(live)
+        contacts = self._membership.foreign_contacts()
+        self._send(self._spread.tick(contacts, now_s))
+        self._tell(entries, now_s)
+
+    def _tell(self, entries: Iterable[Address], now_s: float) -> None:
+        entries = list(entries)
+        self._told = {
+            address: self._told.get(address, _Told()) for address in entries
+        }
+        count = self._membership.entry_processes()
+        for address, told in self._told.items():
+            if now_s - told.refreshed_s >= REFRESH_INTERVAL_S:
+                told.change, told.refreshed_s = 0, now_s
+            views, told.change = self.upstreams.fleet_views(
+                told.change, count, now_s
+            )
+            if views[0].upstreams:
+                self._send(Outgoing(address, view) for view in views)
+
+    def restarted(self, entry: Address) -> None:
+        """Forgets what an entry process was told before it started again."""
+        self._told.pop(entry, None)
+
+    def views(self, now_s: float) -> list[UpstreamView]:
+        """Returns what is known of each configured upstream."""
+        return [
+            self.upstreams.view(upstream, now_s)
+            for upstream in self._config.upstreams
+        ]
+
+    async def poll(self) -> None:
+        """Polls upstreams until cancelled."""
+        async with anyio.create_task_group() as tasks:
+            while True:
+                now_s = time.monotonic()
+                for upstream in self.upstreams.polls_due(now_s):
+                    address = self._config.upstreams[upstream].address
+                    tasks.start_soon(self._poller.poll, upstream, address)
+                await self._poller.close_unused(
+                    self._config.upstreams[upstream].address
+                    for upstream in self.upstreams.polled()
+                )
+                await anyio.sleep(POLL_CHECK_INTERVAL_S)
+
+    async def watch_host_list(self) -> None:
+        """Fetches the platform's host list until cancelled."""
+        while self._hosts is not None:
+            if self._reads_list():
+                entries = await fetch_hosts(self._hosts)
+                if entries is not None:
+                    self._membership.note_leaving(
+                        self._list_watch.on_list(
+                            entries,
+                            self._config.upstreams,
+                            self._membership.notices(),
+                            time.monotonic(),
+                        )
+                    )
+            await anyio.sleep(HOSTS_INTERVAL_S)
+
+    def _reads_list(self) -> bool:
+        hosts = [member.host for member in self._membership.live()]
+        return self._membership.me.host in choose("hosts", hosts, LIST_READERS)
--- a/acaciaspoke/control/process.py
+++ b/acaciaspoke/control/process.py
@@ -1,5 +1,6 @@
 """The control process: wires its parts and runs its tasks."""
 
+import contextlib
 import random
 import time
 import uuid
@@ -15,6 +16,7 @@
 from acaciaspoke.control.configtask import ConfigTask
 from acaciaspoke.control.configwatch import ConfigWatch
 from acaciaspoke.control.entries import Entries
+from acaciaspoke.control.fleet import Fleet
 from acaciaspoke.control.membership import Membership
 from acaciaspoke.control.versions import VersionCollector
 from acaciaspoke.entry.suspects import merge_suspicions
@@ -26,7 +28,6 @@
     ConfigPush,
     DomainVersions,
     EntryHello,
-    FleetView,
     HostEntries,
     Member,
     Message,
@@ -39,6 +40,7 @@
     Windows,
     WindowsRequest,
 )
+from acaciaspoke.platform.hosts import HostsClient
 from acaciaspoke.platform.objects import ObjectsClient
 from acaciaspoke.platform.table import TableClient
 from acaciaspoke.report.status import make_status
@@ -48,7 +50,6 @@
 from acaciaspoke.util.server import HttpServer
 
 TICK_INTERVAL_S = 0.1
-FLEET_INTERVAL_S = 0.5
 
 # Long enough for the announcement of the leave to reach some peers.
 LEAVE_NOTICE_S = 0.5
@@ -62,6 +63,7 @@
         settings: Settings,
         mailbox: Mailbox,
         store: ConfigStore,
+        hosts: HostsClient | None,
         metrics: Metrics,
     ):
         now_s = time.monotonic()
@@ -89,6 +91,7 @@
         self.config_task = ConfigTask(
             store, self._watch, self._membership, self.send, self._changed
         )
+        self.fleet = Fleet(self._membership, hosts, self.send, metrics, rng)
         self._burn = BurnCollector(mailbox, settings.control.mailbox)
         self._versions = VersionCollector(mailbox, settings.control.mailbox)
         self.app = admin_app(
@@ -141,12 +144,13 @@
             case Windows():
                 self._burn.take_windows(message)
             case _:
-                logger.warning("unexpected {}", type(message).__name__)
+                if not self.fleet.handle(message, now_s):
+                    logger.warning("unexpected {}", type(message).__name__)
 
     def _hear_entry(self, hello: EntryHello, now_s: float) -> None:
         if self._entries.hear(hello, now_s):
             logger.info("entry process {} runs", hello.address)
-            self._send_fleet([hello.address])
+            self.fleet.restarted(hello.address)
             self._send_suspicions([hello.address], now_s)
         if hello.config_version < self._watch.version:
             self._bring_up_to_date(hello)
@@ -174,6 +178,7 @@
         self._metrics.gauge("control.config_version", self._watch.version)
         self._store.hold(self._watch.config)
         self._membership.set_upstreams(self._watch.config.upstreams)
+        self.fleet.set_config(self._watch.config, time.monotonic())
         for hello in self._entries.hellos():
             self._bring_up_to_date(hello)
 
@@ -201,14 +206,6 @@
                 notice = SuspicionNotice(suspicions=suspicions)
                 self._mailbox.post(address, notice)
 
-    def _send_fleet(self, addresses: Iterable[Address]) -> None:
-        view = FleetView(
-            upstreams=(),
-            entry_processes=max(1, self._membership.entry_processes()),
-        )
-        for address in addresses:
-            self._mailbox.post(address, view)
-
     async def tick(self) -> None:
         """Does what is due, several times a second."""
         while True:
@@ -216,14 +213,9 @@
             self.send(self._membership.tick(now_s))
             self._entries.expire(now_s)
             self._announce_entries()
+            self.fleet.tick(self._entries.addresses(), now_s)
             await anyio.sleep(TICK_INTERVAL_S)
 
-    async def send_fleet(self) -> None:
-        """Tells the entry processes of the upstreams again and again."""
-        while True:
-            self._send_fleet(self._entries.addresses())
-            await anyio.sleep(FLEET_INTERVAL_S)
-
     def leave(self) -> None:
         """Announces that this process stops."""
         self.send(self._membership.leave())
@@ -268,7 +260,7 @@
                 *self._membership.foreign_contacts(),
             ],
             leases={},
-            upstreams=(),
+            upstreams=self.fleet.views(time.monotonic()),
             entries=self._entries.hellos(),
         )
 
@@ -292,21 +284,30 @@
     """
     metrics = Metrics(settings.statsd)
     platform = settings.platform
-    with Mailbox(settings.control.mailbox, metrics) as mailbox:
-        async with (
-            TableClient(platform.table, platform.timeout_s, metrics) as table,
-            ObjectsClient(
-                platform.objects or platform.table,
-                platform.bucket,
-                platform.timeout_s,
-                metrics,
-            ) as objects,
-        ):
-            store = ConfigStore(
-                table, objects if platform.objects else None, metrics
+    async with contextlib.AsyncExitStack() as stack:
+        mailbox = stack.enter_context(
+            Mailbox(settings.control.mailbox, metrics)
+        )
+        table = await stack.enter_async_context(
+            TableClient(platform.table, platform.timeout_s, metrics)
+        )
+        objects = hosts = None
+        if platform.objects:
+            objects = await stack.enter_async_context(
+                ObjectsClient(
+                    platform.objects,
+                    platform.bucket,
+                    platform.timeout_s,
+                    metrics,
+                )
+            )
+        if platform.hosts:
+            hosts = await stack.enter_async_context(
+                HostsClient(platform.hosts, platform.timeout_s, metrics)
             )
-            process = ControlProcess(settings, mailbox, store, metrics)
-            await _run_tasks(process, settings, mailbox)
+        store = ConfigStore(table, objects, metrics)
+        process = ControlProcess(settings, mailbox, store, hosts, metrics)
+        await _run_tasks(process, settings, mailbox)
 
 
 async def _run_tasks(
@@ -317,7 +318,8 @@
         background.start_soon(stop_on_signals, process.drain)
         background.start_soon(receive_forever, mailbox, process.handle)
         background.start_soon(process.tick)
-        background.start_soon(process.send_fleet)
+        background.start_soon(process.fleet.poll)
+        background.start_soon(process.fleet.watch_host_list)
         background.start_soon(process.config_task.run)
         background.start_soon(process.drain.run, 0.0, server.stop)
         logger.info("administration API on {}", settings.control.listen)
--- a/acaciaspoke/entry/dispatch.py
+++ b/acaciaspoke/entry/dispatch.py
@@ -16,7 +16,7 @@
 from acaciaspoke.config.schema import Config, artifact_of
 from acaciaspoke.entry.errors import CallerError, ErrorType
 from acaciaspoke.entry.limits import ConcurrencyLimits
-from acaciaspoke.entry.queue import RefusalReason, RequestQueue
+from acaciaspoke.entry.queue import RefusalReason, RequestQueue, Urgency
 from acaciaspoke.entry.request import Request
 from acaciaspoke.entry.retry import RetryBudget
 from acaciaspoke.entry.routing import Fleet, UpstreamStatus, choose_upstream
@@ -37,12 +37,17 @@
 
 
 class Assignment(NamedTuple):
-    """A request may go to an upstream now."""
+    """A request may go to an upstream now.
+
+    Attributes:
+        level: How urgent the upstream should take it for; lower is more.
+    """
 
     request: Request
     upstream: UpstreamId
     address: str
     boot_id: BootId
+    level: int
 
 
 class Dropped(NamedTuple):
@@ -73,11 +78,13 @@
 
     Attributes:
         chosen: The upstream for the request that is taken.
+        level: The urgency at which it is taken.
         rejected: Requests to drop.
         isolated: Requests that became suspects while they waited.
     """
 
     chosen: UpstreamId | None = None
+    level: int = 0
     rejected: list[tuple[Request, ErrorType]] = []
     isolated: list[Request] = []
 
@@ -99,7 +106,7 @@
         self._rng = rng
         self._queue = RequestQueue({}, rng)
         self._fleet = Fleet({})
-        self._limits = ConcurrencyLimits()
+        self._limits = ConcurrencyLimits(1, rng)
         self._waiting: dict[RequestId, _Waiting] = {}
         self._in_flight: dict[RequestId, Assignment] = {}
         self._arrivals: dict[ArtifactName, Counter[RankId]] = {}
@@ -138,6 +145,7 @@
         if request.artifact is not None:
             counter = self._arrivals.setdefault(request.artifact, Counter())
             counter[request.rank] += 1
+        self._limits.note_arrival(self._level(request), now_s)
         refusal = self._queue.offer(request, now_s)
         if refusal is not None:
             raise CallerError(
@@ -227,7 +235,7 @@
             # Done after the search, which must not lose its place.
             yield from self._settle(found, now_s)
             if request is not None:
-                yield self._assign(request, found.chosen, now_s)
+                yield self._assign(request, found, now_s)
             elif not found.rejected and not found.isolated:
                 return
 
@@ -255,7 +263,13 @@
         if verdict is Verdict.BLOCKED:
             raise CallerError(ErrorType.REQUEST_BLOCKED, _BLOCKED)
 
-    def _place(self, now_s: float, found: "_Round", request: Request) -> bool:
+    def _place(
+        self,
+        now_s: float,
+        found: "_Round",
+        request: Request,
+        urgency: Urgency,
+    ) -> bool:
         """Finds an upstream; tells whether the request may be taken now."""
         waiting = self._waiting[request.request_id]
         verdict = self.suspects.verdict(request.fingerprint, now_s)
@@ -275,12 +289,14 @@
             self._note_cold(request, artifact.name)
         if verdict is Verdict.HELD:
             return False
-        level = self._level(request)
+        found.level = urgency.level
         found.chosen = choose_upstream(
             request,
             self._fleet,
             own_domain=self._own_domain,
-            has_room=lambda status: self._limits.has_room(status, level),
+            has_room=lambda status: self._limits.has_room(
+                status, urgency, now_s
+            ),
             rng=self._rng,
             tried=waiting.tried,
             suspect=verdict is Verdict.SUSPECT,
@@ -307,8 +323,9 @@
             self._cold.add(name)
 
     def _assign(
-        self, request: Request, upstream: UpstreamId, now_s: float
+        self, request: Request, found: "_Round", now_s: float
     ) -> Assignment:
+        upstream = found.chosen
         del self._waiting[request.request_id]
         status = self._fleet.upstreams[upstream]
         verdict = self.suspects.verdict(request.fingerprint, now_s)
@@ -316,7 +333,11 @@
             upstream, request, now_s, suspect=verdict is Verdict.SUSPECT
         )
         assignment = Assignment(
-            request, upstream, status.config.address, status.boot_id
+            request,
+            upstream,
+            status.config.address,
+            status.boot_id,
+            found.level,
         )
         self._in_flight[request.request_id] = assignment
         return assignment
--- a/acaciaspoke/entry/exchange.py
+++ b/acaciaspoke/entry/exchange.py
@@ -9,7 +9,6 @@
 from typing import NamedTuple
 
 import anyio
-import msgspec
 from loguru import logger
 
 from acaciaspoke.entry import endings
@@ -28,6 +27,9 @@
 from acaciaspoke.report.histograms import ServiceWindows
 from acaciaspoke.util.metrics import Metrics
 
+# Longest wait for the table to keep an answer before its caller gets it.
+RECORD_WAIT_S = 0.25
+
 # Finds out whether an upstream crashed after a connection to it broke, and
 # shares the suspicions; returns when that is done.
 ExamineCrash = Callable[[UpstreamId, BootId, str], Awaitable[None]]
@@ -112,7 +114,7 @@
         while True:
             assignment = await self._assignment(request, claim, exchanges)
             if not request.idempotent:
-                claim = await self._claim(parsed, caller)
+                claim = await self._claim(parsed, caller, timings)
                 if claim is None:
                     return
             try:
@@ -127,6 +129,11 @@
             exchanges.append(exchange)
             self._note_claim(claim, result, exchange)
             if result.ending is Ending.ANSWERED:
+                if claim is not None:
+                    # A caller that repeats the request after its answer then
+                    # finds the answer kept.
+                    with anyio.move_on_after(RECORD_WAIT_S):
+                        await claim.settled.wait()
                 await self._answer(request, result, caller)
                 return
             await self._note_failure(assignment, result)
@@ -178,7 +185,9 @@
             raise endings.with_history(decision.error, exchanges)
         return decision
 
-    async def _claim(self, parsed: Parsed, caller: Caller) -> Claim | None:
+    async def _claim(
+        self, parsed: Parsed, caller: Caller, timings: Timings
+    ) -> Claim | None:
         """Claims the key; returns None after a kept answer was replayed."""
         request = parsed.request
         outcome = await self._claims.claim(
@@ -190,6 +199,7 @@
         claim = endings.claimed_or_raise(outcome)
         if isinstance(claim, Answer):
             self._metrics.count("entry.replayed")
+            timings.record(time.monotonic())
             headers = endings.kept_headers(claim)
             headers.append((b"idempotency-replayed", b"true"))
             await caller.answer(claim.status, headers, claim.body)
@@ -212,14 +222,8 @@
         service = parsed.service
         pool = self._pool(assignment.address, service.echoes_request_id)
         connection = await pool.take()
-        left_ms = (parsed.request.deadline_s - time.monotonic()) * 1000
-        call = msgspec.structs.replace(
-            parsed.call,
-            headers=[
-                *parsed.call.headers,
-                (b"x-deadline-ms", str(max(1, int(left_ms))).encode()),
-            ],
-        )
+        left_s = parsed.request.deadline_s - time.monotonic()
+        call = parsed.call_at(assignment.level, int(left_s * 1000))
         clean = False
         try:
             result = await attempt(
--- a/acaciaspoke/entry/parse.py
+++ b/acaciaspoke/entry/parse.py
@@ -58,12 +58,24 @@
 
     Attributes:
         idempotency_key: Empty if the request needs none.
+        document: The body for an engine, which gets a priority at dispatch.
     """
 
     request: Request
     call: UpstreamCall
     service: Service
     idempotency_key: str = ""
+    document: dict[str, Any] | None = None
+
+    def call_at(self, level: int, deadline_ms: int) -> UpstreamCall:
+        """Returns the call with its priority and what is left of its time."""
+        body = self.call.body
+        if self.document is not None:
+            body = msgspec.json.encode(self.document | {"priority": level})
+        deadline = (b"x-deadline-ms", str(max(1, deadline_ms)).encode())
+        return msgspec.structs.replace(
+            self.call, headers=[*self.call.headers, deadline], body=body
+        )
 
 
 def new_request_id(caller_id: str) -> RequestId:
@@ -106,8 +118,7 @@
     document = _chat_document(body)
     name = ArtifactName(document["model"])
     service_id = service_of_artifact(config, name)
-    rank_id, rank = _rank(caller, config)
-    document["priority"] = rank.level
+    rank_id, _ = _rank(caller, config)
     start = f"{name}\0{document['messages'][0]}"[:PREFIX_CHARS]
     request = _request(
         caller,
@@ -124,10 +135,11 @@
         method=b"POST",
         target=CHAT_PATH.encode(),
         headers=[(b"content-type", b"application/json")],
-        body=msgspec.json.encode(document),
+        body=b"",
         stream=request.stream,
     )
-    return Parsed(request, call, config.services[service_id])
+    service = config.services[service_id]
+    return Parsed(request, call, service, document=document)
 
 
 def _chat_document(body: bytes) -> dict[str, Any]:
--- a/acaciaspoke/entry/queue.py
+++ b/acaciaspoke/entry/queue.py
@@ -154,7 +154,8 @@
                 urgency, is the one that is returned.
         """
         blocked = []
-        most_urgent = min(q.rank.level for q in self._ranks.values())
+        levels = [queue.rank.level for queue in self._ranks.values()]
+        most_urgent = min(levels, default=0)
         for queue in self._in_order():
             due = queue.credit >= CREDIT_DUE
             level = most_urgent if due else queue.rank.level
