Send orders to engines inside of reservations

An order must not reach an engine outside of a reservation, nor a later boot than the one that was judged. The sender opens one connection, reads the row and then the report on it, writes the reservation under its lease and sends the order on the same connection. If that was closed meanwhile, or the row or the lease has changed, the whole sequence starts again.

A new lease holder raises the fence before its first order to an engine that checks fencing; reconcile() raises it further to resolve orders that no task waits for. Answers that can't be recorded, such as that of an order never sent after a lost table answer, are kept and recorded with the next write of the row.

--- /dev/null
+++ b/test/control/test_orders.py
@@ -0,0 +1,255 @@
+"""Tests of sending orders, against the engine stand-in on loopback."""
+
+import functools
+import itertools
+import logging
+import socket
+import types
+import unittest
+from contextlib import asynccontextmanager
+
+import anyio
+
+from acaciaspoke.config.schema import Artifact, Upstream
+from acaciaspoke.control.orders import (
+    EPOCH_SHIFT,
+    OrderSender,
+    Outcome,
+    Target,
+    Verb,
+)
+from acaciaspoke.control.reservation_rows import (
+    LeaseLostError,
+    ReservationRows,
+    RowUnknownError,
+    Written,
+)
+from acaciaspoke.control.reservations import LineState, decode
+from standins.engine import Engine, Faults
+from standins.http import serving
+
+M1 = Artifact("m1", "1", 6)
+M2 = Artifact("m2", "1", 6)
+
+
+class FakeTable:
+    """A table of rows with revisions whose writes can be disturbed.
+
+    Attributes:
+        before_write: Called before each write.
+        outcomes: What the next writes report instead of their outcome.
+        drops: Whether these writes are lost as well.
+    """
+
+    def __init__(self):
+        self.rows = {}
+        self.revisions = itertools.count(1)
+        self.before_write = lambda: None
+        self.outcomes = []
+        self.drops = False
+
+    def put(self, key, value):
+        self.rows[key] = types.SimpleNamespace(
+            value=value, mod_revision=next(self.revisions)
+        )
+
+    async def read(self, key):
+        return self.rows.get(key)
+
+    async def replace(self, key, value, mod_revisions):
+        self.before_write()
+        outcome = self.outcomes.pop(0) if self.outcomes else None
+        if outcome is not None and self.drops:
+            return outcome
+        for other, revision in mod_revisions.items():
+            row = self.rows.get(other)
+            if (row.mod_revision if row else 0) != revision:
+                return Written.CONFLICT
+        self.put(key, value)
+        return outcome or Written.COMMITTED
+
+
+def with_engine(*, checks_fencing=False):
+    def decorate(test):
+        @functools.wraps(test)
+        async def run(self):
+            async with self.serve(checks_fencing) as sender:
+                await test(self, sender)
+
+        return run
+
+    return decorate
+
+
+class OrdersTest(unittest.IsolatedAsyncioTestCase):
+
+    def setUp(self):
+        # uvicorn logs each connection that the stand-in breaks on purpose.
+        logging.disable(logging.ERROR)
+        self.addCleanup(logging.disable, logging.NOTSET)
+        self.table = FakeTable()
+        self.ids = itertools.count(1)
+
+    @asynccontextmanager
+    async def serve(self, checks_fencing):
+        """Serves an engine and gives the sender of its first lease holder."""
+        self.engine = Engine(memory_bytes=10, checks_fencing=checks_fencing)
+        with socket.socket() as probe:
+            probe.bind(("127.0.0.1", 0))
+            port = probe.getsockname()[1]
+        upstream = Upstream(
+            service="s",
+            failure_domain="d",
+            address=f"127.0.0.1:{port}",
+            memory_bytes=10,
+            checks_fencing=checks_fencing,
+        )
+        self.target = Target("u1", upstream)
+        async with serving(self.engine.handle, "127.0.0.1", port) as server:
+            self.server = server
+            yield self.holder(1)
+
+    def holder(self, epoch):
+        """Takes the lease over and returns the new holder's sender."""
+        self.table.put("lease/d", b"")
+        lease = types.SimpleNamespace(
+            key="lease/d",
+            mod_revision=self.table.rows["lease/d"].mod_revision,
+            epoch=epoch,
+        )
+        return OrderSender(
+            ReservationRows(
+                self.table, lambda: lease, lambda: f"w{next(self.ids)}"
+            ),
+            lambda: f"o{next(self.ids)}",
+            answer_timeout_s=0.2,
+        )
+
+    def states(self):
+        row = self.table.rows.get("reservation/u1")
+        return [line.state for line in decode(row.value).lines] if row else []
+
+    @with_engine()
+    async def test_load_and_unload(self, sender):
+        done = await sender.send(self.target, Verb.LOAD, M1)
+        self.assertIs(done, Outcome.DONE)
+        self.assertEqual(self.states(), [LineState.RESIDENT])
+        await sender.send(self.target, Verb.UNLOAD, M1)
+        self.assertEqual(
+            (self.states(), self.engine.repository.used_bytes), ([], 0)
+        )
+
+    @with_engine()
+    async def test_lost_answer_is_resolved_by_a_report(self, sender):
+        self.engine.faults = Faults(lose_answers=1)
+        outcome = await sender.send(self.target, Verb.LOAD, M1)
+        self.assertIs(outcome, Outcome.UNRESOLVED)
+        await sender.reconcile(self.target)
+        self.assertEqual(self.states(), [LineState.RESIDENT])
+
+    @with_engine()
+    async def test_lost_order_keeps_its_memory_on_an_unfenced_engine(
+        self, sender
+    ):
+        self.engine.faults = Faults(lose_orders=1)
+        await sender.send(self.target, Verb.LOAD, M1)
+        row = await sender.reconcile(self.target)
+        self.assertEqual(row.reserved_bytes, 6)
+        repeated = await sender.send(self.target, Verb.LOAD, M1)
+        self.assertIs(repeated, Outcome.DONE)
+        self.engine.restart()
+        row = await sender.reconcile(self.target)
+        self.assertEqual(row.reserved_bytes, 0)
+
+    @with_engine(checks_fencing=True)
+    async def test_lost_order_is_freed_by_the_fence(self, sender):
+        self.engine.faults = Faults(lose_orders=1)
+        await sender.send(self.target, Verb.LOAD, M1)
+        row = await sender.reconcile(self.target)
+        self.assertEqual(row.reserved_bytes, 0)
+
+    @with_engine()
+    async def test_late_order_never_overcommits(self, sender):
+        """The order takes effect after its sender stopped waiting."""
+        self.engine.faults = Faults(late_orders=1, late_s=0.4)
+        outcome = await sender.send(self.target, Verb.LOAD, M1)
+        self.assertIs(outcome, Outcome.UNRESOLVED)
+        with self.assertRaisesRegex(Exception, "needs 6 bytes"):
+            await sender.send(self.target, Verb.LOAD, M2)
+        while not self.engine.repository.resident:
+            await anyio.sleep(0.01)
+        await sender.reconcile(self.target)
+        self.assertEqual(self.states(), [LineState.RESIDENT])
+        self.assertEqual(self.engine.repository.overcommits, 0)
+
+    @with_engine()
+    async def test_closed_connection_starts_the_sequence_again(self, sender):
+        """Guards against a reconnect that reaches another boot."""
+        boots = []
+
+        def before_write():
+            if not boots:
+                boots.append(self.engine.boot_id)
+                self.engine.restart()
+                for connection in list(self.server.server_state.connections):
+                    connection.transport.close()
+
+        self.table.before_write = before_write
+        original = self.table.replace
+
+        async def replace(*arguments):
+            written = await original(*arguments)
+            await anyio.sleep(0.01)  # lets the close reach the client
+            return written
+
+        self.table.replace = replace
+        outcome = await sender.send(self.target, Verb.LOAD, M1)
+        self.assertIs(outcome, Outcome.DONE)
+        self.assertEqual(self.engine.orders, ["load m1"])
+        row = decode(self.table.rows["reservation/u1"].value)
+        self.assertEqual(row.boot_id, self.engine.boot_id)
+        self.assertEqual(len(row.lines), 1)
+
+    @with_engine()
+    async def test_paused_former_holder_writes_and_sends_nothing(self, former):
+        self.holder(2)
+        outcome = await former.send(self.target, Verb.LOAD, M1)
+        self.assertIs(outcome, Outcome.NOT_SENT)
+        self.assertEqual((self.engine.orders, self.states()), ([], []))
+
+    @with_engine(checks_fencing=True)
+    async def test_new_holder_raises_the_fence_first(self, former):
+        await former.send(self.target, Verb.LOAD, M1)
+        await self.holder(2).reconcile(self.target)
+        self.assertEqual(self.engine.repository.fencing_token, 2 << EPOCH_SHIFT)
+        with self.assertRaises(LeaseLostError):
+            await former.send(self.target, Verb.UNLOAD, M1)
+        self.assertEqual(self.engine.orders, ["load m1"])
+
+    @with_engine()
+    async def test_lost_table_answer_of_a_write_that_took_effect(self, sender):
+        self.table.outcomes = [Written.UNKNOWN]
+        outcome = await sender.send(self.target, Verb.LOAD, M1)
+        self.assertIs(outcome, Outcome.DONE)
+
+    @with_engine()
+    async def test_lost_table_answer_of_a_write_that_may_take_effect(
+        self, sender
+    ):
+        """No order is sent, and a line that appears later is freed."""
+        self.table.outcomes, self.table.drops = [Written.UNKNOWN], True
+        late = []
+        original = self.table.replace
+
+        async def replace(*arguments):
+            late.append(arguments)
+            return await original(*arguments)
+
+        self.table.replace = replace
+        with self.assertRaises(RowUnknownError):
+            await sender.send(self.target, Verb.LOAD, M1)
+        self.assertEqual(self.engine.orders, [])
+        await original(*late[0])
+        self.assertEqual(self.states(), [LineState.RESERVED])
+        await sender.reconcile(self.target)
+        self.assertEqual(self.states(), [])
