Plan placement and pace loads

With more models than memory the lease holder has to choose what is loaded where, without moving things back and forth. plan() is a pure function of configuration, reservations, residency, demand and live domains. It repeats orders that got no answer, then serves cold misses with the urgent ranks first, then loads one copy of everything that fits or of the domain's share by weighted rendezvous hash, unloads what is stale, fills free memory with the other domains' models, and adds replicas by demand weighted by worth. A last copy gives way only to a cold miss, and only after a minimum residence.

Demand is smoothed with a half-life of 3 s. Each domain keeps to its share of the weight store's limits.

--- /dev/null
+++ b/acaciaspoke/control/demand.py
@@ -0,0 +1,110 @@
+"""Smooths the demand that entry processes report."""
+
+import math
+from collections import defaultdict
+from collections.abc import Mapping
+from typing import NamedTuple
+
+from acaciaspoke.config.schema import Rank
+from acaciaspoke.ids import ArtifactName, RankId
+from acaciaspoke.net.messages import Demand
+
+# After 4 half-lives (12 s) a tenfold shift is followed to within 10% of the
+# new rate; a burst of one second counts for a quarter of its height.
+HALF_LIFE_S = 3.0
+
+# A cold miss is repeated in each message (1/s) while requests wait; two lost
+# messages must not end it.
+COLD_S = 3.5
+
+
+class Rate(NamedTuple):
+    """The demand for an artifact.
+
+    Attributes:
+        per_s: Requests per second of all ranks.
+        worth_per_s: The same, each request weighted by its rank's worth.
+    """
+
+    per_s: float = 0.0
+    worth_per_s: float = 0.0
+
+
+class DemandRates:
+    """Request rates per artifact and rank, and current cold misses."""
+
+    def __init__(self, half_life_s: float = HALF_LIFE_S):
+        self._half_life_s = half_life_s
+        self._rates: defaultdict[ArtifactName, dict[RankId, float]] = (
+            defaultdict(dict)
+        )
+        self._cold_until_s: dict[ArtifactName, float] = {}
+        self._decayed_to_s = 0.0
+
+    def add(self, demand: Demand, now_s: float) -> None:
+        """Takes the message of one entry process into account."""
+        self._decay(now_s)
+        gain = math.log(2) / self._half_life_s
+        for name, counts in demand.arrivals.items():
+            rates = self._rates[name]
+            for rank, count in counts.items():
+                rates[rank] = rates.get(rank, 0.0) + count * gain
+        for name in demand.cold:
+            self._cold_until_s[name] = now_s + COLD_S
+
+    def rates(
+        self, ranks: Mapping[RankId, Rank], now_s: float
+    ) -> dict[ArtifactName, Rate]:
+        """Returns the demand per artifact; unknown ranks have worth 1."""
+        self._decay(now_s)
+        unknown = Rank(level=0)
+        return {
+            name: Rate(
+                sum(rates.values()),
+                sum(
+                    rate * ranks.get(rank, unknown).worth
+                    for rank, rate in rates.items()
+                ),
+            )
+            for name, rates in self._rates.items()
+        }
+
+    def cold(
+        self, ranks: Mapping[RankId, Rank], now_s: float
+    ) -> dict[ArtifactName, int]:
+        """Returns cold artifacts with the level of their most urgent rank."""
+        self._cold_until_s = {
+            name: until_s
+            for name, until_s in self._cold_until_s.items()
+            if until_s > now_s
+        }
+        least_urgent = max((rank.level for rank in ranks.values()), default=0)
+        return {
+            name: min(
+                (
+                    ranks[rank].level
+                    for rank in self._rates.get(name, ())
+                    if rank in ranks
+                ),
+                default=least_urgent,
+            )
+            for name in self._cold_until_s
+        }
+
+    def _decay(self, now_s: float) -> None:
+        elapsed_s = now_s - self._decayed_to_s
+        if elapsed_s <= 0:
+            return
+        self._decayed_to_s = now_s
+        factor = 0.5 ** (elapsed_s / self._half_life_s)
+        for name, rates in list(self._rates.items()):
+            kept = {
+                rank: rate * factor
+                for rank, rate in rates.items()
+                # Below one request in an hour a rate counts as none.
+                if rate * factor > 1 / 3600
+            }
+            if kept:
+                self._rates[name] = kept
+            else:
+                del self._rates[name]
--- /dev/null
+++ b/acaciaspoke/control/fleet.py
@@ -0,0 +1,212 @@
+"""What placement sees: a situation, and a working view of its memory."""
+
+import math
+from collections.abc import Collection, Iterator, Mapping
+from typing import NamedTuple
+
+import msgspec
+import xxhash
+
+from acaciaspoke.config.schema import (
+    Artifact,
+    Config,
+    ServiceKind,
+    artifact_of,
+)
+from acaciaspoke.control.demand import Rate
+from acaciaspoke.control.moves import Move, MoveKind
+from acaciaspoke.control.reservations import Line, LineState, Reservation
+from acaciaspoke.ids import ArtifactName, DomainId, ServiceId, UpstreamId
+from acaciaspoke.net.messages import UpstreamState
+
+
+class Key(NamedTuple):
+    """One version of an artifact."""
+
+    name: ArtifactName
+    version: str
+
+
+class Situation(msgspec.Struct, frozen=True, kw_only=True):
+    """Everything that a plan depends on.
+
+    Attributes:
+        domain: The failure domain that is planned.
+        live_domains: The domains that share the models.
+        cold: Artifacts with waiting requests and no reachable copy, with the
+            level of the most urgent rank that waits.
+        in_flight: Moves that have been started and have not ended.
+        ages_s: For how long an artifact has been on an upstream; artifacts
+            without an entry have been there for long.
+        missing: Artifacts that have a resident line, but that newer reports
+            of the upstream do not show.
+    """
+
+    config: Config
+    domain: DomainId
+    live_domains: frozenset[DomainId]
+    reservations: Mapping[UpstreamId, Reservation]
+    states: Mapping[UpstreamId, UpstreamState]
+    rates: Mapping[ArtifactName, Rate] = {}
+    cold: Mapping[ArtifactName, int] = {}
+    in_flight: Collection[Move] = ()
+    ages_s: Mapping[tuple[UpstreamId, ArtifactName], float] = {}
+    missing: Collection[tuple[UpstreamId, ArtifactName]] = ()
+
+
+class Place:
+    """One usable upstream while a plan is made.
+
+    Attributes:
+        free_bytes: Memory without a line or a planned load.
+        coming_bytes: Memory that unloads on their way will give back.
+        lines: Its lines, but for those being unloaded.
+        loading: Artifacts that are being loaded or planned to be.
+        lost: Lines whose order got no answer and that nobody waits for.
+    """
+
+    def __init__(self, situation: Situation, reservation: Reservation):
+        self.id = reservation.upstream
+        upstream = situation.config.upstreams[self.id]
+        self.service = upstream.service
+        self.free_bytes = reservation.free_bytes
+        self.coming_bytes = 0
+        self.lines: dict[Key, Line] = {}
+        self.loading: dict[Key, Artifact] = {}
+        self.lost: list[Line] = []
+        moves = {
+            (move.kind, Key(move.artifact.name, move.artifact.version)): move
+            for move in situation.in_flight
+            if move.upstream == self.id
+        }
+        for line in reservation.lines:
+            self._add_line(line, moves)
+        for (kind, key), move in moves.items():
+            has_line = key in self.lines or key in self.loading
+            if kind is MoveKind.LOAD and not has_line:
+                self.plan_load(move.artifact)
+
+    def _add_line(self, line: Line, moves) -> None:
+        key = Key(line.artifact.name, line.artifact.version)
+        if line.is_loading:
+            self.loading[key] = line.artifact
+            if (MoveKind.LOAD, key) not in moves:
+                self.lost.append(line)
+        elif (MoveKind.UNLOAD, key) in moves:
+            self.coming_bytes += line.artifact.memory_bytes
+        elif line.state is LineState.UNLOADING:
+            self.coming_bytes += line.artifact.memory_bytes
+            self.lost.append(line)
+        else:
+            self.lines[key] = line
+
+    def plan_load(self, artifact: Artifact) -> None:
+        """Takes memory for a planned load."""
+        self.loading[Key(artifact.name, artifact.version)] = artifact
+        self.free_bytes -= artifact.memory_bytes
+
+    def plan_unload(self, line: Line) -> None:
+        """Counts the memory of a line as coming."""
+        del self.lines[Key(line.artifact.name, line.artifact.version)]
+        self.coming_bytes += line.artifact.memory_bytes
+
+    def promise(self, memory_bytes: int) -> None:
+        """Keeps memory for a load that waits for unloads."""
+        self.coming_bytes -= max(0, memory_bytes - max(0, self.free_bytes))
+        self.free_bytes -= min(memory_bytes, max(0, self.free_bytes))
+
+    def holds(self, name: ArtifactName) -> bool:
+        """Whether some version of an artifact is resident."""
+        return any(key.name == name for key in self.lines)
+
+    def dependents(self, line: Line) -> list[Line]:
+        """Returns the adapters that need a line's model."""
+        name = line.artifact.name
+        others = [key for key in self.lines if key.name == name]
+        if len(others) > 1:
+            return []
+        return [
+            other
+            for other in self.lines.values()
+            if other.artifact.base_model == name
+        ]
+
+
+def usable_places(situation: Situation) -> list[Place]:
+    """Returns the live engines of the domain, in a stable order."""
+    config = situation.config
+    return [
+        Place(situation, reservation)
+        for upstream_id, reservation in sorted(situation.reservations.items())
+        if (upstream := config.upstreams.get(upstream_id)) is not None
+        and upstream.failure_domain == situation.domain
+        and upstream.service in config.services
+        and config.services[upstream.service].kind is ServiceKind.ENGINE
+        and situation.states.get(upstream_id) is UpstreamState.LIVE
+    ]
+
+
+def artifacts(config: Config) -> Iterator[Artifact]:
+    """Yields all models, then all adapters in force."""
+    for name in (*config.models, *config.adapters):
+        artifact = artifact_of(config, name)
+        if artifact is not None:
+            yield artifact
+
+
+def wanted_models(
+    situation: Situation, places: Collection[Place]
+) -> frozenset[ArtifactName]:
+    """Returns the models of which the domain should always have a copy.
+
+    These are all models of a service if they fit with their adapters,
+    otherwise the domain's share of them.
+    """
+    config = situation.config
+    needed: dict[ServiceId, int] = {}
+    for artifact in artifacts(config):
+        model = config.models.get(artifact.base_model or artifact.name)
+        if model is not None:
+            needed[model.service] = (
+                needed.get(model.service, 0) + artifact.memory_bytes
+            )
+    memory: dict[ServiceId, int] = {}
+    for place in places:
+        size = situation.reservations[place.id].memory_bytes
+        memory[place.service] = memory.get(place.service, 0) + size
+    weights = _domain_weights(situation)
+    return frozenset(
+        name
+        for name, model in config.models.items()
+        if needed[model.service] <= memory.get(model.service, 0)
+        or home_domain(name, weights.get(model.service, {})) == situation.domain
+    )
+
+
+def _domain_weights(
+    situation: Situation,
+) -> dict[ServiceId, dict[DomainId, int]]:
+    weights: dict[ServiceId, dict[DomainId, int]] = {}
+    for upstream in situation.config.upstreams.values():
+        domain = upstream.failure_domain
+        if domain in situation.live_domains or domain == situation.domain:
+            of_service = weights.setdefault(upstream.service, {})
+            of_service[domain] = (
+                of_service.get(domain, 0) + upstream.memory_bytes
+            )
+    return weights
+
+
+def home_domain(
+    name: ArtifactName, weights: Mapping[DomainId, int]
+) -> DomainId | None:
+    """Returns a model's domain by weighted rendezvous hash.
+
+    When a domain goes, only its own models get another home.
+    """
+
+    def score(domain: DomainId) -> float:
+        digest = xxhash.xxh3_64_intdigest(f"{domain}/{name}".encode())
+        return -weights[domain] / math.log((digest + 1) / (2**64 + 1))
+
+    return max(sorted(weights), key=score, default=None)
--- /dev/null
+++ b/test/control/test_pacing.py
@@ -0,0 +1,104 @@
+"""Tests of the pace of loads and of smoothed demand, on a virtual clock."""
+
+import unittest
+
+from acaciaspoke.config.schema import Artifact, Rank, WeightStore
+from acaciaspoke.control.demand import HALF_LIFE_S, DemandRates
+from acaciaspoke.control.moves import Move, MoveKind, Reason
+from acaciaspoke.control.pacing import Pacer, share_of
+from acaciaspoke.net.messages import Demand
+
+
+def move(number, base=None, kind=MoveKind.LOAD, reason=Reason.COPY):
+    return Move(
+        kind=kind,
+        upstream="u1",
+        artifact=Artifact(f"x{number}", "1", 1, base),
+        reason=reason,
+    )
+
+
+class PacerTest(unittest.TestCase):
+
+    def setUp(self):
+        limits = WeightStore(
+            model_loads_per_s=2.0,
+            concurrent_model_loads=3,
+            adapters_in_transit=5,
+        )
+        self.pacer = Pacer(limits, now_s=0.0)
+
+    def test_model_loads_keep_to_rate_and_number_at_once(self):
+        moves = [move(number) for number in range(20)]
+        started = self.pacer.admit(moves, 0.0)
+        self.assertEqual(started, moves[:3])
+        self.assertEqual(self.pacer.admit(moves, 10.0), [])
+        for each in started:
+            self.pacer.ended(each)
+        total = 0
+        for tick in range(100):
+            for each in self.pacer.admit(moves, 10.0 + tick / 10):
+                self.pacer.ended(each)
+                total += 1
+        self.assertLessEqual(total, 3 + 2 * 10)
+        self.assertGreaterEqual(total, 2 * 9)
+
+    def test_adapters_wait_at_the_transit_limit_and_unloads_never(self):
+        adapters = [move(number, base="m") for number in range(9)]
+        unloads = [move(n, kind=MoveKind.UNLOAD) for n in range(9)]
+        admitted = self.pacer.admit(adapters + unloads, 0.0)
+        self.assertEqual(admitted, adapters[:5] + unloads)
+
+    def test_move_planned_for_another_reason_starts_once(self):
+        self.pacer.admit([move(1)], 0.0)
+        self.assertEqual(
+            self.pacer.admit([move(1, reason=Reason.COLD)], 1.0), []
+        )
+
+    def test_shares_of_domains_add_up_to_the_limits(self):
+        """Guards against domains that overload the weight store together."""
+        domains = ["d1", "d2", "d3"]
+        shares = [
+            share_of(WeightStore(), domain, domains) for domain in domains
+        ]
+        self.assertEqual(
+            [share.concurrent_model_loads for share in shares], [2, 1, 1]
+        )
+        self.assertEqual(sum(share.adapters_in_transit for share in shares), 32)
+        self.assertAlmostEqual(
+            sum(share.model_loads_per_s for share in shares), 3.0
+        )
+
+
+class DemandRatesTest(unittest.TestCase):
+
+    def setUp(self):
+        self.ranks = {"hi": Rank(level=0, worth=10.0), "lo": Rank(level=2)}
+        self.rates = DemandRates()
+        self.now_s = 0.0
+
+    def run_for(self, duration_s, **counts):
+        for _ in range(duration_s):
+            self.now_s += 1.0
+            self.rates.add(
+                Demand(sender="tcp://e", arrivals={"m": counts}), self.now_s
+            )
+        return self.rates.rates(self.ranks, self.now_s)["m"]
+
+    def test_tenfold_shift_is_followed_in_four_half_lives(self):
+        steady = self.run_for(60, lo=10)
+        self.assertAlmostEqual(steady.per_s, 10.0, delta=1.5)
+        shifted = self.run_for(round(4 * HALF_LIFE_S), lo=100)
+        self.assertGreater(shifted.per_s, 90.0)
+
+    def test_worth_weighs_the_ranks(self):
+        rate = self.run_for(60, hi=5, lo=5)
+        self.assertAlmostEqual(rate.worth_per_s / rate.per_s, 5.5)
+
+    def test_cold_miss_ends_when_it_is_no_longer_reported(self):
+        demand = Demand(
+            sender="tcp://e", arrivals={"m": {"hi": 1, "lo": 9}}, cold=("m",)
+        )
+        self.rates.add(demand, 1.0)
+        self.assertEqual(self.rates.cold(self.ranks, 2.0), {"m": 0})
+        self.assertEqual(self.rates.cold(self.ranks, 9.0), {})
--- /dev/null
+++ b/test/control/test_placement.py
@@ -0,0 +1,270 @@
+"""Tests of placement, without time and without engines."""
+
+import random
+import unittest
+
+import msgspec
+
+from acaciaspoke.config.schema import (
+    Adapter,
+    Config,
+    Model,
+    Service,
+    ServiceKind,
+    Upstream,
+)
+from acaciaspoke.control.demand import Rate
+from acaciaspoke.control.fleet import Situation, home_domain
+from acaciaspoke.control.moves import MoveKind, Reason
+from acaciaspoke.control.placement import plan
+from acaciaspoke.control.reservations import Line, LineState, Reservation
+from acaciaspoke.net.messages import UpstreamState
+
+ROUNDS = 100
+
+
+def fleet_config(models, upstreams=3, memory=100, adapters=0, size=10):
+    return Config(
+        services={"s": Service(kind=ServiceKind.ENGINE)},
+        models={
+            f"m{n}": Model(service="s", memory_bytes=size)
+            for n in range(models)
+        },
+        adapters={
+            f"a{n}": Adapter(model=f"m{n % models}", memory_bytes=1)
+            for n in range(adapters)
+        },
+        upstreams={
+            f"{domain}u{n}": Upstream(
+                service="s",
+                failure_domain=domain,
+                address="127.0.0.1:1",
+                memory_bytes=memory,
+            )
+            for domain in ("d1", "d2", "d3")
+            for n in range(upstreams)
+        },
+    )
+
+
+class Domain:
+    """Carries plans out at once, and checks memory at each move."""
+
+    def __init__(self, config, domain="d1"):
+        mine = {
+            name: upstream
+            for name, upstream in config.upstreams.items()
+            if upstream.failure_domain == domain
+        }
+        self.moves = []
+        self.situation = Situation(
+            config=config,
+            domain=domain,
+            live_domains=frozenset({"d1", "d2", "d3"}),
+            reservations={
+                name: Reservation(
+                    upstream=name, memory_bytes=upstream.memory_bytes
+                )
+                for name, upstream in mine.items()
+            },
+            states=dict.fromkeys(mine, UpstreamState.LIVE),
+        )
+
+    def change(self, **changes):
+        self.situation = msgspec.structs.replace(self.situation, **changes)
+
+    def settle(self):
+        """Plans and moves until nothing is left to do; returns the moves."""
+        done = []
+        for _ in range(ROUNDS):
+            moves = plan(self.situation)
+            if not moves:
+                return done
+            for move in moves:
+                self.carry_out(move)
+            done += moves
+        raise AssertionError("plans never settle")
+
+    def carry_out(self, move):
+        reservation = self.situation.reservations[move.upstream]
+        lines = tuple(
+            line for line in reservation.lines if line.artifact != move.artifact
+        )
+        if move.kind is MoveKind.LOAD:
+            lines += (Line(artifact=move.artifact, state=LineState.RESIDENT),)
+        changed = msgspec.structs.replace(reservation, lines=lines)
+        assert changed.reserved_bytes <= changed.memory_bytes, move
+        self.change(
+            reservations={
+                **self.situation.reservations,
+                move.upstream: changed,
+            }
+        )
+
+    def copies(self, usable=lambda _: True):
+        return [
+            (line.artifact.name, line.artifact.version)
+            for name, reservation in self.situation.reservations.items()
+            for line in reservation.lines
+            if usable(name)
+        ]
+
+    def names(self, **options):
+        return {name for name, _ in self.copies(**options)}
+
+
+class PlacementTest(unittest.TestCase):
+
+    def test_everything_that_fits_is_resident(self):
+        config = fleet_config(models=22, adapters=40)
+        domain = Domain(config)
+        moves = domain.settle()
+        self.assertEqual(
+            domain.names(), config.models.keys() | config.adapters.keys()
+        )
+        self.assertEqual(len(moves), 62)
+
+    def test_models_that_do_not_fit_are_shared_by_the_domains(self):
+        config = fleet_config(models=80)
+        names = set()
+        for domain_id in ("d1", "d2", "d3"):
+            domain = Domain(config, domain_id)
+            domain.settle()
+            names |= domain.names()
+        self.assertEqual(names, config.models.keys())
+
+    def test_lost_domain_hands_its_models_on(self):
+        config = fleet_config(models=50)
+        domain = Domain(config)
+        domain.settle()
+        domain.change(live_domains=frozenset({"d1", "d2"}))
+        domain.settle()
+        home = {
+            name
+            for name in config.models
+            if home_domain(name, {"d1": 1, "d2": 1}) == "d1"
+        }
+        self.assertLessEqual(home, domain.names())
+
+    def test_lost_upstream_is_replanned_and_gets_no_moves(self):
+        for state in (UpstreamState.SUSPECT, UpstreamState.LEAVING):
+            config = fleet_config(models=18)
+            domain = Domain(config)
+            domain.settle()
+            domain.change(states=domain.situation.states | {"d1u0": state})
+            moves = domain.settle()
+            self.assertNotIn("d1u0", {move.upstream for move in moves})
+            rest = domain.names(usable=lambda name: name != "d1u0")
+            self.assertEqual(rest, config.models.keys())
+            self.assertEqual(len(moves), 6)
+
+    def test_urgent_cold_miss_comes_first_in_a_flood(self):
+        """Guards against a flood that keeps an urgent cold model waiting."""
+        config = fleet_config(models=60, upstreams=1)
+        domain = Domain(config)
+        domain.change(live_domains=frozenset({"d1"}))
+        domain.settle()
+        missing = sorted(config.models.keys() - domain.names())
+        flood = dict.fromkeys(missing, 2) | {missing[-1]: 0}
+        rates = {name: Rate(500.0, 500.0) for name in missing[:-1]}
+        domain.change(cold=flood, rates=rates)
+        moves = plan(domain.situation)
+        self.assertIs(moves[0].reason, Reason.ROOM)
+        for move in moves:
+            domain.carry_out(move)
+        first = plan(domain.situation)[0]
+        self.assertEqual(first.artifact.name, missing[-1])
+        self.assertIs(first.reason, Reason.COLD)
+
+    def test_cold_model_evicts_no_last_copy_that_has_just_come(self):
+        """Two models that share one place must not swap at each miss."""
+        config = fleet_config(models=2, upstreams=1, memory=10)
+        domain = Domain(config)
+        domain.change(live_domains=frozenset({"d1"}))
+        domain.settle()
+        (loaded,) = domain.names()
+        (cold,) = config.models.keys() - {loaded}
+        domain.change(cold={cold: 0}, ages_s={("d1u0", loaded): 9.0})
+        self.assertEqual(domain.settle(), [])
+        domain.change(ages_s={("d1u0", loaded): 40.0})
+        domain.settle()
+        self.assertEqual(domain.names(), {cold})
+
+    def test_replica_evicts_no_last_copy(self):
+        config = fleet_config(models=30)
+        domain = Domain(config)
+        domain.settle()
+        domain.change(rates={"m0": Rate(1000.0, 1000.0)})
+        self.assertEqual(domain.settle(), [])
+        self.assertEqual(domain.names(), config.models.keys())
+
+    def test_steady_noisy_demand_causes_no_moves(self):
+        config = fleet_config(models=20)
+        domain = Domain(config)
+        generator = random.Random(7)
+
+        def noisy(base):
+            return {
+                name: Rate(rate, rate)
+                for name, mean in base.items()
+                for rate in [mean * generator.uniform(0.8, 1.2)]
+            }
+
+        base = {f"m{n}": 40.0 / (n + 1) for n in range(20)}
+        domain.change(rates=noisy(base))
+        domain.settle()
+        moves = 0
+        for _ in range(60):
+            domain.change(rates=noisy(base))
+            moves += len(domain.settle())
+        self.assertLessEqual(moves, 4)
+        self.assertEqual(domain.names(), config.models.keys())
+
+    def test_tenfold_shift_moves_replicas(self):
+        config = fleet_config(models=25)
+        domain = Domain(config)
+        domain.change(rates={"m0": Rate(30.0, 30.0)})
+        domain.settle()
+        self.assertEqual(domain.copies().count(("m0", "1")), 3)
+        domain.change(rates={"m0": Rate(3.0, 3.0), "m1": Rate(30.0, 30.0)})
+        domain.settle()
+        self.assertEqual(domain.copies().count(("m1", "1")), 3)
+
+    def change_version(self, domain):
+        config = domain.situation.config
+        model = msgspec.structs.replace(config.models["m0"], version="2")
+        domain.change(
+            config=msgspec.structs.replace(
+                config, models=config.models | {"m0": model}
+            )
+        )
+
+    def test_new_version_is_loaded_before_the_old_one_goes(self):
+        domain = Domain(fleet_config(models=20))
+        domain.settle()
+        self.change_version(domain)
+        moves = domain.settle()
+        self.assertEqual(
+            [(move.kind, move.artifact.version) for move in moves],
+            [(MoveKind.LOAD, "2"), (MoveKind.UNLOAD, "1")],
+        )
+
+    def test_new_version_replaces_the_old_one_if_memory_is_full(self):
+        domain = Domain(fleet_config(models=30))
+        domain.settle()
+        self.change_version(domain)
+        domain.settle()
+        self.assertIn(("m0", "2"), domain.copies())
+        self.assertEqual(len(domain.names()), 30)
+
+    def test_base_model_goes_after_its_adapters(self):
+        config = fleet_config(models=5, adapters=5)
+        domain = Domain(config)
+        domain.settle()
+        kept = {key: m for key, m in config.models.items() if key != "m0"}
+        loaded = {key: a for key, a in config.adapters.items() if key != "a0"}
+        domain.change(
+            config=msgspec.structs.replace(config, models=kept, adapters=loaded)
+        )
+        moves = domain.settle()
+        self.assertEqual([move.artifact.name for move in moves], ["a0", "m0"])
