Carry out planned moves at the weight store's pace

The mover starts admitted moves in tasks of their own and keeps the unloads of one upstream in order.

--- /dev/null
+++ b/acaciaspoke/control/mover.py
@@ -0,0 +1,82 @@
+"""Carries out planned moves."""
+
+from collections import defaultdict
+from collections.abc import Iterable, Mapping
+
+import anyio.abc
+from loguru import logger
+
+from acaciaspoke.config.schema import Upstream
+from acaciaspoke.control.engine_link import LinkError
+from acaciaspoke.control.moves import Move, MoveKind
+from acaciaspoke.control.orders import OrderSender, Target, Verb
+from acaciaspoke.control.pacing import Pacer
+from acaciaspoke.control.reservation_rows import RowError
+from acaciaspoke.control.reservations import ReservationError
+from acaciaspoke.ids import UpstreamId
+
+
+class Mover:
+    """Starts moves at the weight store's pace, each in a task of its own."""
+
+    def __init__(
+        self,
+        sender: OrderSender,
+        pacer: Pacer,
+        tasks: anyio.abc.TaskGroup,
+    ):
+        self._sender = sender
+        self._pacer = pacer
+        self._tasks = tasks
+
+    def start(
+        self,
+        moves: Iterable[Move],
+        upstreams: Mapping[UpstreamId, Upstream],
+        now_s: float,
+    ) -> list[Move]:
+        """Starts the moves that may start now, and returns them.
+
+        The unloads of one upstream run in their order, as a base model goes
+        after its adapters. Loads run at the same time.
+        """
+        unloads: defaultdict[UpstreamId, list[Move]] = defaultdict(list)
+        admitted = self._pacer.admit(
+            (move for move in moves if move.upstream in upstreams), now_s
+        )
+        for move in admitted:
+            if move.kind is MoveKind.UNLOAD:
+                unloads[move.upstream].append(move)
+            else:
+                target = Target(move.upstream, upstreams[move.upstream])
+                self._tasks.start_soon(self._run, target, [move])
+        for upstream_id, batch in unloads.items():
+            target = Target(upstream_id, upstreams[upstream_id])
+            self._tasks.start_soon(self._run, target, batch)
+        return admitted
+
+    async def _run(self, target: Target, moves: list[Move]) -> None:
+        for move in moves:
+            try:
+                outcome = await self._sender.send(
+                    target, Verb(move.kind.value), move.artifact
+                )
+                logger.info(
+                    "{} of {} {} on {} for {}: {}",
+                    move.kind.value,
+                    move.artifact.name,
+                    move.artifact.version,
+                    move.upstream,
+                    move.reason.value,
+                    outcome.value,
+                )
+            except (ReservationError, RowError, LinkError) as error:
+                logger.warning(
+                    "no {} of {} on {}: {}",
+                    move.kind.value,
+                    move.artifact.name,
+                    move.upstream,
+                    error,
+                )
+            finally:
+                self._pacer.ended(move)
--- /dev/null
+++ b/test/control/test_mover.py
@@ -0,0 +1,148 @@
+"""Tests of plans that are carried out on engine stand-ins."""
+
+import itertools
+import logging
+import random
+import socket
+import types
+import unittest
+from contextlib import AsyncExitStack
+
+import anyio
+import msgspec
+from loguru import logger
+
+from acaciaspoke.config.schema import WeightStore as Limits
+from acaciaspoke.control.mover import Mover
+from acaciaspoke.control.orders import OrderSender, Target
+from acaciaspoke.control.pacing import Pacer
+from acaciaspoke.control.placement import plan
+from acaciaspoke.control.reservation_rows import ReservationRows
+from standins.engine import Engine, Faults
+from standins.http import serving
+from standins.weights import WeightStore
+from test.control.test_orders import FakeTable
+from test.control.test_placement import Domain, fleet_config
+
+MAX_PLANS = 400
+
+# Faults and restarts happen during this many plans.
+DISTURBED = 40
+
+
+class MoverTest(unittest.IsolatedAsyncioTestCase):
+
+    def setUp(self):
+        logging.disable(logging.ERROR)
+        self.addCleanup(logging.disable, logging.NOTSET)
+        logger.disable("acaciaspoke")
+        self.addCleanup(logger.enable, "acaciaspoke")
+
+    async def start(self, stack, *, checks_fencing):
+        """Serves one engine per upstream of the domain."""
+        config = fleet_config(models=20, adapters=20)
+        self.domain = Domain(config)
+        self.store = WeightStore(
+            model_loads_per_s=1000.0, model_load_s=0.005, adapter_load_s=0.001
+        )
+        self.engines, upstreams = {}, dict(config.upstreams)
+        for name in self.domain.situation.reservations:
+            engine = Engine(
+                memory_bytes=100,
+                checks_fencing=checks_fencing,
+                weights=self.store,
+            )
+            with socket.socket() as probe:
+                probe.bind(("127.0.0.1", 0))
+                port = probe.getsockname()[1]
+            await stack.enter_async_context(
+                serving(engine.handle, "127.0.0.1", port)
+            )
+            self.engines[name] = engine
+            upstreams[name] = msgspec.structs.replace(
+                upstreams[name],
+                address=f"127.0.0.1:{port}",
+                checks_fencing=checks_fencing,
+            )
+        self.domain.change(
+            config=msgspec.structs.replace(config, upstreams=upstreams)
+        )
+
+    def sender(self):
+        table, ids = FakeTable(), itertools.count(1)
+        table.put("lease/d1", b"")
+        lease = types.SimpleNamespace(
+            key="lease/d1",
+            mod_revision=table.rows["lease/d1"].mod_revision,
+            epoch=1,
+        )
+        rows = ReservationRows(table, lambda: lease, lambda: f"w{next(ids)}")
+        return OrderSender(rows, lambda: f"o{next(ids)}", answer_timeout_s=1.0)
+
+    async def run_plans(self, disturb):
+        """Plans and moves until two plans in a row have nothing to do."""
+        sender = self.sender()
+        pacer = Pacer(
+            Limits(model_loads_per_s=1000.0, concurrent_model_loads=4), 0.0
+        )
+        idle = 0
+        async with anyio.create_task_group() as tasks:
+            mover = Mover(sender, pacer, tasks)
+            for number in range(MAX_PLANS):
+                situation = self.domain.situation
+                upstreams = situation.config.upstreams
+                reservations = {
+                    name: await sender.reconcile(Target(name, upstreams[name]))
+                    for name in situation.reservations
+                }
+                self.domain.change(
+                    reservations=reservations, in_flight=pacer.in_flight
+                )
+                moves = plan(self.domain.situation)
+                is_busy = moves or pacer.in_flight or number < DISTURBED
+                idle = 0 if is_busy else idle + 1
+                if idle == 2:
+                    return
+                disturb(number)
+                mover.start(moves, upstreams, anyio.current_time())
+                await anyio.sleep(0.005)
+        self.fail("the moves never end")
+
+    async def check(self, *, checks_fencing):
+        generator = random.Random(11)
+
+        def disturb(number):
+            if number >= DISTURBED:
+                return
+            engine = generator.choice(list(self.engines.values()))
+            engine.faults = generator.choice(
+                [
+                    Faults(lose_orders=1),
+                    Faults(lose_answers=1),
+                    Faults(late_orders=1, late_s=0.02),
+                ]
+            )
+            if number in (15, 25):
+                engine.restart()
+
+        async with AsyncExitStack() as stack:
+            await self.start(stack, checks_fencing=checks_fencing)
+            await self.run_plans(disturb)
+        config = self.domain.situation.config
+        self.assertEqual(
+            {
+                key.name
+                for engine in self.engines.values()
+                for key in engine.repository.resident
+            },
+            config.models.keys() | config.adapters.keys(),
+        )
+        for engine in self.engines.values():
+            self.assertEqual(engine.repository.overcommits, 0)
+
+    async def test_all_is_loaded_despite_lost_and_late_orders(self):
+        """I1 and I2 on engines that ignore fencing."""
+        await self.check(checks_fencing=False)
+
+    async def test_all_is_loaded_on_engines_that_check_fencing(self):
+        await self.check(checks_fencing=True)
