--- a/acaciaspoke/control/lease.py
+++ b/acaciaspoke/control/lease.py
@@ -158,6 +158,11 @@
         """The holder named by the row as last seen."""
         return (self._row.holder or None) if self._row else None
 
+    @property
+    def epoch(self) -> int:
+        """The epoch in which this process last held the lease."""
+        return self._epoch
+
     def is_held(self, now_s: float) -> bool:
         """Tells whether this process holds the lease at this moment.
 
--- a/acaciaspoke/control/process.py
+++ b/acaciaspoke/control/process.py
@@ -16,7 +16,7 @@
 from acaciaspoke.control.configtask import ConfigTask
 from acaciaspoke.control.configwatch import ConfigWatch
 from acaciaspoke.control.entries import Entries
-from acaciaspoke.control.fleet import Fleet
+from acaciaspoke.control.fleetwatch import FleetWatch
 from acaciaspoke.control.membership import Membership
 from acaciaspoke.control.versions import VersionCollector
 from acaciaspoke.entry.suspects import merge_suspicions
@@ -91,7 +91,7 @@
         self.config_task = ConfigTask(
             store, self._watch, self._membership, self.send, self._changed
         )
-        self.fleet = Fleet(self._membership, hosts, self.send, metrics, rng)
+        self.fleet = FleetWatch(self._membership, hosts, self.send, metrics, rng)
         self._burn = BurnCollector(mailbox, settings.control.mailbox)
         self._versions = VersionCollector(mailbox, settings.control.mailbox)
         self.app = admin_app(
