--- a/acaciaspoke/control/lease.py
+++ b/acaciaspoke/control/lease.py
@@ -163,6 +163,11 @@
         """The epoch in which this process last held the lease."""
         return self._epoch
 
+    @property
+    def known_epoch(self) -> int:
+        """The highest epoch seen, whoever holds the lease."""
+        return self._highest_epoch
+
     def is_held(self, now_s: float) -> bool:
         """Tells whether this process holds the lease at this moment.
 
--- a/acaciaspoke/control/process.py
+++ b/acaciaspoke/control/process.py
@@ -7,6 +7,7 @@
 from collections.abc import Iterable
 
 import anyio
+import msgspec
 from loguru import logger
 
 from acaciaspoke.config.schema import Config
@@ -17,15 +18,19 @@
 from acaciaspoke.control.configwatch import ConfigWatch
 from acaciaspoke.control.entries import Entries
 from acaciaspoke.control.fleetwatch import FleetWatch
+from acaciaspoke.control.leasetask import LeaseTask
 from acaciaspoke.control.membership import Membership
+from acaciaspoke.control.planning import DomainPlanner
+from acaciaspoke.control.sweep import sweep_claims
 from acaciaspoke.control.versions import VersionCollector
 from acaciaspoke.entry.suspects import merge_suspicions
-from acaciaspoke.ids import Address, BootId, ConfigVersion, HostId
+from acaciaspoke.ids import Address, BootId, ConfigVersion, DomainId, HostId
 from acaciaspoke.net.mailbox import Mailbox, receive_forever
 from acaciaspoke.net.messages import (
     Ack,
     ConfigPull,
     ConfigPush,
+    Demand,
     DomainVersions,
     EntryHello,
     HostEntries,
@@ -43,7 +48,7 @@
 from acaciaspoke.platform.hosts import HostsClient
 from acaciaspoke.platform.objects import ObjectsClient
 from acaciaspoke.platform.table import TableClient
-from acaciaspoke.report.status import make_status
+from acaciaspoke.report.status import LeaseStatus, make_status
 from acaciaspoke.settings import Settings
 from acaciaspoke.util.drain import Drain, stop_on_signals
 from acaciaspoke.util.metrics import Metrics
@@ -51,6 +56,10 @@
 
 TICK_INTERVAL_S = 0.1
 
+# Longest wait for the answers to orders at a stop; orders that take longer stay
+# recorded as unresolved, and the next holder of the lease follows them up.
+ORDERS_END_S = 20.0
+
 # Long enough for the announcement of the leave to reach some peers.
 LEAVE_NOTICE_S = 0.5
 
@@ -62,7 +71,8 @@
         self,
         settings: Settings,
         mailbox: Mailbox,
-        store: ConfigStore,
+        table: TableClient,
+        objects: ObjectsClient | None,
         hosts: HostsClient | None,
         metrics: Metrics,
     ):
@@ -71,6 +81,8 @@
         self.drain = Drain()
         self._settings = settings
         self._mailbox = mailbox
+        self._table = table
+        store = ConfigStore(table, objects, metrics)
         self._store = store
         self._metrics = metrics
         self._entries = Entries()
@@ -91,7 +103,20 @@
         self.config_task = ConfigTask(
             store, self._watch, self._membership, self.send, self._changed
         )
-        self.fleet = FleetWatch(self._membership, hosts, self.send, metrics, rng)
+        self.fleet = FleetWatch(
+            self._membership, hosts, self.send, metrics, rng
+        )
+        self.lease_task = LeaseTask(
+            self._membership, table, settings.control.lease_s, rng
+        )
+        self.planner = DomainPlanner(
+            settings.domain_id,
+            self.lease_task.lease,
+            table,
+            self.fleet.upstreams,
+            lambda: self._membership.live_domains(time.monotonic()),
+            metrics,
+        )
         self._burn = BurnCollector(mailbox, settings.control.mailbox)
         self._versions = VersionCollector(mailbox, settings.control.mailbox)
         self.app = admin_app(
@@ -125,6 +150,8 @@
                 self._hear_entry(message, now_s)
             case SuspicionNotice():
                 self._take_suspicions(message, now_s)
+            case Demand():
+                self._take_demand(message, now_s)
             case WindowsRequest():
                 self._burn.pass_on(
                     message,
@@ -179,9 +206,23 @@
         self._store.hold(self._watch.config)
         self._membership.set_upstreams(self._watch.config.upstreams)
         self.fleet.set_config(self._watch.config, time.monotonic())
+        self.planner.set_config(self._watch.config)
         for hello in self._entries.hellos():
             self._bring_up_to_date(hello)
 
+    def _take_demand(self, demand: Demand, now_s: float) -> None:
+        """Takes demand, or passes that of own entry processes to the holder."""
+        lease = self.lease_task.lease
+        if lease.is_held(now_s):
+            self.planner.hear(demand)
+        elif demand.sender in self._entries.addresses():
+            forwarded = msgspec.structs.replace(
+                demand, sender=self._settings.control.mailbox
+            )
+            for member in self._membership.live():
+                if member.host == lease.holder:
+                    self._mailbox.post(member.address, forwarded)
+
     def _take_suspicions(self, notice: SuspicionNotice, now_s: float) -> None:
         self._membership.note_suspicions(notice.suspicions, now_s)
         self._send_suspicions(self._entries.addresses(), now_s)
@@ -216,6 +257,14 @@
             self.fleet.tick(self._entries.addresses(), now_s)
             await anyio.sleep(TICK_INTERVAL_S)
 
+    async def sweep(self) -> None:
+        """Deletes expired claims while this host holds the lease."""
+
+        def is_holder() -> bool:
+            return self.lease_task.lease.is_held(time.monotonic())
+
+        await sweep_claims(self._table, is_holder, self._metrics)
+
     def leave(self) -> None:
         """Announces that this process stops."""
         self.send(self._membership.leave())
@@ -259,11 +308,18 @@
                 *self._membership.known(),
                 *self._membership.foreign_contacts(),
             ],
-            leases={},
+            leases=self._leases(),
             upstreams=self.fleet.views(time.monotonic()),
             entries=self._entries.hellos(),
         )
 
+    def _leases(self) -> dict[DomainId, LeaseStatus]:
+        lease = self.lease_task.lease
+        if lease.holder is None:
+            return {}
+        status = LeaseStatus(holder=lease.holder, epoch=lease.known_epoch)
+        return {self._settings.domain_id: status}
+
     async def _burn_report(self):
         return await self._burn.collect(
             self._membership.known(), self._watch.config
@@ -305,8 +361,9 @@
             hosts = await stack.enter_async_context(
                 HostsClient(platform.hosts, platform.timeout_s, metrics)
             )
-        store = ConfigStore(table, objects, metrics)
-        process = ControlProcess(settings, mailbox, store, hosts, metrics)
+        process = ControlProcess(
+            settings, mailbox, table, objects, hosts, metrics
+        )
         await _run_tasks(process, settings, mailbox)
 
 
@@ -321,10 +378,15 @@
         background.start_soon(process.fleet.poll)
         background.start_soon(process.fleet.watch_host_list)
         background.start_soon(process.config_task.run)
+        background.start_soon(process.lease_task.run)
+        background.start_soon(process.planner.run)
+        background.start_soon(process.sweep)
         background.start_soon(process.drain.run, 0.0, server.stop)
         logger.info("administration API on {}", settings.control.listen)
         await server.serve()
         process.drain.finished()
+        await process.planner.stop(ORDERS_END_S)
+        await process.lease_task.hand_back()
         process.leave()
         await anyio.sleep(LEAVE_NOTICE_S)
         logger.info("stopped")
