--- a/acaciaspoke/control/fleet.py
+++ b/acaciaspoke/control/fleet.py
@@ -1,6 +1,7 @@
 """What placement sees: a situation, and a working view of its memory."""
 
 import math
+from collections import defaultdict
 from collections.abc import Collection, Iterator, Mapping
 from typing import NamedTuple
 
@@ -19,6 +20,16 @@
 from acaciaspoke.ids import ArtifactName, DomainId, ServiceId, UpstreamId
 from acaciaspoke.net.messages import UpstreamState
 
+# Requests/s that one copy is expected to serve. A further replica is added
+# above this rate per copy.
+REQUESTS_PER_COPY_S = 4.0
+
+
+# A load without an answer is repeated until this many orders are pending, as
+# each of them takes room in the reservation row. Then another upstream is
+# chosen.
+MAX_PENDING = 8
+
 
 class Key(NamedTuple):
     """One version of an artifact."""
@@ -40,6 +51,8 @@
             without an entry have been there for long.
         missing: Artifacts that have a resident line, but that newer reports
             of the upstream do not show.
+        elsewhere: Artifacts that are known to have a copy in another live
+            domain.
     """
 
     config: Config
@@ -52,6 +65,7 @@
     in_flight: Collection[Move] = ()
     ages_s: Mapping[tuple[UpstreamId, ArtifactName], float] = {}
     missing: Collection[tuple[UpstreamId, ArtifactName]] = ()
+    elsewhere: Collection[ArtifactName] = ()
 
 
 class Place:
@@ -63,6 +77,7 @@
         lines: Its lines, but for those being unloaded.
         loading: Artifacts that are being loaded or planned to be.
         lost: Lines whose order got no answer and that nobody waits for.
+        stuck: Loads that were repeated without an answer too often.
     """
 
     def __init__(self, situation: Situation, reservation: Reservation):
@@ -74,6 +89,7 @@
         self.lines: dict[Key, Line] = {}
         self.loading: dict[Key, Artifact] = {}
         self.lost: list[Line] = []
+        self.stuck: set[Key] = set()
         moves = {
             (move.kind, Key(move.artifact.name, move.artifact.version)): move
             for move in situation.in_flight
@@ -91,7 +107,10 @@
         if line.is_loading:
             self.loading[key] = line.artifact
             if (MoveKind.LOAD, key) not in moves:
-                self.lost.append(line)
+                if len(line.pending) < MAX_PENDING:
+                    self.lost.append(line)
+                else:
+                    self.stuck.add(key)
         elif (MoveKind.UNLOAD, key) in moves:
             self.coming_bytes += line.artifact.memory_bytes
         elif line.state is LineState.UNLOADING:
@@ -210,3 +229,103 @@
         return -weights[domain] / math.log((digest + 1) / (2**64 + 1))
 
     return max(sorted(weights), key=score, default=None)
+
+
+class Fleet:
+    """The usable places of a domain while a plan is made.
+
+    Attributes:
+        wanted: Models of which the domain should always have a copy.
+        in_force: The artifacts of the configuration.
+        copies: Lines of each version that are resident or being loaded.
+        resident: Lines of each version that are resident.
+        adapters: The adapters of each model.
+        rates: The demand; that of adapters counts for the base as well.
+        is_share_held: Whether all wanted models fit with their adapters.
+    """
+
+    def __init__(self, situation: Situation):
+        self.situation = situation
+        self.places = usable_places(situation)
+        self.wanted = wanted_models(situation, self.places)
+        self.in_force = {
+            artifact.name: artifact for artifact in artifacts(situation.config)
+        }
+        self.copies: defaultdict[Key, int] = defaultdict(int)
+        self.resident: defaultdict[Key, int] = defaultdict(int)
+        for place in self.places:
+            for key in place.lines:
+                if (place.id, key.name) not in situation.missing:
+                    self.resident[key] += 1
+                    self.copies[key] += 1
+            for key in place.loading.keys() - place.stuck:
+                self.copies[key] += 1
+        self.adapters: defaultdict[ArtifactName, list[Artifact]] = defaultdict(
+            list
+        )
+        for artifact in self.in_force.values():
+            if artifact.base_model:
+                self.adapters[artifact.base_model].append(artifact)
+        self.rates = self._rates_with_adapters()
+        self.is_share_held = self._wanted_bytes() <= sum(
+            situation.reservations[place.id].memory_bytes
+            for place in self.places
+        )
+
+    def _wanted_bytes(self) -> int:
+        return sum(
+            artifact.memory_bytes
+            for artifact in self.in_force.values()
+            if (artifact.base_model or artifact.name) in self.wanted
+        )
+
+    def _rates_with_adapters(self) -> dict[ArtifactName, Rate]:
+        """Returns the rates; those of adapters count for the base as well."""
+        rates = dict(self.situation.rates)
+        for name, rate in self.situation.rates.items():
+            artifact = self.in_force.get(name)
+            if artifact is not None and artifact.base_model:
+                base = rates.get(artifact.base_model, Rate())
+                rates[artifact.base_model] = Rate(
+                    base.per_s + rate.per_s,
+                    base.worth_per_s + rate.worth_per_s,
+                )
+        return rates
+
+    def worth(self, name: ArtifactName) -> float:
+        """Returns the demand for an artifact, weighted by worth."""
+        return self.rates.get(name, Rate()).worth_per_s
+
+    def count(self, artifact: Artifact) -> int:
+        """Returns the copies of one version, with those being loaded."""
+        return self.copies[Key(artifact.name, artifact.version)]
+
+    def spare_bytes(self, place: Place) -> int:
+        """Returns free memory, less what adapters of its models will need."""
+        held = {key.name for key in (*place.lines, *place.loading)}
+        return place.free_bytes - sum(
+            artifact.memory_bytes
+            for name in held
+            for artifact in self.adapters.get(name, ())
+            if artifact.name not in held and not self.count(artifact)
+        )
+
+    def is_adapter(self, key: Key) -> bool:
+        """Whether the configuration has an adapter of this name."""
+        artifact = self.in_force.get(key.name)
+        return artifact is not None and bool(artifact.base_model)
+
+    def is_replaced(self, place: Place, key: Key) -> bool:
+        """Whether the new version serves in an old version's place."""
+        artifact = self.in_force.get(key.name)
+        if artifact is None or artifact.version == key.version:
+            return False
+        new = Key(artifact.name, artifact.version)
+        rate = self.rates.get(key.name, Rate()).per_s
+        enough = max(1, round(rate / REQUESTS_PER_COPY_S))
+        old = sum(
+            count
+            for other, count in self.resident.items()
+            if other.name == key.name and other != new
+        )
+        return new in place.lines or self.resident[new] >= min(old, enough) > 0
