Bound whole answers of engines and keep the rows last seen

httpcore's read timeout starts anew with each byte, so an engine that trickles an answer would have held an order open for ever; the limit now covers the whole answer. The sender also keeps the rows as last read or written and says which upstreams need to be reconciled, as reading each row at each poll would use up the table's reads at the target size.

--- a/acaciaspoke/control/engine_link.py
+++ b/acaciaspoke/control/engine_link.py
@@ -7,6 +7,7 @@
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 
+import anyio
 import httpcore
 import msgspec
 
@@ -116,19 +117,18 @@
         self, method: str, path: str, document: object = None
     ) -> tuple[int, bytes]:
         content = b"" if document is None else msgspec.json.encode(document)
-        response = await self._connection.request(
-            method,
-            f"http://{self._address}{path}",
-            headers={
-                "host": self._address,
-                "content-type": "application/json",
-                "content-length": str(len(content)),
-            },
-            content=content,
-            extensions={
-                "timeout": dict.fromkeys(("read", "write"), self._timeout_s)
-            },
-        )
+        # httpcore's timeouts are for each read; this one is for the whole.
+        with anyio.fail_after(self._timeout_s):
+            response = await self._connection.request(
+                method,
+                f"http://{self._address}{path}",
+                headers={
+                    "host": self._address,
+                    "content-type": "application/json",
+                    "content-length": str(len(content)),
+                },
+                content=content,
+            )
         return response.status, response.content
 
 
@@ -157,6 +157,7 @@
 
 
 _CALL_ERRORS = (
+    TimeoutError,
     httpcore.NetworkError,
     httpcore.TimeoutException,
     httpcore.ProtocolError,
--- a/acaciaspoke/control/orders.py
+++ b/acaciaspoke/control/orders.py
@@ -84,6 +84,10 @@
 
     It remembers answers that could not be recorded, such as those of orders
     that were never sent, and records them with the next write of their row.
+    Each term of a lease has a sender of its own.
+
+    Attributes:
+        reservations: The rows as last read or written in this term.
     """
 
     def __init__(
@@ -105,6 +109,7 @@
             defaultdict(dict)
         )
         self._in_flight: Counter[UpstreamId] = Counter()
+        self.reservations: dict[UpstreamId, Reservation] = {}
 
     async def send(
         self, target: Target, verb: Verb, artifact: Artifact
@@ -128,6 +133,21 @@
                 return outcome
         return Outcome.NOT_SENT
 
+    def needs_reconcile(
+        self, upstream: UpstreamId, report: EngineReport | None
+    ) -> bool:
+        """Whether ``reconcile`` could change the row of an upstream.
+
+        Reading each row at each poll would take the whole table's reads.
+        """
+        known = self.reservations.get(upstream)
+        return (
+            known is None
+            or not known.is_settled
+            or bool(self._answers[upstream])
+            or (report is not None and report.boot_id != known.boot_id)
+        )
+
     async def reconcile(self, target: Target) -> Reservation:
         """Reads a report and resolves what it proves.
 
@@ -146,7 +166,9 @@
             ):
                 token = FencingToken(prepared.report.fencing_token + 1)
                 prepared = await self._fence(target, link, prepared, token)
-            await self._write(target, prepared, prepared.reservation)
+            if prepared.reservation != prepared.base.reservation:
+                await self._write(target, prepared, prepared.reservation)
+            self.reservations[target.id] = prepared.reservation
             return prepared.reservation
 
     async def _attempt(
@@ -252,23 +274,21 @@
         reserved = change(prepared.reservation, artifact, order)
         # Until the order is sent, the line can be freed by this process alone.
         # The write may take effect although it raises an error.
-        unsent = {order.order_id: Answer.NOT_SENT}
-        recorded = dict(self._answers[target.id])
-        self._answers[target.id] |= unsent
-        await self._rows.write(prepared.base, reserved, prepared.lease)
-        for order_id in (*recorded, order.order_id):
-            self._answers[target.id].pop(order_id, None)
+        self._answers[target.id][order.order_id] = Answer.NOT_SENT
+        await self._write(target, prepared, reserved)
         return order
 
     async def _write(
         self, target: Target, prepared: _Prepared, changed: Reservation
     ) -> None:
-        if changed == prepared.base.reservation:
-            return
-        recorded = tuple(self._answers[target.id])
-        await self._rows.write(prepared.base, changed, prepared.lease)
+        """Writes a row in which all answers known so far are recorded."""
+        answers = self._answers[target.id]
+        recorded = tuple(answers)
+        self.reservations[target.id] = await self._rows.write(
+            prepared.base, changed, prepared.lease
+        )
         for order_id in recorded:
-            del self._answers[target.id][order_id]
+            del answers[order_id]
 
     async def _record(self, target: Target) -> None:
         """Records answers now if possible, else with the row's next write."""
@@ -281,7 +301,9 @@
                     answers = dict(self._answers[target.id])
                     for order_id, answer in answers.items():
                         changed = record_answer(changed, order_id, answer)
-                    await self._rows.write(base, changed, lease)
+                    self.reservations[target.id] = await self._rows.write(
+                        base, changed, lease
+                    )
                     for order_id in answers:
                         del self._answers[target.id][order_id]
                 return
