Show all failure domains in status; plan by the sender's rows

status showed one host of each other failure domain and no lease holder there. A control process now asks a member of each other domain, which answers for its members and its lease; config wait uses the same answer.

Planning uses the rows that the order sender keeps, follows residency by reports of any poller, and knows what other domains hold.

--- /dev/null
+++ b/acaciaspoke/control/domains.py
@@ -0,0 +1,64 @@
+"""Asks other failure domains about their hosts.
+
+A host knows the members of its own failure domain. For the others it asks a
+member of each, which answers for its domain.
+"""
+
+import itertools
+from collections.abc import Iterable
+
+import anyio
+import msgspec
+
+from acaciaspoke.ids import Address, DomainId
+from acaciaspoke.net.mailbox import Mailbox
+from acaciaspoke.net.messages import DomainAnswer, DomainRequest, Member
+
+ANSWER_TIMEOUT_S = 1.0
+CHECK_INTERVAL_S = 0.02
+
+
+class Domains(msgspec.Struct, frozen=True):
+    """What other failure domains answered.
+
+    Attributes:
+        silent: Those that did not answer in time.
+    """
+
+    answers: tuple[DomainAnswer, ...]
+    silent: tuple[DomainId, ...]
+
+    def members(self) -> list[Member]:
+        """Returns the hosts of all that answered."""
+        return [item for answer in self.answers for item in answer.members]
+
+
+class DomainCollector:
+    """Asks one member of each other failure domain."""
+
+    def __init__(self, mailbox: Mailbox, reply_to: Address):
+        self._mailbox = mailbox
+        self._reply_to = reply_to
+        self._sequence = itertools.count(1)
+        self._answers: dict[int, dict[DomainId, DomainAnswer]] = {}
+
+    def take(self, answer: DomainAnswer) -> None:
+        """Takes the answer for another failure domain."""
+        answers = self._answers.get(answer.sequence)
+        if answers is not None:
+            answers[answer.failure_domain] = answer
+
+    async def ask(self, contacts: Iterable[Member]) -> Domains:
+        """Returns the answers of the contacts' failure domains."""
+        by_domain = {item.failure_domain: item for item in contacts}
+        sequence = next(self._sequence)
+        answers = self._answers[sequence] = {}
+        request = DomainRequest(reply_to=self._reply_to, sequence=sequence)
+        for contact in by_domain.values():
+            self._mailbox.post(contact.address, request)
+        with anyio.move_on_after(ANSWER_TIMEOUT_S):
+            while by_domain.keys() - answers.keys():
+                await anyio.sleep(CHECK_INTERVAL_S)
+        del self._answers[sequence]
+        silent = sorted(by_domain.keys() - answers.keys())
+        return Domains(tuple(answers.values()), tuple(silent))
--- a/acaciaspoke/control/planning.py
+++ b/acaciaspoke/control/planning.py
@@ -24,14 +24,17 @@
     Written,
 )
 from acaciaspoke.control.reservations import (
-    LineState,
-    Reservation,
     RowFormatError,
 )
+from acaciaspoke.control.residency import Residency
 from acaciaspoke.control.upstreams import Upstreams
-from acaciaspoke.errors import AcaciaspokeError
-from acaciaspoke.ids import ArtifactName, DomainId, UpstreamId
-from acaciaspoke.net.messages import Demand, UpstreamState
+from acaciaspoke.ids import DomainId, UpstreamId
+from acaciaspoke.net.messages import (
+    Demand,
+    EngineReport,
+    Resident,
+    UpstreamState,
+)
 from acaciaspoke.platform.table import (
     Committed,
     Condition,
@@ -49,10 +52,6 @@
 # Reservations with orders whose outcome is open are looked at this often.
 RECONCILE_INTERVAL_S = 2.0
 
-# An artifact counts as missing from an engine only if a report that was made
-# this long after it became resident does not show it.
-MISSING_AFTER_S = 3.0
-
 
 class LeaseInHand(NamedTuple):
     """The lease as the writes made under it compare it."""
@@ -128,9 +127,10 @@
             RowTable(table), self._lease_in_hand, _new_id
         )
         self._sender = OrderSender(self._rows, _new_id)
+        self._residency = Residency()
         self._pacer = Pacer(self._config.weight_store, time.monotonic())
-        self._resident_s: dict[tuple[UpstreamId, ArtifactName], float] = {}
         self._reconciled_s: dict[UpstreamId, float] = {}
+        self._reconciled_bytes: dict[UpstreamId, int] = {}
         self._reconciling: set[UpstreamId] = set()
         self._epoch = 0
         self._stopping = False
@@ -146,13 +146,13 @@
     async def run(self) -> None:
         """Plans again and again until cancelled."""
         async with anyio.create_task_group() as tasks:
-            mover = Mover(self._sender, self._pacer, tasks)
             while True:
                 now_s = time.monotonic()
                 if self._lease.is_held(now_s) and not self._stopping:
-                    self._begin_epoch()
+                    if self._lease.epoch != self._epoch:
+                        self._begin_epoch()
                     self._reconcile(tasks, now_s)
-                    self._plan(mover, now_s)
+                    self._plan(tasks, now_s)
                 await anyio.sleep(PLAN_INTERVAL_S)
 
     async def stop(self, timeout_s: float) -> None:
@@ -172,12 +172,11 @@
         )
 
     def _begin_epoch(self) -> None:
-        if self._lease.epoch != self._epoch:
-            # Another host may have changed the rows meanwhile.
-            self._epoch = self._lease.epoch
-            self._rows.latest.clear()
-            self._resident_s.clear()
-            self._reconciled_s.clear()
+        # Another host may have changed the rows meanwhile.
+        self._epoch = self._lease.epoch
+        self._sender = OrderSender(self._rows, _new_id)
+        self._residency = Residency()
+        self._reconciled_s.clear()
 
     def _engines(self) -> Iterator[tuple[UpstreamId, Upstream]]:
         for upstream, config in self._config.upstreams.items():
@@ -198,6 +197,7 @@
             ):
                 self._reconciling.add(upstream)
                 self._reconciled_s[upstream] = now_s
+                self._reconciled_bytes[upstream] = config.memory_bytes
                 target = Target(upstream, config)
                 tasks.start_soon(self._reconcile_one, target)
 
@@ -208,14 +208,23 @@
             return False
         if self._upstreams.state(upstream) is not UpstreamState.LIVE:
             return False
-        known = self._rows.latest.get(upstream)
-        if known is None or not known.is_settled:
+        configured_bytes = self._config.upstreams[upstream].memory_bytes
+        if self._reconciled_bytes.get(upstream) != configured_bytes:
             return True
+        return self._sender.needs_reconcile(
+            upstream, self._report(upstream, now_s)
+        )
+
+    def _report(self, upstream: UpstreamId, now_s: float) -> EngineReport:
+        """Returns the newest report, which another host may have polled."""
         view = self._upstreams.view(upstream, now_s)
-        return (
-            view.boot_id != known.boot_id
-            or self._config.upstreams[upstream].memory_bytes
-            != known.memory_bytes
+        return EngineReport(
+            boot_id=view.boot_id,
+            sequence=view.sequence,
+            resident=tuple(
+                Resident(name=name, version=version, memory_bytes=0)
+                for name, version in view.resident.items()
+            ),
         )
 
     async def _reconcile_one(self, target: Target) -> None:
@@ -228,17 +237,13 @@
 
     # Plans.
 
-    def _plan(self, mover: Mover, now_s: float) -> None:
+    def _plan(self, tasks: anyio.abc.TaskGroup, now_s: float) -> None:
         live_domains = frozenset(self._live_domains())
         self._pacer.limits = share_of(
             self._config.weight_store, self._domain, live_domains
         )
-        situation = self._situation(live_domains, now_s)
-        try:
-            moves = plan(situation)
-        except AcaciaspokeError as error:
-            logger.error("no plan: {}", error)
-            return
+        moves = plan(self._situation(live_domains, now_s))
+        mover = Mover(self._sender, self._pacer, tasks)
         for move in mover.start(moves, self._config.upstreams, now_s):
             self._metrics.count(f"control.move.{move.reason.value}")
 
@@ -246,12 +251,16 @@
         self, live_domains: frozenset[DomainId], now_s: float
     ) -> Situation:
         ranks = self._config.ranks
+        rows = self._sender.reservations
         reservations = {
-            upstream: self._rows.latest[upstream]
+            upstream: rows[upstream]
             for upstream, _ in self._engines()
-            if upstream in self._rows.latest
+            if upstream in rows
         }
-        self._note_resident(reservations, now_s)
+        reports = {
+            upstream: self._report(upstream, now_s) for upstream in reservations
+        }
+        self._residency.update(reservations, reports, now_s)
         return Situation(
             config=self._config,
             domain=self._domain,
@@ -264,43 +273,11 @@
             rates=self.demand.rates(ranks, now_s),
             cold=self.demand.cold(ranks, now_s),
             in_flight=self._pacer.in_flight,
-            ages_s={
-                key: now_s - since_s
-                for key, since_s in self._resident_s.items()
-            },
-            missing=frozenset(self._missing(reservations, now_s)),
+            ages_s=self._residency.ages_s(now_s),
+            missing=self._residency.missing(),
+            elsewhere=self._upstreams.resident_elsewhere(),
         )
 
-    def _note_resident(
-        self, reservations: Mapping[UpstreamId, Reservation], now_s: float
-    ) -> None:
-        self._resident_s = {
-            key: self._resident_s.get(key, now_s)
-            for key in _resident(reservations)
-        }
-
-    def _missing(
-        self, reservations: Mapping[UpstreamId, Reservation], now_s: float
-    ) -> Iterator[tuple[UpstreamId, ArtifactName]]:
-        for upstream, name in _resident(reservations):
-            view = self._upstreams.view(upstream, now_s)
-            since_s = self._resident_s[upstream, name]
-            if (
-                view.boot_id == reservations[upstream].boot_id
-                and name not in view.resident
-                and now_s - view.report_age_s > since_s + MISSING_AFTER_S
-            ):
-                yield upstream, name
-
-
-def _resident(
-    reservations: Mapping[UpstreamId, Reservation],
-) -> Iterator[tuple[UpstreamId, ArtifactName]]:
-    for upstream, reservation in reservations.items():
-        for line in reservation.lines:
-            if line.state is LineState.RESIDENT:
-                yield upstream, line.artifact.name
-
 
 def _new_id() -> str:
     return uuid.uuid4().hex
--- a/acaciaspoke/control/process.py
+++ b/acaciaspoke/control/process.py
@@ -16,13 +16,13 @@
 from acaciaspoke.control.burn import BurnCollector
 from acaciaspoke.control.configtask import ConfigTask
 from acaciaspoke.control.configwatch import ConfigWatch
+from acaciaspoke.control.domains import DomainCollector
 from acaciaspoke.control.entries import Entries
 from acaciaspoke.control.fleetwatch import FleetWatch
 from acaciaspoke.control.leasetask import LeaseTask
 from acaciaspoke.control.membership import Membership
 from acaciaspoke.control.planning import DomainPlanner
 from acaciaspoke.control.sweep import sweep_claims
-from acaciaspoke.control.versions import VersionCollector
 from acaciaspoke.entry.suspects import merge_suspicions
 from acaciaspoke.ids import Address, BootId, ConfigVersion, DomainId, HostId
 from acaciaspoke.net.mailbox import Mailbox, receive_forever
@@ -31,7 +31,8 @@
     ConfigPull,
     ConfigPush,
     Demand,
-    DomainVersions,
+    DomainAnswer,
+    DomainRequest,
     EntryHello,
     HostEntries,
     Member,
@@ -41,7 +42,6 @@
     PingRequest,
     SuspicionAck,
     SuspicionNotice,
-    VersionsRequest,
     Windows,
     WindowsRequest,
 )
@@ -118,7 +118,7 @@
             metrics,
         )
         self._burn = BurnCollector(mailbox, settings.control.mailbox)
-        self._versions = VersionCollector(mailbox, settings.control.mailbox)
+        self._domains = DomainCollector(mailbox, settings.control.mailbox)
         self.app = admin_app(
             self._operations(), settings.control.admin_token_sha256
         )
@@ -158,14 +158,11 @@
                     self._settings.host_id,
                     self._entries.addresses(),
                 )
-            case VersionsRequest():
-                self._versions.answer(
-                    message,
-                    self._settings.domain_id,
-                    self._membership.known(),
-                )
-            case DomainVersions():
-                self._versions.take(message)
+            case DomainRequest():
+                answer = self._domain_answer(message.sequence)
+                self._mailbox.post(message.reply_to, answer)
+            case DomainAnswer():
+                self._domains.take(message)
             case HostEntries():
                 self._burn.take_entries(message)
             case Windows():
@@ -210,6 +207,16 @@
         for hello in self._entries.hellos():
             self._bring_up_to_date(hello)
 
+    def _domain_answer(self, sequence: int) -> DomainAnswer:
+        lease = self.lease_task.lease
+        return DomainAnswer(
+            failure_domain=self._settings.domain_id,
+            sequence=sequence,
+            members=tuple(self._membership.known()),
+            lease_holder=lease.holder or HostId(""),
+            lease_epoch=lease.known_epoch,
+        )
+
     def _take_demand(self, demand: Demand, now_s: float) -> None:
         """Takes demand, or passes that of own entry processes to the holder."""
         lease = self.lease_task.lease
@@ -293,33 +300,26 @@
         return submitted
 
     async def _host_versions(self) -> dict[HostId, ConfigVersion]:
-        own_domain = {
-            member.host: member.config_version
-            for member in self._membership.known()
+        others = await self._domains.ask(self._membership.foreign_contacts())
+        members = [*self._membership.known(), *others.members()]
+        # Nobody knows what is in force in a domain that does not answer.
+        silent = {
+            HostId(f"failure domain {domain}"): ConfigVersion(0)
+            for domain in others.silent
         }
-        contacts = self._membership.foreign_contacts()
-        return own_domain | await self._versions.ask(contacts)
+        return silent | {item.host: item.config_version for item in members}
 
     async def _status(self):
+        others = await self._domains.ask(self._membership.foreign_contacts())
         return make_status(
             own=self._membership.me,
             config=self._watch.config,
-            members=[
-                *self._membership.known(),
-                *self._membership.foreign_contacts(),
-            ],
-            leases=self._leases(),
+            members=[*self._membership.known(), *others.members()],
+            leases=_leases([self._domain_answer(0), *others.answers]),
             upstreams=self.fleet.views(time.monotonic()),
             entries=self._entries.hellos(),
         )
 
-    def _leases(self) -> dict[DomainId, LeaseStatus]:
-        lease = self.lease_task.lease
-        if lease.holder is None:
-            return {}
-        status = LeaseStatus(holder=lease.holder, epoch=lease.known_epoch)
-        return {self._settings.domain_id: status}
-
     async def _burn_report(self):
         return await self._burn.collect(
             self._membership.known(), self._watch.config
@@ -331,6 +331,16 @@
         return "" if self._watch.ready else "no configuration is confirmed"
 
 
+def _leases(answers: Iterable[DomainAnswer]) -> dict[DomainId, LeaseStatus]:
+    return {
+        answer.failure_domain: LeaseStatus(
+            holder=answer.lease_holder, epoch=answer.lease_epoch
+        )
+        for answer in answers
+        if answer.lease_holder
+    }
+
+
 async def run_control(settings: Settings) -> None:
     """Runs the control process until it was told to stop.
 
--- a/acaciaspoke/control/reservation_rows.py
+++ b/acaciaspoke/control/reservation_rows.py
@@ -87,11 +87,7 @@
 
 
 class ReservationRows:
-    """The reservation rows, as the lease holder changes them.
-
-    Attributes:
-        latest: The content of each row as it was last read or written.
-    """
+    """The reservation rows, as the lease holder changes them."""
 
     def __init__(
         self,
@@ -102,7 +98,6 @@
         self._table = table
         self._lease = lease
         self._make_id = make_id
-        self.latest: dict[UpstreamId, Reservation] = {}
 
     def held_lease(self) -> HeldLease:
         """Returns the lease.
@@ -123,11 +118,8 @@
         """
         row = await self._table.read(PREFIX + upstream)
         if row is None:
-            found = Versioned(Reservation(upstream=upstream, memory_bytes=0), 0)
-        else:
-            found = Versioned(decode(row.value), row.mod_revision)
-        self.latest[upstream] = found.reservation
-        return found
+            return Versioned(Reservation(upstream=upstream, memory_bytes=0), 0)
+        return Versioned(decode(row.value), row.mod_revision)
 
     async def write(
         self, base: Versioned, changed: Reservation, lease: HeldLease
@@ -150,7 +142,6 @@
             raise RowConflictError(f"{key} or {lease.key} has changed")
         if written is Written.UNKNOWN:
             await self._resolve(base, changed)
-        self.latest[changed.upstream] = changed
         return changed
 
     async def _resolve(self, base: Versioned, changed: Reservation) -> None:
--- a/acaciaspoke/control/upstreams.py
+++ b/acaciaspoke/control/upstreams.py
@@ -367,6 +367,16 @@
         """Returns the upstreams that this host polls."""
         return list(self._polled)
 
+    def resident_elsewhere(self) -> frozenset[ArtifactName]:
+        """Returns the artifacts on live upstreams of other domains."""
+        return frozenset(
+            name
+            for known in self._known.values()
+            if known.config.failure_domain != self._domain
+            and known.machine.state is UpstreamState.LIVE
+            for name in known.resident
+        )
+
     def view(self, upstream: UpstreamId, now_s: float) -> UpstreamView:
         """Returns what is known of a configured upstream."""
         known = self._known[upstream]
--- a/acaciaspoke/net/messages.py
+++ b/acaciaspoke/net/messages.py
@@ -338,19 +338,25 @@
     sequence: int
 
 
-class VersionsRequest(_Message):
-    """Asks a control process for the versions of its failure domain's hosts."""
+class DomainRequest(_Message):
+    """Asks a control process about its failure domain."""
 
     reply_to: Address
     sequence: int
 
 
-class DomainVersions(_Message):
-    """The version in force at each known host of a failure domain."""
+class DomainAnswer(_Message):
+    """What a control process knows of its failure domain.
+
+    Attributes:
+        lease_holder: Empty if nobody is known to hold the lease.
+    """
 
     failure_domain: DomainId
     sequence: int
-    versions: dict[HostId, ConfigVersion]
+    members: tuple[Member, ...]
+    lease_holder: HostId = HostId("")
+    lease_epoch: int = 0
 
 
 class HostEntries(_Message):
@@ -420,8 +426,8 @@
     | SuspicionAck
     | WindowsRequest
     | HostEntries
-    | VersionsRequest
-    | DomainVersions
+    | DomainRequest
+    | DomainAnswer
     | Windows
 )
 
