Serve first what can still meet its rank's target

Cause: in a flood, earliest deadline first let all work of a kind wait until shortly before its deadline, so that nearly none met its target.

Change: inside a kind, requests that waited for more than 0.7 of the target go after the others. Credit towards a floor is kept while upstreams are full.

--- a/acaciaspoke/entry/queue.py
+++ b/acaciaspoke/entry/queue.py
@@ -38,6 +38,14 @@
 # One dispatch is due; the sum of floor shares is not exact.
 CREDIT_DUE = 1.0 - 1e-9
 
+# With floors that sum up to 1, credit of dispatchable ranks stays below their
+# number. Upstreams that are full for a moment must not cost a rank its floor.
+MAX_CREDIT = 4.0
+
+# A request that has waited for more than this part of its rank's target for
+# the first token is late; the rest of the target is for the engine.
+ON_TIME_SHARE = 0.7
+
 MIN_RETRY_AFTER_S = 1.0
 MAX_RETRY_AFTER_S = 30.0
 
@@ -91,7 +99,8 @@
         self._kind_weights = dict(kind_weights or {})
         self._ranks: dict[RankId, _RankQueue] = {}
         self._entries: dict[RequestId, _Entry] = {}
-        self._deadlines: list[_Item] = []
+        self._deadlines: list[tuple[float, _Item]] = []
+        self._on_time: list[tuple[float, _Item]] = []
         self._expired: list[Request] = []
         self._sequence = itertools.count()
         self.set_ranks(ranks)
@@ -153,7 +162,7 @@
                 the requests that wait for them. The last one asked, with its
                 urgency, is the one that is returned.
         """
-        blocked = []
+        self._mark_late(now_s)
         most_urgent = min(q.rank.level for q in self._ranks.values())
         for queue in self._in_order():
             due = queue.credit >= CREDIT_DUE
@@ -162,9 +171,8 @@
                 now_s, level, due, dispatchable, self._expire_entry
             )
             if entry is None:
-                blocked.append(queue)
                 continue
-            self._account(queue, blocked)
+            self._account(queue)
             queue.dispatched(entry, now_s)
             self._remove(entry, now_s)
             return entry.request
@@ -180,8 +188,8 @@
 
     def expire(self, now_s: float) -> list[Request]:
         """Removes and returns the requests whose deadline has passed."""
-        while self._deadlines and self._deadlines[0].deadline_s <= now_s:
-            entry = heapq.heappop(self._deadlines).entry
+        while self._deadlines and self._deadlines[0][0] <= now_s:
+            entry = heapq.heappop(self._deadlines)[1].entry
             if entry.waiting:
                 self._expire_entry(entry, now_s)
         expired, self._expired = self._expired, []
@@ -196,25 +204,21 @@
         yield from sorted(owed, key=lambda q: -q.credit)
         yield from (q for q in waiting if q.credit < CREDIT_DUE)
 
-    def _account(
-        self, served: "_RankQueue", blocked: list["_RankQueue"]
-    ) -> None:
+    def _account(self, served: "_RankQueue") -> None:
         """Moves the credit by which a rank's floor is kept.
 
         A rank with work gains its floor share with every dispatch and pays 1
         for its own. While the floors sum up to at most 1, a rank that stays
         dispatchable so gets at least its share of any run of dispatches, less
-        one per rank.
+        one per rank. One that has no free upstream saves up no more than
+        ``MAX_CREDIT``, so that it causes no burst later.
         """
-        cap = float(len(self._ranks))
         for queue in self._ranks.values():
-            if not queue.waiting:
-                queue.credit = 0.0
-            elif queue in blocked:
-                # What has no upstream now must not save up for a burst.
-                queue.credit = min(queue.credit, 1.0)
+            if queue.waiting:
+                gained = queue.credit + queue.rank.floor_share
+                queue.credit = min(MAX_CREDIT, gained)
             else:
-                queue.credit = min(cap, queue.credit + queue.rank.floor_share)
+                queue.credit = 0.0
         served.credit = max(0.0, served.credit - 1.0)
 
     def _insert(self, request: Request, now_s: float, *, apart: bool) -> None:
@@ -223,15 +227,22 @@
             if apart
             else (request.service, request.artifact)
         )
+        target_s = self._ranks[request.rank].rank.first_token_target_s
+        late_s = request.arrived_s + ON_TIME_SHARE * target_s
         item = self._ranks[request.rank].insert(
-            request, line_key, next(self._sequence), now_s
+            request, line_key, now_s >= late_s, next(self._sequence), now_s
         )
         self._entries[request.request_id] = item.entry
-        if len(self._deadlines) > 2 * len(self._entries) + 64:
-            # Dispatched requests would stay here until their deadline.
-            self._deadlines = [i for i in self._deadlines if i.entry.waiting]
-            heapq.heapify(self._deadlines)
-        heapq.heappush(self._deadlines, item)
+        _push(self._deadlines, (request.deadline_s, item), len(self._entries))
+        if not item.late:
+            _push(self._on_time, (late_s, item), len(self._entries))
+
+    def _mark_late(self, now_s: float) -> None:
+        """Moves requests that can no longer meet their rank's target."""
+        while self._on_time and self._on_time[0][0] <= now_s:
+            entry = heapq.heappop(self._on_time)[1].entry
+            if entry.waiting:
+                entry.kind.mark_late(entry, next(self._sequence))
 
     def _remove(self, entry: "_Entry", now_s: float) -> None:
         del self._entries[entry.request.request_id]
@@ -249,23 +260,45 @@
 class _Entry:
     """A request in the queue; removal leaves it in the heaps, marked."""
 
-    __slots__ = ("kind", "line", "request", "waiting")
+    __slots__ = ("item", "kind", "line", "request")
 
     def __init__(self, request: Request, kind: "_Kind", line: "_Line"):
         self.request = request
         self.kind = kind
         self.line = line
-        self.waiting = True
+        self.item: _Item | None = None
+
+    @property
+    def waiting(self) -> bool:
+        """Whether it is still in the queue."""
+        return self.item is not None
 
 
 class _Item(NamedTuple):
-    """A heap item; the sequence decides before the entry is compared."""
+    """A heap item; the sequence decides before the entry is compared.
 
+    Attributes:
+        late: Whether the rank's target can no longer be met. What can still
+            meet it goes first: otherwise, once a kind has a little too much
+            work, all of it waits until shortly before its deadline, and none
+            meets its target.
+    """
+
+    late: bool
     deadline_s: float
     sequence: int
     entry: _Entry
 
 
+def _push(heap: list, timed: tuple[float, _Item], waiting: int) -> None:
+    """Pushes onto a heap by time, and clears it of what has left."""
+    if len(heap) > 2 * waiting + 64:
+        # Dispatched requests would stay here until their time comes.
+        heap[:] = [t for t in heap if t[1].entry.waiting]
+        heapq.heapify(heap)
+    heapq.heappush(heap, timed)
+
+
 class _Line:
     """Waiting requests of one kind for one artifact, by deadline."""
 
@@ -277,7 +310,7 @@
         self.waiting = 0
 
     def head(self) -> _Item | None:
-        while self.heap and not self.heap[0].entry.waiting:
+        while self.heap and self.heap[0].entry.item is not self.heap[0]:
             heapq.heappop(self.heap)
         return self.heap[0] if self.heap else None
 
@@ -298,6 +331,7 @@
         self.heads: list[_Item] = []
 
     def push(self, item: _Item) -> None:
+        item.entry.item = item
         line = item.entry.line
         heapq.heappush(line.heap, item)
         line.waiting += 1
@@ -305,16 +339,27 @@
         if line.head() is item:
             heapq.heappush(self.heads, item)
 
+    def mark_late(self, entry: _Entry, sequence: int) -> None:
+        old = entry.item
+        if old.late:
+            return
+        was_head = entry.line.head() is old
+        item = _Item(True, old.deadline_s, sequence, entry)
+        entry.item = item
+        heapq.heappush(entry.line.heap, item)
+        if was_head:
+            heapq.heappush(self.heads, entry.line.head())
+
     def remove(self, entry: _Entry) -> None:
         line = entry.line
-        entry.waiting = False
+        entry.item = None
         line.waiting -= 1
         self.waiting -= 1
         if not line.waiting:
             del self.lines[line.key]
             return
         if len(line.heap) > 2 * line.waiting + 16:
-            line.heap = [i for i in line.heap if i.entry.waiting]
+            line.heap = [i for i in line.heap if i.entry.item is i]
             heapq.heapify(line.heap)
         heapq.heappush(self.heads, line.head())
 
@@ -325,7 +370,7 @@
         while self.heads and found is None:
             item = heapq.heappop(self.heads)
             entry = item.entry
-            if not entry.waiting or entry.line.head() is not item:
+            if entry.item is not item or entry.line.head() is not item:
                 continue
             if item.deadline_s <= now_s:
                 expire(entry, now_s)
@@ -376,7 +421,12 @@
         return None, 0.0
 
     def insert(
-        self, request: Request, line_key: tuple, sequence: int, now_s: float
+        self,
+        request: Request,
+        line_key: tuple,
+        late: bool,
+        sequence: int,
+        now_s: float,
     ) -> _Item:
         self._rate.advance(now_s, self.waiting > 0)
         name = self._kind_name(request)
@@ -388,7 +438,7 @@
         if line_key not in kind.lines:
             kind.lines[line_key] = _Line(line_key)
         entry = _Entry(request, kind, kind.lines[line_key])
-        item = _Item(request.deadline_s, sequence, entry)
+        item = _Item(late, request.deadline_s, sequence, entry)
         kind.push(item)
         self.waiting += 1
         return item
--- a/bench/policy/policies.py
+++ b/bench/policy/policies.py
@@ -1,7 +1,7 @@
 """The policies that are compared."""
 
 import random
-from collections import deque
+from collections import Counter, deque
 from collections.abc import Callable
 
 import msgspec
@@ -30,6 +30,10 @@
     def __len__(self) -> int:
         return len(self._waiting)
 
+    def waiting(self) -> dict[str, int]:
+        """Returns the number of waiting requests per rank."""
+        return Counter(request.rank for request in self._waiting)
+
     def offer(self, request: Request, now_s: float) -> Refusal | None:
         """Admits a request while there is room."""
         if len(self._waiting) >= self._limit:
--- a/bench/policy/scenarios.py
+++ b/bench/policy/scenarios.py
@@ -29,9 +29,15 @@
 
 
 class Run(msgspec.Struct, frozen=True):
-    """The records of one run and its measured window."""
+    """The records of one run and its measured window.
+
+    Attributes:
+        dispatches: Time and rank of each, with the ranks that had work waiting
+            in the same entry process.
+    """
 
     records: list[Record]
+    dispatches: list[tuple[float, str, list[str]]]
     start_s: float
     end_s: float
     model_loads: int
@@ -84,6 +90,7 @@
     records = world.run(work, length_s + AFTER_S)
     return Run(
         records,
+        world.dispatches,
         start_s,
         end_s,
         world.store.model_loads,
--- a/bench/policy/world.py
+++ b/bench/policy/world.py
@@ -121,9 +121,12 @@
         """Dispatches what can be dispatched now."""
         now_s = self.world.clock.now_s
         while self.alive:
+            waiting = self.queue.waiting()
             request = self.queue.take(now_s, self._dispatchable)
             if request is None:
                 return
+            with_work = [rank for rank, count in waiting.items() if count]
+            self.world.dispatches.append((now_s, request.rank, with_work))
             self._send(request, self._choice)
 
     def _dispatchable(self, request: Request, urgency: Urgency) -> bool:
@@ -297,6 +300,7 @@
         ]
         self.behind_balancer = list(self.entries)
         self.records: list[Record] = []
+        self.dispatches: list[tuple[float, str, list[str]]] = []
         for engine in self.engines.values():
             self._poll(engine)
             self.clock.at(self.rng.uniform(0, POLL_S), self._poll_on, engine)
