Repair lost doubts and notices, and bound a cold start's reports

Loads now say whether the upstream is suspect, and the host that read the list tells other domains in four rounds, which no longer use up the sends of the own domain.

A host that starts alone is first poller of every upstream, and those views then used up its budget: at 100 hosts and 262 upstreams the oldest report was 110 s old.

--- a/acaciaspoke/control/gossip.py
+++ b/acaciaspoke/control/gossip.py
@@ -32,7 +32,7 @@
 
     def take(self, limit: int, member_count: int) -> list[KeyT]:
         """Returns the updates for one message, those sent least first."""
-        taken = heapq.nsmallest(limit, self._sends, key=self._sends.get)
+        taken = self.first(limit)
         most = sends_for(member_count)
         for key in taken:
             self._sends[key] += 1
@@ -40,6 +40,10 @@
                 del self._sends[key]
         return taken
 
+    def first(self, limit: int) -> list[KeyT]:
+        """Returns the updates sent least without counting this as sent."""
+        return heapq.nsmallest(limit, self._sends, key=self._sends.get)
+
     def discard(self, key: KeyT) -> None:
         """Stops sending the update."""
         self._sends.pop(key, None)
--- a/acaciaspoke/control/membership.py
+++ b/acaciaspoke/control/membership.py
@@ -15,7 +15,14 @@
 
 from acaciaspoke.control.contacts import PROBE_INTERVAL_S as CROSS_INTERVAL_S
 from acaciaspoke.control.contacts import Contacts
-from acaciaspoke.control.view import Gossip, MergeSuspicion, View, precedence
+from acaciaspoke.control.gossip import Updates
+from acaciaspoke.control.view import (
+    NOTICES_PER_MESSAGE,
+    Gossip,
+    MergeSuspicion,
+    View,
+    precedence,
+)
 from acaciaspoke.ids import (
     Address,
     ConfigVersion,
@@ -105,7 +112,8 @@
         self._relays: dict[int, _Relay] = {}
         self._round: list[HostId] = []
         self._sync_members = SYNC_BURST_MEMBERS
-        self._eager_foreign = False
+        # Notices from this host's own list, for the other domains.
+        self._abroad: Updates[UpstreamId] = Updates()
         self._tick_s = now_s
         self._joining_until_s = now_s + JOINING_S
         self._probe_due_s = now_s + rng.uniform(0, PROBE_INTERVAL_S)
@@ -174,7 +182,7 @@
         """Takes in and spreads what the host list said."""
         for notice in notices:
             if self._view.apply_notice(notice):
-                self._eager_foreign = True
+                self._abroad.add(notice.upstream)
 
     def note_suspicions(
         self, suspicions: Iterable[Suspicion], now_s: float
@@ -211,7 +219,11 @@
             outgoing += [self._ping_abroad(item.address) for item in targets]
         if now_s >= self._seed_due_s:
             outgoing += self._ping_seeds(now_s)
-        urgent = self._view.announced or self._view.has_urgent(EAGER_TARGETS)
+        urgent = (
+            self._view.announced
+            or len(self._abroad) > 0
+            or self._view.has_urgent(EAGER_TARGETS)
+        )
         if urgent and now_s >= self._eager_due_s:
             self._view.announced = False
             self._eager_due_s = now_s + EAGER_INTERVAL_S
@@ -308,9 +320,14 @@
     def _spread_eagerly(self) -> list[Outgoing]:
         # Only the host that read the list tells the other domains, whose
         # hosts then spread it among themselves.
-        abroad = self._contacts.one_per_domain() if self._eager_foreign else []
-        self._eager_foreign = False
-        outgoing = [self._ping_abroad(member.address) for member in abroad]
+        contacts = self._contacts.one_per_domain()
+        upstreams = self._abroad.take(NOTICES_PER_MESSAGE, len(contacts))
+        leaving = self._view.notices_of(upstreams)
+        outgoing = [
+            self._ping_abroad(member.address, leaving)
+            for member in contacts
+            if leaving
+        ]
         return outgoing + self._ping_some(EAGER_TARGETS)
 
     # Messages.
@@ -397,7 +414,7 @@
             for member in self._view.sample(2, self._rng)
             if member.state is MemberState.ALIVE
         ]
-        return Gossip(members=live, leaving=self._view.take_notices())
+        return Gossip(members=live, leaving=self._view.fresh_notices())
 
     def _ping(
         self,
@@ -416,11 +433,15 @@
         )
         return Outgoing(address, ping)
 
-    def _ping_abroad(self, address: Address) -> Outgoing:
+    def _ping_abroad(
+        self, address: Address, leaving: Iterable[LeavingNotice] = ()
+    ) -> Outgoing:
+        gossip = self._gossip_abroad()
+        gossip.leaving += leaving
         ping = Ping(
             sender=self.me,
             sequence=next(self._sequence),
-            **self._gossip_abroad().fields(),
+            **gossip.fields(),
         )
         return Outgoing(address, ping)
 
--- a/acaciaspoke/control/reports.py
+++ b/acaciaspoke/control/reports.py
@@ -50,9 +50,10 @@
         self._rng = rng
         self._peers: dict[HostId, Address] = {}
         self._boots: dict[HostId, BootId] = {}
-        # Dictionaries stand for ordered sets: first come, first served.
-        self._pending: dict[HostId, dict[UpstreamId, None]] = {}
-        self._relayed: dict[HostId, dict[UpstreamId, None]] = {}
+        # Dictionaries stand for ordered sets: first come, first served. The
+        # value tells whether to send it although another host polls first.
+        self._pending: dict[HostId, dict[UpstreamId, bool]] = {}
+        self._relayed: dict[HostId, dict[UpstreamId, bool]] = {}
         self._abroad: dict[UpstreamId, None] = {}
         self._budget = BURST_BYTES
         self._tick_s: float | None = None
@@ -75,8 +76,9 @@
                 del pending[host]
         for host, member in members.items():
             if self._boots.get(host) != member.boot:
-                own = dict.fromkeys(self._own())
-                self._pending.setdefault(host, {}).update(own)
+                queue = self._pending.setdefault(host, {})
+                for upstream in self._own():
+                    queue.setdefault(upstream, False)
         self._boots = {host: item.boot for host, item in members.items()}
 
     def on_reports(self, reports: UpstreamReports, now_s: float) -> None:
@@ -93,7 +95,7 @@
             if changed or now_s - last_s >= RELAY_REFRESH_S:
                 self._relayed_s[view.upstream] = now_s
                 for host in self._peers:
-                    self._relayed.setdefault(host, {})[view.upstream] = None
+                    self._relayed.setdefault(host, {})[view.upstream] = True
 
     def on_loads(self, loads: UpstreamLoads, now_s: float) -> list[Outgoing]:
         """Takes the loads that a peer polled; asks for what was missed."""
@@ -153,7 +155,8 @@
         """
         own = set(self._own())
         news = self._upstreams.take_news()
-        to_all = self._upstreams.take_doubts() | (news & own)
+        doubts = self._upstreams.take_doubts()
+        to_all = doubts | (news & own)
         if self._refresh_due_s is None:
             self._refresh_due_s = now_s + FOREIGN_REFRESH_S
         if now_s >= self._refresh_due_s:
@@ -163,28 +166,40 @@
             if self._upstreams.domain_of(upstream) == self._me.failure_domain:
                 self._abroad[upstream] = None
             for host in self._peers:
-                self._pending.setdefault(host, {})[upstream] = None
+                queue = self._pending.setdefault(host, {})
+                queue[upstream] = queue.get(upstream) or upstream in doubts
         for upstream in sorted(news - to_all):
             pollers = self._upstreams.pollers(upstream)
             if self._me.host in pollers and pollers[0] in self._peers:
-                self._pending.setdefault(pollers[0], {})[upstream] = None
+                self._pending.setdefault(pollers[0], {})[upstream] = True
 
     def _send_views(
-        self, queues: dict[HostId, dict[UpstreamId, None]], now_s: float
+        self, queues: dict[HostId, dict[UpstreamId, bool]], now_s: float
     ) -> list[Outgoing]:
+        if not queues or self._budget <= 0:
+            return []
         outgoing = []
+        own = set(self._own())
         hosts = list(queues)
         self._rng.shuffle(hosts)
         for host in hosts:
             if self._budget <= 0:
                 break
-            taken = list(queues[host])[:VIEWS_PER_MESSAGE]
+            # While the members were still becoming known, this host was the
+            # first poller of many upstreams that others pass on by now.
+            queue = {
+                upstream: always
+                for upstream, always in queues.pop(host).items()
+                if always or upstream in own
+            }
+            taken = list(queue)[:VIEWS_PER_MESSAGE]
             for upstream in taken:
-                del queues[host][upstream]
-            if not queues[host]:
-                del queues[host]
-            message = self._reports(taken, now_s)
-            outgoing += self._pay([self._peers[host]], message)
+                del queue[upstream]
+            if queue:
+                queues[host] = queue
+            if taken:
+                message = self._reports(taken, now_s)
+                outgoing += self._pay([self._peers[host]], message)
         return outgoing
 
     def _reports(
--- a/acaciaspoke/control/upstreams.py
+++ b/acaciaspoke/control/upstreams.py
@@ -294,14 +294,17 @@
             return False
         view = UpstreamView(
             upstream=upstream,
-            state=UpstreamState.LIVE,
+            state=(
+                UpstreamState.SUSPECT if load.suspect else UpstreamState.LIVE
+            ),
             boot_id=known.boot_id,
             sequence=load.sequence,
             running=load.running,
             waiting=load.waiting,
             resident=known.resident,
+            report_age_s=load.age_ds / 10,
         )
-        self._take(upstream, view, now_s - load.age_ds / 10)
+        self.on_view(view, now_s)
         return True
 
     def _take(
@@ -391,6 +394,7 @@
             known.running,
             known.waiting,
             max(0, int(10 * (now_s - known.taken_s))) if known.boot_id else 0,
+            known.machine.state is UpstreamState.SUSPECT,
         )
 
     def take_news(self) -> set[UpstreamId]:
--- a/acaciaspoke/control/view.py
+++ b/acaciaspoke/control/view.py
@@ -340,6 +340,24 @@
         )
         return [self._notices[upstream] for upstream in upstreams]
 
+    def fresh_notices(self) -> list[LeavingNotice]:
+        """Returns notices for another domain.
+
+        These sends do not count, as they bring the own domain no further.
+        """
+        upstreams = self._notice_updates.first(NOTICES_PER_MESSAGE)
+        return [self._notices[upstream] for upstream in upstreams]
+
+    def notices_of(
+        self, upstreams: Iterable[UpstreamId]
+    ) -> list[LeavingNotice]:
+        """Returns the notices of some upstreams."""
+        return [
+            self._notices[upstream]
+            for upstream in upstreams
+            if upstream in self._notices
+        ]
+
     def has_urgent(self, sends: int) -> bool:
         """Tells whether a notice or suspicion was sent fewer times."""
         return self._notice_updates.sent_fewer_than(
--- a/acaciaspoke/net/messages.py
+++ b/acaciaspoke/net/messages.py
@@ -252,6 +252,7 @@
     running: int
     waiting: int
     age_ds: int
+    suspect: bool = False
 
 
 class UpstreamLoads(_Message):
