--- a/acaciaspoke/control/fleetwatch.py
+++ b/acaciaspoke/control/fleetwatch.py
@@ -32,6 +32,9 @@
 # Messages to entry processes can be dropped; all is told again this often.
 REFRESH_INTERVAL_S = 5.0
 
+# Comparing hundreds of members with the last list takes some time.
+MEMBERS_INTERVAL_S = 1.0
+
 # Hosts per failure domain that fetch the platform's host list.
 LIST_READERS = 3
 
@@ -73,6 +76,7 @@
         self._spread = ReportSpread(me, self.upstreams, rng)
         self._poller = Poller(self.upstreams, metrics)
         self._told: dict[Address, _Told] = {}
+        self._members_due_s = float("-inf")
 
     def set_config(self, config: Config, now_s: float) -> None:
         """Takes a new configuration version."""
@@ -96,11 +100,13 @@
 
     def tick(self, entries: Iterable[Address], now_s: float) -> None:
         """Does what is due, several times a second."""
-        live = self._membership.live()
-        self.upstreams.set_members(live)
+        if now_s >= self._members_due_s:
+            self._members_due_s = now_s + MEMBERS_INTERVAL_S
+            live = self._membership.live()
+            self.upstreams.set_members(live)
+            self._spread.set_members(live)
         self.upstreams.rank_pollers()
         self.upstreams.on_notices(self._membership.notices())
-        self._spread.set_members(live)
         contacts = self._membership.foreign_contacts()
         self._send(self._spread.tick(contacts, now_s))
         self._tell(entries, now_s)
--- /dev/null
+++ b/test/known_red.py
@@ -0,0 +1,21 @@
+"""Reads KNOWN-RED.txt: faults that tests and benchmarks may show."""
+
+from pathlib import Path
+
+ROOT = Path(__file__).resolve().parent.parent
+
+
+def known_red(kind: str) -> frozenset[str]:
+    """Returns what the file names in lines ``KIND: NAME``.
+
+    Args:
+        kind: ``test`` for ids of tests, ``bench`` for names of results.
+    """
+    listing = ROOT / "KNOWN-RED.txt"
+    if not listing.exists():
+        return frozenset()
+    return frozenset(
+        line.removeprefix(f"{kind}:").strip()
+        for line in listing.read_text(encoding="utf-8").splitlines()
+        if line.startswith(f"{kind}:")
+    )
