Plan at the short interval only while something moves or changes

A profile of an idle lease holder of two engines and 130 artifacts showed half of its time in plans, four a second, none of which moved anything. Plans now follow at 0.25 s only after a move, a cold request or a change of upstreams or configuration, else at 2 s.

--- a/acaciaspoke/control/planning.py
+++ b/acaciaspoke/control/planning.py
@@ -49,6 +49,11 @@
 
 PLAN_INTERVAL_S = 0.25
 
+# Without moves, waiting requests or changes a plan says the same as the last
+# one but for slow shifts of demand. Plans at the short interval took half of
+# the processor time of an idle lease holder.
+SETTLED_INTERVAL_S = 2.0
+
 # Reservations with orders whose outcome is open are looked at this often.
 RECONCILE_INTERVAL_S = 2.0
 
@@ -133,6 +138,9 @@
         self._reconciled_bytes: dict[UpstreamId, int] = {}
         self._reconciling: set[UpstreamId] = set()
         self._epoch = 0
+        self._planned_s = float("-inf")
+        self._planned_for: tuple = ()
+        self._settled_interval_s = SETTLED_INTERVAL_S
         self._stopping = False
 
     def set_config(self, config: Config) -> None:
@@ -152,7 +160,9 @@
                     if self._lease.epoch != self._epoch:
                         self._begin_epoch()
                     self._reconcile(tasks, now_s)
-                    self._plan(tasks, now_s)
+                    if self._plan_is_due(now_s):
+                        self._planned_s = now_s
+                        self._plan(tasks, now_s)
                 await anyio.sleep(PLAN_INTERVAL_S)
 
     async def stop(self, timeout_s: float) -> None:
@@ -237,12 +247,33 @@
 
     # Plans.
 
+    def _plan_is_due(self, now_s: float) -> bool:
+        seen = (
+            self._config.version,
+            self._epoch,
+            tuple(
+                (upstream, self._upstreams.state(upstream))
+                for upstream, _ in self._engines()
+            ),
+            tuple(self._sender.reservations),
+        )
+        changed, self._planned_for = seen != self._planned_for, seen
+        return bool(
+            changed
+            or self._pacer.in_flight
+            or self.demand.cold(self._config.ranks, now_s)
+            or now_s - self._planned_s >= self._settled_interval_s
+        )
+
     def _plan(self, tasks: anyio.abc.TaskGroup, now_s: float) -> None:
         live_domains = frozenset(self._live_domains())
         self._pacer.limits = share_of(
             self._config.weight_store, self._domain, live_domains
         )
         moves = plan(self._situation(live_domains, now_s))
+        self._settled_interval_s = (
+            PLAN_INTERVAL_S if moves else SETTLED_INTERVAL_S
+        )
         mover = Mover(self._sender, self._pacer, tasks)
         for move in mover.start(moves, self._config.upstreams, now_s):
             self._metrics.count(f"control.move.{move.reason.value}")
