Leave slots free while a kind of work floods

Change: a kind with a long backlog leaves 1/8 of the slots free for the others, and each entry process counts what it adds or replaces for every other one, since all see the same late report and have the same backlog.

--- a/acaciaspoke/entry/limits.py
+++ b/acaciaspoke/entry/limits.py
@@ -11,10 +11,12 @@
 DECREASE_FACTOR = 0.7
 
 # Share of the slots that a request leaves free for each more urgent level that
-# was in use during the last RESERVE_MEMORY_S. Engines do not preempt, so work
-# that filled all slots would hold up urgent work for as long as it runs.
+# was in use during the last RESERVE_MEMORY_S, or for the other kinds of its
+# rank if its own kind floods. Engines do not preempt, so work that filled all
+# slots would hold up urgent work for as long as it runs.
 RESERVE_PER_LEVEL = 0.125
 RESERVE_MEMORY_S = 60.0
+MAX_RESERVE = 0.5
 
 # Requests above the window, and part of the window, that the most urgent work
 # may have waiting inside the engine, where it goes before what other entry
@@ -68,29 +70,26 @@
             now_s: The time.
         """
         own = len(status.in_flight)
+        window = self._window(status)
         limit = self.limit(status)
-        slots = status.config.slots
-        reserved = sum(
+        levels = sum(
             1
             for other, used_s in self._level_used_s.items()
             if other < urgency.level and now_s - used_s < RESERVE_MEMORY_S
         )
-        if reserved:
-            usable = slots * (1.0 - min(0.5, RESERVE_PER_LEVEL * reserved))
-            load = status.load + 1.0
-            if urgency.flooding:
-                # The other entry processes see the same room and have the
-                # same backlog, so what this one sends counts for each.
-                # What ended here counts only in place of what it sends, as
-                # others may have had nothing that ended.
-                sent = status.net_sent + 1 - self._window(status).rounding
-                sent_by_all = self._entry_processes * max(0.0, sent)
-                load = status.reported + sent_by_all
-            return own < limit and load <= usable
+        reserved = max(levels, int(urgency.flooding))
+        if not reserved:
+            share = int(URGENT_EXTRA_SHARE * window.size)
+            return own < limit + max(URGENT_EXTRA, share)
+        reserve = min(MAX_RESERVE, RESERVE_PER_LEVEL * reserved)
+        usable = status.config.slots * (1.0 - reserve)
+        load = status.load + 1.0
         if urgency.flooding:
-            return own < limit
-        share = int(URGENT_EXTRA_SHARE * self._window(status).size)
-        return own < limit + max(URGENT_EXTRA, share)
+            # The other entry processes see the same room and have the same
+            # backlog, so what this one adds or replaces counts for each.
+            added = status.net_flood + 1 - window.rounding
+            load = status.reported + self._entry_processes * added
+        return own < limit and load <= usable
 
     def succeeded(self, status: UpstreamStatus) -> None:
         """Grows the window after an answer, if it was in use."""
--- a/acaciaspoke/entry/queue.py
+++ b/acaciaspoke/entry/queue.py
@@ -211,14 +211,15 @@
         for its own. While the floors sum up to at most 1, a rank that stays
         dispatchable so gets at least its share of any run of dispatches, less
         one per rank. One that has no free upstream saves up no more than
-        ``MAX_CREDIT``, so that it causes no burst later.
+        ``MAX_CREDIT``, and one without work keeps no more than one dispatch,
+        so that neither causes a burst later.
         """
         for queue in self._ranks.values():
             if queue.waiting:
                 gained = queue.credit + queue.rank.floor_share
                 queue.credit = min(MAX_CREDIT, gained)
             else:
-                queue.credit = 0.0
+                queue.credit = min(1.0, queue.credit)
         served.credit = max(0.0, served.credit - 1.0)
 
     def _insert(self, request: Request, now_s: float, *, apart: bool) -> None:
--- a/acaciaspoke/entry/routing.py
+++ b/acaciaspoke/entry/routing.py
@@ -34,6 +34,7 @@
     request: Request
     sent_s: float
     suspect: bool
+    flooding: bool = False
 
 
 class UpstreamStatus:
@@ -42,6 +43,8 @@
     Attributes:
         in_flight: Own requests that run there.
         reported: Running and waiting requests in the last report.
+        net_flood: Own requests of flooding kinds sent since the last report,
+            less those that ended.
     """
 
     def __init__(self, upstream: UpstreamId, config: Upstream):
@@ -56,6 +59,7 @@
         self.reported = 0
         self._sent_since = 0
         self._finished_since = 0
+        self.net_flood = 0
 
     @property
     def load(self) -> int:
@@ -90,6 +94,11 @@
             1 for sent in self.in_flight.values() if sent.sent_s > taken_s
         )
         self._finished_since = 0
+        self.net_flood = sum(
+            1
+            for sent in self.in_flight.values()
+            if sent.flooding and sent.sent_s > taken_s
+        )
         return True
 
     def lost(self, now_s: float) -> None:
@@ -98,10 +107,11 @@
         if self.state is not UpstreamState.LEAVING:
             self.state = UpstreamState.SUSPECT
 
-    def sent(self, request: Request, now_s: float, *, suspect: bool) -> None:
+    def sent(self, sent: InFlight) -> None:
         """Notes that a request was sent there."""
-        self.in_flight[request.request_id] = InFlight(request, now_s, suspect)
+        self.in_flight[sent.request.request_id] = sent
         self._sent_since += 1
+        self.net_flood += sent.flooding
 
     def finished(self, request_id: RequestId) -> InFlight | None:
         """Notes that a request ended there, however it ended."""
@@ -112,6 +122,7 @@
             self._sent_since -= 1
         else:
             self._finished_since += 1
+        self.net_flood -= ended.flooding
         return ended
 
 
@@ -177,9 +188,19 @@
         now_s: float,
         *,
         suspect: bool = False,
+        flooding: bool = False,
     ) -> None:
-        """Notes that a request was sent to an upstream."""
-        self.upstreams[upstream].sent(request, now_s, suspect=suspect)
+        """Notes that a request was sent to an upstream.
+
+        Args:
+            upstream: Where it was sent.
+            request: The request.
+            now_s: The time.
+            suspect: Whether it was a suspect.
+            flooding: Whether the queue said that its kind is flooding.
+        """
+        sent = InFlight(request, now_s, suspect, flooding)
+        self.upstreams[upstream].sent(sent)
         runs = self._runs_on.setdefault(request.fingerprint, {})
         runs[upstream] = runs.get(upstream, 0) + 1
 
--- a/bench/policy/world.py
+++ b/bench/policy/world.py
@@ -85,7 +85,7 @@
         self.flights: dict[str, Flight] = {}
         self.alive = True
         self._choice: str | None = None
-        self._level = 0
+        self._urgency = Urgency(0, False)
         world.clock.every(0.1, self._tick)
 
     def receive(self, arrival: Arrival, record: Record) -> None:
@@ -135,7 +135,7 @@
         verdict = self.suspects.verdict(request.fingerprint, now_s)
         if verdict is Verdict.HELD:
             return False
-        self._level = urgency.level
+        self._urgency = urgency
         self._choice = self.choose(
             request,
             self.fleet,
@@ -152,7 +152,11 @@
         now_s = self.world.clock.now_s
         suspect = self.suspects.verdict(request.fingerprint, now_s)
         self.fleet.sent(
-            upstream, request, now_s, suspect=suspect is Verdict.SUSPECT
+            upstream,
+            request,
+            now_s,
+            suspect=suspect is Verdict.SUSPECT,
+            flooding=self._urgency.flooding,
         )
         flight.tries += 1
         flight.record.dispatched = True
@@ -160,7 +164,7 @@
         tried = flight.tries
         call = Call(
             flight.record.arrival,
-            self._level if self.world.policy.ranked else 0,
+            self._urgency.level if self.world.policy.ranked else 0,
             lambda: self._later(upstream, self._first, request, tried),
             lambda how: self._later(
                 upstream, self._end, request, upstream, how, tried
