Split the queue and the benchmark's world into smaller modules

What belongs to one rank moves to rank_queue.py; the benchmark's entry process and planner get modules of their own.

--- a/acaciaspoke/entry/limits.py
+++ b/acaciaspoke/entry/limits.py
@@ -2,7 +2,7 @@
 
 import random
 
-from acaciaspoke.entry.queue import Urgency
+from acaciaspoke.entry.rank_queue import Urgency
 from acaciaspoke.entry.routing import UpstreamStatus
 from acaciaspoke.ids import UpstreamId
 
--- /dev/null
+++ b/bench/policy/entry_process.py
@@ -0,0 +1,244 @@
+"""An entry process of the benchmark, which wires the decision modules."""
+
+import random
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from acaciaspoke.entry.rank_queue import Urgency
+from acaciaspoke.entry.request import Request
+from acaciaspoke.entry.retry import (
+    Exchange,
+    Outcome,
+    RetryBudget,
+    may_retry,
+    outcome_of,
+)
+from acaciaspoke.entry.routing import Fleet
+from acaciaspoke.entry.suspects import Suspects, Verdict
+from acaciaspoke.net.messages import UpstreamState, UpstreamView
+from bench.policy.deployments import RANKS, Arrival
+from bench.policy.engine import Call
+
+if TYPE_CHECKING:
+    from bench.policy.world import World
+
+LOCAL_DELAY_S = 0.0002
+GOSSIP_S = 0.03
+
+
+class Record(msgspec.Struct):
+    """What became of a request."""
+
+    arrival: Arrival
+    dispatched: bool = False
+    first_s: float | None = None
+    sent_s: float = 0.0
+    end_s: float | None = None
+    outcome: Outcome | None = None
+    error: str = ""
+
+
+class Flight(msgspec.Struct):
+    """A request inside an entry process."""
+
+    record: Record
+    tries: int = 0
+    tried: tuple[str, ...] = ()
+
+
+class EntryProcess:
+    """Wires the decision modules as the dispatcher does."""
+
+    def __init__(self, world: "World", domain: str, number: int):
+        policy = world.policy
+        self.world = world
+        self.domain = domain
+        self.rng = random.Random(number)
+        self.queue = policy.queue(self.rng)
+        self.choose = policy.chooser()
+        self.limits = policy.limits(world.deployment.entry_processes, self.rng)
+        self.fleet = Fleet(world.upstreams)
+        self.budget = RetryBudget()
+        self.suspects = Suspects()
+        self.flights: dict[str, Flight] = {}
+        self.alive = True
+        self._choice: str | None = None
+        self._urgency = Urgency(0, False)
+        world.clock.every(0.1, self._tick)
+
+    def receive(self, arrival: Arrival, record: Record) -> None:
+        """Takes a request from the load balancer."""
+        request = arrival.request
+        self.flights[request.request_id] = Flight(record)
+        self.budget.note_request(self.world.clock.now_s)
+        self.limits.note_arrival(
+            RANKS[request.rank].level, self.world.clock.now_s
+        )
+        refusal = self.queue.offer(request, self.world.clock.now_s)
+        if refusal is not None:
+            self._fail(request, Outcome.NOT_RUN, refusal.reason.value)
+            return
+        self.pump()
+
+    def report(self, view: UpstreamView) -> None:
+        """Takes a view from the control process."""
+        if not self.alive:
+            return
+        for status in self.fleet.update([view], self.world.clock.now_s):
+            self.limits.reported(status)
+        self.pump()
+
+    def crash(self) -> None:
+        """Ends with everything that it holds."""
+        self.alive = False
+        for flight in list(self.flights.values()):
+            request = flight.record.arrival.request
+            self._fail(request, Outcome.UNKNOWN, "entry process lost")
+
+    def pump(self) -> None:
+        """Dispatches what can be dispatched now."""
+        now_s = self.world.clock.now_s
+        while self.alive:
+            waiting = self.queue.waiting()
+            request = self.queue.take(now_s, self._dispatchable)
+            if request is None:
+                return
+            with_work = [rank for rank, count in waiting.items() if count]
+            self.world.dispatches.append((now_s, request.rank, with_work))
+            self._send(request, self._choice)
+
+    def _dispatchable(self, request: Request, urgency: Urgency) -> bool:
+        flight = self.flights[request.request_id]
+        now_s = self.world.clock.now_s
+        verdict = self.suspects.verdict(request.fingerprint, now_s)
+        if verdict is Verdict.HELD:
+            return False
+        self._urgency = urgency
+        self._choice = self.choose(
+            request,
+            self.fleet,
+            own_domain=self.domain,
+            has_room=lambda s: self.limits.has_room(s, urgency, now_s),
+            rng=self.rng,
+            tried=flight.tried,
+            suspect=verdict is Verdict.SUSPECT,
+        )
+        return self._choice is not None
+
+    def _send(self, request: Request, upstream: str) -> None:
+        flight = self.flights[request.request_id]
+        now_s = self.world.clock.now_s
+        suspect = self.suspects.verdict(request.fingerprint, now_s)
+        self.fleet.sent(
+            upstream,
+            request,
+            now_s,
+            suspect=suspect is Verdict.SUSPECT,
+            flooding=self._urgency.flooding,
+        )
+        flight.tries += 1
+        flight.record.dispatched = True
+        flight.record.sent_s = now_s
+        tried = flight.tries
+        call = Call(
+            flight.record.arrival,
+            self._urgency.level if self.world.policy.ranked else 0,
+            lambda: self._later(upstream, self._first, request, tried),
+            lambda how: self._later(
+                upstream, self._end, request, upstream, how, tried
+            ),
+        )
+        self._later(upstream, self.world.engines[upstream].submit, call)
+
+    def _later(self, upstream: str, call, *args) -> None:
+        domain = self.world.upstreams[upstream].failure_domain
+        delay_s = LOCAL_DELAY_S
+        if domain != self.domain:
+            delay_s = self.world.deployment.domain_delay_s
+        self.world.clock.after(delay_s, call, *args)
+
+    def _first(self, request: Request, tried: int) -> None:
+        flight = self.flights.get(request.request_id)
+        if flight is not None and flight.tries == tried:
+            flight.record.first_s = self.world.clock.now_s
+
+    def _end(
+        self, request: Request, upstream: str, how: str, tried: int
+    ) -> None:
+        flight = self.flights.get(request.request_id)
+        if not self.alive or flight is None:
+            return
+        now_s = self.world.clock.now_s
+        if how == "broken":
+            self._lost(upstream)
+        sent = self.fleet.finished(upstream, request.request_id)
+        status = self.fleet.upstreams[upstream]
+        if how == "done":
+            self.limits.succeeded(status)
+            self._share(self.suspects.succeeded(request.fingerprint, now_s))
+            flight.record.end_s = now_s
+            flight.record.outcome = Outcome.RAN
+            del self.flights[request.request_id]
+        else:
+            if how == "refused" and sent is not None:
+                self.limits.refused(status, sent.sent_s, now_s)
+            flight.tried = (*flight.tried, upstream)
+            self._retry(request, flight, how)
+        self.pump()
+
+    def _retry(self, request: Request, flight: Flight, how: str) -> None:
+        now_s = self.world.clock.now_s
+        exchange = Exchange(
+            bytes_sent=1,
+            refused=how == "refused",
+            relayed=flight.record.first_s is not None,
+        )
+        if may_retry(
+            request,
+            exchange,
+            tries=flight.tries,
+            budget=self.budget,
+            now_s=now_s,
+        ):
+            self.budget.note_retry(now_s)
+            self.queue.put_back(request, now_s, apart=True)
+        else:
+            self._fail(request, outcome_of(exchange), how)
+
+    def _lost(self, upstream: str) -> None:
+        """Notes a crash when the first of its connections breaks."""
+        status = self.fleet.upstreams[upstream]
+        if status.state is not UpstreamState.LIVE:
+            return
+        status.lost(self.world.clock.now_s)
+        in_flight = [
+            (sent.request.fingerprint, sent.suspect)
+            for sent in status.in_flight.values()
+        ]
+        notices = self.suspects.crashed(
+            status.boot_id, in_flight, self.world.clock.now_s
+        )
+        self._share(notices)
+        held = [notice.fingerprint for notice in notices]
+        self.world.clock.after(2 * GOSSIP_S, self._shared, held)
+
+    def _shared(self, fingerprints) -> None:
+        self.suspects.shared(fingerprints)
+        self.pump()
+
+    def _share(self, notices) -> None:
+        if notices:
+            self.world.clock.after(GOSSIP_S, self.world.gossip, self, notices)
+
+    def _tick(self) -> None:
+        if not self.alive:
+            return
+        for request in self.queue.expire(self.world.clock.now_s):
+            self._fail(request, Outcome.NOT_RUN, "expired")
+        self.pump()
+
+    def _fail(self, request: Request, outcome: Outcome, error: str) -> None:
+        flight = self.flights.pop(request.request_id)
+        flight.record.outcome = outcome
+        flight.record.error = error
--- a/bench/policy/measure.py
+++ b/bench/policy/measure.py
@@ -6,8 +6,8 @@
 import msgspec
 
 from bench.policy.deployments import KINDS, RANKS
+from bench.policy.entry_process import Record
 from bench.policy.scenarios import Run
-from bench.policy.world import Record
 
 PERCENTILES = (50, 95, 99)
 
--- /dev/null
+++ b/bench/policy/planner.py
@@ -0,0 +1,134 @@
+"""Gathers demand for the placement and carries out its orders."""
+
+import math
+from typing import TYPE_CHECKING
+
+from acaciaspoke.entry.request import Request
+from bench.policy import placements
+from bench.policy.deployments import RANKS
+
+if TYPE_CHECKING:
+    from bench.policy.world import World
+
+ORDER_DELAY_S = 0.02
+
+# A flood of work of little worth must not push out replicas that others use.
+WORTH_WEIGHTS = {
+    name: math.sqrt(rank.worth / max(r.worth for r in RANKS.values()))
+    for name, rank in RANKS.items()
+}
+
+
+class Planner:
+    """Gathers demand, calls the placement and sends its orders."""
+
+    def __init__(self, world: World):
+        self.world = world
+        self.last_used_s: dict[str, float] = {}
+        self._demand: dict[str, dict[str, float]] = {}
+        self._arrived: dict[str, dict[str, int]] = {}
+        self._use: dict[str, float] = {}
+
+    def note(self, request: Request) -> None:
+        """Counts an arrival."""
+        name = request.artifact
+        if name is None:
+            return
+        self.last_used_s[name] = self.world.clock.now_s
+        base = self.world.artifacts[name].base_model
+        if base is not None:
+            self.last_used_s[base] = self.world.clock.now_s
+        ranks = self._arrived.setdefault(name, {})
+        ranks[request.rank] = ranks.get(request.rank, 0) + 1
+
+    def prepare(self, weights: dict[str, float], per_s: float) -> None:
+        """Loads, before the run, what the long-term demand asks for."""
+        for name, weight in weights.items():
+            base = self.world.artifacts[name].base_model or name
+            use = self._use.get(base, 0.0)
+            # Mean slot time of the mix of work is about 2.3 s.
+            self._use[base] = use + weight * per_s * 2.3
+            self._demand[name] = {"urgent": weight * per_s}
+        for _ in range(100):
+            situation = self._situation()
+            situation.concurrent_loads = 1000
+            orders = placements.replicate(situation)
+            for order in orders:
+                self._execute(order, at_once=True)
+            if not orders:
+                break
+
+    def plan(self) -> None:
+        """Runs the placement and sends its orders."""
+        for order in self.world.policy.place(self._situation()):
+            self.world.clock.after(ORDER_DELAY_S, self._execute, order)
+
+    def learn(self) -> None:
+        """Averages demand and slot use over about 10 s."""
+        keep = 0.9
+        for name in self._demand.keys() | self._arrived.keys():
+            old = self._demand.setdefault(name, {})
+            new = self._arrived.get(name, {})
+            for rank in old.keys() | new.keys():
+                old[rank] = keep * old.get(rank, 0.0) + (1 - keep) * new.get(
+                    rank, 0
+                )
+        self._arrived = {}
+        use: dict[str, float] = {}
+        for entry in self.world.entries:
+            for flight in entry.flights.values():
+                name = flight.record.arrival.request.artifact
+                if name is not None:
+                    base = self.world.artifacts[name].base_model or name
+                    rank = flight.record.arrival.request.rank
+                    use[base] = use.get(base, 0.0) + WORTH_WEIGHTS[rank]
+        for base in use.keys() | self._use.keys():
+            self._use[base] = keep * self._use.get(base, 0.0) + (
+                1 - keep
+            ) * use.get(base, 0.0)
+
+    def _situation(self) -> placements.Situation:
+        engines = {
+            name: placements.EngineState(
+                name=name,
+                failure_domain=engine.config.failure_domain,
+                slots=engine.config.slots,
+                free_bytes=engine.free_bytes,
+                resident=engine.resident | engine.reserved,
+            )
+            for name, engine in self.world.engines.items()
+            if engine.alive and engine.config.memory_bytes
+        }
+        held = {n for e in engines.values() for n in e.resident}
+        waiting = {
+            flight.record.arrival.request.artifact
+            for entry in getattr(self.world, "entries", ())
+            for flight in entry.flights.values()
+        }
+        return placements.Situation(
+            now_s=self.world.clock.now_s,
+            engines=engines,
+            artifacts=self.world.artifacts,
+            ranks=RANKS,
+            demand=self._demand,
+            slot_use=self._use,
+            cold=waiting - held - {None},
+            last_used_s=self.last_used_s,
+            loads_running=self.world.store.model_loads_running,
+            concurrent_loads=self.world.deployment.concurrent_model_loads,
+        )
+
+    def _execute(self, order: placements.Order, at_once: bool = False) -> None:
+        engine = self.world.engines[order.engine]
+        for name in order.unload:
+            engine.unload(name)
+        artifact = self.world.artifacts[order.load]
+        held = engine.resident | engine.reserved
+        if artifact.base_model and artifact.base_model not in engine.resident:
+            return
+        if order.load in held or not engine.reserve(artifact):
+            return
+        if at_once:
+            engine.loaded(order.load, engine.boots)
+        else:
+            self.world.store.load(engine, artifact)
--- a/bench/policy/policies.py
+++ b/bench/policy/policies.py
@@ -7,12 +7,8 @@
 import msgspec
 
 from acaciaspoke.entry.limits import ConcurrencyLimits
-from acaciaspoke.entry.queue import (
-    Refusal,
-    RefusalReason,
-    RequestQueue,
-    Urgency,
-)
+from acaciaspoke.entry.queue import Refusal, RequestQueue
+from acaciaspoke.entry.rank_queue import RefusalReason, Urgency
 from acaciaspoke.entry.request import Request
 from acaciaspoke.entry.routing import Fleet, UpstreamStatus, choose_upstream
 from acaciaspoke.net.messages import UpstreamState
--- a/bench/policy/scenarios.py
+++ b/bench/policy/scenarios.py
@@ -13,8 +13,9 @@
     arrivals,
     popularity,
 )
+from bench.policy.entry_process import Record
 from bench.policy.policies import Policy
-from bench.policy.world import Network, Record, World
+from bench.policy.world import Network, World
 
 # Ten times the rank's usual arrivals and well beyond what the fleet can run.
 FLOODS = {
--- a/test/entry/test_limits.py
+++ b/test/entry/test_limits.py
@@ -4,7 +4,7 @@
 import unittest
 
 from acaciaspoke.entry.limits import ConcurrencyLimits
-from acaciaspoke.entry.queue import Urgency
+from acaciaspoke.entry.rank_queue import Urgency
 from test.entry.builders import fleet, request, view
 
 FLOOD = Urgency(0, flooding=True)
@@ -66,3 +66,29 @@
             f.update([view("u1")], n)
             limits.reported(status)
         self.assertEqual(limits.limit(status), 16)
+
+    def test_less_urgent_work_leaves_slots_free(self):
+        """Guards against slots that a flood of batch work holds for long."""
+        f, status = one_upstream()
+        limits = new_limits(1)
+        batch = Urgency(2, flooding=False)
+        for level in range(2):
+            limits.note_arrival(level, 0.0)
+        while limits.has_room(status, batch, 0.0):
+            f.sent("u1", request(), 0.0)
+        self.assertEqual(len(status.in_flight), 12)
+        self.assertTrue(limits.has_room(status, Urgency(0, False), 0.0))
+        self.assertTrue(limits.has_room(status, batch, 100.0))
+
+    def test_floods_of_all_entry_processes_fit_one_report(self):
+        """Guards against entry processes that all fill the same room."""
+        total = 0
+        for seed in range(8):
+            f, status = one_upstream()
+            limits = ConcurrencyLimits(8, random.Random(seed))
+            f.update([view("u1", running=10)], 1.0)
+            limits.reported(status)
+            while limits.has_room(status, FLOOD, 1.0):
+                f.sent("u1", request(), 1.0, flooding=True)
+            total += len(status.in_flight)
+        self.assertLessEqual(total, 6)
--- a/test/entry/test_queue.py
+++ b/test/entry/test_queue.py
@@ -8,12 +8,8 @@
 from hypothesis import strategies as st
 
 from acaciaspoke.config.schema import Rank
-from acaciaspoke.entry.queue import (
-    MAX_KINDS,
-    MAX_RETRY_AFTER_S,
-    RefusalReason,
-    RequestQueue,
-)
+from acaciaspoke.entry.queue import MAX_RETRY_AFTER_S, RequestQueue
+from acaciaspoke.entry.rank_queue import MAX_KINDS, RefusalReason, Urgency
 from test.entry.builders import RANKS, request
 
 
@@ -93,6 +89,32 @@
         order = [r.deadline_s for r in take_all(queue)]
         self.assertEqual(order, [10.0, 20.0, 30.0])
 
+    def test_what_can_meet_its_target_goes_first(self):
+        """Guards against an overload in which all wait and none is in time."""
+        queue = new_queue()
+        fill(queue, 3, deadline_s=20.0)
+        fill(queue, 1, now_s=9.0, arrived_s=9.0, deadline_s=29.0)
+        order = [r.deadline_s for r in take_all(queue, 9.0)]
+        self.assertEqual(order, [29.0, 20.0, 20.0, 20.0])
+
+    def test_urgency_names_due_floors_and_floods(self):
+        """Guards against engines and limits that undo a floor."""
+        queue = new_queue()
+        fill(queue, 40)
+        fill(queue, 40, rank="batch")
+        seen = set()
+
+        def dispatchable(r, urgency):
+            seen.add((r.rank, urgency))
+            return True
+
+        for _ in range(60):
+            queue.take(0.0, dispatchable)
+        self.assertIn(("batch", Urgency(0, flooding=False)), seen)
+        self.assertIn(("batch", Urgency(2, flooding=True)), seen)
+        self.assertIn(("urgent", Urgency(0, flooding=True)), seen)
+        self.assertIn(("urgent", Urgency(0, flooding=False)), seen)
+
 
 class BlockedTest(unittest.TestCase):
 
