--- a/acaciaspoke/entry/queue.py
+++ b/acaciaspoke/entry/queue.py
@@ -75,15 +75,12 @@
         return len(self._entries)
 
     def set_ranks(self, ranks: Mapping[RankId, Rank]) -> None:
-        """Takes new ranks; a removed one stays until its requests are gone."""
+        """Takes new ranks; removed ones stay for what was admitted before."""
         for rank_id, rank in ranks.items():
             if rank_id in self._ranks:
                 self._ranks[rank_id].rank = rank
             else:
                 self._ranks[rank_id] = RankQueue(rank, self._kind_weights)
-        for rank_id in [r for r in self._ranks if r not in ranks]:
-            if not self._ranks[rank_id].waiting:
-                del self._ranks[rank_id]
 
     def waiting(self) -> dict[RankId, int]:
         """Returns the number of waiting requests per rank."""
@@ -128,6 +125,8 @@
                 the requests that wait for them. The last one asked, with its
                 urgency, is the one that is returned.
         """
+        if not self._entries:
+            return None
         self._mark_late(now_s)
         most_urgent = min(q.rank.level for q in self._ranks.values())
         for queue in self._in_order():
--- a/test/entry/test_queue.py
+++ b/test/entry/test_queue.py
@@ -18,7 +18,9 @@
 
 
 def new_queue(ranks=None, **kwargs):
-    return RequestQueue(ranks or RANKS, random.Random(1), **kwargs)
+    return RequestQueue(
+        RANKS if ranks is None else ranks, random.Random(1), **kwargs
+    )
 
 
 def fill(queue, count, now_s=0.0, **fields):
@@ -81,6 +83,17 @@
         first = [queue.take(0, anything).work_kind for _ in range(66)]
         self.assertGreaterEqual(first.count("chat"), 66 // (MAX_KINDS + 1))
 
+    def test_removed_rank_keeps_what_it_admitted(self):
+        """Guards against a configuration change that loses requests."""
+        queue = new_queue()
+        admitted = request(rank="batch")
+        queue.offer(admitted, 0.0)
+        queue.set_ranks({"urgent": RANKS["urgent"]})
+        self.assertEqual(take_all(queue), [admitted])
+        queue.put_back(admitted, 0.0)
+        self.assertEqual(take_all(queue), [admitted])
+        self.assertEqual(take_all(new_queue({})), [])
+
     def test_earliest_deadline_first(self):
         """Guards against order of arrival inside a kind."""
         queue = new_queue()
