Let less urgent work go on with few slots or old reports

With one slot the reserve left less than one, and when reports stopped the last one kept its load for ever; less urgent ranks then lived on their floors alone.

--- a/acaciaspoke/entry/limits.py
+++ b/acaciaspoke/entry/limits.py
@@ -18,6 +18,9 @@
 RESERVE_MEMORY_S = 60.0
 MAX_RESERVE = 0.5
 
+# Reports come every second; one this old says nothing of the load now.
+STALE_REPORT_S = 10.0
+
 # Requests above the window, and part of the window, that the most urgent work
 # may have waiting inside the engine, where it goes before what other entry
 # processes send. Kinds that flood may not, or the others would wait behind
@@ -82,7 +85,9 @@
             share = int(URGENT_EXTRA_SHARE * window.size)
             return own < limit + max(URGENT_EXTRA, share)
         reserve = min(MAX_RESERVE, RESERVE_PER_LEVEL * reserved)
-        usable = status.config.slots * (1.0 - reserve)
+        if now_s - status.report_s > STALE_REPORT_S:
+            return own < limit - int(reserve * limit)
+        usable = status.config.slots - int(reserve * status.config.slots)
         load = status.load + 1.0
         if urgency.flooding:
             # The other entry processes see the same room and have the same
--- a/bench/policy/deployments.py
+++ b/bench/policy/deployments.py
@@ -58,8 +58,9 @@
     """A deployment.
 
     Attributes:
-        model_load_s: Time of one load while no more than the full-speed number
-            run; the store's rate times this is that number.
+        domain_delay_s: One-way latency between failure domains.
+        concurrent_model_loads: Loads at once that the store's rate keeps at
+            full speed.
     """
 
     name: str
--- a/bench/policy/entry_process.py
+++ b/bench/policy/entry_process.py
@@ -1,5 +1,7 @@
 """An entry process of the benchmark, which wires the decision modules."""
 
+from __future__ import annotations
+
 import random
 from typing import TYPE_CHECKING
 
@@ -50,7 +52,7 @@
 class EntryProcess:
     """Wires the decision modules as the dispatcher does."""
 
-    def __init__(self, world: "World", domain: str, number: int):
+    def __init__(self, world: World, domain: str, number: int):
         policy = world.policy
         self.world = world
         self.domain = domain
--- a/bench/policy/planner.py
+++ b/bench/policy/planner.py
@@ -1,5 +1,7 @@
 """Gathers demand for the placement and carries out its orders."""
 
+from __future__ import annotations
+
 import math
 from typing import TYPE_CHECKING
 
--- a/test/entry/test_limits.py
+++ b/test/entry/test_limits.py
@@ -92,3 +92,13 @@
                 f.sent("u1", request(), 1.0, flooding=True)
             total += len(status.in_flight)
         self.assertLessEqual(total, 6)
+
+    def test_less_urgent_work_goes_on_with_one_slot_or_old_reports(self):
+        """Guards against ranks that only their floors would keep alive."""
+        flood = Urgency(2, flooding=True)
+        for slots, running, now_s in ((1, 0, 1.0), (16, 16, 100.0)):
+            f, status = one_upstream(slots)
+            limits = new_limits(1)
+            limits.note_arrival(0, now_s)
+            f.update([view("u1", running=running)], 1.0)
+            self.assertTrue(limits.has_room(status, flood, now_s))
