Outlive unexpected errors in messages and rounds of tasks

A message or a plan that met an unexpected error ended the control process, and the same input would have ended its successor too. Such errors are now logged and counted, and the loop goes on.

--- a/acaciaspoke/control/fleetwatch.py
+++ b/acaciaspoke/control/fleetwatch.py
@@ -1,5 +1,6 @@
 """Learns of the upstreams and tells peers and entry processes of them."""
 
+import functools
 import random
 import time
 from collections.abc import Callable, Iterable
@@ -26,6 +27,7 @@
 from acaciaspoke.platform.hosts import HostsClient
 from acaciaspoke.util.metrics import Metrics
 from acaciaspoke.util.rendezvous import choose
+from acaciaspoke.util.tasks import guarded
 
 POLL_CHECK_INTERVAL_S = 0.2
 
@@ -74,6 +76,7 @@
         self._config = Config()
         self._list_watch = HostListWatch()
         self._spread = ReportSpread(me, self.upstreams, rng)
+        self._metrics = metrics
         self._poller = Poller(self.upstreams, metrics)
         self._told: dict[Address, _Told] = {}
         self._members_due_s = float("-inf")
@@ -144,7 +147,10 @@
                 now_s = time.monotonic()
                 for upstream in self.upstreams.polls_due(now_s):
                     address = self._config.upstreams[upstream].address
-                    tasks.start_soon(self._poller.poll, upstream, address)
+                    step = functools.partial(
+                        self._poller.poll, upstream, address
+                    )
+                    tasks.start_soon(guarded, step, self._metrics)
                 await self._poller.close_unused(
                     self._config.upstreams[upstream].address
                     for upstream in self.upstreams.polled()
--- a/acaciaspoke/control/mover.py
+++ b/acaciaspoke/control/mover.py
@@ -1,5 +1,6 @@
 """Carries out planned moves."""
 
+import functools
 from collections import defaultdict
 from collections.abc import Iterable, Mapping
 
@@ -14,6 +15,8 @@
 from acaciaspoke.control.reservation_rows import RowError
 from acaciaspoke.control.reservations import ReservationError
 from acaciaspoke.ids import UpstreamId
+from acaciaspoke.util.metrics import Metrics
+from acaciaspoke.util.tasks import guarded
 
 
 class Mover:
@@ -24,10 +27,12 @@
         sender: OrderSender,
         pacer: Pacer,
         tasks: anyio.abc.TaskGroup,
+        metrics: Metrics,
     ):
         self._sender = sender
         self._pacer = pacer
         self._tasks = tasks
+        self._metrics = metrics
 
     def start(
         self,
@@ -49,12 +54,16 @@
                 unloads[move.upstream].append(move)
             else:
                 target = Target(move.upstream, upstreams[move.upstream])
-                self._tasks.start_soon(self._run, target, [move])
+                self._start(target, [move])
         for upstream_id, batch in unloads.items():
             target = Target(upstream_id, upstreams[upstream_id])
-            self._tasks.start_soon(self._run, target, batch)
+            self._start(target, batch)
         return admitted
 
+    def _start(self, target: Target, moves: list[Move]) -> None:
+        step = functools.partial(self._run, target, moves)
+        self._tasks.start_soon(guarded, step, self._metrics)
+
     async def _run(self, target: Target, moves: list[Move]) -> None:
         for move in moves:
             try:
--- a/acaciaspoke/control/planning.py
+++ b/acaciaspoke/control/planning.py
@@ -1,5 +1,6 @@
 """Plans and moves the artifacts of a failure domain while its lease is held."""
 
+import functools
 import time
 import uuid
 from collections.abc import Callable, Iterator, Mapping
@@ -46,8 +47,9 @@
     Transaction,
 )
 from acaciaspoke.util.metrics import Metrics
+from acaciaspoke.util.tasks import guarded, repeat
 
-PLAN_INTERVAL_S = 0.25
+CHECK_INTERVAL_S = 0.25
 
 # Without moves, waiting requests or changes a plan says the same as the last
 # one but for slow shifts of demand. Plans at the short interval took half of
@@ -154,16 +156,20 @@
     async def run(self) -> None:
         """Plans again and again until cancelled."""
         async with anyio.create_task_group() as tasks:
-            while True:
-                now_s = time.monotonic()
-                if self._lease.is_held(now_s) and not self._stopping:
-                    if self._lease.epoch != self._epoch:
-                        self._begin_epoch()
-                    self._reconcile(tasks, now_s)
-                    if self._plan_is_due(now_s):
-                        self._planned_s = now_s
-                        self._plan(tasks, now_s)
-                await anyio.sleep(PLAN_INTERVAL_S)
+            await repeat(
+                lambda: self._step(tasks), CHECK_INTERVAL_S, self._metrics
+            )
+
+    def _step(self, tasks: anyio.abc.TaskGroup) -> None:
+        now_s = time.monotonic()
+        if not self._lease.is_held(now_s) or self._stopping:
+            return
+        if self._lease.epoch != self._epoch:
+            self._begin_epoch()
+        self._reconcile(tasks, now_s)
+        if self._plan_is_due(now_s):
+            self._planned_s = now_s
+            self._plan(tasks, now_s)
 
     async def stop(self, timeout_s: float) -> None:
         """Starts no more moves and waits for those that were started."""
@@ -209,7 +215,8 @@
                 self._reconciled_s[upstream] = now_s
                 self._reconciled_bytes[upstream] = config.memory_bytes
                 target = Target(upstream, config)
-                tasks.start_soon(self._reconcile_one, target)
+                step = functools.partial(self._reconcile_one, target)
+                tasks.start_soon(guarded, step, self._metrics)
 
     def _is_open(self, upstream: UpstreamId, now_s: float) -> bool:
         """Tells whether a reservation may differ from the engine's memory."""
@@ -272,9 +279,9 @@
         )
         moves = plan(self._situation(live_domains, now_s))
         self._settled_interval_s = (
-            PLAN_INTERVAL_S if moves else SETTLED_INTERVAL_S
+            CHECK_INTERVAL_S if moves else SETTLED_INTERVAL_S
         )
-        mover = Mover(self._sender, self._pacer, tasks)
+        mover = Mover(self._sender, self._pacer, tasks, self._metrics)
         for move in mover.start(moves, self._config.upstreams, now_s):
             self._metrics.count(f"control.move.{move.reason.value}")
 
--- a/acaciaspoke/control/process.py
+++ b/acaciaspoke/control/process.py
@@ -1,18 +1,15 @@
 """The control process: wires its parts and runs its tasks."""
 
-import contextlib
 import random
 import time
 import uuid
 from collections.abc import Iterable
 
-import anyio
 import msgspec
 from loguru import logger
 
-from acaciaspoke.config.schema import Config
-from acaciaspoke.config.store import ConfigStore, Submitted, apply_row
-from acaciaspoke.control.admin import Operations, admin_app
+from acaciaspoke.config.store import ConfigStore, apply_row
+from acaciaspoke.control.admin import admin_app
 from acaciaspoke.control.burn import BurnCollector
 from acaciaspoke.control.configtask import ConfigTask
 from acaciaspoke.control.configwatch import ConfigWatch
@@ -21,11 +18,12 @@
 from acaciaspoke.control.fleetwatch import FleetWatch
 from acaciaspoke.control.leasetask import LeaseTask
 from acaciaspoke.control.membership import Membership
+from acaciaspoke.control.operations import AdminOperations
 from acaciaspoke.control.planning import DomainPlanner
 from acaciaspoke.control.sweep import sweep_claims
 from acaciaspoke.entry.suspects import merge_suspicions
-from acaciaspoke.ids import Address, BootId, ConfigVersion, DomainId, HostId
-from acaciaspoke.net.mailbox import Mailbox, receive_forever
+from acaciaspoke.ids import Address, BootId, ConfigVersion, HostId
+from acaciaspoke.net.mailbox import Mailbox
 from acaciaspoke.net.messages import (
     Ack,
     ConfigPull,
@@ -48,23 +46,15 @@
 from acaciaspoke.platform.hosts import HostsClient
 from acaciaspoke.platform.objects import ObjectsClient
 from acaciaspoke.platform.table import TableClient
-from acaciaspoke.report.status import LeaseStatus, make_status
 from acaciaspoke.settings import Settings
-from acaciaspoke.util.drain import Drain, stop_on_signals
+from acaciaspoke.util.drain import Drain
 from acaciaspoke.util.metrics import Metrics
-from acaciaspoke.util.server import HttpServer
+from acaciaspoke.util.tasks import repeat
 
 # Below the time that a probe waits for its answer; a shorter interval costs an
 # idle host more than all its messages.
 TICK_INTERVAL_S = 0.2
 
-# Longest wait for the answers to orders at a stop; orders that take longer stay
-# recorded as unresolved, and the next holder of the lease follows them up.
-ORDERS_END_S = 20.0
-
-# Long enough for the announcement of the leave to reach some peers.
-LEAVE_NOTICE_S = 0.5
-
 
 class ControlProcess:
     """The parts of a control process and what messages do to them."""
@@ -121,8 +111,20 @@
         )
         self._burn = BurnCollector(mailbox, settings.control.mailbox)
         self._domains = DomainCollector(mailbox, settings.control.mailbox)
+        operations = AdminOperations(
+            store=store,
+            watch=self._watch,
+            config_task=self.config_task,
+            membership=self._membership,
+            fleet=self.fleet,
+            entries=self._entries,
+            burn=self._burn,
+            domains=self._domains,
+            own_answer=lambda: self._domain_answer(0),
+            drain=self.drain,
+        )
         self.app = admin_app(
-            self._operations(), settings.control.admin_token_sha256
+            operations.table(), settings.control.admin_token_sha256
         )
 
     def send(self, outgoing: Iterable[Outgoing]) -> None:
@@ -257,14 +259,15 @@
                 self._mailbox.post(address, notice)
 
     async def tick(self) -> None:
-        """Does what is due, several times a second."""
-        while True:
-            now_s = time.monotonic()
-            self.send(self._membership.tick(now_s))
-            self._entries.expire(now_s)
-            self._announce_entries()
-            self.fleet.tick(self._entries.addresses(), now_s)
-            await anyio.sleep(TICK_INTERVAL_S)
+        """Does what is due until cancelled."""
+        await repeat(self._tick, TICK_INTERVAL_S, self._metrics)
+
+    def _tick(self) -> None:
+        now_s = time.monotonic()
+        self.send(self._membership.tick(now_s))
+        self._entries.expire(now_s)
+        self._announce_entries()
+        self.fleet.tick(self._entries.addresses(), now_s)
 
     async def sweep(self) -> None:
         """Deletes expired claims while this host holds the lease."""
@@ -277,129 +280,3 @@
     def leave(self) -> None:
         """Announces that this process stops."""
         self.send(self._membership.leave())
-
-    # The administration API.
-
-    def _operations(self) -> Operations:
-        return Operations(
-            config=self._config_at,
-            submit=self._submit,
-            history=self._store.history,
-            host_versions=self._host_versions,
-            status=self._status,
-            burn=self._burn_report,
-            not_ready=self._not_ready,
-        )
-
-    async def _config_at(self, version: ConfigVersion | None) -> Config:
-        if version is None:
-            return self._watch.config
-        return await self._store.at(version)
-
-    async def _submit(self, patch: object, **details) -> Submitted:
-        submitted = await self._store.submit(patch, **details)
-        await self.config_task.poll()
-        return submitted
-
-    async def _host_versions(self) -> dict[HostId, ConfigVersion]:
-        others = await self._domains.ask(self._membership.foreign_contacts())
-        members = [*self._membership.known(), *others.members()]
-        # Nobody knows what is in force in a domain that does not answer.
-        silent = {
-            HostId(f"failure domain {domain}"): ConfigVersion(0)
-            for domain in others.silent
-        }
-        return silent | {item.host: item.config_version for item in members}
-
-    async def _status(self):
-        others = await self._domains.ask(self._membership.foreign_contacts())
-        return make_status(
-            own=self._membership.me,
-            config=self._watch.config,
-            members=[*self._membership.known(), *others.members()],
-            leases=_leases([self._domain_answer(0), *others.answers]),
-            upstreams=self.fleet.views(time.monotonic()),
-            entries=self._entries.hellos(),
-        )
-
-    async def _burn_report(self):
-        return await self._burn.collect(
-            self._membership.known(), self._watch.config
-        )
-
-    async def _not_ready(self) -> str:
-        if not self.drain.serving:
-            return "the process is stopping"
-        return "" if self._watch.ready else "no configuration is confirmed"
-
-
-def _leases(answers: Iterable[DomainAnswer]) -> dict[DomainId, LeaseStatus]:
-    return {
-        answer.failure_domain: LeaseStatus(
-            holder=answer.lease_holder, epoch=answer.lease_epoch
-        )
-        for answer in answers
-        if answer.lease_holder
-    }
-
-
-async def run_control(settings: Settings) -> None:
-    """Runs the control process until it was told to stop.
-
-    Raises:
-        MailboxError: If the mailbox address is taken.
-        ServerError: If the address of the administration API is taken.
-    """
-    metrics = Metrics(settings.statsd)
-    platform = settings.platform
-    async with contextlib.AsyncExitStack() as stack:
-        mailbox = stack.enter_context(
-            Mailbox(settings.control.mailbox, metrics)
-        )
-        table = await stack.enter_async_context(
-            TableClient(platform.table, platform.timeout_s, metrics)
-        )
-        objects = hosts = None
-        if platform.objects:
-            objects = await stack.enter_async_context(
-                ObjectsClient(
-                    platform.objects,
-                    platform.bucket,
-                    platform.timeout_s,
-                    metrics,
-                )
-            )
-        if platform.hosts:
-            hosts = await stack.enter_async_context(
-                HostsClient(platform.hosts, platform.timeout_s, metrics)
-            )
-        process = ControlProcess(
-            settings, mailbox, table, objects, hosts, metrics
-        )
-        await _run_tasks(process, settings, mailbox)
-
-
-async def _run_tasks(
-    process: ControlProcess, settings: Settings, mailbox: Mailbox
-) -> None:
-    server = HttpServer(process.app, settings.control.listen)
-    async with anyio.create_task_group() as background:
-        background.start_soon(stop_on_signals, process.drain)
-        background.start_soon(receive_forever, mailbox, process.handle)
-        background.start_soon(process.tick)
-        background.start_soon(process.fleet.poll)
-        background.start_soon(process.fleet.watch_host_list)
-        background.start_soon(process.config_task.run)
-        background.start_soon(process.lease_task.run)
-        background.start_soon(process.planner.run)
-        background.start_soon(process.sweep)
-        background.start_soon(process.drain.run, 0.0, server.stop)
-        logger.info("administration API on {}", settings.control.listen)
-        await server.serve()
-        process.drain.finished()
-        await process.planner.stop(ORDERS_END_S)
-        await process.lease_task.hand_back()
-        process.leave()
-        await anyio.sleep(LEAVE_NOTICE_S)
-        logger.info("stopped")
-        background.cancel_scope.cancel()
--- a/acaciaspoke/net/mailbox.py
+++ b/acaciaspoke/net/mailbox.py
@@ -6,6 +6,7 @@
 """
 
 import itertools
+from collections.abc import Callable
 
 import anyio
 import cachetools
@@ -46,7 +47,7 @@
 
     def __init__(self, address: Address, metrics: Metrics):
         self.address = address
-        self._metrics = metrics
+        self.metrics = metrics
         self._pull: pynng.Pull0 | None = None
         self._push: cachetools.LRUCache[Address, pynng.Push0] = _PushSockets(
             MAX_CORRESPONDENTS
@@ -76,11 +77,11 @@
         """Waits for the next message; skips bytes that are no message."""
         while True:
             data = await self._pull.arecv()
-            self._metrics.count("mailbox.received_bytes", len(data))
+            self.metrics.count("mailbox.received_bytes", len(data))
             try:
                 return decode(data)
             except MessageError as error:
-                self._metrics.count("mailbox.undecodable")
+                self.metrics.count("mailbox.undecodable")
                 logger.warning("dropped an undecodable message: {}", error)
 
     def post(self, address: Address, message: Message) -> bool:
@@ -92,9 +93,9 @@
         try:
             self._socket_for(address).send(data, block=False)
         except pynng.NNGException:
-            self._metrics.count("mailbox.dropped")
+            self.metrics.count("mailbox.dropped")
             return False
-        self._metrics.count("mailbox.sent_bytes", len(data))
+        self.metrics.count("mailbox.sent_bytes", len(data))
         return True
 
     def _socket_for(self, address: Address) -> pynng.Push0:
@@ -108,8 +109,19 @@
         return socket
 
 
-async def receive_forever(mailbox: Mailbox, handle) -> None:
-    """Passes each message to ``handle``, a plain function, until cancelled."""
+async def receive_forever(
+    mailbox: Mailbox, handle: Callable[[Message], None]
+) -> None:
+    """Passes each message to ``handle`` until cancelled.
+
+    A message that ``handle`` fails on is logged and dropped; it must not end
+    every process that it reaches.
+    """
     while True:
-        handle(await mailbox.receive())
+        message = await mailbox.receive()
+        try:
+            handle(message)
+        except Exception:
+            mailbox.metrics.count("mailbox.failed")
+            logger.exception("a {} failed", type(message).__name__)
         await anyio.lowlevel.checkpoint()
--- a/acaciaspoke/ui/serve.py
+++ b/acaciaspoke/ui/serve.py
@@ -6,7 +6,7 @@
 import anyio
 import click
 
-from acaciaspoke.control.process import run_control
+from acaciaspoke.control.run import run_control
 from acaciaspoke.entry.process import run_entry
 from acaciaspoke.errors import UserError
 from acaciaspoke.net.mailbox import MailboxError
--- a/test/control/test_mover.py
+++ b/test/control/test_mover.py
@@ -14,6 +14,7 @@
 from acaciaspoke.control.orders import Target
 from acaciaspoke.control.pacing import Pacer
 from acaciaspoke.control.placement import plan
+from acaciaspoke.util.metrics import Metrics
 from standins.engine import Engine, Faults
 from standins.weights import WeightStore
 from test.control.fakes import FakeTable, lease_holder, serving_engine
@@ -63,7 +64,7 @@
         )
         idle = 0
         async with anyio.create_task_group() as tasks:
-            mover = Mover(sender, pacer, tasks)
+            mover = Mover(sender, pacer, tasks, Metrics())
             for number in range(MAX_PLANS):
                 situation = self.domain.situation
                 upstreams = situation.config.upstreams
