Take deeply nested bytes for no message

Cause: a field that this version does not know is skipped recursively, and msgspec raises RecursionError for 100,000 nested arrays, which decode() did not translate. It ended the task that receives, and with it the process. Ruled out: long array headers, bytes that are not UTF-8 and surplus bytes already gave MessageError. Change: decode() translates RecursionError too.

--- a/acaciaspoke/net/messages.py
+++ b/acaciaspoke/net/messages.py
@@ -460,5 +460,6 @@
     """
     try:
         return _decoder.decode(data)
-    except (msgspec.DecodeError, msgspec.ValidationError) as error:
+    except (msgspec.DecodeError, RecursionError) as error:
+        # Fields that this version does not know may be nested too deeply.
         raise MessageError(str(error)) from error
