Finish a crash examination when its first caller leaves

Cause: the request whose connection broke first runs the examination for all. When its caller left, the examination was cancelled, finished was set, and the other requests went on as if no crash had been found; their fingerprints were not suspected. A waiting request that was cancelled was not among the suspects either. A caller with a short timeout could so crash more upstreams than the bound allows. Test: test.entry.test_exchange test_crash_is_examined_when_its_first_caller_leaves failed before (0 of 2 suspected).

--- a/acaciaspoke/entry/crashes.py
+++ b/acaciaspoke/entry/crashes.py
@@ -62,7 +62,17 @@
     async def examine(
         self, upstream: UpstreamId, boot_id: BootId, address: str
     ) -> None:
-        """Returns when it is known whether the boot is over, and shared."""
+        """Returns when it is known whether the boot is over, and shared.
+
+        A caller that leaves meanwhile does not end it: its request stays in
+        flight, and so among the suspects, until the crash is recorded.
+        """
+        with anyio.CancelScope(shield=True):
+            await self._examine(upstream, boot_id, address)
+
+    async def _examine(
+        self, upstream: UpstreamId, boot_id: BootId, address: str
+    ) -> None:
         self._post(ConnectionLost(upstream=upstream, boot_id=boot_id))
         key = (upstream, boot_id)
         running = self._examined.get(key)
