Refuse a retry whose rank was removed

Cause: the queue of a removed rank goes when nothing waits in it; the retry of a request that was in flight meanwhile raised KeyError, an internal error. Change: retry() answers 404, as for a removed model. Test: test.entry.test_dispatch test_rank_removed_while_in_flight failed before.

--- a/acaciaspoke/entry/dispatch.py
+++ b/acaciaspoke/entry/dispatch.py
@@ -165,6 +165,9 @@
             CallerError: If it may not run any more.
         """
         self._check_blocked(request, now_s)
+        if request.rank not in self.config.ranks:
+            # Its queue may be gone.
+            raise CallerError(ErrorType.NOT_FOUND, _RANK_REMOVED)
         self.budget.note_retry(now_s)
         verdict = self.suspects.verdict(request.fingerprint, now_s)
         apart = verdict is not Verdict.CLEAN
@@ -363,6 +366,7 @@
 _BLOCKED = "the upstreams that ran this request crashed; it is blocked for now"
 _EXPIRED = "the deadline passed before an upstream was free"
 _REMOVED = "the model was removed while the request waited"
+_RANK_REMOVED = "the rank was removed while the request was in progress"
 _REJECTIONS = {
     ErrorType.REQUEST_BLOCKED: _BLOCKED,
     ErrorType.NOT_FOUND: _REMOVED,
