Relay only header values that both sides can send

Cause: httptools and h11 parse white space at the end of a value and some control characters; h11 and uvicorn refuse to write them. A caller's header "X-A: b " ended as NOT_SENT, which marked the upstream as suspect, and the retries marked two more: one caller could take every upstream away. An upstream's odd header ended the answer without a status. Ruled out: httptools refuses control characters in requests. Change: relayed_headers() strips values and leaves out those with control characters. Test: test.entry.test_exchange test_what_callers_send_never_makes_upstreams_look_broken failed before.

--- a/acaciaspoke/entry/relay.py
+++ b/acaciaspoke/entry/relay.py
@@ -5,6 +5,7 @@
 off; or the upstream answered some other request.
 """
 
+import re
 import time
 from enum import Enum
 
@@ -51,6 +52,9 @@
 )
 
 
+_CONTROL_CHARACTER = re.compile(rb"[\x00-\x08\x0a-\x1f\x7f]")
+
+
 class Ending(Enum):
     """How an attempt ended."""
 
@@ -113,11 +117,17 @@
 
 
 def relayed_headers(headers: Headers) -> list[tuple[bytes, bytes]]:
-    """Leaves out the headers that belong to one connection only."""
+    """Leaves out the headers that belong to one connection only.
+
+    The parsers on both sides let through white space at the end of a value
+    and control characters, which the writers on both sides refuse. A caller
+    could so make every upstream look broken.
+    """
     return [
-        (name, value)
+        (name, value.strip())
         for name, value in headers
         if name.lower() not in _NOT_RELAYED
+        and not _CONTROL_CHARACTER.search(value.strip())
     ]
 
 
