Take the end marker of a stream only on a line of its own

Change: the last line must equal the marker. Test: test.entry.test_exchange test_streams [the marker in a text] failed before.

--- a/acaciaspoke/entry/relay.py
+++ b/acaciaspoke/entry/relay.py
@@ -333,7 +333,7 @@
     finally:
         connection.stream.before_read = None
     await flush()
-    if tail.rstrip().endswith(_END_OF_STREAM):
+    if tail.rstrip().splitlines()[-1:] == [_END_OF_STREAM]:
         await caller.send(b"", more=False)
     else:
         result.ending = Ending.BROKEN
