Tell answers that cannot be relayed from broken connections

Cause: an answer above 32 MiB ended as BROKEN, which marked the upstream as suspect, and was retried; one large download took three upstreams away until their next reports. The same text as a refusal counted as refused, although it was not read to its end. A status above 599 has no status line in uvicorn. Ruled out: 1xx answers and an unasked 101 end as they should. Answers that are no event streams need a length or chunks. Test: test.entry.test_exchange test_endings_* [cut cannot be seen, too large a refusal, no such status] and test_answer_too_large_is_no_lost_connection failed before.

--- a/acaciaspoke/entry/exchange.py
+++ b/acaciaspoke/entry/exchange.py
@@ -139,12 +139,15 @@
             await self._note_failure(assignment, result)
             tried.add(assignment.upstream)
             now_s = time.monotonic()
-            if not may_retry(
-                request,
-                exchange,
-                tries=len(exchanges),
-                budget=self._dispatcher.budget,
-                now_s=now_s,
+            if (
+                not may_retry(
+                    request,
+                    exchange,
+                    tries=len(exchanges),
+                    budget=self._dispatcher.budget,
+                    now_s=now_s,
+                )
+                or result.ending is Ending.UNUSABLE
             ):
                 raise endings.to_error(result, exchanges)
             self._metrics.count("entry.retry")
--- a/acaciaspoke/entry/relay.py
+++ b/acaciaspoke/entry/relay.py
@@ -56,7 +56,11 @@
 
 
 class Ending(Enum):
-    """How an attempt ended."""
+    """How an attempt ended.
+
+    ``UNUSABLE`` is an answer that cannot be relayed, from an upstream that
+    runs; another upstream would most likely give the same.
+    """
 
     ANSWERED = "answered"
     REFUSED = "refused"
@@ -64,6 +68,7 @@
     BROKEN = "broken"
     TIMED_OUT = "timed_out"
     MISMATCHED = "mismatched"
+    UNUSABLE = "unusable"
 
 
 class Timings:
@@ -255,12 +260,18 @@
         result.ending = Ending.MISMATCHED
         result.detail = "the answer names another request"
     elif response.status in service.refusal_statuses:
-        await _read_whole(response, result, guard)
         result.ending = Ending.REFUSED
+        await _read_whole(response, result, guard)
+    elif response.status > 599:
+        result.ending = Ending.UNUSABLE
+        result.detail = f"the answer has the status {response.status}"
     elif call.stream and _is_event_stream(response.headers):
         await _relay_stream(
             connection, response, result, caller, timings, guard
         )
+    elif not _has_known_end(response, call):
+        result.ending = Ending.UNUSABLE
+        result.detail = "the answer has no length, so it may be cut off"
     else:
         await _read_whole(response, result, guard)
         timings.record(time.monotonic())
@@ -286,6 +297,14 @@
     )
 
 
+def _has_known_end(response: httpcore.Response, call: UpstreamCall) -> bool:
+    """Tells whether a cut answer can be told from a whole one."""
+    if call.method == b"HEAD" or response.status in (204, 304):
+        return True
+    names = {name.lower() for name, _ in response.headers}
+    return b"content-length" in names or b"transfer-encoding" in names
+
+
 async def _read_whole(
     response: httpcore.Response, result: Attempt, guard: StallGuard
 ) -> None:
@@ -295,7 +314,7 @@
         guard.active(time.monotonic())
         size_bytes += len(part)
         if size_bytes > MAX_ANSWER_BYTES:
-            result.ending = Ending.BROKEN
+            result.ending = Ending.UNUSABLE
             result.detail = f"the answer exceeds {MAX_ANSWER_BYTES} bytes"
             return
         parts.append(part)
