Answer a refusal at once when no other upstream could take the request

Cause: an idempotent request refused by the only holder of its model was queued again, could go nowhere, and ended at its deadline (60 s by default) as 504 in place of 429. Ruled out: after a break waiting may help, as the copy is replanned, so only refusals are changed. Change: a refused request is queued again only while another live upstream holds its model. Test: test.entry.test_exchange test_refused_by_the_only_upstream failed before (no answer within 10 s).

--- a/acaciaspoke/entry/dispatch.py
+++ b/acaciaspoke/entry/dispatch.py
@@ -174,6 +174,13 @@
         self._waiting[request.request_id] = _Waiting(request, tried, apart)
         self._queue.put_back(request, now_s, apart=apart)
 
+    def has_untried(self, request: Request, tried: set[UpstreamId]) -> bool:
+        """Tells whether another live upstream could run a request."""
+        return any(
+            status.state is UpstreamState.LIVE and status.upstream not in tried
+            for status in self._fleet.holders(request.service, request.artifact)
+        )
+
     def cancel(self, request_id: RequestId, now_s: float) -> None:
         """Forgets a request, whether it waits or is in flight."""
         self._queue.cancel(request_id, now_s)
--- a/acaciaspoke/entry/exchange.py
+++ b/acaciaspoke/entry/exchange.py
@@ -139,16 +139,13 @@
             await self._note_failure(assignment, result)
             tried.add(assignment.upstream)
             now_s = time.monotonic()
-            if (
-                not may_retry(
-                    request,
-                    exchange,
-                    tries=len(exchanges),
-                    budget=self._dispatcher.budget,
-                    now_s=now_s,
-                )
-                or result.ending is Ending.UNUSABLE
-            ):
+            if not may_retry(
+                request,
+                exchange,
+                tries=len(exchanges),
+                budget=self._dispatcher.budget,
+                now_s=now_s,
+            ) or not self._would_help(result, request, tried):
                 raise endings.to_error(result, exchanges)
             self._metrics.count("entry.retry")
             logger.info(
@@ -159,6 +156,15 @@
             )
             self._requeue(request, tried, exchanges, now_s)
 
+    def _would_help(
+        self, result: Attempt, request: Request, tried: set[UpstreamId]
+    ) -> bool:
+        if result.ending is Ending.REFUSED:
+            # Upstreams that refused stay where they are. Without another one
+            # the request would wait for its deadline.
+            return self._dispatcher.has_untried(request, tried)
+        return result.ending is not Ending.UNUSABLE
+
     def _requeue(
         self,
         request: Request,
