Close the reply channel of a request that ends while it waits

Cause: the sending end was dropped without being closed. A body that could not be encoded again raised after a connection was taken, which was then not given back. Change: close the channel; encode before taking the connection. Test: test.entry.test_exchange test_request_that_waits_is_forgotten covers this path; it passed before too, as the channel was only left to the garbage collector.

--- a/acaciaspoke/entry/exchange.py
+++ b/acaciaspoke/entry/exchange.py
@@ -99,7 +99,9 @@
             raise
         finally:
             self._dispatcher.cancel(request.request_id, time.monotonic())
-            self._replies.pop(request.request_id, None)
+            reply = self._replies.pop(request.request_id, None)
+            if reply is not None:
+                reply.close()
             self.dispatch()
         self._record(request, timings, succeeded=succeeded)
 
@@ -230,9 +232,9 @@
     ) -> Attempt:
         service = parsed.service
         pool = self._pool(assignment.address, service.echoes_request_id)
-        connection = await pool.take()
         left_s = parsed.request.deadline_s - time.monotonic()
         call = parsed.call_at(assignment.level, int(left_s * 1000))
+        connection = await pool.take()
         clean = False
         try:
             result = await attempt(
