Keep no connection on which more than the answer arrived

Cause: bytes that come together with the end of an answer stay in httpcore's parser, where the check for unread bytes does not see them. They were read as the answer to the next request, which ended as a mismatch and, as it could not be told what ran, as unknown. Ruled out: bytes that come later were seen in the socket already. Change: give_back() closes such a connection. The parser's rest is read through two private attributes of httpcore, which is pinned. Test: test.entry.test_exchange test_late_bytes_on_an_idle_connection (wait_s=0.0) failed before.

--- a/acaciaspoke/entry/pool.py
+++ b/acaciaspoke/entry/pool.py
@@ -45,6 +45,15 @@
         """The byte stream, or None before the connection is made."""
         return self._backend.stream
 
+    @property
+    def has_surplus(self) -> bool:
+        """Whether the upstream sent more than the answer.
+
+        httpcore keeps such bytes and would read them as the next answer.
+        """
+        http11 = self.http._connection
+        return http11 is not None and bool(http11._h11_state.trailing_data[0])
+
     def begin_request(self) -> None:
         """Starts to count the bytes of a new request."""
         if self._backend.stream is not None:
@@ -113,6 +122,7 @@
             and self._reuse
             and not self._closed
             and connection.http.is_available()
+            and not connection.has_surplus
             and len(self._idle) < MAX_IDLE_CONNECTIONS
         )
         if keep:
