Hash the path of a service call as it is sent

Cause: the body hash of an idempotency key was taken over the decoded path, so that "/a%3Fb" and "/a?b" could be the same request to it. Change: the hash covers the encoded target.

--- a/acaciaspoke/entry/parse.py
+++ b/acaciaspoke/entry/parse.py
@@ -191,15 +191,16 @@
         raise _bad("the path has empty or relative segments")
     rank_id, _ = _rank(caller, config)
     idempotent = not is_non_idempotent(service, caller.method, path)
+    target = quote(path).encode() + (b"?" if caller.query else b"")
+    target += caller.query
     request = _request(
         caller,
         config,
-        f"{caller.method} {path}?".encode() + caller.query + b"\0" + body,
+        caller.method.encode() + b" " + target + b"\0" + body,
         ServiceId(name),
         rank_id,
         idempotent=idempotent,
     )
-    target = quote(path).encode() + (b"?" if caller.query else b"")
     key = "" if idempotent else _idempotency_key(caller)
     headers = [
         (name, value)
@@ -211,7 +212,7 @@
     call = UpstreamCall(
         request_id=caller.request_id,
         method=caller.method.encode(),
-        target=target + caller.query,
+        target=target,
         headers=headers,
         body=body,
         stream=False,
