Pass the values of a chat request on as they were written

Cause: the body was decoded and encoded again. Numbers changed or were refused (1e999), and a value nested nearly too deeply was decoded but could fail in encoding, after the request had been admitted, as an internal error. Change: only model, messages and stream are read; every value is kept raw. The prefix hash is taken from the raw first message. Test: test.entry.test_parse test_request failed before ("Number out of range").

--- a/acaciaspoke/entry/parse.py
+++ b/acaciaspoke/entry/parse.py
@@ -4,7 +4,7 @@
 import re
 import time
 import uuid
-from typing import Any, NamedTuple
+from typing import Annotated, Any, NamedTuple
 from urllib.parse import quote
 
 import msgspec
@@ -36,7 +36,7 @@
 MAX_WORK_KIND_CHARS = 64
 
 # The prompt's start that engines are likely to have in their prefix cache.
-PREFIX_CHARS = 2048
+PREFIX_BYTES = 2048
 
 _CALLER_REQUEST_ID = re.compile(r"[A-Za-z0-9._-]{1,64}")
 _IDEMPOTENCY_KEY = re.compile(r"[\x21-\x7e]{1,128}")
@@ -65,7 +65,7 @@
     call: UpstreamCall
     service: Service
     idempotency_key: str = ""
-    document: dict[str, Any] | None = None
+    document: dict[str, msgspec.Raw] | None = None
 
     def call_at(self, level: int, deadline_ms: int) -> UpstreamCall:
         """Returns the call with its priority and what is left of its time."""
@@ -115,11 +115,11 @@
     Raises:
         CallerError: If it is malformed or names an unknown model or rank.
     """
-    document = _chat_document(body)
-    name = ArtifactName(document["model"])
+    fields, document = _chat_document(body)
+    name = ArtifactName(fields.model)
     service_id = service_of_artifact(config, name)
     rank_id, _ = _rank(caller, config)
-    start = f"{name}\0{document['messages'][0]}"[:PREFIX_CHARS]
+    start = name.encode() + b"\0" + bytes(fields.messages[0])[:PREFIX_BYTES]
     request = _request(
         caller,
         config,
@@ -127,8 +127,8 @@
         service_id,
         rank_id,
         artifact=name,
-        prefix_hash=xxhash.xxh64_intdigest(start.encode()),
-        stream=document.get("stream") is True,
+        prefix_hash=xxhash.xxh64_intdigest(start),
+        stream=fields.stream,
     )
     call = UpstreamCall(
         request_id=caller.request_id,
@@ -142,21 +142,25 @@
     return Parsed(request, call, service, document=document)
 
 
-def _chat_document(body: bytes) -> dict[str, Any]:
+class _ChatFields(msgspec.Struct):
+    """What is read of the body; the rest is for the engine to judge."""
+
+    model: str
+    messages: Annotated[list[msgspec.Raw], msgspec.Meta(min_length=1)]
+    stream: bool = False
+
+
+_decode_fields = msgspec.json.Decoder(_ChatFields).decode
+_decode_document = msgspec.json.Decoder(dict[str, msgspec.Raw]).decode
+
+
+def _chat_document(body: bytes) -> tuple[_ChatFields, dict[str, msgspec.Raw]]:
+    # Values stay as the caller wrote them: decoded and encoded again, numbers
+    # change, and what is nested deeply fails after it was admitted.
     try:
-        document = msgspec.json.decode(body)
+        return _decode_fields(body), _decode_document(body)
     except (msgspec.DecodeError, RecursionError) as error:
-        raise _bad(f"the body is not JSON: {error}") from error
-    if not isinstance(document, dict):
-        raise _bad("the body is not a JSON object")
-    if not isinstance(document.get("model"), str):
-        raise _bad("model: must be a text")
-    messages = document.get("messages")
-    if not isinstance(messages, list) or not messages:
-        raise _bad("messages: must be a list with at least one message")
-    if not isinstance(document.get("stream", False), bool):
-        raise _bad("stream: must be true or false")
-    return document
+        raise _bad(f"the body: {error}") from error
 
 
 def service_of_artifact(config: Config, name: ArtifactName) -> ServiceId:
