Relay repeated headers, and refuse a repeated Idempotency-Key

Cause: a caller's headers were kept by name, so that of several with one name only the last reached the service, and of two keys the last one counted. Change: services get all headers; two keys get 400. Test: test.entry.test_parse test_services [twice] failed before.

--- a/acaciaspoke/entry/caller.py
+++ b/acaciaspoke/entry/caller.py
@@ -24,6 +24,7 @@
         self.method: str = scope["method"]
         self.path: str = scope["path"]
         self.query: bytes = scope["query_string"]
+        self.header_list: list[tuple[bytes, bytes]] = list(scope["headers"])
         self.headers: dict[bytes, bytes] = dict(scope["headers"])
         self.request_id = request_id
         self.started = False
--- a/acaciaspoke/entry/parse.py
+++ b/acaciaspoke/entry/parse.py
@@ -228,7 +228,7 @@
     key = "" if idempotent else _idempotency_key(caller)
     headers = [
         (name, value)
-        for name, value in relayed_headers(caller.headers.items())
+        for name, value in relayed_headers(caller.header_list)
         if name not in _DROPPED_FROM_CALLER
     ]
     if key:
@@ -274,7 +274,10 @@
 
 
 def _idempotency_key(caller: Caller) -> str:
-    key = caller.header("idempotency-key")
+    names = [name for name, _ in caller.header_list]
+    if names.count(b"idempotency-key") > 1:
+        raise _bad("Idempotency-Key: given more than once")
+    key = caller.header("idempotency-key").strip()
     if not key:
         raise _bad("this call needs an Idempotency-Key header")
     if not _IDEMPOTENCY_KEY.fullmatch(key):
