Close callers' connections while the process drains

Cause: answers lacked "Connection: close" while the process announced its stop, so a balancer went on sending requests over open connections until they closed. The same holds for an answer before the body to a caller that expects "100 Continue": it may never send the body, and its next request would be read as that body. Ruled out: uvicorn names the close by itself only once it shuts down. Change: such answers say "Connection: close", which uvicorn then does. Test: test.entry.test_app test_draining, test_refused_before_the_body and test_connections_that_must_close (real server) failed before.

--- a/acaciaspoke/entry/app.py
+++ b/acaciaspoke/entry/app.py
@@ -39,6 +39,7 @@
         *,
         config: Callable[[], Config | None],
         is_ready: Callable[[], bool],
+        is_draining: Callable[[], bool],
         serve: Serve,
         metrics: Metrics,
         max_body_bytes: int,
@@ -47,6 +48,7 @@
         self.open_requests = 0
         self._config = config
         self._is_ready = is_ready
+        self._is_draining = is_draining
         self._serve = serve
         self._metrics = metrics
         self._max_body_bytes = max_body_bytes
@@ -58,7 +60,15 @@
             return
         headers = dict(scope["headers"])
         caller_id = headers.get(b"x-request-id", b"").decode("latin-1")
-        caller = Caller(scope, receive, send, new_request_id(caller_id))
+        # A balancer that keeps a connection open would send further requests
+        # over it until the process stops.
+        caller = Caller(
+            scope,
+            receive,
+            send,
+            new_request_id(caller_id),
+            self._is_draining,
+        )
         self.open_requests += 1
         started_s = time.monotonic()
         try:
--- a/acaciaspoke/entry/caller.py
+++ b/acaciaspoke/entry/caller.py
@@ -1,7 +1,7 @@
 """The caller's side of a request: an ASGI connection with a little state."""
 
 import math
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 
 from acaciaspoke.entry.errors import CallerError, ErrorType
 from acaciaspoke.ids import RequestId
@@ -20,7 +20,24 @@
         started: Whether any part of the answer was sent.
     """
 
-    def __init__(self, scope, receive, send, request_id: RequestId):
+    def __init__(
+        self,
+        scope,
+        receive,
+        send,
+        request_id: RequestId,
+        is_closing: Callable[[], bool] = lambda: False,
+    ):
+        """Takes the parts of an ASGI call.
+
+        Args:
+            scope: What was asked for.
+            receive: Returns the next part of the body, or the disconnect.
+            send: Sends a part of the answer.
+            request_id: The id of the request.
+            is_closing: Whether the caller should open another connection for
+                its next request, as while the process drains.
+        """
         self.method: str = scope["method"]
         self.path: str = scope["path"]
         self.query: bytes = scope["query_string"]
@@ -28,6 +45,10 @@
         self.headers: dict[bytes, bytes] = dict(scope["headers"])
         self.request_id = request_id
         self.started = False
+        self._is_closing = is_closing
+        # A caller that waits for "100 Continue" may never send the body, and
+        # its next request would then be read as that body.
+        self._waits_to_send = b"expect" in self.headers
         self._receive = receive
         self._send = send
 
@@ -42,6 +63,7 @@
             CallerError: If it is larger than ``max_bytes``.
             CallerGoneError: If the caller left before its end.
         """
+        self._waits_to_send = False
         parts: list[bytes] = []
         size_bytes = 0
         while True:
@@ -67,15 +89,15 @@
 
     async def start(self, status: int, headers: Headers) -> None:
         """Sends the status and the headers."""
+        own = [(b"x-request-id", self.request_id.encode("latin-1"))]
+        if self._waits_to_send or self._is_closing():
+            own.append((b"connection", b"close"))
         self.started = True
         await self._send(
             {
                 "type": "http.response.start",
                 "status": status,
-                "headers": [
-                    *headers,
-                    (b"x-request-id", self.request_id.encode("latin-1")),
-                ],
+                "headers": [*headers, *own],
             }
         )
 
--- a/acaciaspoke/entry/process.py
+++ b/acaciaspoke/entry/process.py
@@ -87,6 +87,7 @@
         self.app = EntryApp(
             config=lambda: self._dispatcher.config,
             is_ready=lambda: self.is_ready,
+            is_draining=lambda: not self.drain.serving,
             serve=self.exchanges.serve,
             metrics=metrics,
             max_body_bytes=entry.max_body_bytes,
