Frame the ends of answers to callers right

Cause: (1) the error event after a cut stream was glued to a half event, so that clients read both as one; (2) answers to HEAD and with status 204 or 304 said "Content-Length: 0"; (3) a fault after a whole answer sent a second one, which raised in the server; (4) errors other than CallerError left the task group inside of an exception group. Change: an empty line goes before the error event; no length without a body; nothing follows a whole answer; every error leaves the task group by itself. Test: test.entry.test_exchange test_streams, test_answers_that_are_handed_on and test.entry.test_app test_internal_errors failed before.

--- a/acaciaspoke/entry/app.py
+++ b/acaciaspoke/entry/app.py
@@ -151,12 +151,12 @@
             # when the caller asks again with the same key.
             await self._serve(parsed, caller)
             return
-        failure: CallerError | None = None
+        failure: Exception | None = None
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(_cancel_when_gone, caller, tasks.cancel_scope)
             try:
                 await self._serve(parsed, caller)
-            except CallerError as error:
+            except Exception as error:
                 # Raised after the task group, which would wrap it.
                 failure = error
             tasks.cancel_scope.cancel()
--- a/acaciaspoke/entry/caller.py
+++ b/acaciaspoke/entry/caller.py
@@ -46,6 +46,7 @@
         self.request_id = request_id
         self.started = False
         self._is_closing = is_closing
+        self._is_finished = False
         # A caller that waits for "100 Continue" may never send the body, and
         # its next request would then be read as that body.
         self._waits_to_send = b"expect" in self.headers
@@ -92,7 +93,6 @@
         own = [(b"x-request-id", self.request_id.encode("latin-1"))]
         if self._waits_to_send or self._is_closing():
             own.append((b"connection", b"close"))
-        self.started = True
         await self._send(
             {
                 "type": "http.response.start",
@@ -100,17 +100,25 @@
                 "headers": [*headers, *own],
             }
         )
+        # Set last: after a start that the server refused, a part of a body
+        # would go out without a status.
+        self.started = True
 
     async def send(self, data: bytes, *, more: bool) -> None:
         """Sends a part of the body."""
         await self._send(
             {"type": "http.response.body", "body": data, "more_body": more}
         )
+        self._is_finished = not more
 
     async def answer(self, status: int, headers: Headers, body: bytes) -> None:
         """Sends a whole answer."""
-        length = (b"content-length", str(len(body)).encode())
-        await self.start(status, [*headers, length])
+        headers = list(headers)
+        # These have no body, and the length of the body that another method
+        # or status would have is not known here.
+        if self.method != "HEAD" and status not in (204, 304):
+            headers.append((b"content-length", str(len(body)).encode()))
+        await self.start(status, headers)
         await self.send(body, more=False)
 
     async def fail(self, error: CallerError) -> None:
@@ -118,11 +126,15 @@
 
         An answer that has begun gets an error event and stays unfinished, so
         that the server breaks the connection and no client can take the
-        answer for a whole one.
+        answer for a whole one. A whole answer stays as it is.
         """
+        if self._is_finished:
+            return
         body = error.to_json(self.request_id)
         if self.started:
-            await self.send(b"event: error\ndata: " + body + b"\n\n", more=True)
+            # The empty line ends an event that was cut off.
+            event = b"\n\nevent: error\ndata: " + body + b"\n\n"
+            await self.send(event, more=True)
             return
         headers = [(b"content-type", b"application/json")]
         if error.retry_after_s is not None:
