Parse a request by the configuration in force after its body arrived

Cause: the configuration was taken before the body was read. With a rank that was removed meanwhile, the queue raised KeyError: an internal error. The account was checked only after the whole body was held. Change: the account is checked before the body is read, and the request is parsed by the configuration that is then in force. Test: test.entry.test_app test_configuration_that_changes_while_the_body_arrives.

--- a/acaciaspoke/entry/app.py
+++ b/acaciaspoke/entry/app.py
@@ -144,8 +144,10 @@
                 f"{self._max_requests} requests are open already",
                 retry_after_s=1,
             )
+        account_of(caller, config)
         body = await caller.read_body(self._max_body_bytes)
-        parsed = parse(caller, body, config)
+        # Another version may have come into force meanwhile.
+        parsed = parse(caller, body, self._require_config())
         if not parsed.request.idempotent:
             # It goes on when its caller leaves, so that its outcome is known
             # when the caller asks again with the same key.
