--- a/acaciaspoke/entry/app.py
+++ b/acaciaspoke/entry/app.py
@@ -109,9 +109,11 @@
             body = b'{"ready":true}' if ready else b'{"ready":false}'
             await caller.answer(200 if ready else 503, _JSON, body)
         elif caller.path == "/v1/models":
+            _require_method(caller, "GET", "HEAD")
             await self._list_models(caller)
         elif caller.path == CHAT_PATH:
-            await self._serve_chat(caller)
+            _require_method(caller, "POST")
+            await self._serve_parsed(caller, parse_chat)
         elif caller.path.startswith(SERVICES_PREFIX):
             await self._serve_parsed(caller, parse_service)
         else:
@@ -119,13 +121,6 @@
                 ErrorType.NOT_FOUND, f"there is no path {caller.path!r}"
             )
 
-    async def _serve_chat(self, caller: Caller) -> None:
-        if caller.method != "POST":
-            raise CallerError(
-                ErrorType.METHOD_NOT_ALLOWED, f"{CHAT_PATH} takes POST"
-            )
-        await self._serve_parsed(caller, parse_chat)
-
     async def _list_models(self, caller: Caller) -> None:
         config = self._require_config()
         account_of(caller, config)
@@ -176,6 +171,14 @@
         return config
 
 
+def _require_method(caller: Caller, *methods: str) -> None:
+    if caller.method not in methods:
+        raise CallerError(
+            ErrorType.METHOD_NOT_ALLOWED,
+            f"{caller.path} takes {' or '.join(methods)}",
+        )
+
+
 async def _cancel_when_gone(caller: Caller, scope: anyio.CancelScope) -> None:
     await caller.wait_until_gone()
     scope.cancel()
