Keep serving when a pushed configuration cannot be read

Cause: a push with a field that this release does not know, as from a newer release during an upgrade, raised in the task that receives and ended the entry process with all its requests. Change: the push is logged and counted (entry.config_refused), and the version in force stays. Test: test.entry.test_app test_configuration_of_a_newer_release failed before.

--- a/acaciaspoke/entry/process.py
+++ b/acaciaspoke/entry/process.py
@@ -5,10 +5,11 @@
 import uuid
 
 import anyio
+import msgspec
 from loguru import logger
 
 from acaciaspoke.config.schema import Config
-from acaciaspoke.config.store import apply_pushed
+from acaciaspoke.config.store import ConfigLogError, apply_pushed
 from acaciaspoke.entry.app import EntryApp
 from acaciaspoke.entry.claims import Claims
 from acaciaspoke.entry.crashes import CrashExaminer
@@ -119,7 +120,14 @@
                 logger.warning("unexpected {}", type(message).__name__)
 
     def _take_config(self, push: ConfigPush) -> None:
-        config = apply_pushed(self._dispatcher.config or Config(), push)
+        try:
+            config = apply_pushed(self._dispatcher.config or Config(), push)
+        except (ConfigLogError, msgspec.DecodeError) as error:
+            # A newer release may send what this one cannot read; the version
+            # in force then goes on serving.
+            self._metrics.count("entry.config_refused")
+            logger.error("cannot take a pushed configuration: {}", error)
+            return
         if self._dispatcher.set_config(config):
             logger.info("configuration version {} is in force", config.version)
             self._say_hello()
