Bound the memory and the time that slow callers hold

Cause: a body could trickle in without end; 4096 open requests could hold 16 GiB of bodies; a whole answer of up to 32 MiB went into the buffer of the connection at once, where it stayed for a caller that does not read, uncounted; an error event waited without end for a caller that had stopped reading. Ruled out: streams are held back by the server already. Change: a body has 30 s (408 body_timeout, not_run); a Content-Length above the limit is refused before the body; bodies in progress together hold at most 32 of the largest size (429); answers go out in parts of 64 KiB, and a caller that takes nothing for 30 s counts as gone.

--- a/acaciaspoke/entry/app.py
+++ b/acaciaspoke/entry/app.py
@@ -21,6 +21,11 @@
 )
 from acaciaspoke.util.metrics import Metrics
 
+# Bodies of the largest size that are held at once, or more smaller ones. The
+# limit of open requests alone would let slow callers fill the memory: 4096
+# bodies of 4 MiB are 16 GiB.
+MAX_HELD_BODIES = 32
+
 _JSON = [(b"content-type", b"application/json")]
 
 # Serves a parsed request; raises CallerError if it has no answer to give.
@@ -53,6 +58,7 @@
         self._metrics = metrics
         self._max_body_bytes = max_body_bytes
         self._max_requests = max_requests
+        self._held_bytes = 0
 
     async def __call__(self, scope, receive, send) -> None:
         """Serves one request."""
@@ -80,6 +86,12 @@
             self._metrics.timing_ms("entry.request", elapsed_ms)
 
     async def _answer(self, caller: Caller) -> None:
+        try:
+            await self._answer_or_fail(caller)
+        except CallerGoneError:
+            self._metrics.count("entry.caller_gone")
+
+    async def _answer_or_fail(self, caller: Caller) -> None:
         try:
             await self._route(caller)
         except CallerError as error:
@@ -92,7 +104,7 @@
             )
             await caller.fail(error)
         except CallerGoneError:
-            self._metrics.count("entry.caller_gone")
+            raise
         except Exception:
             logger.exception("request failed")
             await caller.fail(
@@ -140,9 +152,28 @@
                 retry_after_s=1,
             )
         account_of(caller, config)
-        body = await caller.read_body(self._max_body_bytes)
-        # Another version may have come into force meanwhile.
-        parsed = parse(caller, body, self._require_config())
+        held_bytes = 0
+
+        def hold(size_bytes: int) -> None:
+            nonlocal held_bytes
+            held_bytes += size_bytes
+            self._held_bytes += size_bytes
+            if self._held_bytes > MAX_HELD_BODIES * self._max_body_bytes:
+                raise CallerError(
+                    ErrorType.OVERLOADED,
+                    "the requests in progress hold too much memory",
+                    retry_after_s=1,
+                )
+
+        try:
+            body = await caller.read_body(self._max_body_bytes, hold)
+            # Another version may have come into force meanwhile.
+            parsed = parse(caller, body, self._require_config())
+            await self._serve_until_gone(parsed, caller)
+        finally:
+            self._held_bytes -= held_bytes
+
+    async def _serve_until_gone(self, parsed: Parsed, caller: Caller) -> None:
         if not parsed.request.idempotent:
             # It goes on when its caller leaves, so that its outcome is known
             # when the caller asks again with the same key.
--- a/acaciaspoke/entry/caller.py
+++ b/acaciaspoke/entry/caller.py
@@ -1,7 +1,10 @@
 """The caller's side of a request: an ASGI connection with a little state."""
 
 import math
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Iterator
+from contextlib import contextmanager
+
+import anyio
 
 from acaciaspoke.entry.errors import CallerError, ErrorType
 from acaciaspoke.ids import RequestId
@@ -9,8 +12,17 @@
 Headers = Iterable[tuple[bytes, bytes]]
 
 
+# A body that trickles in holds memory and one of the open requests. 4 MiB
+# take 30 s at 1.1 Mbit/s.
+BODY_TIMEOUT_S = 30.0
+
+# A caller that takes nothing for so long counts as gone.
+SEND_TIMEOUT_S = 30.0
+PART_BYTES = 64 * 1024
+
+
 class CallerGoneError(Exception):
-    """The caller closed its connection."""
+    """The caller closed its connection, or takes nothing from it."""
 
 
 class Caller:
@@ -57,14 +69,42 @@
         """Returns a header's value, or an empty text."""
         return self.headers.get(name.encode(), b"").decode("latin-1")
 
-    async def read_body(self, max_bytes: int) -> bytes:
+    async def read_body(
+        self, max_bytes: int, hold: Callable[[int], None] = lambda _: None
+    ) -> bytes:
         """Reads the whole body.
 
+        Args:
+            max_bytes: The largest size.
+            hold: Told of the size of each part; may raise ``CallerError``.
+
         Raises:
-            CallerError: If it is larger than ``max_bytes``.
+            CallerError: If it is larger than ``max_bytes`` or did not arrive
+                in ``BODY_TIMEOUT_S``.
             CallerGoneError: If the caller left before its end.
         """
+        too_large = CallerError(
+            ErrorType.TOO_LARGE, f"the body exceeds {max_bytes} bytes"
+        )
+        length = self.header("content-length")
+        if length.isdecimal() and int(length) > max_bytes:
+            raise too_large
         self._waits_to_send = False
+        with anyio.move_on_after(BODY_TIMEOUT_S):
+            return await self._read_body(max_bytes, too_large, hold)
+        # The rest may still come and is not the next request.
+        self._is_closing = lambda: True
+        raise CallerError(
+            ErrorType.BODY_TIMEOUT,
+            f"the body did not arrive within {BODY_TIMEOUT_S:g} s",
+        )
+
+    async def _read_body(
+        self,
+        max_bytes: int,
+        too_large: CallerError,
+        hold: Callable[[int], None],
+    ) -> bytes:
         parts: list[bytes] = []
         size_bytes = 0
         while True:
@@ -74,9 +114,8 @@
             part = message.get("body", b"")
             size_bytes += len(part)
             if size_bytes > max_bytes:
-                raise CallerError(
-                    ErrorType.TOO_LARGE, f"the body exceeds {max_bytes} bytes"
-                )
+                raise too_large
+            hold(len(part))
             parts.append(part)
             if not message.get("more_body"):
                 return b"".join(parts)
@@ -112,14 +151,25 @@
         self._is_finished = not more
 
     async def answer(self, status: int, headers: Headers, body: bytes) -> None:
-        """Sends a whole answer."""
+        """Sends a whole answer.
+
+        Raises:
+            CallerGoneError: If the caller takes nothing for
+                ``SEND_TIMEOUT_S``.
+        """
         headers = list(headers)
         # These have no body, and the length of the body that another method
         # or status would have is not known here.
         if self.method != "HEAD" and status not in (204, 304):
             headers.append((b"content-length", str(len(body)).encode()))
-        await self.start(status, headers)
-        await self.send(body, more=False)
+        with _time_limit():
+            await self.start(status, headers)
+        # In parts, so that what a slow caller has not taken is held here and
+        # counts as an open request, not in the buffer of its connection.
+        for start in range(0, max(1, len(body)), PART_BYTES):
+            end = start + PART_BYTES
+            with _time_limit():
+                await self.send(body[start:end], more=end < len(body))
 
     async def fail(self, error: CallerError) -> None:
         """Sends an error.
@@ -127,6 +177,10 @@
         An answer that has begun gets an error event and stays unfinished, so
         that the server breaks the connection and no client can take the
         answer for a whole one. A whole answer stays as it is.
+
+        Raises:
+            CallerGoneError: If the caller takes nothing for
+                ``SEND_TIMEOUT_S``.
         """
         if self._is_finished:
             return
@@ -134,10 +188,19 @@
         if self.started:
             # The empty line ends an event that was cut off.
             event = b"\n\nevent: error\ndata: " + body + b"\n\n"
-            await self.send(event, more=True)
+            with _time_limit():
+                await self.send(event, more=True)
             return
         headers = [(b"content-type", b"application/json")]
         if error.retry_after_s is not None:
             seconds = str(max(1, math.ceil(error.retry_after_s)))
             headers.append((b"retry-after", seconds.encode()))
         await self.answer(error.status, headers, body)
+
+
+@contextmanager
+def _time_limit() -> Iterator[None]:
+    with anyio.move_on_after(SEND_TIMEOUT_S) as scope:
+        yield
+    if scope.cancelled_caught:
+        raise CallerGoneError
--- a/acaciaspoke/entry/errors.py
+++ b/acaciaspoke/entry/errors.py
@@ -26,6 +26,7 @@
     UNAUTHENTICATED = "unauthenticated"
     NOT_FOUND = "not_found"
     METHOD_NOT_ALLOWED = "method_not_allowed"
+    BODY_TIMEOUT = "body_timeout"
     TOO_LARGE = "too_large"
     OVERLOADED = "overloaded"
     DEADLINE_EXCEEDED = "deadline_exceeded"
@@ -47,6 +48,7 @@
     ErrorType.UNAUTHENTICATED: 401,
     ErrorType.NOT_FOUND: 404,
     ErrorType.METHOD_NOT_ALLOWED: 405,
+    ErrorType.BODY_TIMEOUT: 408,
     ErrorType.TOO_LARGE: 413,
     ErrorType.OVERLOADED: 429,
     ErrorType.DEADLINE_EXCEEDED: 504,
