Count callers that leave while their request is in progress

Cause: the request's task group was cancelled silently, so entry.caller_gone counted only callers that left during their body. Change: such a request ends as CallerGoneError. Test: test.entry.test_exchange test_idempotent_work_is_cancelled.

--- a/acaciaspoke/entry/app.py
+++ b/acaciaspoke/entry/app.py
@@ -179,11 +179,12 @@
             # when the caller asks again with the same key.
             await self._serve(parsed, caller)
             return
-        failure: Exception | None = None
+        failure: Exception | None = CallerGoneError()
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(_cancel_when_gone, caller, tasks.cancel_scope)
             try:
                 await self._serve(parsed, caller)
+                failure = None
             except Exception as error:
                 # Raised after the task group, which would wrap it.
                 failure = error
