--- /dev/null
+++ b/test/entry/test_relay.py
@@ -0,0 +1,164 @@
+"""Tests of single attempts against arbitrary answers, without sockets."""
+
+import asyncio
+import unittest
+from unittest import mock
+
+import anyio
+import httpcore
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from acaciaspoke.config.schema import Service
+from acaciaspoke.entry.caller import Caller
+from acaciaspoke.entry.pool import ConnectionPool
+from acaciaspoke.entry.relay import Ending, Timings, UpstreamCall, attempt
+from test.entry.serving import CallerSide
+
+ADDRESS = "127.0.0.1:1"
+EVENTS = b'data: {"n": 1}\n\ndata: [DONE]\n\n'
+
+
+class FakeStream(httpcore.AsyncNetworkStream):
+    """Gives the parts of an answer, one per read, and then the end."""
+
+    def __init__(self, parts):
+        self.parts = parts
+        self.before_read = None
+        self.written_bytes = 0
+        self.closed = False
+
+    async def read(self, max_bytes, timeout=None):
+        if self.before_read is not None:
+            await self.before_read()
+        return self.parts.pop(0) if self.parts else b""
+
+    async def write(self, buffer, timeout=None):
+        self.written_bytes += len(buffer)
+
+    async def aclose(self):
+        self.closed = True
+
+    def get_extra_info(self, info):
+        return bool(self.parts) if info == "is_readable" else None
+
+
+class FakeBackend(httpcore.AsyncNetworkBackend):
+    """Connects to an upstream whose answer is already known."""
+
+    parts: list[bytes] = []
+
+    def __init__(self):
+        self.stream = None
+
+    async def connect_tcp(self, *_, **__):
+        self.stream = FakeStream(type(self).parts)
+        return self.stream
+
+
+class Answered:
+    """An answer that some upstream might give, and what is known of it."""
+
+    def __init__(self, echo, framing, status, body, headers, surplus, cut):
+        self.own = echo == [b"r1"]
+        self.body = body
+        self.surplus = surplus
+        lines = [b"HTTP/1.1 %d X" % status, *headers]
+        lines += [b"X-Request-Id: " + name for name in echo]
+        if framing == "length":
+            lines.append(b"content-length: %d" % len(body))
+        elif framing == "chunked":
+            lines.append(b"Transfer-Encoding: chunked")
+            half = len(body) // 2
+            parts = [p for p in (body[:half], body[half:]) if p]
+            body = b"".join(b"%x\r\n%s\r\n" % (len(p), p) for p in parts)
+            body += b"0\r\n\r\n"
+        whole = b"\r\n".join([*lines, b"", body])
+        kept = len(whole) * cut // 100
+        self.is_whole = kept == len(whole)
+        self.bytes = whole[:kept] + (surplus if self.is_whole else b"")
+
+
+ANSWERS = st.builds(
+    Answered,
+    st.sampled_from([[b"r1"], [b"r1"], [b"r2"], [], [b"r1", b"r2"]]),
+    st.sampled_from(["length", "chunked", "none"]),
+    st.sampled_from([200, 200, 429, 500, 307]) | st.integers(100, 999),
+    st.sampled_from([EVENTS, EVENTS[:20], b""]) | st.binary(max_size=30),
+    st.lists(
+        st.sampled_from(
+            [
+                b"Content-Type: text/event-stream",
+                b"Connection: close",
+                b"X-Odd: a\x01\x7f",
+                b"Content-Length: 3",
+                b"Date : x",
+            ]
+        ),
+        max_size=2,
+        unique=True,
+    ),
+    st.sampled_from([b"", b"", b"HTTP/1.1 200 X\r\n\r\n", b"\0"]),
+    st.sampled_from([100, 100, 99, 90, 50]) | st.integers(0, 100),
+)
+
+
+def split(data: bytes, size: int) -> list[bytes]:
+    return [data[i : i + size] for i in range(0, len(data), size)]
+
+
+class FuzzTest(unittest.TestCase):
+
+    async def attempt(self, parts, stream):
+        side = CallerSide()
+        caller = Caller(side.scope, side.receive, side.send, "r1")
+        call = UpstreamCall(
+            request_id="r1",
+            method=b"POST",
+            target=b"/",
+            headers=[],
+            body=b"{}",
+            stream=stream,
+        )
+        with (
+            mock.patch("acaciaspoke.entry.pool.UpstreamBackend", FakeBackend),
+            mock.patch.object(FakeBackend, "parts", parts),
+        ):
+            pool = ConnectionPool(ADDRESS)
+            connection = await pool.take()
+            service = Service(kind="engine", timeout_s=5)
+            with anyio.fail_after(10):
+                result = await attempt(
+                    connection, ADDRESS, call, service, caller, Timings()
+                )
+        clean = result.ending in (Ending.ANSWERED, Ending.REFUSED)
+        await pool.give_back(connection, clean=clean)
+        return result, side, connection, await pool.take()
+
+    @settings(derandomize=True, max_examples=400, deadline=None)
+    @given(ANSWERS, st.booleans(), st.sampled_from([1, 7, 1000]))
+    def test_any_answer(self, answered, stream, size):
+        """Guards against a wrong, cut or left-over answer (I3)."""
+        parts = split(answered.bytes, size)
+        result, side, connection, taken = asyncio.run(
+            self.attempt(parts, stream)
+        )
+        if result.ending is Ending.ANSWERED or side.status:
+            self.assertTrue(answered.own)
+        if result.ending is Ending.ANSWERED:
+            if side.complete:
+                self.assertEqual(side.body, result.body or side.body)
+                self.assertIn(b"data: [DONE]", side.body)
+            elif result.status not in (204, 304):
+                # The fuzzed length may be another than that of the body.
+                sent = answered.body + answered.surplus
+                self.assertTrue(sent.startswith(result.body))
+                self.assertTrue(answered.is_whole or len(result.body) == 3)
+        else:
+            self.assertFalse(side.complete)
+        if taken is not connection:
+            self.assertTrue(connection.stream.closed)
+        else:
+            self.assertTrue(answered.own)
+            self.assertFalse(connection.stream.parts)
+            self.assertFalse(connection.has_surplus)
