--- a/acaciaspoke/entry/app.py
+++ b/acaciaspoke/entry/app.py
@@ -21,6 +21,11 @@
 )
 from acaciaspoke.util.metrics import Metrics
 
+# Bodies of the largest size that are held at once, or more smaller ones. The
+# limit of open requests alone would let slow callers fill the memory: 4096
+# bodies of 4 MiB are 16 GiB.
+MAX_HELD_BODIES = 32
+
 _JSON = [(b"content-type", b"application/json")]
 
 # Serves a parsed request; raises CallerError if it has no answer to give.
@@ -39,6 +44,7 @@
         *,
         config: Callable[[], Config | None],
         is_ready: Callable[[], bool],
+        is_draining: Callable[[], bool],
         serve: Serve,
         metrics: Metrics,
         max_body_bytes: int,
@@ -47,10 +53,12 @@
         self.open_requests = 0
         self._config = config
         self._is_ready = is_ready
+        self._is_draining = is_draining
         self._serve = serve
         self._metrics = metrics
         self._max_body_bytes = max_body_bytes
         self._max_requests = max_requests
+        self._held_bytes = 0
 
     async def __call__(self, scope, receive, send) -> None:
         """Serves one request."""
@@ -58,7 +66,15 @@
             return
         headers = dict(scope["headers"])
         caller_id = headers.get(b"x-request-id", b"").decode("latin-1")
-        caller = Caller(scope, receive, send, new_request_id(caller_id))
+        # A balancer that keeps a connection open would send further requests
+        # over it until the process stops.
+        caller = Caller(
+            scope,
+            receive,
+            send,
+            new_request_id(caller_id),
+            self._is_draining,
+        )
         self.open_requests += 1
         started_s = time.monotonic()
         try:
@@ -70,6 +86,12 @@
             self._metrics.timing_ms("entry.request", elapsed_ms)
 
     async def _answer(self, caller: Caller) -> None:
+        try:
+            await self._answer_or_fail(caller)
+        except CallerGoneError:
+            self._metrics.count("entry.caller_gone")
+
+    async def _answer_or_fail(self, caller: Caller) -> None:
         try:
             await self._route(caller)
         except CallerError as error:
@@ -82,7 +104,7 @@
             )
             await caller.fail(error)
         except CallerGoneError:
-            self._metrics.count("entry.caller_gone")
+            raise
         except Exception:
             logger.exception("request failed")
             await caller.fail(
@@ -99,9 +121,11 @@
             body = b'{"ready":true}' if ready else b'{"ready":false}'
             await caller.answer(200 if ready else 503, _JSON, body)
         elif caller.path == "/v1/models":
+            _require_method(caller, "GET", "HEAD")
             await self._list_models(caller)
         elif caller.path == CHAT_PATH:
-            await self._serve_chat(caller)
+            _require_method(caller, "POST")
+            await self._serve_parsed(caller, parse_chat)
         elif caller.path.startswith(SERVICES_PREFIX):
             await self._serve_parsed(caller, parse_service)
         else:
@@ -109,13 +133,6 @@
                 ErrorType.NOT_FOUND, f"there is no path {caller.path!r}"
             )
 
-    async def _serve_chat(self, caller: Caller) -> None:
-        if caller.method != "POST":
-            raise CallerError(
-                ErrorType.METHOD_NOT_ALLOWED, f"{CHAT_PATH} takes POST"
-            )
-        await self._serve_parsed(caller, parse_chat)
-
     async def _list_models(self, caller: Caller) -> None:
         config = self._require_config()
         account_of(caller, config)
@@ -134,19 +151,41 @@
                 f"{self._max_requests} requests are open already",
                 retry_after_s=1,
             )
-        body = await caller.read_body(self._max_body_bytes)
-        parsed = parse(caller, body, config)
+        account_of(caller, config)
+        held_bytes = 0
+
+        def hold(size_bytes: int) -> None:
+            nonlocal held_bytes
+            held_bytes += size_bytes
+            self._held_bytes += size_bytes
+            if self._held_bytes > MAX_HELD_BODIES * self._max_body_bytes:
+                raise CallerError(
+                    ErrorType.OVERLOADED,
+                    "the requests in progress hold too much memory",
+                    retry_after_s=1,
+                )
+
+        try:
+            body = await caller.read_body(self._max_body_bytes, hold)
+            # Another version may have come into force meanwhile.
+            parsed = parse(caller, body, self._require_config())
+            await self._serve_until_gone(parsed, caller)
+        finally:
+            self._held_bytes -= held_bytes
+
+    async def _serve_until_gone(self, parsed: Parsed, caller: Caller) -> None:
         if not parsed.request.idempotent:
             # It goes on when its caller leaves, so that its outcome is known
             # when the caller asks again with the same key.
             await self._serve(parsed, caller)
             return
-        failure: CallerError | None = None
+        failure: Exception | None = CallerGoneError()
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(_cancel_when_gone, caller, tasks.cancel_scope)
             try:
                 await self._serve(parsed, caller)
-            except CallerError as error:
+                failure = None
+            except Exception as error:
                 # Raised after the task group, which would wrap it.
                 failure = error
             tasks.cancel_scope.cancel()
@@ -164,6 +203,14 @@
         return config
 
 
+def _require_method(caller: Caller, *methods: str) -> None:
+    if caller.method not in methods:
+        raise CallerError(
+            ErrorType.METHOD_NOT_ALLOWED,
+            f"{caller.path} takes {' or '.join(methods)}",
+        )
+
+
 async def _cancel_when_gone(caller: Caller, scope: anyio.CancelScope) -> None:
     await caller.wait_until_gone()
     scope.cancel()
--- a/acaciaspoke/entry/dispatch.py
+++ b/acaciaspoke/entry/dispatch.py
@@ -165,12 +165,22 @@
             CallerError: If it may not run any more.
         """
         self._check_blocked(request, now_s)
+        if request.rank not in self.config.ranks:
+            # Its queue may be gone.
+            raise CallerError(ErrorType.NOT_FOUND, _RANK_REMOVED)
         self.budget.note_retry(now_s)
         verdict = self.suspects.verdict(request.fingerprint, now_s)
         apart = verdict is not Verdict.CLEAN
         self._waiting[request.request_id] = _Waiting(request, tried, apart)
         self._queue.put_back(request, now_s, apart=apart)
 
+    def has_untried(self, request: Request, tried: set[UpstreamId]) -> bool:
+        """Tells whether another live upstream could run a request."""
+        return any(
+            status.state is UpstreamState.LIVE and status.upstream not in tried
+            for status in self._fleet.holders(request.service, request.artifact)
+        )
+
     def cancel(self, request_id: RequestId, now_s: float) -> None:
         """Forgets a request, whether it waits or is in flight."""
         self._queue.cancel(request_id, now_s)
@@ -366,6 +376,7 @@
 _BLOCKED = "the upstreams that ran this request crashed; it is blocked for now"
 _EXPIRED = "the deadline passed before an upstream was free"
 _REMOVED = "the model was removed while the request waited"
+_RANK_REMOVED = "the rank was removed while the request was in progress"
 _REJECTIONS = {
     ErrorType.REQUEST_BLOCKED: _BLOCKED,
     ErrorType.NOT_FOUND: _REMOVED,
--- a/acaciaspoke/entry/exchange.py
+++ b/acaciaspoke/entry/exchange.py
@@ -99,7 +99,9 @@
             raise
         finally:
             self._dispatcher.cancel(request.request_id, time.monotonic())
-            self._replies.pop(request.request_id, None)
+            reply = self._replies.pop(request.request_id, None)
+            if reply is not None:
+                reply.close()
             self.dispatch()
         self._record(request, timings, succeeded=succeeded)
 
@@ -145,7 +147,7 @@
                 tries=len(exchanges),
                 budget=self._dispatcher.budget,
                 now_s=now_s,
-            ):
+            ) or not self._would_help(result, request, tried):
                 raise endings.to_error(result, exchanges)
             self._metrics.count("entry.retry")
             logger.info(
@@ -156,6 +158,15 @@
             )
             self._requeue(request, tried, exchanges, now_s)
 
+    def _would_help(
+        self, result: Attempt, request: Request, tried: set[UpstreamId]
+    ) -> bool:
+        if result.ending is Ending.REFUSED:
+            # Upstreams that refused stay where they are. Without another one
+            # the request would wait for its deadline.
+            return self._dispatcher.has_untried(request, tried)
+        return result.ending is not Ending.UNUSABLE
+
     def _requeue(
         self,
         request: Request,
@@ -221,9 +232,9 @@
     ) -> Attempt:
         service = parsed.service
         pool = self._pool(assignment.address, service.echoes_request_id)
-        connection = await pool.take()
         left_s = parsed.request.deadline_s - time.monotonic()
         call = parsed.call_at(assignment.level, int(left_s * 1000))
+        connection = await pool.take()
         clean = False
         try:
             result = await attempt(
