--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -11,8 +11,8 @@
 # Each takes whether it should be short, and yields its results.
 BENCHMARKS: dict[str, Callable[[bool], Iterator[Result]]] = {
     "chart_cost": lambda _short: chart_cost.run(),
-    "recording": lambda _short: recording.run(),
-    "gossip": lambda _short: gossip.run(),
+    "recording": recording.run,
+    "gossip": gossip.run,
     "idle": idle.run,
     "relay": relay.run,
 }
