--- a/acaciaspoke/entry/relay.py
+++ b/acaciaspoke/entry/relay.py
@@ -300,22 +300,28 @@
     timings: Timings,
     guard: StallGuard,
 ) -> None:
-    # Parts that arrived in one read leave in one write.
+    # Parts that arrived together leave in one write.
     parts: list[bytes] = []
+    tail = b""
 
     async def flush() -> None:
+        nonlocal tail
         if parts:
-            data = b"".join(parts)
+            data = parts[0] if len(parts) == 1 else b"".join(parts)
             parts.clear()
+            # The end marker may come in several parts.
+            tail = (
+                data
+                if len(data) >= _TAIL_BYTES
+                else (tail + data)[-_TAIL_BYTES:]
+            )
             await caller.send(data, more=True)
 
     await caller.start(result.status, result.headers)
-    tail = b""
     connection.stream.before_read = flush
     try:
         async for part in response.stream:
             parts.append(part)
-            tail = (tail + part)[-_TAIL_BYTES:]
             now_s = time.monotonic()
             guard.active(now_s)
             if _EVENT in part:
--- a/acaciaspoke/entry/transport.py
+++ b/acaciaspoke/entry/transport.py
@@ -29,16 +29,17 @@
         transport: The connection.
         ended: Whether no more bytes will come.
         error: Why the connection was lost, if it did not end well.
+        is_write_paused: Whether the peer is slow to take what was written.
     """
 
     def __init__(self) -> None:
         self.transport: asyncio.Transport | None = None
         self.ended = False
         self.error: Exception | None = None
+        self.is_write_paused = False
         self._arrived: list[bytes] = []
         self._arrived_bytes = 0
         self._read_paused = False
-        self._write_paused = False
         self._reader: asyncio.Future[None] | None = None
         self._writer: asyncio.Future[None] | None = None
 
@@ -75,11 +76,11 @@
 
     def pause_writing(self) -> None:
         """Makes ``drain`` wait."""
-        self._write_paused = True
+        self.is_write_paused = True
 
     def resume_writing(self) -> None:
         """Lets ``drain`` return."""
-        self._write_paused = False
+        self.is_write_paused = False
         if self._writer is not None and not self._writer.done():
             self._writer.set_result(None)
 
@@ -97,7 +98,7 @@
 
     async def drain(self) -> None:
         """Waits until the peer has taken enough of what was written."""
-        while self._write_paused:
+        while self.is_write_paused:
             self._writer = asyncio.get_running_loop().create_future()
             try:
                 await self._writer
@@ -146,7 +147,10 @@
                 await self.before_read()
             # Something may have arrived meanwhile.
             if not protocol.has_arrived:
-                await self._wait(timeout)
+                if timeout is None:
+                    await protocol.wait()
+                else:
+                    await self._wait(timeout)
         data = protocol.take(max_bytes)
         if not data and self._closed:
             raise httpcore.ReadError("the connection was closed")
@@ -154,10 +158,7 @@
             raise httpcore.ReadError(_reason(protocol.error))
         return data
 
-    async def _wait(self, timeout: float | None) -> None:
-        if timeout is None:
-            await self._protocol.wait()
-            return
+    async def _wait(self, timeout: float) -> None:
         try:
             with anyio.fail_after(timeout):
                 await self._protocol.wait()
@@ -173,11 +174,14 @@
         if self._transport.is_closing():
             raise httpcore.WriteError(_reason(self._protocol.error))
         self._transport.write(buffer)
-        try:
-            with anyio.fail_after(timeout):
-                await self._protocol.drain()
-        except TimeoutError as error:
-            raise httpcore.WriteTimeout("bytes not taken in time") from error
+        if self._protocol.is_write_paused:
+            try:
+                with anyio.fail_after(timeout):
+                    await self._protocol.drain()
+            except TimeoutError as error:
+                raise httpcore.WriteTimeout(
+                    "bytes not taken in time"
+                ) from error
         if self._protocol.error is not None:
             raise httpcore.WriteError(_reason(self._protocol.error))
 
