--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -12,7 +12,7 @@
 # Each takes whether it should be short, and yields its results.
 BENCHMARKS: dict[str, Callable[[bool], Iterator[Result]]] = {
     "chart_cost": lambda _short: chart_cost.run(),
-    "recording": lambda _short: recording.run(),
+    "recording": recording.run,
     "gossip": gossip.run,
     "reports": reports.run,
     "idle": idle.run,
