--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 PY := $(VENV)/bin/python
 SOURCES := acaciaspoke standins bench test
 
-.PHONY: venv test lint format bench bench-short bench-policy demo binary clean
+.PHONY: venv test lint format bench bench-short bench-policy bench-capacity demo binary clean
 
 venv: $(VENV)/.installed
 
@@ -31,6 +31,9 @@
 bench-policy: venv
 	$(PY) -m bench.policy
 
+bench-capacity: venv
+	$(PY) -m bench.capacity
+
 demo: venv
 	$(PY) -m standins.demo
 
--- /dev/null
+++ b/bench/capacity/demand.py
@@ -0,0 +1,80 @@
+"""Demand messages, as the holder of a failure domain's lease takes them."""
+
+import random
+from collections import Counter
+from collections.abc import Iterator
+
+from acaciaspoke.control.demand import DemandRates
+from acaciaspoke.entry.process import DEMAND_INTERVAL_S
+from acaciaspoke.net.messages import Demand, decode, encode
+from bench.capacity import scale
+from bench.capacity.measure import cpu_s, ms, size
+from bench.result import Result
+
+REQUESTS_PER_S = 45_000 / 7
+HOSTS = 286
+ENTRY_PROCESSES = 4
+
+ARTIFACTS = (135, 1200, 4800)
+RANKS = ("urgent", "normal", "batch")
+
+# The rates decay this much between two messages.
+MESSAGE_GAP_S = DEMAND_INTERVAL_S / HOSTS / ENTRY_PROCESSES
+
+
+def run() -> Iterator[Result]:
+    """Measures messages of one entry process and of a whole host."""
+    per_message = REQUESTS_PER_S * DEMAND_INTERVAL_S / HOSTS / ENTRY_PROCESSES
+    for artifacts in ARTIFACTS:
+        yield from _measure(artifacts, per_message)
+    rng = random.Random(1)
+    for label, factor in (
+        ("entry_process_250_ms", 1),
+        ("host_1_s", ENTRY_PROCESSES / DEMAND_INTERVAL_S),
+    ):
+        data = encode(_demand(rng, 4800, round(per_message * factor)))
+        yield size(f"demand.message.{label}", len(data))
+        yield Result(
+            name=f"demand.message.{label}.decode",
+            value=cpu_s(lambda data=data: decode(data)) * 1e6,
+            unit="us of a core",
+        )
+
+
+def _demand(rng: random.Random, artifacts: int, requests: int) -> Demand:
+    arrivals: dict[str, Counter] = {}
+    for _ in range(max(1, requests)):
+        name = f"model-{min(rng.randrange(artifacts) for _ in range(2)):04}"
+        arrivals.setdefault(name, Counter())[rng.choice(RANKS)] += 1
+    return Demand(
+        sender="tcp://10.0.0.1:7000",
+        arrivals={name: dict(counts) for name, counts in arrivals.items()},
+        interval_s=DEMAND_INTERVAL_S,
+    )
+
+
+def _measure(artifacts: int, per_message: float) -> Iterator[Result]:
+    name = f"demand.{artifacts}_artifacts"
+    rng = random.Random(2)
+    messages = [_demand(rng, artifacts, round(per_message)) for _ in range(500)]
+    ranks = scale.config(scale.TODAY).ranks
+    rates, now_s, taken = DemandRates(), 0.0, 0
+    for rank in RANKS:
+        arrivals = {f"model-{n:04}": {rank: 5} for n in range(artifacts)}
+        rates.add(Demand(sender="tcp://e", arrivals=arrivals), now_s)
+
+    def take():
+        nonlocal now_s, taken
+        now_s += MESSAGE_GAP_S
+        taken += 1
+        rates.add(messages[taken % len(messages)], now_s)
+
+    take_s = cpu_s(take)
+    yield ms(f"{name}.take_message", take_s)
+
+    def read():
+        nonlocal now_s
+        now_s += MESSAGE_GAP_S
+        rates.rates(ranks, now_s)
+
+    yield ms(f"{name}.read_rates", cpu_s(read))
--- /dev/null
+++ b/bench/capacity/dispatching.py
@@ -0,0 +1,89 @@
+"""Decisions of the dispatcher of one entry process."""
+
+import random
+import time
+from collections.abc import Iterator
+
+import msgspec
+
+from acaciaspoke.entry.dispatch import Assignment, Dispatcher
+from acaciaspoke.net.messages import FleetView
+from bench.capacity import fleet, scale
+from bench.capacity.measure import allocated_bytes, ms, size
+from bench.result import Result
+from test.entry.builders import request
+
+WAITING = (10, 100, 1000)
+ROUNDS = 200
+
+
+def run() -> Iterator[Result]:
+    """Measures some fleets, each with requests that wait and one that runs."""
+    for upstreams in fleet.UPSTREAMS:
+        config = scale.config(fleet._sized(upstreams))
+        yield size(
+            f"dispatching.{upstreams}_upstreams.memory",
+            allocated_bytes(lambda c=config: _dispatcher(c)),
+        )
+        for waiting in WAITING:
+            yield from _measure(config, upstreams, waiting)
+
+
+def _dispatcher(config, views=None) -> Dispatcher:
+    dispatcher = Dispatcher(scale.OWN_DOMAIN, random.Random(1))
+    dispatcher.set_config(config)
+    views = tuple(views or scale.views(config))
+    dispatcher.set_fleet(FleetView(upstreams=views, entry_processes=1), 0.0)
+    return dispatcher
+
+
+def _request(name: str, now_s: float, rank: str = "urgent"):
+    return request(
+        rank=rank,
+        artifact=name,
+        service=scale.SERVICE,
+        deadline_s=now_s + 60.0,
+        arrived_s=now_s,
+        prefix_hash=hash(name) & 0xFFFF,
+    )
+
+
+def _measure(config, upstreams: int, waiting: int) -> Iterator[Result]:
+    """Times an arrival, its decision and its end, while others wait.
+
+    Those that wait are for models without a copy, some requests for each, so
+    that each decision has to pass them all.
+    """
+    names = list(config.models)
+    views = scale.views(config)
+    resident = {name for view in views for name in view.resident}
+    held = [name for name in names if name in resident]
+    gone = [f"gone-{n}" for n in range(max(1, waiting // 8))]
+    models = dict(config.models)
+    models |= dict.fromkeys(gone, models[names[0]])
+    config = _with_models(config, models)
+    dispatcher = _dispatcher(config, views)
+    for number in range(waiting):
+        item = _request(gone[number % len(gone)], 0.0, "batch")
+        dispatcher.submit(item, 0.0)
+    spent_s, assigned, now_s = 0.0, 0, 1.0
+    for number in range(ROUNDS):
+        now_s += 0.01
+        item = _request(held[number % len(held)], now_s)
+        start_s = time.process_time()
+        dispatcher.submit(item, now_s)
+        decisions = list(dispatcher.decide(now_s))
+        dispatcher.succeeded(item, now_s)
+        spent_s += time.process_time() - start_s
+        assigned += sum(isinstance(d, Assignment) for d in decisions)
+    name = f"dispatching.{upstreams}_upstreams.{waiting}_waiting"
+    yield ms(f"{name}.arrival_to_end", spent_s / ROUNDS)
+    yield Result(name=f"{name}.assigned", value=assigned, unit="requests")
+
+
+def _with_models(config, models):
+    ranks = {
+        name: msgspec.structs.replace(rank, queue_limit=100_000)
+        for name, rank in config.ranks.items()
+    }
+    return msgspec.structs.replace(config, models=models, ranks=ranks)
--- /dev/null
+++ b/bench/capacity/fleet.py
@@ -0,0 +1,281 @@
+"""What hosts and entry processes pay to know the upstreams."""
+
+import random
+import time
+from collections.abc import Iterator
+
+import anyio
+
+from acaciaspoke.control.fleetwatch import REFRESH_INTERVAL_S
+from acaciaspoke.control.polling import Poller
+from acaciaspoke.control.reports import ReportSpread
+from acaciaspoke.control.upstreams import Upstreams
+from acaciaspoke.entry.routing import Fleet
+from acaciaspoke.ids import Address, BootId, HostId
+from acaciaspoke.net.messages import (
+    Member,
+    UpstreamReports,
+    UpstreamView,
+    decode,
+    encode,
+)
+from acaciaspoke.util.metrics import Metrics
+from bench.capacity import scale
+from bench.capacity.measure import allocated_bytes, cpu_s, ms, size
+from bench.capacity.processes import standin
+from bench.result import Result
+
+UPSTREAMS = (12, 786, 5500)
+TICKS_PER_S = 10
+POLLS = 300
+
+# Hosts and upstreams of a failure domain.
+SPREADS = ((3, 4), (72, 197), (286, 786))
+SPREAD_SETTLE_S = 60.0
+SPREAD_S = 60.0
+
+
+def run() -> Iterator[Result]:
+    """Measures views, their spreading in a failure domain, and polls."""
+    for count in UPSTREAMS:
+        yield from _views(count)
+    for hosts, upstreams in SPREADS:
+        yield from _spread(hosts, upstreams)
+    yield from _polls()
+
+
+def _sized(upstreams: int) -> scale.Size:
+    share = upstreams / scale.TARGET.upstreams
+    if upstreams == scale.TODAY.upstreams:
+        return scale.TODAY
+    return scale.Size(
+        round(scale.TARGET.models * share),
+        round(scale.TARGET.adapters * share),
+        upstreams,
+    )
+
+
+def _known(config, views) -> Upstreams:
+    upstreams = Upstreams(HostId("h"), scale.OWN_DOMAIN, random.Random(1))
+    upstreams.set_config(config.upstreams, 0.0)
+    for view in views:
+        upstreams.on_view(view, 0.0)
+    return upstreams
+
+
+def _views(count: int) -> Iterator[Result]:
+    name = f"fleet.{count}_upstreams"
+    config = scale.config(_sized(count))
+    views = scale.views(config)
+    upstreams = _known(config, views)
+    messages, change = upstreams.fleet_views(0, 4, 1.0)
+    packed = [encode(message) for message in messages]
+    yield size(f"{name}.whole_view", sum(map(len, packed)))
+    yield size(
+        f"{name}.control_memory",
+        allocated_bytes(lambda: _known(config, scale.views(config))),
+    )
+    yield Result(
+        name=f"{name}.whole_view_per_entry_process",
+        value=sum(map(len, packed)) / REFRESH_INTERVAL_S,
+        unit="B/s, over loopback",
+    )
+    whole_s = cpu_s(
+        lambda: [encode(m) for m in upstreams.fleet_views(0, 4, 1.0)[0]]
+    )
+    yield ms(f"{name}.control_makes_whole_view", whole_s)
+    nothing_s = cpu_s(lambda: upstreams.fleet_views(change, 4, 1.0))
+    yield ms(f"{name}.control_finds_no_change", nothing_s)
+    yield Result(
+        name=f"{name}.control_share_per_entry_process",
+        value=100 * (whole_s / REFRESH_INTERVAL_S + nothing_s * TICKS_PER_S),
+        unit="% of a core",
+    )
+    yield from _entry(name, config, views, packed)
+
+
+def _entry(name, config, views, packed) -> Iterator[Result]:
+    fleet = Fleet(config.upstreams)
+
+    def take():
+        for data in packed:
+            fleet.update(decode(data).upstreams, 1.0)
+
+    take()
+    entry_s = cpu_s(take)
+    yield ms(f"{name}.entry_takes_whole_view", entry_s)
+    yield ms(f"{name}.entry_takes_largest_message", entry_s / len(packed))
+    moved = UpstreamView(
+        upstream=views[0].upstream,
+        state=views[0].state,
+        boot_id=views[0].boot_id,
+        sequence=views[0].sequence + 1,
+    )
+    sides = [moved, views[0]]
+
+    def move_and_back():
+        for view in sides:
+            fleet.update([view], 2.0)
+
+    yield ms(f"{name}.entry_takes_one_move", cpu_s(move_and_back) / 2)
+
+
+def _members(count: int) -> list[Member]:
+    return [
+        Member(
+            host=HostId(f"{scale.OWN_DOMAIN}-host-{n:04}"),
+            boot=BootId(f"{n:032x}"),
+            failure_domain=scale.OWN_DOMAIN,
+            address=Address(f"tcp://10.{n >> 8}.{n & 255}.1:7000"),
+            admin_address=f"10.{n >> 8}.{n & 255}.1:7001",
+            entry_processes=4,
+        )
+        for n in range(count)
+    ]
+
+
+class _Spreader:
+    """One host of a domain, with a clock that the benchmark moves."""
+
+    def __init__(self, hosts: int, upstreams: int):
+        self.members = _members(hosts)
+        self.config = scale.config(_sized(upstreams), own_share=1.0)
+        self.known = Upstreams(
+            self.members[0].host, scale.OWN_DOMAIN, random.Random(1)
+        )
+        self.known.set_config(self.config.upstreams, 0.0)
+        self.known.set_members(self.members)
+        while self.known._unranked:
+            self.known.rank_pollers()
+        for view in scale.views(self.config):
+            self.known.on_view(view, 0.0)
+        self.spread = ReportSpread(
+            self.members[0], self.known, random.Random(2)
+        )
+        self.now_s = 0.0
+
+    def run(self, duration_s: float) -> tuple[float, int, int, int]:
+        """Returns processor time, messages, bytes and bytes of loads."""
+        spent_s, messages, sent, loads = 0.0, 0, 0, 0
+        for _ in range(round(duration_s * TICKS_PER_S)):
+            self.now_s += 1 / TICKS_PER_S
+            start_s = time.process_time()
+            self.known.set_members(self.members)
+            self.known.rank_pollers()
+            self.spread.set_members(self.members)
+            outgoing = self.spread.tick([], self.now_s)
+            spent_s += time.process_time() - start_s
+            for item in outgoing:
+                length = len(encode(item.message))
+                messages += 1
+                sent += length
+                if not isinstance(item.message, UpstreamReports):
+                    loads += length
+        return spent_s, messages, sent, loads
+
+
+def _spread(hosts: int, upstreams: int) -> Iterator[Result]:
+    name = f"spread.{hosts}_hosts.{upstreams}_upstreams"
+    host = _Spreader(hosts, upstreams)
+    host.run(SPREAD_SETTLE_S)
+    spent_s, messages, sent, _ = host.run(SPREAD_S)
+    yield Result(
+        name=f"{name}.tick",
+        value=100 * spent_s / SPREAD_S,
+        unit="% of a core, without posting",
+    )
+    yield Result(
+        name=f"{name}.posted", value=messages / SPREAD_S, unit="messages/s"
+    )
+    yield Result(name=f"{name}.sent", value=sent / SPREAD_S, unit="B/s")
+    own = len(host.spread._own())
+    yield Result(name=f"{name}.passed_on", value=own, unit="upstreams")
+    each = messages / SPREAD_S / max(1, hosts - 1)
+    yield Result(
+        name=f"{name}.load_interval", value=1 / each if each else 0.0, unit="s"
+    )
+    change_s, view_bytes = _change(host)
+    yield Result(name=f"{name}.change_posted_to_all", value=change_s, unit="s")
+    yield size(f"{name}.change", view_bytes)
+    yield from _ranking(name, host)
+
+
+def _change(host: _Spreader) -> tuple[float, int]:
+    """Returns how long one change takes to be posted to each peer."""
+    own = host.spread._own()
+    if not own:
+        return 0.0, 0
+    view = host.known.view(own[0], host.now_s)
+    moved = UpstreamView(
+        upstream=view.upstream,
+        state=view.state,
+        boot_id=view.boot_id,
+        sequence=view.sequence + 1,
+        resident=dict(list(view.resident.items())[1:]),
+    )
+    host.known.on_view(moved, host.now_s)
+    start_s, told, length = host.now_s, 0, 0
+    while told < len(host.members) - 1 and host.now_s < start_s + 60:
+        host.now_s += 1 / TICKS_PER_S
+        for item in host.spread.tick([], host.now_s):
+            if isinstance(item.message, UpstreamReports):
+                told += 1
+                length = len(encode(item.message))
+    return host.now_s - start_s, length
+
+
+def _ranking(name: str, host: _Spreader) -> Iterator[Result]:
+    """Measures what a host that leaves or joins costs each other one."""
+
+    def leave_and_join():
+        for members in (host.members[:-1], host.members):
+            host.known.set_members(members)
+            while host.known._unranked:
+                host.known.rank_pollers()
+
+    yield ms(f"{name}.host_leaves_or_joins", cpu_s(leave_and_join) / 2)
+
+
+def _polls() -> Iterator[Result]:
+    with standin("engine", "memory_bytes=1000", "slots=64") as address:
+        for loaded in (0, 8):
+            yield from anyio.run(
+                _poll, address, loaded, backend_options={"use_uvloop": True}
+            )
+
+
+async def _poll(address: str, loaded: int) -> list[Result]:
+    config = scale.config(scale.TODAY)
+    name = next(iter(config.upstreams))
+    upstreams = _known(config, [])
+    poller = Poller(upstreams, Metrics())
+    for number in range(loaded):
+        await _load(poller, address, number)
+    await poller.poll(name, address)
+    client = poller._clients[address]
+    answer = await client.request("GET", "/v2/report")
+    start_s = time.process_time()
+    for _ in range(POLLS):
+        await poller.poll(name, address)
+    spent_s = time.process_time() - start_s
+    await poller.close_unused([])
+    return [
+        Result(
+            name=f"poll.{loaded}_artifacts.cpu",
+            value=spent_s / POLLS * 1e6,
+            unit="us of a core per poll",
+        ),
+        size(f"poll.{loaded}_artifacts.body", len(answer.body)),
+    ]
+
+
+async def _load(poller: Poller, address: str, number: int) -> None:
+    name = f"model-{number:04}"
+    body = (
+        f'{{"parameters": {{"order_id": "{number:032x}", "fencing_token": 1,'
+        ' "version": "2026-12-01", "memory_bytes": 10}}'
+    )
+    await poller._fetch(address)
+    path = f"/v2/repository/models/{name}/load"
+    answer = await poller._clients[address].request("POST", path, body.encode())
+    assert answer.status == 200, answer
--- a/bench/gossip.py
+++ b/bench/gossip.py
@@ -24,7 +24,7 @@
 NOTICES_PER_RESTART = 5
 
 
-def _member(name: str, number: int, boot: int = 0) -> Member:
+def member(name: str, number: int, boot: int = 0) -> Member:
     return Member(
         host=HostId(name),
         boot=BootId(f"{number + 4096 * boot:032x}"),
@@ -35,7 +35,7 @@
     )
 
 
-def _start(network: FakeNetwork, me: Member, seeds: list[Address]):
+def start(network: FakeNetwork, me: Member, seeds: list[Address]):
     node = Membership(
         me,
         seeds,
@@ -55,7 +55,7 @@
     return node
 
 
-def _traffic(network: FakeNetwork, hosts: list[Member]) -> list[float]:
+def traffic(network: FakeNetwork, hosts: list[Member]) -> list[float]:
     return [
         network.sent_bytes[host.address] + network.received_bytes[host.address]
         for host in hosts
@@ -65,21 +65,21 @@
 def _measure(count: int, churn: bool) -> tuple[float, float]:
     """Returns the mean and the largest bytes per second of a host."""
     network = FakeNetwork(1)
-    hosts = [_member(f"az1-host-{i:04}", i) for i in range(count)]
+    hosts = [member(f"az1-host-{i:04}", i) for i in range(count)]
     foreign = [
-        _member(f"az{domain + 2}-host-{i:04}", 1024 + 16 * domain + i)
+        member(f"az{domain + 2}-host-{i:04}", 1024 + 16 * domain + i)
         for domain in range(FOREIGN_DOMAINS)
         for i in range(FOREIGN_HOSTS)
     ]
     seeds = [hosts[0].address, *(host.address for host in foreign)]
-    nodes = [_start(network, host, seeds) for host in hosts + foreign]
+    nodes = [start(network, host, seeds) for host in hosts + foreign]
     network.run(SETTLE_S)
-    before = _traffic(network, hosts)
+    before = traffic(network, hosts)
     steps = int(MEASURED_S / RESTART_INTERVAL_S)
     for step in range(steps):
         if churn:
             restarted = hosts[1 + step]
-            _start(network, _member(restarted.host, 1 + step, boot=1), seeds)
+            start(network, member(restarted.host, 1 + step, boot=1), seeds)
             nodes[0].note_leaving(
                 LeavingNotice(
                     upstream=UpstreamId(f"az1-engine-{step:02}-{i:02}"),
@@ -92,7 +92,7 @@
     # The seed and restarted hosts count as well as the others.
     rates = [
         (after - earlier) / (steps * RESTART_INTERVAL_S)
-        for earlier, after in zip(before, _traffic(network, hosts), strict=True)
+        for earlier, after in zip(before, traffic(network, hosts), strict=True)
     ]
     return sum(rates) / len(rates), max(rates)
 
