--- a/acaciaspoke/entry/routing.py
+++ b/acaciaspoke/entry/routing.py
@@ -149,17 +149,16 @@
         self, views: Iterable[UpstreamView], now_s: float
     ) -> list[UpstreamStatus]:
         """Takes views from the control process; returns the newly reported."""
-        changed = False
         fresh = []
         for view in views:
             status = self.upstreams.get(view.upstream)
             if status is None:
                 continue
-            changed |= status.resident.keys() != view.resident.keys()
+            before = status.resident
             if status.report(view, now_s):
                 fresh.append(status)
-        if changed:
-            self._index_artifacts()
+            if status.resident.keys() != before.keys():
+                self._index_changes(status, before)
         return fresh
 
     def holders(
@@ -203,6 +202,23 @@
         """Returns the upstreams that run a request of this fingerprint."""
         return self._runs_on.get(fingerprint, {}).keys()
 
+    def _index_changes(
+        self, status: UpstreamStatus, before: Mapping[ArtifactName, str]
+    ) -> None:
+        """Brings the index up to date after one upstream's report.
+
+        With 5,500 upstreams an index made anew takes 14 ms, in which no stream
+        of the process goes on.
+        """
+        service = status.config.service
+        for name in before.keys() - status.resident.keys():
+            holders = self._by_artifact[service, name]
+            holders.remove(status)
+            if not holders:
+                del self._by_artifact[service, name]
+        for name in status.resident.keys() - before.keys():
+            self._by_artifact.setdefault((service, name), []).append(status)
+
     def _index_artifacts(self) -> None:
         self._by_artifact.clear()
         for status in self.upstreams.values():
--- a/test/entry/test_routing.py
+++ b/test/entry/test_routing.py
@@ -55,6 +55,26 @@
         self.assertEqual(choose(f, version="2"), "u2")
         self.assertEqual(choose(f, version="2", tried={"u2"}), "u1")
 
+    def test_holders_follow_reports_in_any_order(self):
+        """Guards against an index that keeps or misses a holder (I2)."""
+        rng = random.Random(3)
+        names = [f"u{n}" for n in range(6)]
+        f = fleet(dict.fromkeys(names, "d1"))
+        for step in range(300):
+            resident = rng.sample(("m1", "m2", "m3", "a1"), rng.randrange(4))
+            late = {"report_age_s": rng.choice((0.0, 0.0, 9.0))}
+            f.update([view(rng.choice(names), resident, **late)], step / 10)
+            if step % 50 == 0:
+                f.set_upstreams(
+                    {name: f.upstreams[name].config for name in names}
+                )
+            for artifact in ("m1", "m2", "m3", "a1"):
+                holders = f.holders("draft", artifact)
+                self.assertEqual(
+                    sorted(status.upstream for status in holders),
+                    [n for n in names if artifact in f.upstreams[n].resident],
+                )
+
     def test_does_not_herd_on_one_late_report(self):
         """Guards against sending all to what a late report calls idle."""
         f = fleet({f"u{n}": "d1" for n in range(4)}, slots=8)
