Rank pollers and tell changes only where something changed

When a host came or went, each other host ranked all upstreams of the domain again: 77 ms at 286 hosts and 786 upstreams, and frequent changes kept the last upstreams waiting without pollers. It takes 2.9 ms now. Each tick looked at all upstreams for each entry process: 0.16 ms at 5,500 upstreams, 0.003 ms now (python -m bench.capacity fleet, load average 5 to 6).

--- a/acaciaspoke/control/upstreams.py
+++ b/acaciaspoke/control/upstreams.py
@@ -5,6 +5,7 @@
 by the boot id and the sequence that the engine gave it.
 """
 
+import itertools
 import random
 from collections import deque
 from collections.abc import Iterable, Mapping
@@ -48,6 +49,9 @@
 # spread over several calls instead of holding up other work.
 RANKED_PER_TICK = 64
 
+# More hosts than this that join at once, as after a start, are ranked later.
+FEW_JOINED = 8
+
 # Boots of one upstream that are known to be over.
 KEPT_BOOTS = 8
 
@@ -142,13 +146,21 @@
     def set_members(self, live: Iterable[Member]) -> None:
         """Takes the live members of the own domain."""
         hosts = sorted(member.host for member in live)
-        if hosts != self._hosts:
-            self._hosts = hosts
-            self._unranked = {
-                upstream: None
-                for upstream, known in self._known.items()
-                if known.config.failure_domain == self._domain
-            }
+        if hosts == self._hosts:
+            return
+        joined = set(hosts) - set(self._hosts)
+        gone = set(self._hosts) - set(hosts)
+        self._hosts = hosts
+        for upstream, known in self._known.items():
+            if known.config.failure_domain != self._domain:
+                continue
+            if len(joined) > FEW_JOINED or not gone.isdisjoint(known.pollers):
+                # Those that wait already keep their place, so that frequent
+                # changes of hosts keep none of them waiting for ever.
+                self._unranked[upstream] = None
+            elif joined and upstream not in self._unranked:
+                # A host that joins can only take the place of one of them.
+                self._choose_pollers(upstream, [*known.pollers, *joined])
 
     def on_notices(self, notices: Iterable[LeavingNotice]) -> None:
         """Takes all notices that membership knows."""
@@ -186,14 +198,17 @@
         """Brings some of the choices of pollers up to date; call often."""
         for upstream in list(self._unranked)[:RANKED_PER_TICK]:
             del self._unranked[upstream]
-            pollers = choose(
-                f"poll/{upstream}", self._hosts, POLLERS_PER_UPSTREAM
-            )
-            self._known[upstream].pollers = tuple(pollers)
-            if self._host in pollers:
-                self._polled[upstream] = None
-            else:
-                self._polled.pop(upstream, None)
+            self._choose_pollers(upstream, self._hosts)
+
+    def _choose_pollers(
+        self, upstream: UpstreamId, hosts: Iterable[HostId]
+    ) -> None:
+        pollers = choose(f"poll/{upstream}", hosts, POLLERS_PER_UPSTREAM)
+        self._known[upstream].pollers = tuple(pollers)
+        if self._host in pollers:
+            self._polled[upstream] = None
+        else:
+            self._polled.pop(upstream, None)
 
     def on_report(
         self, upstream: UpstreamId, report: EngineReport, asked_s: float
@@ -339,7 +354,9 @@
 
     def _mark(self, upstream: UpstreamId) -> None:
         self._changes += 1
-        self._known[upstream].changed = self._changes
+        # The end of the dictionary is where the last change is.
+        known = self._known[upstream] = self._known.pop(upstream)
+        known.changed = self._changes
 
     # What the process asks.
 
@@ -429,11 +446,13 @@
         Returns:
             The messages, at least one, and the number for the next call.
         """
-        changed = [
-            self.view(upstream, now_s)
-            for upstream, known in self._known.items()
-            if known.changed > after_change
-        ]
+        # In the order of their changes, so that the many upstreams without one
+        # are not looked at in each tick.
+        newest_first = itertools.takewhile(
+            lambda upstream: self._known[upstream].changed > after_change,
+            reversed(self._known),
+        )
+        changed = [self.view(upstream, now_s) for upstream in newest_first]
         parts = [
             tuple(changed[start : start + FLEET_VIEW_UPSTREAMS])
             for start in range(0, len(changed), FLEET_VIEW_UPSTREAMS)
--- a/test/control/test_upstreams.py
+++ b/test/control/test_upstreams.py
@@ -34,6 +34,7 @@
     UpstreamView,
 )
 from acaciaspoke.platform.hosts import HostEntry, HostState
+from acaciaspoke.util.rendezvous import choose
 from test.fakes import FakeNetwork
 
 U1 = UpstreamId("a-u1")
@@ -76,6 +77,16 @@
     return upstreams
 
 
+def member(host: str) -> Member:
+    return Member(
+        host=HostId(host),
+        boot=BootId(host),
+        failure_domain=DomainId("a"),
+        address=Address(f"tcp://{host}"),
+        admin_address="10.0.0.1:1",
+    )
+
+
 class LifecycleTest(unittest.TestCase):
 
     def test_older_report_changes_nothing(self):
@@ -167,6 +178,43 @@
         self.assertEqual((view.upstreams, view.entry_processes), ((), 4))
 
 
+class PollersTest(unittest.TestCase):
+
+    def test_choice_follows_hosts_that_come_and_go(self):
+        """Guards against upstreams that hosts disagree about or forget."""
+        rng = random.Random(4)
+        names = [f"a-u{index}" for index in range(100)]
+        upstreams = make()
+        upstreams.set_config(config(*names), 0.0)
+        others = [f"a-{number}" for number in range(1, 40)]
+        for _ in range(60):
+            some = rng.sample(others, rng.randrange(len(others)))
+            for part in (some, some[:-1], some):
+                hosts = sorted(["a-0", *part])
+                upstreams.set_members(map(member, hosts))
+                if rng.random() < 0.5:
+                    upstreams.rank_pollers()
+            for _ in range(2):
+                upstreams.rank_pollers()
+            for name in names:
+                wanted = choose(f"poll/{name}", hosts, 2)
+                self.assertEqual(list(upstreams.pollers(name)), wanted)
+                polls = name in upstreams.polled()
+                self.assertEqual(polls, "a-0" in wanted)
+
+    def test_frequent_changes_keep_no_upstream_waiting(self):
+        """Guards against upstreams without pollers while a domain restarts."""
+        names = [f"a-u{index}" for index in range(300)]
+        upstreams = make()
+        upstreams.set_config(config(*names), 0.0)
+        for number in range(10):
+            hosts = ["a-0", f"a-{1 + number}", f"a-{2 + number}"]
+            upstreams.set_members(map(member, hosts))
+            upstreams.rank_pollers()
+        for name in names:
+            self.assertEqual(len(upstreams.pollers(name)), 2, name)
+
+
 class HostListTest(unittest.TestCase):
 
     def setUp(self):
