Leave one slot usable below the reserve for urgent work

Cause: the reserve of a less urgent request is a share of the slots. With one slot, 1 * (1 - 0.125) < 1, so that after any more urgent arrival such a request was never sent for 60 s, to an idle upstream too, and ended with 504.

Change: the usable part is at least one slot.

--- a/acaciaspoke/entry/limits.py
+++ b/acaciaspoke/entry/limits.py
@@ -76,7 +76,10 @@
             if other < urgency.level and now_s - used_s < RESERVE_MEMORY_S
         )
         if reserved:
-            usable = slots * (1.0 - min(0.5, RESERVE_PER_LEVEL * reserved))
+            # One slot always stays usable; an upstream with few slots would
+            # otherwise run nothing but the most urgent work, even when idle.
+            rest = 1.0 - min(0.5, RESERVE_PER_LEVEL * reserved)
+            usable = max(1.0, slots * rest)
             load = status.load + 1.0
             if urgency.flooding:
                 # The other entry processes see the same room and have the
--- a/test/entry/test_limits.py
+++ b/test/entry/test_limits.py
@@ -66,3 +66,13 @@
             f.update([view("u1")], n)
             limits.reported(status)
         self.assertEqual(limits.limit(status), 16)
+
+    def test_idle_upstream_with_few_slots_runs_the_least_urgent(self):
+        """Guards against a reserve that leaves no slot to use."""
+        for slots in (1, 2):
+            _, status = one_upstream(slots)
+            limits = new_limits(1)
+            for level in range(3):
+                limits.note_arrival(level, 0.0)
+            least = Urgency(2, flooding=False)
+            self.assertTrue(limits.has_room(status, least, 1.0), slots)
