--- a/acaciaspoke/entry/dispatch.py
+++ b/acaciaspoke/entry/dispatch.py
@@ -78,13 +78,13 @@
 
     Attributes:
         chosen: The upstream for the request that is taken.
-        level: The urgency at which it is taken.
+        urgency: The urgency at which it is taken.
         rejected: Requests to drop.
         isolated: Requests that became suspects while they waited.
     """
 
     chosen: UpstreamId | None = None
-    level: int = 0
+    urgency: Urgency | None = None
     rejected: list[tuple[Request, ErrorType]] = []
     isolated: list[Request] = []
 
@@ -304,7 +304,7 @@
             self._note_cold(request, artifact.name)
         if verdict is Verdict.HELD:
             return False
-        found.level = urgency.level
+        found.urgency = urgency
         found.chosen = choose_upstream(
             request,
             self._fleet,
@@ -345,14 +345,18 @@
         status = self._fleet.upstreams[upstream]
         verdict = self.suspects.verdict(request.fingerprint, now_s)
         self._fleet.sent(
-            upstream, request, now_s, suspect=verdict is Verdict.SUSPECT
+            upstream,
+            request,
+            now_s,
+            suspect=verdict is Verdict.SUSPECT,
+            flooding=found.urgency.flooding,
         )
         assignment = Assignment(
             request,
             upstream,
             status.config.address,
             status.boot_id,
-            found.level,
+            found.urgency.level,
         )
         self._in_flight[request.request_id] = assignment
         return assignment
--- a/test/entry/test_limits.py
+++ b/test/entry/test_limits.py
@@ -102,3 +102,13 @@
             limits.note_arrival(0, now_s)
             f.update([view("u1", running=running)], 1.0)
             self.assertTrue(limits.has_room(status, flood, now_s))
+
+    def test_idle_upstream_with_few_slots_runs_the_least_urgent(self):
+        """Guards against a reserve that leaves no slot to use."""
+        for slots in (1, 2):
+            _, status = one_upstream(slots)
+            limits = new_limits(1)
+            for level in range(3):
+                limits.note_arrival(level, 0.0)
+            least = Urgency(2, flooding=False)
+            self.assertTrue(limits.has_room(status, least, 1.0), slots)
