--- a/bench/policy/deployments.py
+++ b/bench/policy/deployments.py
@@ -1,7 +1,7 @@
 """The two deployments, their ranks, and the work that their callers send.
 
 Sizes, delays and store limits are those of section 1 of docs/design.md; the
-rest is chosen here so that the failure-free load uses 60% of the slots.
+rest is chosen here so that the failure-free load uses nearly 60% of the slots.
 """
 
 import bisect
