--- a/acaciaspoke/entry/exchange.py
+++ b/acaciaspoke/entry/exchange.py
@@ -5,7 +5,7 @@
 """
 
 import time
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterable
 from typing import NamedTuple
 
 import anyio
@@ -71,6 +71,12 @@
         for pool in self._pools.values():
             await pool.aclose()
 
+    async def close_unused(self, used: Iterable[str]) -> None:
+        """Closes the idle connections to all other addresses."""
+        used = frozenset(used)
+        for key in [key for key in self._pools if key[0] not in used]:
+            await self._pools.pop(key).aclose()
+
     def dispatch(self) -> None:
         """Takes the dispatcher's decisions and wakes their requests."""
         for decision in self._dispatcher.decide(time.monotonic()):
@@ -114,7 +120,7 @@
         exchanges: list[Exchange] = []
         self._dispatcher.submit(request, time.monotonic())
         while True:
-            assignment = await self._assignment(request, claim, exchanges)
+            assignment = await self._assignment(request, exchanges)
             if not request.idempotent:
                 claim = await self._claim(parsed, caller, timings)
                 if claim is None:
@@ -180,10 +186,7 @@
             raise endings.with_history(error, exchanges) from error
 
     async def _assignment(
-        self,
-        request: Request,
-        claim: Claim | None,
-        exchanges: list[Exchange],
+        self, request: Request, exchanges: list[Exchange]
     ) -> Assignment:
         send, receive = anyio.create_memory_object_stream[Assignment | Dropped](
             1
--- a/acaciaspoke/entry/process.py
+++ b/acaciaspoke/entry/process.py
@@ -42,7 +42,7 @@
 
 # Deadlines of waiting requests are looked at this often.
 EXPIRY_INTERVAL_S = 0.1
-SUSPECT_EXPIRY_INTERVAL_S = 10.0
+FORGET_INTERVAL_S = 10.0
 
 
 class EntryProcess:
@@ -197,11 +197,16 @@
             await anyio.sleep(EXPIRY_INTERVAL_S)
             self.exchanges.dispatch()
 
-    async def expire_suspicions(self) -> None:
-        """Forgets old suspicions."""
+    async def forget(self) -> None:
+        """Forgets old suspicions and connections to removed upstreams."""
         while True:
-            await anyio.sleep(SUSPECT_EXPIRY_INTERVAL_S)
+            await anyio.sleep(FORGET_INTERVAL_S)
             self._dispatcher.suspects.expire(time.monotonic())
+            if self._dispatcher.config is not None:
+                upstreams = self._dispatcher.config.upstreams.values()
+                await self.exchanges.close_unused(
+                    upstream.address for upstream in upstreams
+                )
 
     def _post(self, message: Message) -> bool:
         return self._mailbox.post(self._settings.control.mailbox, message)
@@ -240,7 +245,7 @@
         background.start_soon(process.say_hello)
         background.start_soon(process.report_demand)
         background.start_soon(process.expire)
-        background.start_soon(process.expire_suspicions)
+        background.start_soon(process.forget)
         background.start_soon(process.answer_window_requests)
         background.start_soon(
             process.drain.run, entry.drain_notice_s, server.stop
