--- /dev/null
+++ b/acaciaspoke/control/planning.py
@@ -0,0 +1,321 @@
+"""Plans and moves the artifacts of a failure domain while its lease is held."""
+
+import functools
+import time
+import uuid
+from collections.abc import Callable, Iterator, Mapping
+from typing import NamedTuple
+
+import anyio
+import anyio.abc
+from loguru import logger
+
+from acaciaspoke.config.schema import Config, ServiceKind, Upstream
+from acaciaspoke.control.demand import DemandRates
+from acaciaspoke.control.engine_link import LinkError
+from acaciaspoke.control.fleet import Situation
+from acaciaspoke.control.lease import Lease, NotHolder
+from acaciaspoke.control.mover import Mover
+from acaciaspoke.control.orders import OrderSender, Target
+from acaciaspoke.control.pacing import Pacer, share_of
+from acaciaspoke.control.placement import plan
+from acaciaspoke.control.reservation_rows import (
+    ReservationRows,
+    RowError,
+    Written,
+)
+from acaciaspoke.control.reservations import (
+    RowFormatError,
+)
+from acaciaspoke.control.residency import Residency
+from acaciaspoke.control.upstreams import Upstreams
+from acaciaspoke.ids import DomainId, UpstreamId
+from acaciaspoke.net.messages import (
+    Demand,
+    EngineReport,
+    Resident,
+    UpstreamState,
+)
+from acaciaspoke.platform.table import (
+    Committed,
+    Condition,
+    OutcomeUnknown,
+    Put,
+    Row,
+    TableClient,
+    TableError,
+    Transaction,
+)
+from acaciaspoke.util.metrics import Metrics
+from acaciaspoke.util.tasks import guarded, repeat
+
+CHECK_INTERVAL_S = 0.25
+
+# Without moves, waiting requests or changes a plan says the same as the last
+# one but for slow shifts of demand. Plans at the short interval took half of
+# the processor time of an idle lease holder.
+SETTLED_INTERVAL_S = 2.0
+
+# Reservations with orders whose outcome is open are looked at this often.
+RECONCILE_INTERVAL_S = 2.0
+
+
+class LeaseInHand(NamedTuple):
+    """The lease as the writes made under it compare it."""
+
+    key: str
+    mod_revision: int
+    epoch: int
+
+
+class RowTable:
+    """The table client in the form in which reservations use it."""
+
+    def __init__(self, table: TableClient):
+        self._table = table
+
+    async def read(self, key: str) -> Row | None:
+        """Reads a row, linearizable.
+
+        Raises:
+            RowError: If the table gives no answer.
+        """
+        try:
+            return await self._table.read(key)
+        except TableError as error:
+            raise RowError(f"{key}: {error}") from error
+
+    async def replace(
+        self, key: str, value: bytes, mod_revisions: Mapping[str, int]
+    ) -> Written:
+        """Puts a row if all named rows have their revision; 0 is absent.
+
+        Raises:
+            RowError: If nothing was written.
+        """
+        transaction = Transaction(
+            tuple(Condition(*item) for item in mod_revisions.items()),
+            (Put(key, value),),
+        )
+        try:
+            result = await self._table.commit(transaction)
+        except OutcomeUnknown:
+            return Written.UNKNOWN
+        except TableError as error:
+            raise RowError(f"{key}: {error}") from error
+        is_done = isinstance(result, Committed)
+        return Written.COMMITTED if is_done else Written.CONFLICT
+
+
+class DomainPlanner:
+    """Holds what plans depend on, and carries them out.
+
+    Attributes:
+        demand: What callers ask for, as entry processes report it.
+    """
+
+    def __init__(
+        self,
+        domain: DomainId,
+        lease: Lease,
+        table: TableClient,
+        upstreams: Upstreams,
+        live_domains: Callable[[], set[DomainId]],
+        metrics: Metrics,
+    ):
+        self.demand = DemandRates()
+        self._config = Config()
+        self._domain = domain
+        self._lease = lease
+        self._upstreams = upstreams
+        self._live_domains = live_domains
+        self._metrics = metrics
+        self._rows = ReservationRows(
+            RowTable(table), self._lease_in_hand, _new_id
+        )
+        self._sender = OrderSender(self._rows, _new_id)
+        self._residency = Residency()
+        self._pacer = Pacer(self._config.weight_store, time.monotonic())
+        self._reconciled_s: dict[UpstreamId, float] = {}
+        self._reconciled_bytes: dict[UpstreamId, int] = {}
+        self._reconciling: set[UpstreamId] = set()
+        self._epoch = 0
+        self._planned_s = float("-inf")
+        self._planned_for: tuple = ()
+        self._settled_interval_s = SETTLED_INTERVAL_S
+        self._stopping = False
+
+    def set_config(self, config: Config) -> None:
+        """Takes a new configuration version."""
+        self._config = config
+
+    def hear(self, demand: Demand) -> None:
+        """Takes what entry processes report."""
+        self.demand.add(demand, time.monotonic())
+
+    async def run(self) -> None:
+        """Plans again and again until cancelled."""
+        async with anyio.create_task_group() as tasks:
+            await repeat(
+                lambda: self._step(tasks), CHECK_INTERVAL_S, self._metrics
+            )
+
+    def _step(self, tasks: anyio.abc.TaskGroup) -> None:
+        now_s = time.monotonic()
+        if not self._lease.is_held(now_s) or self._stopping:
+            return
+        if self._lease.epoch != self._epoch:
+            self._begin_epoch()
+        self._reconcile(tasks, now_s)
+        if self._plan_is_due(now_s):
+            self._planned_s = now_s
+            self._plan(tasks, now_s)
+
+    async def stop(self, timeout_s: float) -> None:
+        """Starts no more moves and waits for those that were started."""
+        self._stopping = True
+        with anyio.move_on_after(timeout_s):
+            while self._pacer.in_flight:
+                await anyio.sleep(0.02)
+
+    def _lease_in_hand(self) -> LeaseInHand | None:
+        try:
+            condition = self._lease.condition(time.monotonic())
+        except NotHolder:
+            return None
+        return LeaseInHand(
+            condition.key, condition.mod_revision, self._lease.epoch
+        )
+
+    def _begin_epoch(self) -> None:
+        # Another host may have changed the rows meanwhile.
+        self._epoch = self._lease.epoch
+        self._sender = OrderSender(self._rows, _new_id)
+        self._residency = Residency()
+        self._reconciled_s.clear()
+
+    def _engines(self) -> Iterator[tuple[UpstreamId, Upstream]]:
+        for upstream, config in self._config.upstreams.items():
+            service = self._config.services.get(config.service)
+            if (
+                config.failure_domain == self._domain
+                and service is not None
+                and service.kind is ServiceKind.ENGINE
+            ):
+                yield upstream, config
+
+    # Reservations.
+
+    def _reconcile(self, tasks: anyio.abc.TaskGroup, now_s: float) -> None:
+        for upstream, config in self._engines():
+            if upstream not in self._reconciling and self._is_open(
+                upstream, now_s
+            ):
+                self._reconciling.add(upstream)
+                self._reconciled_s[upstream] = now_s
+                self._reconciled_bytes[upstream] = config.memory_bytes
+                target = Target(upstream, config)
+                step = functools.partial(self._reconcile_one, target)
+                tasks.start_soon(guarded, step, self._metrics)
+
+    def _is_open(self, upstream: UpstreamId, now_s: float) -> bool:
+        """Tells whether a reservation may differ from the engine's memory."""
+        last_s = self._reconciled_s.get(upstream, float("-inf"))
+        if now_s - last_s < RECONCILE_INTERVAL_S:
+            return False
+        if self._upstreams.state(upstream) is not UpstreamState.LIVE:
+            return False
+        configured_bytes = self._config.upstreams[upstream].memory_bytes
+        if self._reconciled_bytes.get(upstream) != configured_bytes:
+            return True
+        return self._sender.needs_reconcile(
+            upstream, self._report(upstream, now_s)
+        )
+
+    def _report(self, upstream: UpstreamId, now_s: float) -> EngineReport:
+        """Returns the newest report, which another host may have polled."""
+        view = self._upstreams.view(upstream, now_s)
+        return EngineReport(
+            boot_id=view.boot_id,
+            sequence=view.sequence,
+            resident=tuple(
+                Resident(name=name, version=version, memory_bytes=0)
+                for name, version in view.resident.items()
+            ),
+        )
+
+    async def _reconcile_one(self, target: Target) -> None:
+        try:
+            await self._sender.reconcile(target)
+        except (RowError, RowFormatError, LinkError) as error:
+            logger.warning("reservation of {}: {}", target.id, error)
+        finally:
+            self._reconciling.discard(target.id)
+
+    # Plans.
+
+    def _plan_is_due(self, now_s: float) -> bool:
+        seen = (
+            self._config.version,
+            self._epoch,
+            tuple(
+                (upstream, self._upstreams.state(upstream))
+                for upstream, _ in self._engines()
+            ),
+            tuple(self._sender.reservations),
+        )
+        changed, self._planned_for = seen != self._planned_for, seen
+        return bool(
+            changed
+            or self._pacer.in_flight
+            or self.demand.cold(self._config.ranks, now_s)
+            or now_s - self._planned_s >= self._settled_interval_s
+        )
+
+    def _plan(self, tasks: anyio.abc.TaskGroup, now_s: float) -> None:
+        live_domains = frozenset(self._live_domains())
+        self._pacer.limits = share_of(
+            self._config.weight_store, self._domain, live_domains
+        )
+        moves = plan(self._situation(live_domains, now_s))
+        self._settled_interval_s = (
+            CHECK_INTERVAL_S if moves else SETTLED_INTERVAL_S
+        )
+        mover = Mover(self._sender, self._pacer, tasks, self._metrics)
+        for move in mover.start(moves, self._config.upstreams, now_s):
+            self._metrics.count(f"control.move.{move.reason.value}")
+
+    def _situation(
+        self, live_domains: frozenset[DomainId], now_s: float
+    ) -> Situation:
+        ranks = self._config.ranks
+        rows = self._sender.reservations
+        reservations = {
+            upstream: rows[upstream]
+            for upstream, _ in self._engines()
+            if upstream in rows
+        }
+        reports = {
+            upstream: self._report(upstream, now_s) for upstream in reservations
+        }
+        self._residency.update(reservations, reports, now_s)
+        return Situation(
+            config=self._config,
+            domain=self._domain,
+            live_domains=live_domains,
+            reservations=reservations,
+            states={
+                upstream: self._upstreams.state(upstream)
+                for upstream in reservations
+            },
+            rates=self.demand.rates(ranks, now_s),
+            cold=self.demand.cold(ranks, now_s),
+            in_flight=self._pacer.in_flight,
+            ages_s=self._residency.ages_s(now_s),
+            missing=self._residency.missing(),
+            elsewhere=self._upstreams.resident_elsewhere(),
+        )
+
+
+def _new_id() -> str:
+    return uuid.uuid4().hex
--- /dev/null
+++ b/acaciaspoke/control/polling.py
@@ -0,0 +1,71 @@
+"""Asks upstreams for their reports, and the platform for its host list."""
+
+import time
+from collections.abc import Iterable
+
+import msgspec
+from loguru import logger
+
+from acaciaspoke.control.upstreams import Upstreams
+from acaciaspoke.ids import UpstreamId
+from acaciaspoke.net.messages import EngineReport
+from acaciaspoke.platform.hosts import HostEntry, HostsClient, HostsError
+from acaciaspoke.util.http import HttpClient, HttpError
+from acaciaspoke.util.metrics import Metrics
+
+REPORT_PATH = "/v2/report"
+POLL_TIMEOUT_S = 1.0
+# With the spreading of a notice this stays far below 5 s.
+HOSTS_INTERVAL_S = 2.0
+
+
+class ReportError(Exception):
+    """An upstream gave no readable report."""
+
+
+class Poller:
+    """Owns the connections over which upstreams are polled."""
+
+    def __init__(self, upstreams: Upstreams, metrics: Metrics):
+        self._upstreams = upstreams
+        self._metrics = metrics
+        self._clients: dict[str, HttpClient] = {}
+
+    async def poll(self, upstream: UpstreamId, address: str) -> None:
+        """Asks an upstream once and passes on what came of it."""
+        asked_s = time.monotonic()
+        try:
+            report = await self._fetch(address)
+        except ReportError as error:
+            self._metrics.count("control.poll_missed")
+            logger.debug("upstream {}: {}", upstream, error)
+            self._upstreams.on_missed(upstream, time.monotonic())
+        else:
+            self._upstreams.on_report(upstream, report, asked_s)
+
+    async def _fetch(self, address: str) -> EngineReport:
+        client = self._clients.get(address)
+        if client is None:
+            client = HttpClient(address, POLL_TIMEOUT_S)
+            self._clients[address] = client
+        try:
+            answer = await client.request("GET", REPORT_PATH)
+            if answer.status != 200:
+                raise ReportError(f"{address} answered {answer.status}")
+            return msgspec.json.decode(answer.body, type=EngineReport)
+        except (HttpError, msgspec.MsgspecError) as error:
+            raise ReportError(f"{address}: {error}") from error
+
+    async def close_unused(self, used: Iterable[str]) -> None:
+        """Closes the connections to all other addresses."""
+        for address in self._clients.keys() - set(used):
+            await self._clients.pop(address).aclose()
+
+
+async def fetch_hosts(client: HostsClient) -> list[HostEntry] | None:
+    """Returns the host list, or None if there is no answer."""
+    try:
+        return await client.fetch()
+    except HostsError as error:
+        logger.warning("host list: {}", error)
+        return None
--- a/acaciaspoke/control/process.py
+++ b/acaciaspoke/control/process.py
@@ -5,26 +5,33 @@
 import uuid
 from collections.abc import Iterable
 
-import anyio
+import msgspec
 from loguru import logger
 
-from acaciaspoke.config.schema import Config
-from acaciaspoke.config.store import ConfigStore, Submitted, apply_row
-from acaciaspoke.control.admin import Operations, admin_app
+from acaciaspoke.config.store import ConfigStore, apply_row
+from acaciaspoke.control.admin import admin_app
 from acaciaspoke.control.burn import BurnCollector
 from acaciaspoke.control.configtask import ConfigTask
 from acaciaspoke.control.configwatch import ConfigWatch
+from acaciaspoke.control.domains import DomainCollector
 from acaciaspoke.control.entries import Entries
+from acaciaspoke.control.fleetwatch import FleetWatch
+from acaciaspoke.control.leasetask import LeaseTask
 from acaciaspoke.control.membership import Membership
+from acaciaspoke.control.operations import AdminOperations
+from acaciaspoke.control.planning import DomainPlanner
+from acaciaspoke.control.sweep import sweep_claims
 from acaciaspoke.entry.suspects import merge_suspicions
 from acaciaspoke.ids import Address, BootId, ConfigVersion, HostId
-from acaciaspoke.net.mailbox import Mailbox, receive_forever
+from acaciaspoke.net.mailbox import Mailbox
 from acaciaspoke.net.messages import (
     Ack,
     ConfigPull,
     ConfigPush,
+    Demand,
+    DomainAnswer,
+    DomainRequest,
     EntryHello,
-    FleetView,
     HostEntries,
     Member,
     Message,
@@ -36,19 +43,17 @@
     Windows,
     WindowsRequest,
 )
+from acaciaspoke.platform.hosts import HostsClient
 from acaciaspoke.platform.objects import ObjectsClient
 from acaciaspoke.platform.table import TableClient
-from acaciaspoke.report.status import make_status
 from acaciaspoke.settings import Settings
-from acaciaspoke.util.drain import Drain, stop_on_signals
+from acaciaspoke.util.drain import Drain
 from acaciaspoke.util.metrics import Metrics
-from acaciaspoke.util.server import HttpServer
+from acaciaspoke.util.tasks import repeat
 
-TICK_INTERVAL_S = 0.1
-FLEET_INTERVAL_S = 0.5
-
-# Long enough for the announcement of the leave to reach some peers.
-LEAVE_NOTICE_S = 0.5
+# Below the time that a probe waits for its answer; a shorter interval costs an
+# idle host more than all its messages.
+TICK_INTERVAL_S = 0.2
 
 
 class ControlProcess:
@@ -58,7 +63,9 @@
         self,
         settings: Settings,
         mailbox: Mailbox,
-        store: ConfigStore,
+        table: TableClient,
+        objects: ObjectsClient | None,
+        hosts: HostsClient | None,
         metrics: Metrics,
     ):
         now_s = time.monotonic()
@@ -66,9 +73,12 @@
         self.drain = Drain()
         self._settings = settings
         self._mailbox = mailbox
+        self._table = table
+        store = ConfigStore(table, objects, metrics)
         self._store = store
         self._metrics = metrics
         self._entries = Entries()
+        self._passed_on = ConfigVersion(0)
         me = Member(
             host=settings.host_id,
             boot=BootId(uuid.uuid4().hex),
@@ -85,9 +95,36 @@
         self.config_task = ConfigTask(
             store, self._watch, self._membership, self.send, self._changed
         )
+        self.fleet = FleetWatch(
+            self._membership, hosts, self.send, metrics, rng
+        )
+        self.lease_task = LeaseTask(
+            self._membership, table, settings.control.lease_s, rng
+        )
+        self.planner = DomainPlanner(
+            settings.domain_id,
+            self.lease_task.lease,
+            table,
+            self.fleet.upstreams,
+            lambda: self._membership.live_domains(time.monotonic()),
+            metrics,
+        )
         self._burn = BurnCollector(mailbox, settings.control.mailbox)
+        self._domains = DomainCollector(mailbox, settings.control.mailbox)
+        operations = AdminOperations(
+            store=store,
+            watch=self._watch,
+            config_task=self.config_task,
+            membership=self._membership,
+            fleet=self.fleet,
+            entries=self._entries,
+            burn=self._burn,
+            domains=self._domains,
+            own_answer=lambda: self._domain_answer(0),
+            drain=self.drain,
+        )
         self.app = admin_app(
-            self._operations(), settings.control.admin_token_sha256
+            operations.table(), settings.control.admin_token_sha256
         )
 
     def send(self, outgoing: Iterable[Outgoing]) -> None:
@@ -117,27 +154,42 @@
                 self._hear_entry(message, now_s)
             case SuspicionNotice():
                 self._take_suspicions(message, now_s)
+            case Demand():
+                self._take_demand(message, now_s)
             case WindowsRequest():
                 self._burn.pass_on(
                     message,
                     self._settings.host_id,
                     self._entries.addresses(),
                 )
+            case DomainRequest():
+                answer = self._domain_answer(message.sequence)
+                self._mailbox.post(message.reply_to, answer)
+            case DomainAnswer():
+                self._domains.take(message)
             case HostEntries():
                 self._burn.take_entries(message)
             case Windows():
                 self._burn.take_windows(message)
             case _:
-                logger.warning("unexpected {}", type(message).__name__)
+                if not self.fleet.handle(message, now_s):
+                    logger.warning("unexpected {}", type(message).__name__)
 
     def _hear_entry(self, hello: EntryHello, now_s: float) -> None:
         if self._entries.hear(hello, now_s):
             logger.info("entry process {} runs", hello.address)
-            self._send_fleet([hello.address])
+            self.fleet.restarted(hello.address)
             self._send_suspicions([hello.address], now_s)
         if hello.config_version < self._watch.version:
             self._bring_up_to_date(hello)
+        self._announce_entries()
+
+    def _announce_entries(self) -> None:
         self._membership.set_entry_processes(self._entries.count())
+        # A version is in force on a host when all its processes have it.
+        self._membership.set_config_version(
+            self._entries.lowest_version(self._watch.version)
+        )
 
     def _bring_up_to_date(self, hello: EntryHello) -> None:
         pull = ConfigPull(
@@ -147,16 +199,41 @@
 
     def _changed(self) -> None:
         """Passes on a version in force that has risen."""
-        if self._watch.version == self._membership.me.config_version:
+        if self._watch.version == self._passed_on:
             return
+        self._passed_on = self._watch.version
         logger.info("configuration version {}", self._watch.version)
         self._metrics.gauge("control.config_version", self._watch.version)
         self._store.hold(self._watch.config)
-        self._membership.set_config_version(self._watch.version)
         self._membership.set_upstreams(self._watch.config.upstreams)
+        self.fleet.set_config(self._watch.config, time.monotonic())
+        self.planner.set_config(self._watch.config)
         for hello in self._entries.hellos():
             self._bring_up_to_date(hello)
 
+    def _domain_answer(self, sequence: int) -> DomainAnswer:
+        lease = self.lease_task.lease
+        return DomainAnswer(
+            failure_domain=self._settings.domain_id,
+            sequence=sequence,
+            members=tuple(self._membership.known()),
+            lease_holder=lease.holder or HostId(""),
+            lease_epoch=lease.known_epoch,
+        )
+
+    def _take_demand(self, demand: Demand, now_s: float) -> None:
+        """Takes demand, or passes that of own entry processes to the holder."""
+        lease = self.lease_task.lease
+        if lease.is_held(now_s):
+            self.planner.hear(demand)
+        elif demand.sender in self._entries.addresses():
+            forwarded = msgspec.structs.replace(
+                demand, sender=self._settings.control.mailbox
+            )
+            for member in self._membership.live():
+                if member.host == lease.holder:
+                    self._mailbox.post(member.address, forwarded)
+
     def _take_suspicions(self, notice: SuspicionNotice, now_s: float) -> None:
         self._membership.note_suspicions(notice.suspicions, now_s)
         self._send_suspicions(self._entries.addresses(), now_s)
@@ -181,129 +258,25 @@
                 notice = SuspicionNotice(suspicions=suspicions)
                 self._mailbox.post(address, notice)
 
-    def _send_fleet(self, addresses: Iterable[Address]) -> None:
-        view = FleetView(
-            upstreams=(),
-            entry_processes=max(1, self._membership.entry_processes()),
-        )
-        for address in addresses:
-            self._mailbox.post(address, view)
-
     async def tick(self) -> None:
-        """Does what is due, several times a second."""
-        while True:
-            now_s = time.monotonic()
-            self.send(self._membership.tick(now_s))
-            self._entries.expire(now_s)
-            self._membership.set_entry_processes(self._entries.count())
-            await anyio.sleep(TICK_INTERVAL_S)
-
-    async def send_fleet(self) -> None:
-        """Tells the entry processes of the upstreams again and again."""
-        while True:
-            self._send_fleet(self._entries.addresses())
-            await anyio.sleep(FLEET_INTERVAL_S)
-
-    def leave(self) -> None:
-        """Announces that this process stops."""
-        self.send(self._membership.leave())
-
-    # The administration API.
-
-    def _operations(self) -> Operations:
-        return Operations(
-            config=self._config_at,
-            submit=self._submit,
-            history=self._store.history,
-            host_versions=self._host_versions,
-            status=self._status,
-            burn=self._burn_report,
-            not_ready=self._not_ready,
-        )
-
-    async def _config_at(self, version: ConfigVersion | None) -> Config:
-        if version is None:
-            return self._watch.config
-        return await self._store.at(version)
-
-    async def _submit(self, patch: object, **details) -> Submitted:
-        submitted = await self._store.submit(patch, **details)
-        await self.config_task.poll()
-        return submitted
-
-    async def _host_versions(self) -> dict[HostId, ConfigVersion]:
-        versions = {
-            member.host: member.config_version
-            for member in self._membership.known()
-        }
-        own = self._entries.lowest_version(self._watch.version)
-        return versions | {self._settings.host_id: own}
-
-    async def _status(self):
-        return make_status(
-            own=self._membership.me,
-            config=self._watch.config,
-            members=[
-                *self._membership.known(),
-                *self._membership.foreign_contacts(),
-            ],
-            leases={},
-            upstreams=(),
-            entries=self._entries.hellos(),
-        )
-
-    async def _burn_report(self):
-        return await self._burn.collect(
-            self._membership.known(), self._watch.config
-        )
-
-    async def _not_ready(self) -> str:
-        if not self.drain.serving:
-            return "the process is stopping"
-        return "" if self._watch.ready else "no configuration is confirmed"
+        """Does what is due until cancelled."""
+        await repeat(self._tick, TICK_INTERVAL_S, self._metrics)
 
+    def _tick(self) -> None:
+        now_s = time.monotonic()
+        self.send(self._membership.tick(now_s))
+        self._entries.expire(now_s)
+        self._announce_entries()
+        self.fleet.tick(self._entries.addresses(), now_s)
 
-async def run_control(settings: Settings) -> None:
-    """Runs the control process until it was told to stop.
+    async def sweep(self) -> None:
+        """Deletes expired claims while this host holds the lease."""
 
-    Raises:
-        MailboxError: If the mailbox address is taken.
-        ServerError: If the address of the administration API is taken.
-    """
-    metrics = Metrics(settings.statsd)
-    platform = settings.platform
-    with Mailbox(settings.control.mailbox, metrics) as mailbox:
-        async with (
-            TableClient(platform.table, platform.timeout_s, metrics) as table,
-            ObjectsClient(
-                platform.objects or platform.table,
-                platform.bucket,
-                platform.timeout_s,
-                metrics,
-            ) as objects,
-        ):
-            store = ConfigStore(
-                table, objects if platform.objects else None, metrics
-            )
-            process = ControlProcess(settings, mailbox, store, metrics)
-            await _run_tasks(process, settings, mailbox)
+        def is_holder() -> bool:
+            return self.lease_task.lease.is_held(time.monotonic())
 
+        await sweep_claims(self._table, is_holder, self._metrics)
 
-async def _run_tasks(
-    process: ControlProcess, settings: Settings, mailbox: Mailbox
-) -> None:
-    server = HttpServer(process.app, settings.control.listen)
-    async with anyio.create_task_group() as background:
-        background.start_soon(stop_on_signals, process.drain)
-        background.start_soon(receive_forever, mailbox, process.handle)
-        background.start_soon(process.tick)
-        background.start_soon(process.send_fleet)
-        background.start_soon(process.config_task.run)
-        background.start_soon(process.drain.run, 0.0, server.stop)
-        logger.info("administration API on {}", settings.control.listen)
-        await server.serve()
-        process.drain.finished()
-        process.leave()
-        await anyio.sleep(LEAVE_NOTICE_S)
-        logger.info("stopped")
-        background.cancel_scope.cancel()
+    def leave(self) -> None:
+        """Announces that this process stops."""
+        self.send(self._membership.leave())
--- a/acaciaspoke/entry/dispatch.py
+++ b/acaciaspoke/entry/dispatch.py
@@ -16,7 +16,7 @@
 from acaciaspoke.config.schema import Config, artifact_of
 from acaciaspoke.entry.errors import CallerError, ErrorType
 from acaciaspoke.entry.limits import ConcurrencyLimits
-from acaciaspoke.entry.queue import RefusalReason, RequestQueue
+from acaciaspoke.entry.queue import RefusalReason, RequestQueue, Urgency
 from acaciaspoke.entry.request import Request
 from acaciaspoke.entry.retry import RetryBudget
 from acaciaspoke.entry.routing import Fleet, UpstreamStatus, choose_upstream
@@ -37,12 +37,17 @@
 
 
 class Assignment(NamedTuple):
-    """A request may go to an upstream now."""
+    """A request may go to an upstream now.
+
+    Attributes:
+        level: How urgent the upstream should take it for; lower is more.
+    """
 
     request: Request
     upstream: UpstreamId
     address: str
     boot_id: BootId
+    level: int
 
 
 class Dropped(NamedTuple):
@@ -73,11 +78,13 @@
 
     Attributes:
         chosen: The upstream for the request that is taken.
+        urgency: The urgency at which it is taken.
         rejected: Requests to drop.
         isolated: Requests that became suspects while they waited.
     """
 
     chosen: UpstreamId | None = None
+    urgency: Urgency | None = None
     rejected: list[tuple[Request, ErrorType]] = []
     isolated: list[Request] = []
 
@@ -99,7 +106,7 @@
         self._rng = rng
         self._queue = RequestQueue({}, rng)
         self._fleet = Fleet({})
-        self._limits = ConcurrencyLimits()
+        self._limits = ConcurrencyLimits(1, rng)
         self._waiting: dict[RequestId, _Waiting] = {}
         self._in_flight: dict[RequestId, Assignment] = {}
         self._arrivals: dict[ArtifactName, Counter[RankId]] = {}
@@ -111,9 +118,11 @@
         """Puts a configuration in force unless a newer one is already."""
         if self.config is not None and config.version <= self.config.version:
             return False
-        self.config = config
+        before, self.config = self.config, config
         self._queue.set_ranks(config.ranks)
-        self._fleet.set_upstreams(config.upstreams)
+        # Most patches leave the upstreams alone, of which there are thousands.
+        if before is None or config.upstreams is not before.upstreams:
+            self._fleet.set_upstreams(config.upstreams)
         return True
 
     def set_fleet(self, view: FleetView, now_s: float) -> None:
@@ -138,6 +147,7 @@
         if request.artifact is not None:
             counter = self._arrivals.setdefault(request.artifact, Counter())
             counter[request.rank] += 1
+        self._limits.note_arrival(self._level(request), now_s)
         refusal = self._queue.offer(request, now_s)
         if refusal is not None:
             raise CallerError(
@@ -157,12 +167,22 @@
             CallerError: If it may not run any more.
         """
         self._check_blocked(request, now_s)
+        if request.rank not in self.config.ranks:
+            # Its queue may be gone.
+            raise CallerError(ErrorType.NOT_FOUND, _RANK_REMOVED)
         self.budget.note_retry(now_s)
         verdict = self.suspects.verdict(request.fingerprint, now_s)
         apart = verdict is not Verdict.CLEAN
         self._waiting[request.request_id] = _Waiting(request, tried, apart)
         self._queue.put_back(request, now_s, apart=apart)
 
+    def has_untried(self, request: Request, tried: set[UpstreamId]) -> bool:
+        """Tells whether another live upstream could run a request."""
+        return any(
+            status.state is UpstreamState.LIVE and status.upstream not in tried
+            for status in self._fleet.holders(request.service, request.artifact)
+        )
+
     def cancel(self, request_id: RequestId, now_s: float) -> None:
         """Forgets a request, whether it waits or is in flight."""
         self._queue.cancel(request_id, now_s)
@@ -216,6 +236,9 @@
 
     def decide(self, now_s: float) -> Iterator[Decision]:
         """Yields what can be decided now; each request at most once."""
+        if not len(self._queue):
+            self._cold.clear()
+            return
         for request in self._queue.expire(now_s):
             yield self._drop(request, ErrorType.DEADLINE_EXCEEDED, _EXPIRED)
         self._cold.clear()
@@ -227,7 +250,7 @@
             # Done after the search, which must not lose its place.
             yield from self._settle(found, now_s)
             if request is not None:
-                yield self._assign(request, found.chosen, now_s)
+                yield self._assign(request, found, now_s)
             elif not found.rejected and not found.isolated:
                 return
 
@@ -255,7 +278,13 @@
         if verdict is Verdict.BLOCKED:
             raise CallerError(ErrorType.REQUEST_BLOCKED, _BLOCKED)
 
-    def _place(self, now_s: float, found: "_Round", request: Request) -> bool:
+    def _place(
+        self,
+        now_s: float,
+        found: "_Round",
+        request: Request,
+        urgency: Urgency,
+    ) -> bool:
         """Finds an upstream; tells whether the request may be taken now."""
         waiting = self._waiting[request.request_id]
         verdict = self.suspects.verdict(request.fingerprint, now_s)
@@ -275,12 +304,14 @@
             self._note_cold(request, artifact.name)
         if verdict is Verdict.HELD:
             return False
-        level = self._level(request)
+        found.urgency = urgency
         found.chosen = choose_upstream(
             request,
             self._fleet,
             own_domain=self._own_domain,
-            has_room=lambda status: self._limits.has_room(status, level),
+            has_room=lambda status: self._limits.has_room(
+                status, urgency, now_s
+            ),
             rng=self._rng,
             tried=waiting.tried,
             suspect=verdict is Verdict.SUSPECT,
@@ -307,16 +338,25 @@
             self._cold.add(name)
 
     def _assign(
-        self, request: Request, upstream: UpstreamId, now_s: float
+        self, request: Request, found: "_Round", now_s: float
     ) -> Assignment:
+        upstream = found.chosen
         del self._waiting[request.request_id]
         status = self._fleet.upstreams[upstream]
         verdict = self.suspects.verdict(request.fingerprint, now_s)
         self._fleet.sent(
-            upstream, request, now_s, suspect=verdict is Verdict.SUSPECT
+            upstream,
+            request,
+            now_s,
+            suspect=verdict is Verdict.SUSPECT,
+            flooding=found.urgency.flooding,
         )
         assignment = Assignment(
-            request, upstream, status.config.address, status.boot_id
+            request,
+            upstream,
+            status.config.address,
+            status.boot_id,
+            found.urgency.level,
         )
         self._in_flight[request.request_id] = assignment
         return assignment
@@ -342,6 +382,7 @@
 _BLOCKED = "the upstreams that ran this request crashed; it is blocked for now"
 _EXPIRED = "the deadline passed before an upstream was free"
 _REMOVED = "the model was removed while the request waited"
+_RANK_REMOVED = "the rank was removed while the request was in progress"
 _REJECTIONS = {
     ErrorType.REQUEST_BLOCKED: _BLOCKED,
     ErrorType.NOT_FOUND: _REMOVED,
--- a/acaciaspoke/entry/exchange.py
+++ b/acaciaspoke/entry/exchange.py
@@ -5,11 +5,10 @@
 """
 
 import time
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterable
 from typing import NamedTuple
 
 import anyio
-import msgspec
 from loguru import logger
 
 from acaciaspoke.entry import endings
@@ -28,6 +27,9 @@
 from acaciaspoke.report.histograms import ServiceWindows
 from acaciaspoke.util.metrics import Metrics
 
+# Longest wait for the table to keep an answer before its caller gets it.
+RECORD_WAIT_S = 0.25
+
 # Finds out whether an upstream crashed after a connection to it broke, and
 # shares the suspicions; returns when that is done.
 ExamineCrash = Callable[[UpstreamId, BootId, str], Awaitable[None]]
@@ -69,6 +71,12 @@
         for pool in self._pools.values():
             await pool.aclose()
 
+    async def close_unused(self, used: Iterable[str]) -> None:
+        """Closes the idle connections to all other addresses."""
+        used = frozenset(used)
+        for key in [key for key in self._pools if key[0] not in used]:
+            await self._pools.pop(key).aclose()
+
     def dispatch(self) -> None:
         """Takes the dispatcher's decisions and wakes their requests."""
         for decision in self._dispatcher.decide(time.monotonic()):
@@ -97,7 +105,9 @@
             raise
         finally:
             self._dispatcher.cancel(request.request_id, time.monotonic())
-            self._replies.pop(request.request_id, None)
+            reply = self._replies.pop(request.request_id, None)
+            if reply is not None:
+                reply.close()
             self.dispatch()
         self._record(request, timings, succeeded=succeeded)
 
@@ -110,9 +120,9 @@
         exchanges: list[Exchange] = []
         self._dispatcher.submit(request, time.monotonic())
         while True:
-            assignment = await self._assignment(request, claim, exchanges)
+            assignment = await self._assignment(request, exchanges)
             if not request.idempotent:
-                claim = await self._claim(parsed, caller)
+                claim = await self._claim(parsed, caller, timings)
                 if claim is None:
                     return
             try:
@@ -127,6 +137,11 @@
             exchanges.append(exchange)
             self._note_claim(claim, result, exchange)
             if result.ending is Ending.ANSWERED:
+                if claim is not None:
+                    # A caller that repeats the request after its answer then
+                    # finds the answer kept.
+                    with anyio.move_on_after(RECORD_WAIT_S):
+                        await claim.settled.wait()
                 await self._answer(request, result, caller)
                 return
             await self._note_failure(assignment, result)
@@ -138,7 +153,7 @@
                 tries=len(exchanges),
                 budget=self._dispatcher.budget,
                 now_s=now_s,
-            ):
+            ) or not self._would_help(result, request, tried):
                 raise endings.to_error(result, exchanges)
             self._metrics.count("entry.retry")
             logger.info(
@@ -149,6 +164,15 @@
             )
             self._requeue(request, tried, exchanges, now_s)
 
+    def _would_help(
+        self, result: Attempt, request: Request, tried: set[UpstreamId]
+    ) -> bool:
+        if result.ending is Ending.REFUSED:
+            # Upstreams that refused stay where they are. Without another one
+            # the request would wait for its deadline.
+            return self._dispatcher.has_untried(request, tried)
+        return result.ending is not Ending.UNUSABLE
+
     def _requeue(
         self,
         request: Request,
@@ -162,10 +186,7 @@
             raise endings.with_history(error, exchanges) from error
 
     async def _assignment(
-        self,
-        request: Request,
-        claim: Claim | None,
-        exchanges: list[Exchange],
+        self, request: Request, exchanges: list[Exchange]
     ) -> Assignment:
         send, receive = anyio.create_memory_object_stream[Assignment | Dropped](
             1
@@ -178,7 +199,9 @@
             raise endings.with_history(decision.error, exchanges)
         return decision
 
-    async def _claim(self, parsed: Parsed, caller: Caller) -> Claim | None:
+    async def _claim(
+        self, parsed: Parsed, caller: Caller, timings: Timings
+    ) -> Claim | None:
         """Claims the key; returns None after a kept answer was replayed."""
         request = parsed.request
         outcome = await self._claims.claim(
@@ -190,6 +213,7 @@
         claim = endings.claimed_or_raise(outcome)
         if isinstance(claim, Answer):
             self._metrics.count("entry.replayed")
+            timings.record(time.monotonic())
             headers = endings.kept_headers(claim)
             headers.append((b"idempotency-replayed", b"true"))
             await caller.answer(claim.status, headers, claim.body)
@@ -211,15 +235,9 @@
     ) -> Attempt:
         service = parsed.service
         pool = self._pool(assignment.address, service.echoes_request_id)
+        left_s = parsed.request.deadline_s - time.monotonic()
+        call = parsed.call_at(assignment.level, int(left_s * 1000))
         connection = await pool.take()
-        left_ms = (parsed.request.deadline_s - time.monotonic()) * 1000
-        call = msgspec.structs.replace(
-            parsed.call,
-            headers=[
-                *parsed.call.headers,
-                (b"x-deadline-ms", str(max(1, int(left_ms))).encode()),
-            ],
-        )
         clean = False
         try:
             result = await attempt(
--- a/acaciaspoke/entry/parse.py
+++ b/acaciaspoke/entry/parse.py
@@ -3,9 +3,10 @@
 import hashlib
 import re
 import time
+import unicodedata
 import uuid
-from typing import Any, NamedTuple
-from urllib.parse import quote
+from typing import Annotated, Any, NamedTuple
+from urllib.parse import quote, unquote
 
 import msgspec
 import xxhash
@@ -36,9 +37,12 @@
 MAX_WORK_KIND_CHARS = 64
 
 # The prompt's start that engines are likely to have in their prefix cache.
-PREFIX_CHARS = 2048
+PREFIX_BYTES = 2048
 
 _CALLER_REQUEST_ID = re.compile(r"[A-Za-z0-9._-]{1,64}")
+# U+FFFD stands for bytes that are no UTF-8 and could not be passed on.
+_UNSAFE_IN_PATH = re.compile(r"[\x00-\x1f\x7f\ufffd\ud800-\udfff]")
+_GOES_ON = re.compile(r"[\w~-]")
 _IDEMPOTENCY_KEY = re.compile(r"[\x21-\x7e]{1,128}")
 _DROPPED_FROM_CALLER = frozenset(
     [
@@ -49,6 +53,13 @@
         b"x-deadline-ms",
         b"x-rank",
         b"x-work-kind",
+        # Some frameworks take the method or the path from these instead,
+        # which could hide a call that may run only once.
+        b"x-http-method",
+        b"x-http-method-override",
+        b"x-method-override",
+        b"x-original-url",
+        b"x-rewrite-url",
     ]
 )
 
@@ -58,12 +69,24 @@
 
     Attributes:
         idempotency_key: Empty if the request needs none.
+        document: The body for an engine, which gets a priority at dispatch.
     """
 
     request: Request
     call: UpstreamCall
     service: Service
     idempotency_key: str = ""
+    document: dict[str, msgspec.Raw] | None = None
+
+    def call_at(self, level: int, deadline_ms: int) -> UpstreamCall:
+        """Returns the call with its priority and what is left of its time."""
+        body = self.call.body
+        if self.document is not None:
+            body = msgspec.json.encode(self.document | {"priority": level})
+        deadline = (b"x-deadline-ms", str(max(1, deadline_ms)).encode())
+        return msgspec.structs.replace(
+            self.call, headers=[*self.call.headers, deadline], body=body
+        )
 
 
 def new_request_id(caller_id: str) -> RequestId:
@@ -103,12 +126,11 @@
     Raises:
         CallerError: If it is malformed or names an unknown model or rank.
     """
-    document = _chat_document(body)
-    name = ArtifactName(document["model"])
+    fields, document = _chat_document(body)
+    name = ArtifactName(fields.model)
     service_id = service_of_artifact(config, name)
-    rank_id, rank = _rank(caller, config)
-    document["priority"] = rank.level
-    start = f"{name}\0{document['messages'][0]}"[:PREFIX_CHARS]
+    rank_id, _ = _rank(caller, config)
+    start = name.encode() + b"\0" + bytes(fields.messages[0])[:PREFIX_BYTES]
     request = _request(
         caller,
         config,
@@ -116,35 +138,40 @@
         service_id,
         rank_id,
         artifact=name,
-        prefix_hash=xxhash.xxh64_intdigest(start.encode()),
-        stream=document.get("stream") is True,
+        prefix_hash=xxhash.xxh64_intdigest(start),
+        stream=fields.stream,
     )
     call = UpstreamCall(
         request_id=caller.request_id,
         method=b"POST",
         target=CHAT_PATH.encode(),
         headers=[(b"content-type", b"application/json")],
-        body=msgspec.json.encode(document),
+        body=b"",
         stream=request.stream,
     )
-    return Parsed(request, call, config.services[service_id])
+    service = config.services[service_id]
+    return Parsed(request, call, service, document=document)
+
+
+class _ChatFields(msgspec.Struct):
+    """What is read of the body; the rest is for the engine to judge."""
 
+    model: str
+    messages: Annotated[list[msgspec.Raw], msgspec.Meta(min_length=1)]
+    stream: bool = False
 
-def _chat_document(body: bytes) -> dict[str, Any]:
+
+_decode_fields = msgspec.json.Decoder(_ChatFields).decode
+_decode_document = msgspec.json.Decoder(dict[str, msgspec.Raw]).decode
+
+
+def _chat_document(body: bytes) -> tuple[_ChatFields, dict[str, msgspec.Raw]]:
+    # Values stay as the caller wrote them: decoded and encoded again, numbers
+    # change, and what is nested deeply fails after it was admitted.
     try:
-        document = msgspec.json.decode(body)
+        return _decode_fields(body), _decode_document(body)
     except (msgspec.DecodeError, RecursionError) as error:
-        raise _bad(f"the body is not JSON: {error}") from error
-    if not isinstance(document, dict):
-        raise _bad("the body is not a JSON object")
-    if not isinstance(document.get("model"), str):
-        raise _bad("model: must be a text")
-    messages = document.get("messages")
-    if not isinstance(messages, list) or not messages:
-        raise _bad("messages: must be a list with at least one message")
-    if not isinstance(document.get("stream", False), bool):
-        raise _bad("stream: must be true or false")
-    return document
+        raise _bad(f"the body: {error}") from error
 
 
 def service_of_artifact(config: Config, name: ArtifactName) -> ServiceId:
@@ -175,23 +202,33 @@
     if service is None or service.kind is not ServiceKind.PLAIN:
         raise CallerError(ErrorType.NOT_FOUND, f"there is no service {name!r}")
     # Other spellings of a path could hide a call that may run only once.
-    if any(part in ("", ".", "..") for part in path.split("/")[1:-1]):
+    *inner_parts, last_part = _alike(path).split("/")[1:]
+    if "" in inner_parts or not {".", ".."}.isdisjoint(
+        [*inner_parts, last_part]
+    ):
         raise _bad("the path has empty or relative segments")
+    if _UNSAFE_IN_PATH.search(path):
+        raise _bad("the path has characters that are not text")
+    if caller.method in ("CONNECT", "TRACE"):
+        raise CallerError(
+            ErrorType.METHOD_NOT_ALLOWED, f"services take no {caller.method}"
+        )
     rank_id, _ = _rank(caller, config)
     idempotent = not is_non_idempotent(service, caller.method, path)
+    target = quote(path).encode() + (b"?" if caller.query else b"")
+    target += caller.query
     request = _request(
         caller,
         config,
-        f"{caller.method} {path}?".encode() + caller.query + b"\0" + body,
+        caller.method.encode() + b" " + target + b"\0" + body,
         ServiceId(name),
         rank_id,
         idempotent=idempotent,
     )
-    target = quote(path).encode() + (b"?" if caller.query else b"")
     key = "" if idempotent else _idempotency_key(caller)
     headers = [
         (name, value)
-        for name, value in relayed_headers(caller.headers.items())
+        for name, value in relayed_headers(caller.header_list)
         if name not in _DROPPED_FROM_CALLER
     ]
     if key:
@@ -199,7 +236,7 @@
     call = UpstreamCall(
         request_id=caller.request_id,
         method=caller.method.encode(),
-        target=target + caller.query,
+        target=target,
         headers=headers,
         body=body,
         stream=False,
@@ -210,19 +247,37 @@
 def is_non_idempotent(service: Service, method: str, path: str) -> bool:
     """Tells whether the service declares that a call may run only once.
 
-    Letter case is ignored, since some services ignore it too.
+    Services differ in what they take for the same path. Letter case, forms of
+    characters and parameters of segments (``;v=1``) are ignored, and a suffix
+    that does not go on with the last name (``.json``, ``:now``) is taken for
+    a part of the call. A call too many that needs a key does no harm.
     """
+    plain = _plain_path(path)
     for declared in service.non_idempotent:
         declared_method, _, prefix = declared.partition(" ")
-        prefix = prefix.rstrip("/").lower()
-        below = path.lower() == prefix or path.lower().startswith(prefix + "/")
+        prefix = _plain_path(prefix).rstrip("/")
+        rest = plain.removeprefix(prefix)
+        below = plain.startswith(prefix) and not _GOES_ON.match(rest)
         if declared_method.upper() == method.upper() and below:
             return True
     return False
 
 
+def _plain_path(path: str) -> str:
+    parts = _alike(path).casefold().split("/")
+    return "/".join(part.partition(";")[0].strip() for part in parts)
+
+
+def _alike(path: str) -> str:
+    # Some services decode a path twice, or take both kinds of slash.
+    return unicodedata.normalize("NFKC", unquote(path)).replace("\\", "/")
+
+
 def _idempotency_key(caller: Caller) -> str:
-    key = caller.header("idempotency-key")
+    names = [name for name, _ in caller.header_list]
+    if names.count(b"idempotency-key") > 1:
+        raise _bad("Idempotency-Key: given more than once")
+    key = caller.header("idempotency-key").strip()
     if not key:
         raise _bad("this call needs an Idempotency-Key header")
     if not _IDEMPOTENCY_KEY.fullmatch(key):
--- a/acaciaspoke/entry/process.py
+++ b/acaciaspoke/entry/process.py
@@ -5,10 +5,11 @@
 import uuid
 
 import anyio
+import msgspec
 from loguru import logger
 
 from acaciaspoke.config.schema import Config
-from acaciaspoke.config.store import apply_pushed
+from acaciaspoke.config.store import ConfigLogError, apply_pushed
 from acaciaspoke.entry.app import EntryApp
 from acaciaspoke.entry.claims import Claims
 from acaciaspoke.entry.crashes import CrashExaminer
@@ -40,8 +41,8 @@
 DEMAND_INTERVAL_S = 0.25
 
 # Deadlines of waiting requests are looked at this often.
-EXPIRY_INTERVAL_S = 0.05
-SUSPECT_EXPIRY_INTERVAL_S = 10.0
+EXPIRY_INTERVAL_S = 0.1
+FORGET_INTERVAL_S = 10.0
 
 
 class EntryProcess:
@@ -87,6 +88,7 @@
         self.app = EntryApp(
             config=lambda: self._dispatcher.config,
             is_ready=lambda: self.is_ready,
+            is_draining=lambda: not self.drain.serving,
             serve=self.exchanges.serve,
             metrics=metrics,
             max_body_bytes=entry.max_body_bytes,
@@ -118,7 +120,14 @@
                 logger.warning("unexpected {}", type(message).__name__)
 
     def _take_config(self, push: ConfigPush) -> None:
-        config = apply_pushed(self._dispatcher.config or Config(), push)
+        try:
+            config = apply_pushed(self._dispatcher.config or Config(), push)
+        except (ConfigLogError, msgspec.DecodeError) as error:
+            # A newer release may send what this one cannot read; the version
+            # in force then goes on serving.
+            self._metrics.count("entry.config_refused")
+            logger.error("cannot take a pushed configuration: {}", error)
+            return
         if self._dispatcher.set_config(config):
             logger.info("configuration version {} is in force", config.version)
             self._say_hello()
@@ -188,11 +197,16 @@
             await anyio.sleep(EXPIRY_INTERVAL_S)
             self.exchanges.dispatch()
 
-    async def expire_suspicions(self) -> None:
-        """Forgets old suspicions."""
+    async def forget(self) -> None:
+        """Forgets old suspicions and connections to removed upstreams."""
         while True:
-            await anyio.sleep(SUSPECT_EXPIRY_INTERVAL_S)
+            await anyio.sleep(FORGET_INTERVAL_S)
             self._dispatcher.suspects.expire(time.monotonic())
+            if self._dispatcher.config is not None:
+                upstreams = self._dispatcher.config.upstreams.values()
+                await self.exchanges.close_unused(
+                    upstream.address for upstream in upstreams
+                )
 
     def _post(self, message: Message) -> bool:
         return self._mailbox.post(self._settings.control.mailbox, message)
@@ -231,7 +245,7 @@
         background.start_soon(process.say_hello)
         background.start_soon(process.report_demand)
         background.start_soon(process.expire)
-        background.start_soon(process.expire_suspicions)
+        background.start_soon(process.forget)
         background.start_soon(process.answer_window_requests)
         background.start_soon(
             process.drain.run, entry.drain_notice_s, server.stop
--- a/acaciaspoke/entry/routing.py
+++ b/acaciaspoke/entry/routing.py
@@ -34,6 +34,7 @@
     request: Request
     sent_s: float
     suspect: bool
+    flooding: bool = False
 
 
 class UpstreamStatus:
@@ -41,6 +42,9 @@
 
     Attributes:
         in_flight: Own requests that run there.
+        reported: Running and waiting requests in the last report.
+        net_flood: Own requests of flooding kinds sent since the last report,
+            less those that ended.
     """
 
     def __init__(self, upstream: UpstreamId, config: Upstream):
@@ -52,15 +56,20 @@
         self.in_flight: dict[RequestId, InFlight] = {}
         self.report_s = float("-inf")
         self.lost_s = float("-inf")
-        self._reported = 0
+        self.reported = 0
         self._sent_since = 0
         self._finished_since = 0
+        self.net_flood = 0
 
     @property
     def load(self) -> int:
         """Requests there: the last report, corrected by what happened since."""
-        estimate = self._reported + self._sent_since - self._finished_since
-        return max(estimate, len(self.in_flight), 0)
+        return max(self.reported + self.net_sent, len(self.in_flight), 0)
+
+    @property
+    def net_sent(self) -> int:
+        """Own requests sent since the last report, less those that ended."""
+        return self._sent_since - self._finished_since
 
     @property
     def load_share(self) -> float:
@@ -80,11 +89,16 @@
             return False
         self.boot_id = view.boot_id
         self.report_s = taken_s
-        self._reported = view.running + view.waiting
+        self.reported = view.running + view.waiting
         self._sent_since = sum(
             1 for sent in self.in_flight.values() if sent.sent_s > taken_s
         )
         self._finished_since = 0
+        self.net_flood = sum(
+            1
+            for sent in self.in_flight.values()
+            if sent.flooding and sent.sent_s > taken_s
+        )
         return True
 
     def lost(self, now_s: float) -> None:
@@ -93,10 +107,11 @@
         if self.state is not UpstreamState.LEAVING:
             self.state = UpstreamState.SUSPECT
 
-    def sent(self, request: Request, now_s: float, *, suspect: bool) -> None:
+    def sent(self, sent: InFlight) -> None:
         """Notes that a request was sent there."""
-        self.in_flight[request.request_id] = InFlight(request, now_s, suspect)
+        self.in_flight[sent.request.request_id] = sent
         self._sent_since += 1
+        self.net_flood += sent.flooding
 
     def finished(self, request_id: RequestId) -> InFlight | None:
         """Notes that a request ended there, however it ended."""
@@ -107,6 +122,7 @@
             self._sent_since -= 1
         else:
             self._finished_since += 1
+        self.net_flood -= ended.flooding
         return ended
 
 
@@ -144,17 +160,16 @@
         self, views: Iterable[UpstreamView], now_s: float
     ) -> list[UpstreamStatus]:
         """Takes views from the control process; returns the newly reported."""
-        changed = False
         fresh = []
         for view in views:
             status = self.upstreams.get(view.upstream)
             if status is None:
                 continue
-            changed |= status.resident.keys() != view.resident.keys()
+            before = status.resident
             if status.report(view, now_s):
                 fresh.append(status)
-        if changed:
-            self._index_artifacts()
+            if status.resident.keys() != before.keys():
+                self._index_changes(status, before)
         return fresh
 
     def holders(
@@ -172,9 +187,19 @@
         now_s: float,
         *,
         suspect: bool = False,
+        flooding: bool = False,
     ) -> None:
-        """Notes that a request was sent to an upstream."""
-        self.upstreams[upstream].sent(request, now_s, suspect=suspect)
+        """Notes that a request was sent to an upstream.
+
+        Args:
+            upstream: Where it was sent.
+            request: The request.
+            now_s: The time.
+            suspect: Whether it was a suspect.
+            flooding: Whether the queue said that its kind is flooding.
+        """
+        sent = InFlight(request, now_s, suspect, flooding)
+        self.upstreams[upstream].sent(sent)
         runs = self._runs_on.setdefault(request.fingerprint, {})
         runs[upstream] = runs.get(upstream, 0) + 1
 
@@ -198,6 +223,23 @@
         """Returns the upstreams that run a request of this fingerprint."""
         return self._runs_on.get(fingerprint, {}).keys()
 
+    def _index_changes(
+        self, status: UpstreamStatus, before: Mapping[ArtifactName, str]
+    ) -> None:
+        """Brings the index up to date after one upstream's report.
+
+        With 5,500 upstreams an index made anew takes 14 ms, in which no stream
+        of the process goes on.
+        """
+        service = status.config.service
+        for name in before.keys() - status.resident.keys():
+            holders = self._by_artifact[service, name]
+            holders.remove(status)
+            if not holders:
+                del self._by_artifact[service, name]
+        for name in status.resident.keys() - before.keys():
+            self._by_artifact.setdefault((service, name), []).append(status)
+
     def _index_artifacts(self) -> None:
         self._by_artifact.clear()
         for status in self.upstreams.values():
