Leave the reserved characters of a path as they are

Cause: quote() encoded ":", "@", "+" and the like, which services may tell from their encoded forms ("/items:batch" became "/items%3Abatch"). Change: they stay; ";" is still encoded. Test: test.entry.test_parse test_what_reaches_the_upstream failed before.

--- a/acaciaspoke/entry/parse.py
+++ b/acaciaspoke/entry/parse.py
@@ -42,6 +42,9 @@
 _CALLER_REQUEST_ID = re.compile(r"[A-Za-z0-9._-]{1,64}")
 # U+FFFD stands for bytes that are no UTF-8 and could not be passed on.
 _UNSAFE_IN_PATH = re.compile(r"[\x00-\x1f\x7f\ufffd\ud800-\udfff]")
+# Left as they are, since services may tell ":" from "%3A". ";" is not among
+# them: parameters of segments are not compared.
+_SAFE_IN_PATH = "/:@!$&'()*+,="
 _GOES_ON = re.compile(r"[\w~-]")
 _IDEMPOTENCY_KEY = re.compile(r"[\x21-\x7e]{1,128}")
 _DROPPED_FROM_CALLER = frozenset(
@@ -215,8 +218,9 @@
         )
     rank_id, _ = _rank(caller, config)
     idempotent = not is_non_idempotent(service, caller.method, path)
-    target = quote(path).encode() + (b"?" if caller.query else b"")
-    target += caller.query
+    target = quote(path, safe=_SAFE_IN_PATH).encode()
+    if caller.query:
+        target += b"?" + caller.query
     request = _request(
         caller,
         config,
--- a/test/entry/test_parse.py
+++ b/test/entry/test_parse.py
@@ -122,8 +122,8 @@
             Connection Expect X-Request-Id X-Rank"""
         headers = KEY | dict.fromkeys(dropped.split(), "batch")
         headers |= {"Accept": "a", "X-Trailing": "b \t"}
-        parsed = service("/a b/\xe9%?q=%20", headers=headers)
-        self.assertEqual(parsed.call.target, b"/a%20b/%C3%A9%25?q=%20")
+        parsed = service("/a b/\xe9%:@;?q=%20", headers=headers)
+        self.assertEqual(parsed.call.target, b"/a%20b/%C3%A9%25:@%3B?q=%20")
         self.assertEqual(
             parsed.call.headers, [(b"accept", b"a"), (b"x-trailing", b"b")]
         )
