--- a/test/entry/serving.py
+++ b/test/entry/serving.py
@@ -182,11 +182,7 @@
     def __init__(self, config, claims, table, examine):
         self.table = table
         self.dispatcher = Dispatcher("d1", random.Random(1))
-        self.dispatcher.set_config(config)
-        self.dispatcher.set_fleet(
-            FleetView(upstreams=tuple(view(name) for name in config.upstreams)),
-            time.monotonic(),
-        )
+        self.take(config)
         self.exchanges = Exchanges(
             self.dispatcher,
             claims,
@@ -205,6 +201,12 @@
             max_requests=4,
         )
 
+    def take(self, config) -> None:
+        """Puts a configuration in force, all upstreams of which are live."""
+        self.dispatcher.set_config(config)
+        views = tuple(view(name) for name in config.upstreams)
+        self.dispatcher.set_fleet(FleetView(upstreams=views), time.monotonic())
+
     async def ask(self, *args, **fields) -> CallerSide:
         caller = CallerSide(*args, **fields)
         await self.run(caller)
--- a/test/entry/test_exchange.py
+++ b/test/entry/test_exchange.py
@@ -5,6 +5,7 @@
 from unittest import mock
 
 import anyio
+import msgspec
 
 from acaciaspoke.entry import crashes
 from acaciaspoke.entry.crashes import CrashExaminer
@@ -232,6 +233,22 @@
                         await anyio.sleep(2 * wait_s)
                     self.assertEqual(upstream.connections, 2)
 
+    async def test_connections_to_removed_upstreams(self):
+        """Guards against sockets that pile up as upstreams are replaced."""
+        async with entry_with(answer(), answer()) as (entry, upstreams):
+            config = entry.dispatcher.config
+            for number, kept in enumerate(("bank0", "bank1"), 1):
+                only = {kept: config.upstreams[kept]}
+                entry.take(
+                    msgspec.structs.replace(
+                        config, version=1 + number, upstreams=only
+                    )
+                )
+                await entry.ask("GET", "/v1/services/bank/x")
+                await entry.exchanges.close_unused([only[kept].address])
+                self.assertEqual(entry.idle_connections(), 1)
+            self.assertEqual([u.connections for u in upstreams], [1, 1])
+
 
 class CallerGoneTest(unittest.IsolatedAsyncioTestCase):
 
