Test own answers with real processes

The engine stand-in can give the answer of the request before, journals what it runs, and returns its counters. Ports of deployments are below the kernel's ephemeral range and given out once, as a port taken twice kept a control process from starting.

Trial on a scratch copy with _is_own_answer always true: test_answer_of_another_request fails with AssertionError: (200, '', '') not found in [(502, 'answer_mismatch', 'unknown'), (504, 'deadline_exceeded', 'unknown')]

--- a/standins/deployment.py
+++ b/standins/deployment.py
@@ -1,7 +1,9 @@
 """Starts the processes of a small deployment, with stand-ins around it."""
 
+import contextlib
 import json
 import os
+import random
 import signal
 import socket
 import subprocess
@@ -26,6 +28,8 @@
         plain: Instances of the plain service per failure domain.
         engine_options: Options of the engine stand-ins.
         entry_options: Settings of the entry processes beside addresses.
+        control_options: The same of the control processes.
+        slots: Configured slots of each engine.
     """
 
     domains: tuple[str, ...] = ("d1", "d2")
@@ -35,6 +39,8 @@
     engine_options: tuple[str, ...] = ("slots=16", "token_gap_s=0.005")
     engine_memory_bytes: int = 1000
     entry_options: dict = {}
+    control_options: dict = {}
+    slots: int = 16
 
 
 class Host(NamedTuple):
@@ -111,7 +117,7 @@
                 "failure_domain": domain,
                 "address": free_address(),
                 "memory_bytes": shape.engine_memory_bytes,
-                "slots": 16,
+                "slots": shape.slots,
                 "checks_fencing": number % 2 == 0,
             }
             self.start_upstream(name)
@@ -162,7 +168,8 @@
                 "listen": host.admin,
                 "mailbox": mailbox,
                 "seeds": seeds,
-            },
+            }
+            | self.shape.control_options,
             "entry": [
                 {
                     "listen": host.listen,
@@ -251,8 +258,21 @@
             )
 
 
+_given_out: set[int] = set()
+
+
 def free_address() -> str:
-    """Returns a loopback address with a port that is free at the moment."""
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return f"127.0.0.1:{probe.getsockname()[1]}"
+    """Returns a loopback address with a port that is free at the moment.
+
+    The port is below those that the kernel gives to outgoing connections, so
+    that none of them takes it while its process is down. No port is given out
+    twice.
+    """
+    while True:
+        port = random.randrange(10000, 32000)
+        if port in _given_out:
+            continue
+        with socket.socket() as probe, contextlib.suppress(OSError):
+            probe.bind(("127.0.0.1", port))
+            _given_out.add(port)
+            return f"127.0.0.1:{port}"
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -14,6 +14,7 @@
 import msgspec
 
 from standins.http import Call
+from standins.journal import note_run
 from standins.repository import RefusedError, Repository
 from standins.weights import WeightStore
 
@@ -28,7 +29,7 @@
         delay_s: Extra time before each answer.
         crash_on: Text in a request body that ends the process.
         cut_after: Tokens after which a stream breaks; negative for never.
-        wrong_request_id: Echo another request's id.
+        wrong_request_id: Give the answer of the request before, with its id.
         refuse: Answer 429 to everything.
         lose_orders: Orders to drop; their connections break.
         lose_answers: Orders to apply without an answer.
@@ -81,6 +82,7 @@
         self.running = 0
         self.waiting = 0
         self.served = 0
+        self._before = (uuid.uuid4().hex, "")
         self._sequence = itertools.count(1)
         self._slots = anyio.Semaphore(slots)
         self._last_report: dict = {}
@@ -111,6 +113,7 @@
             "/v1/chat/completions": self._complete,
             "/v2/report": self._report,
             "/standin/faults": self._set_faults,
+            "/standin/counts": self._counts,
         }
         handler = routes.get(call.path)
         if call.path.startswith(REPOSITORY):
@@ -124,6 +127,15 @@
         self.faults = msgspec.convert(await call.json(), Faults)
         await call.answer({})
 
+    async def _counts(self, call: Call) -> None:
+        await call.answer(
+            {
+                "served": self.served,
+                "overcommits": self.repository.overcommits,
+                "orders": len(self.orders),
+            }
+        )
+
     async def _report(self, call: Call) -> None:
         if not self._last_report or not self.faults.take("stale_reports"):
             self._last_report = {
@@ -162,7 +174,12 @@
                 "load": self.repository.load,
                 "unload": self.repository.unload,
             }[verb]
+            overcommits = self.repository.overcommits
             apply(name, parameters)
+            if self.repository.overcommits > overcommits:
+                # Printed, so that it is known even if the process is killed.
+                print("overcommit", name, flush=True)
+            print(verb, name, flush=True)
         except RefusedError as refusal:
             await call.answer({"error": str(refusal)}, refusal.status)
             return
@@ -194,6 +211,7 @@
             await call.answer({"error": "busy"}, 429, _echo(call))
             return
         if self.faults.crash_on and self.faults.crash_on.encode() in body:
+            note_run(call)
             os._exit(CRASH_EXIT_STATUS)
         request = msgspec.json.decode(body)
         self.waiting += 1
@@ -206,12 +224,16 @@
                 self.running -= 1
 
     async def _run(self, call: Call, request: dict) -> None:
+        note_run(call)
         await anyio.sleep(self.faults.delay_s)
-        headers = _echo(call)
+        request_id = call.headers.get("x-request-id", "")
+        text = _last_message(request)
+        before, self._before = self._before, (request_id, text)
         if self.faults.wrong_request_id:
-            headers["x-request-id"] = uuid.uuid4().hex
+            request_id, text = before
+        headers = {"x-request-id": request_id} if request_id else {}
         tokens = [f"tok{n} " for n in range(request.get("max_tokens", 16) - 1)]
-        tokens.append(_last_message(request))
+        tokens.append(text)
         self.served += 1
         if request.get("stream"):
             await self._stream(call, request, tokens, headers)
@@ -219,6 +241,7 @@
         await anyio.sleep(self.token_gap_s * len(tokens))
         message = {"role": "assistant", "content": "".join(tokens)}
         document = {
+            "id": request_id,
             "object": "chat.completion",
             "model": request["model"],
             "choices": [
@@ -233,6 +256,7 @@
             if index == self.faults.cut_after:
                 raise ConnectionAbortedError("told to cut the stream")
             event = {
+                "id": headers.get("x-request-id", ""),
                 "object": "chat.completion.chunk",
                 "model": request["model"],
                 "choices": [{"index": 0, "delta": {"content": token}}],
--- a/standins/faults.py
+++ b/standins/faults.py
@@ -15,6 +15,8 @@
         drop_requests: How many of the next requests to drop unapplied.
         drop_answers: How many of the next requests to apply without an answer.
         writes_only: Whether only writes are dropped.
+        only_keys: Drop only what writes a row whose key starts with this
+            (table only).
         stale: Answer reads that may be stale from the state at the time when
             this was set (table only).
     """
@@ -24,6 +26,7 @@
     drop_requests: int = 0
     drop_answers: int = 0
     writes_only: bool = True
+    only_keys: str = ""
     stale: bool = False
 
 
@@ -47,9 +50,9 @@
         """Replaces the faults."""
         self.faults = faults
 
-    def is_write(self, call: Call) -> bool:
-        """Tells whether a request changes something."""
-        return call.method != "GET"
+    def is_droppable(self, call: Call, body: bytes) -> bool:
+        """Tells whether the faults mean this request to be dropped."""
+        return call.method != "GET" or not self.faults.writes_only
 
     async def respond(self, call: Call, body: bytes) -> tuple:
         """Applies a request and returns the arguments of ``call.answer``."""
@@ -62,7 +65,7 @@
         if faults.refuse:
             await call.answer({"message": "too many requests", "code": 8}, 429)
             return
-        droppable = self.is_write(call) or not faults.writes_only
+        droppable = self.is_droppable(call, body)
         if droppable and faults.drop_requests:
             faults.drop_requests -= 1
             raise ConnectionAbortedError("told to drop the request")
--- a/standins/plain.py
+++ b/standins/plain.py
@@ -13,6 +13,7 @@
 import msgspec
 
 from standins.http import Call
+from standins.journal import note_run
 
 CRASH_EXIT_STATUS = 70
 
@@ -24,7 +25,7 @@
         delay_s: Extra time before each answer.
         crash_on: Text in a request body that ends the process.
         drop_answers: How many of the next requests to run without an answer.
-        wrong_request_id: Echo another request's id.
+        wrong_request_id: Give the answer of the request before, with its id.
         refuse: Answer 429 to everything without running it.
     """
 
@@ -43,6 +44,7 @@
     """
 
     def __init__(self, slots: int = 64):
+        self._before = (uuid.uuid4().hex, b"")
         self.boot_id = uuid.uuid4().hex
         self.slots = slots
         self.faults = Faults()
@@ -75,8 +77,9 @@
         body = await call.body()
         faults = self.faults
         request_id = call.headers.get("x-request-id", "")
+        before, self._before = self._before, (request_id, body)
         if faults.wrong_request_id:
-            request_id = uuid.uuid4().hex
+            request_id, body = before
         headers = {"x-request-id": request_id}
         if faults.refuse:
             await call.answer({"error": "busy"}, 429, headers)
@@ -88,6 +91,7 @@
             await anyio.sleep(faults.delay_s)
             if call.method == "POST":
                 self.runs[call.headers.get("idempotency-key", "")] += 1
+            note_run(call)
             if faults.drop_answers:
                 faults.drop_answers -= 1
                 raise ConnectionAbortedError("told to drop the answer")
--- a/standins/table.py
+++ b/standins/table.py
@@ -37,9 +37,15 @@
             self._old = (dict(self.rows), list(self._keys))
         super().set_faults(faults)
 
-    def is_write(self, call: Call) -> bool:
-        """Tells whether a request changes something."""
-        return call.path == "/v3/kv/txn"
+    def is_droppable(self, call: Call, body: bytes) -> bool:
+        """Tells whether the faults mean this request to be dropped."""
+        if call.path != "/v3/kv/txn":
+            return not self.faults.writes_only
+        wanted = self.faults.only_keys.encode()
+        keys = _written_keys(msgspec.json.decode(body or b"{}"))
+        return not wanted or any(
+            base64.b64decode(key).startswith(wanted) for key in keys
+        )
 
     async def respond(self, call: Call, body: bytes) -> tuple:
         """Applies a request and returns the arguments of ``call.answer``."""
--- /dev/null
+++ b/test/processes/__init__.py
@@ -0,0 +1,1 @@
+"""Tests with real processes, one module for each invariant."""
--- /dev/null
+++ b/test/processes/deployments.py
@@ -0,0 +1,331 @@
+"""A deployment of real processes for a test class, and what tests do to it."""
+
+import itertools
+import json
+import signal
+import subprocess
+import tempfile
+import threading
+import time
+import unittest
+from collections.abc import Callable, Iterable, Iterator, Sequence
+from concurrent.futures import ThreadPoolExecutor
+from contextlib import contextmanager
+from pathlib import Path
+from typing import Any
+
+from standins import journal
+from standins.client import Answer, request
+from standins.deployment import Deployment, Host, Shape
+from standins.documents import RANKS, demo_document
+
+# Generous, as other work may keep the machine busy.
+PATIENCE_S = 30.0
+
+_caller_ids = map("c{}".format, itertools.count())
+
+
+class DeploymentTest(unittest.TestCase):
+    """Starts a deployment once for all tests of a class.
+
+    Attributes:
+        deployment_type: Starts it.
+        shape: Its size.
+        models: Its models, of 20 bytes each, named ``model-NN``.
+        changes: Merged into the configuration.
+    """
+
+    deployment_type = Deployment
+    shape = Shape()
+    models = 4
+    changes: dict[str, Any] = {}
+    deployment: Deployment
+
+    @classmethod
+    def setUpClass(cls):
+        folder = cls.enterClassContext(tempfile.TemporaryDirectory())
+        cls.deployment = cls.enterClassContext(
+            cls.deployment_type(cls.shape, Path(folder))
+        )
+        cls.hosts = cls.deployment.hosts
+        document = demo_document(cls.deployment.upstreams, cls.models, 0)
+        answer = patch(cls.hosts[0], document | cls.changes, 0, "first")
+        assert answer.status == 200, answer
+        for host in cls.hosts:
+            cls.deployment.wait_for(host.listen, "/readyz", host.name)
+        cls.await_models()
+
+    def tearDown(self):
+        for process in self.deployment.processes.values():
+            process.send_signal(signal.SIGCONT)
+        for name in self.upstreams():
+            self.fault(name)
+        self.platform_fault("table")
+
+    @classmethod
+    def await_models(cls, hosts: Sequence[Host] = ()) -> None:
+        """Waits until each model answers through each host."""
+        hosts = hosts or cls.hosts
+        for number, host in itertools.product(range(cls.models), hosts):
+            model = f"model-{number:02}"
+            eventually(
+                lambda h=host, m=model: (
+                    chat(h, model=m, deadline_s=5).status == 200
+                ),
+                f"{model} through {host.name}",
+            )
+
+    def upstreams(self, service: str = "", domain: str = "") -> list[str]:
+        """Returns the names of upstreams."""
+        return [
+            name
+            for name, upstream in self.deployment.upstreams.items()
+            if service in ("", upstream["service"])
+            and domain in ("", upstream["failure_domain"])
+        ]
+
+    def fault(self, name: str, **faults: Any) -> None:
+        """Sets the faults of an upstream; without any, it works again."""
+        address = self.deployment.upstreams[name]["address"]
+        self.deployment.tell(address, "/standin/faults", faults)
+
+    def platform_fault(self, name: str, **faults: Any) -> None:
+        """Sets the faults of ``table``, ``objects`` or ``host_list``."""
+        address = getattr(self.deployment, name)
+        self.deployment.tell(address, "/standin/faults", faults)
+
+    def send(self, name: str, number: signal.Signals) -> None:
+        """Sends a signal to a process."""
+        self.deployment.processes[name].send_signal(number)
+
+    @contextmanager
+    def frozen(self, *names: str) -> Iterator[None]:
+        """Freezes processes while the context is open."""
+        for name in names:
+            self.send(name, signal.SIGSTOP)
+        try:
+            yield
+        finally:
+            for name in names:
+                self.send(name, signal.SIGCONT)
+
+    def kill(self, name: str) -> None:
+        """Kills a process."""
+        self.deployment.stop(name, signal.SIGKILL)
+
+    def restart_upstream(self, name: str) -> None:
+        """Starts an upstream that was killed or has crashed."""
+        self.deployment.start_upstream(name)
+        address = self.deployment.upstreams[name]["address"]
+        self.deployment.wait_for(address, "/v2/report", name)
+
+    def restart(self, kind: str, host: Host) -> None:
+        """Kills and starts an ``entry`` or ``control`` process."""
+        self.kill(f"{kind} {host.name}")
+        start = {
+            "entry": self.deployment.start_entry,
+            "control": self.deployment.start_control,
+        }[kind]
+        start(host)
+        address = {"entry": host.listen, "control": host.admin}[kind]
+        self.deployment.wait_for(address, "/readyz", f"{kind} {host.name}")
+
+    def runs(self, names: Iterable[str] = ()) -> list[journal.Run]:
+        """Returns what upstreams have run, in all their boots."""
+        return [
+            run
+            for name in names or self.upstreams()
+            for run in journal.runs(self.deployment.log_of(name))
+        ]
+
+    def run_count(self, caller_id: str) -> int:
+        """Returns how often a request was run."""
+        return sum(run.caller_id == caller_id for run in self.runs())
+
+    def counts(self, name: str) -> dict[str, int]:
+        """Returns the counters of the present boot of an engine."""
+        address = self.deployment.upstreams[name]["address"]
+        return json.loads(request(address, "GET", "/standin/counts").body)
+
+    def overcommits(self) -> int:
+        """Returns how often the memory of an engine was overcommitted."""
+        return sum(
+            self.deployment.log_of(name).count("overcommit ")
+            for name in self.upstreams("drafting")
+        )
+
+    def holder(self, domain: str, without: Iterable[str] = ()) -> Host | None:
+        """Returns the host that holds a lease, asking hosts in turn."""
+        for host in self.hosts:
+            if host.domain != domain or host.name in without:
+                continue
+            answer = request(host.admin, "GET", "/v1/status", timeout_s=2)
+            if answer is None or answer.status != 200:
+                continue
+            for item in json.loads(answer.body)["domains"]:
+                if item["failure_domain"] == domain and item["lease"]:
+                    name = item["lease"]["holder"]
+                    return next(h for h in self.hosts if h.name == name)
+        return None
+
+
+@contextmanager
+def supervised(test: DeploymentTest, names: Iterable[str]):
+    """Restarts upstreams that crash; yields the list of crashes so far."""
+    crashes: list[str] = []
+    ended = threading.Event()
+
+    def watch() -> None:
+        while not ended.wait(0.05):
+            for name in names:
+                if test.deployment.processes[name].poll() is not None:
+                    crashes.append(name)
+                    test.restart_upstream(name)
+
+    with ThreadPoolExecutor(1) as pool:
+        watching = pool.submit(watch)
+        try:
+            yield crashes
+        finally:
+            ended.set()
+            watching.result()
+
+
+def eventually(
+    holds: Callable[[], Any], what: str, timeout_s: float = PATIENCE_S
+) -> Any:
+    """Waits until something holds and returns it."""
+    deadline_s = time.monotonic() + timeout_s
+    while time.monotonic() < deadline_s:
+        if found := holds():
+            return found
+        time.sleep(0.05)
+    raise AssertionError(f"not within {timeout_s} s: {what}")
+
+
+def at_once(calls: Iterable[Callable[[], Any]]) -> list[Any]:
+    """Makes calls at the same moment; returns their results in order."""
+    calls = list(calls)
+    barrier = threading.Barrier(len(calls))
+
+    def make(call: Callable[[], Any]) -> Any:
+        barrier.wait()
+        return call()
+
+    with ThreadPoolExecutor(len(calls)) as pool:
+        return list(pool.map(make, calls))
+
+
+def new_caller_id() -> str:
+    """Returns an id that no other request of this run has."""
+    return next(_caller_ids)
+
+
+_NO_ANSWER = Answer(0, {}, b"", complete=False)
+
+
+def chat(
+    host: Host,
+    text: str = "hello",
+    *,
+    model: str = "model-00",
+    tokens: int = 4,
+    stream: bool = False,
+    caller_id: str = "",
+    rank: str = RANKS[1],
+    deadline_s: float = PATIENCE_S,
+    headers: dict[str, str] | None = None,
+) -> Answer:
+    """Sends a chat request; status 0 stands for no answer."""
+    body = {
+        "model": model,
+        "messages": [{"role": "user", "content": text}],
+        "max_tokens": tokens,
+        "stream": stream,
+    }
+    found = request(
+        host.listen,
+        "POST",
+        "/v1/chat/completions",
+        json.dumps(body).encode(),
+        {
+            "x-rank": rank,
+            "x-deadline-ms": str(int(deadline_s * 1000)),
+            "x-request-id": caller_id or new_caller_id(),
+        }
+        | (headers or {}),
+        timeout_s=2 * PATIENCE_S,
+    )
+    return found or _NO_ANSWER
+
+
+def book(
+    host: Host,
+    key: str,
+    body: bytes = b'{"room": 4}',
+    *,
+    deadline_s: float = PATIENCE_S,
+) -> Answer:
+    """Books with a key, which is the request id as well."""
+    headers = {
+        "idempotency-key": key,
+        "x-request-id": key,
+        "x-deadline-ms": str(int(deadline_s * 1000)),
+    }
+    path = "/v1/services/bookings/bookings"
+    found = request(host.listen, "POST", path, body, headers)
+    return found or _NO_ANSWER
+
+
+def error(answer: Answer) -> tuple[int, str, str]:
+    """Returns status, type and outcome of an error answer."""
+    try:
+        details = json.loads(answer.body)["error"]
+    except (ValueError, KeyError):
+        return answer.status, "", ""
+    return answer.status, details["type"], details["outcome"]
+
+
+def ids_in(answer: Answer) -> set[str]:
+    """Returns the ids of the requests that the parts of an answer answer."""
+    if not answer.body.startswith(b"data:"):
+        return {json.loads(answer.body).get("id", "")}
+    events = [
+        json.loads(line.removeprefix(b"data: "))
+        for line in answer.body.splitlines()
+        if line.startswith(b"data: {")
+    ]
+    return {event.get("id", "") for event in events if "error" not in event}
+
+
+def is_own(answer: Answer, caller_id: str) -> bool:
+    """Tells whether all that was delivered belongs to a caller's request."""
+    ids = ids_in(answer) | {answer.headers.get("x-request-id", "")}
+    return {found.partition(".")[0] for found in ids} == {caller_id}
+
+
+def is_whole(answer: Answer, text: str) -> bool:
+    """Tells whether an answer looks complete and ends with a text."""
+    if answer.status != 200 or not answer.complete:
+        return False
+    if answer.body.startswith(b"data:"):
+        return answer.body.endswith(b"data: [DONE]\n\n")
+    content = json.loads(answer.body)["choices"][0]["message"]["content"]
+    return content.endswith(text)
+
+
+def patch(host: Host, document: Any, base: int, patch_id: str) -> Answer:
+    """Submits a patch; status 0 stands for no answer."""
+    found = request(
+        host.admin,
+        "PATCH",
+        f"/v1/config?base_version={base}",
+        json.dumps(document).encode(),
+        {"x-patch-id": patch_id, "x-author": "test"},
+    )
+    return found or _NO_ANSWER
+
+
+def end(process: subprocess.Popen, timeout_s: float = PATIENCE_S) -> int:
+    """Waits for a process to end by itself; returns its exit status."""
+    return process.wait(timeout_s)
--- /dev/null
+++ b/test/processes/test_own_answer.py
@@ -0,0 +1,173 @@
+"""I3: each caller gets the whole answer to its own request, nobody else's."""
+
+import hashlib
+import http.client
+import json
+import socket
+import threading
+import time
+
+from standins.deployment import Shape
+from test.processes import deployments
+from test.processes.deployments import (
+    at_once,
+    book,
+    chat,
+    error,
+    is_own,
+    is_whole,
+    new_caller_id,
+)
+
+KEY = {"authorization": "Bearer shared-key"}
+
+
+class OwnAnswerTest(deployments.DeploymentTest):
+    shape = Shape(domains=("d1",), hosts=2)
+
+    def test_identical_bodies_at_the_same_moment(self):
+        """Callers of one account must not share an answer or its parts."""
+        for stream in (False, True):
+            ids = [new_caller_id() for _ in range(24)]
+            answers = at_once(
+                lambda n=n, i=i, stream=stream: chat(
+                    self.hosts[n % 2], "same", stream=stream, caller_id=i
+                )
+                for n, i in enumerate(ids)
+            )
+            for caller_id, answer in zip(ids, answers, strict=True):
+                self.assertTrue(is_whole(answer, "same"), answer)
+                self.assertTrue(is_own(answer, caller_id), answer)
+                self.assertEqual(self.run_count(caller_id), 1)
+
+    def test_answer_of_another_request(self):
+        """An upstream that gives another request's answer delivers nothing."""
+        for name in self.upstreams():
+            self.fault(name, wrong_request_id=True)
+        calls = [
+            lambda n=n: chat(
+                self.hosts[n % 2], f"secret {n}", stream=n % 4 > 1, deadline_s=2
+            )
+            for n in range(16)
+        ]
+        calls += [
+            lambda n=n: book(self.hosts[n % 2], f"mixed-{n}", b'"secret"')
+            for n in range(8)
+        ]
+        for answer in at_once(calls):
+            # 504: queued for another upstream, which did not become free.
+            self.assertIn(
+                error(answer),
+                [
+                    (502, "answer_mismatch", "unknown"),
+                    (504, "deadline_exceeded", "unknown"),
+                ],
+            )
+            self.assertNotIn(b"secret", answer.body)
+
+    def test_stream_that_the_upstream_cuts(self):
+        """A stream without its end must not look complete to any client."""
+        for name in self.upstreams("drafting"):
+            self.fault(name, cut_after=3)
+        ids = [new_caller_id() for _ in range(16)]
+        answers = at_once(
+            lambda i=i: chat(
+                self.hosts[0], "cut", tokens=9, stream=True, caller_id=i
+            )
+            for i in ids
+        )
+        for caller_id, answer in zip(ids, answers, strict=True):
+            self.assertFalse(answer.complete)
+            self.assertNotIn(b"[DONE]", answer.body)
+            self.assertIn(b'"stream_cut"', answer.body)
+            self.assertTrue(is_own(answer, caller_id), answer)
+
+    def test_upstream_killed_amid_streams(self):
+        """Each caller sees its whole answer or a broken one."""
+        victim, *_ = self.upstreams("drafting")
+        ids = [new_caller_id() for _ in range(40)]
+        killing = threading.Timer(0.4, self.kill, [victim])
+        killing.start()
+        answers = at_once(
+            lambda n=n, i=i: chat(
+                self.hosts[n % 2],
+                f"caller {n}",
+                model=f"model-{n % self.models:02}",
+                tokens=100,
+                stream=n % 5 > 0,
+                caller_id=i,
+            )
+            for n, i in enumerate(ids)
+        )
+        killing.join()
+        self.restart_upstream(victim)
+        broken = 0
+        for n, (caller_id, answer) in enumerate(zip(ids, answers, strict=True)):
+            if answer.status == 200:
+                self.assertTrue(is_own(answer, caller_id), answer)
+            if not is_whole(answer, f"caller {n}"):
+                broken += 1
+                self.assertNotIn(b"[DONE]", answer.body)
+                self.assertTrue(not answer.complete or error(answer)[1])
+        self.assertGreater(broken, 0, "no stream was cut off")
+        self.await_models()
+
+
+class OneSlotTest(deployments.DeploymentTest):
+    shape = Shape(
+        domains=("d1",),
+        hosts=1,
+        engines=1,
+        plain=0,
+        engine_options=("slots=1", "token_gap_s=0.01"),
+        slots=1,
+    )
+    models = 1
+    changes = {
+        "accounts": {
+            "shared": {"key_sha256": hashlib.sha256(b"shared-key").hexdigest()}
+        }
+    }
+
+    @classmethod
+    def await_models(cls, hosts=()):
+        deployments.eventually(
+            lambda: chat(cls.hosts[0], headers=KEY).status == 200, "model"
+        )
+
+    def test_slot_of_a_caller_that_went_away(self):
+        """The next caller must not get what is left of the answer before."""
+        for attempt in range(30):
+            stream = attempt % 2 == 0
+            gone = self._begin("of the one before", stream)
+            caller_id = new_caller_id()
+            threading.Timer(0.02 * (attempt % 5), gone.close).start()
+            answer = chat(
+                self.hosts[0],
+                "same",
+                stream=attempt % 4 < 2,
+                caller_id=caller_id,
+                headers=KEY,
+            )
+            self.assertTrue(is_whole(answer, "same"), answer)
+            self.assertTrue(is_own(answer, caller_id), answer)
+            self.assertNotIn(b"before", answer.body)
+
+    def _begin(self, text: str, stream: bool) -> socket.socket:
+        """Sends a request; if it streams, its first part has arrived."""
+        ip, _, port = self.hosts[0].listen.rpartition(":")
+        connection = http.client.HTTPConnection(ip, int(port), timeout=20)
+        body = {
+            "model": "model-00",
+            "messages": [{"role": "user", "content": text}],
+            "max_tokens": 12,
+            "stream": stream,
+        }
+        path = "/v1/chat/completions"
+        # Without a rank, so that it is less urgent than the other requests.
+        connection.request("POST", path, json.dumps(body), KEY)
+        if stream:
+            connection.sock.recv(1)
+        else:
+            time.sleep(0.03)
+        return connection.sock
