--- /dev/null
+++ b/test/processes/test_crashing_request.py
@@ -0,0 +1,94 @@
+"""A request that crashes each upstream that runs it takes down only a few."""
+
+import json
+
+from acaciaspoke.entry.suspects import MAX_CRASHES
+from standins.client import request
+from standins.deployment import Shape
+from test.processes import deployments
+from test.processes.deployments import at_once, chat, error, eventually
+
+HOSTS = 3
+
+# Stated in acaciaspoke/entry/suspects.py for one entry process a host.
+BOUND = MAX_CRASHES + HOSTS - 1
+
+
+class CrashingRequestTest(deployments.DeploymentTest):
+    shape = Shape(domains=("d1",), hosts=HOSTS, engines=6, plain=0)
+    models = 2
+
+    def test_sent_again_and_again_through_all_hosts(self):
+        """Guards against a caller that takes down a whole failure domain."""
+        engines = self.upstreams("drafting")
+        with deployments.supervised(self, engines) as crashes:
+            for wave in range(2):
+                before = len(crashes)
+                poison = f"poison {wave}"
+                self._poison(poison)
+                calls = [
+                    lambda n=n: chat(self.hosts[n % HOSTS], f"innocent {n}")
+                    for n in range(12)
+                ]
+                calls += [
+                    lambda n=n, poison=poison: chat(
+                        self.hosts[n % HOSTS], poison, deadline_s=10
+                    )
+                    for n in range(12 if wave == 0 else 1)
+                ]
+                answers = at_once(calls)
+                for n in range(12):
+                    answer = answers[n]
+                    # The retry budget may not cover all that are in flight,
+                    # but none of them may be blocked.
+                    self.assertIn(
+                        error(answer)[:2],
+                        [(200, ""), (502, "upstream_failed")],
+                    )
+                for n in range(9):
+                    chat(self.hosts[n % HOSTS], poison, deadline_s=10)
+                crashed = eventually(
+                    lambda before=before: len(crashes) - before, "a crash"
+                )
+                self.assertLessEqual(crashed, BOUND)
+                for host in self.hosts:
+                    self.assertEqual(
+                        error(chat(host, poison))[:2], (422, "request_blocked")
+                    )
+                for n in range(12):
+                    answer = chat(self.hosts[n % HOSTS], f"innocent {n}")
+                    self.assertEqual(answer.status, 200, answer)
+
+    def _poison(self, text):
+        for name in self.upstreams("drafting"):
+            self.fault(name, crash_on=text)
+
+    def test_innocent_on_a_crashed_engine(self):
+        """What ran beside the request is retried and answered."""
+        name = self._engine_of("model-01")
+        self.fault(name, crash_on="deadly", delay_s=1.0)
+        with deployments.supervised(self, [name]) as crashes:
+            calls = [
+                lambda: chat(self.hosts[0], "slow", model="model-01"),
+                lambda: chat(self.hosts[1], "slow too", model="model-01"),
+            ]
+
+            def crash():
+                eventually(lambda: self._report(name)["running"] >= 2, "work")
+                chat(self.hosts[2], "deadly", model="model-01")
+
+            answers = at_once([*calls, crash])
+            self.assertEqual(len(crashes), 1)
+        for answer in answers[:2]:
+            self.assertEqual(answer.status, 200, answer)
+
+    def _report(self, name):
+        address = self.deployment.upstreams[name]["address"]
+        return json.loads(request(address, "GET", "/v2/report").body)
+
+    def _engine_of(self, model):
+        return next(
+            name
+            for name in self.upstreams("drafting")
+            if model in {a["name"] for a in self._report(name)["resident"]}
+        )
