--- a/test/processes/deployments.py
+++ b/test/processes/deployments.py
@@ -142,6 +142,11 @@
         """Returns how often a request was run."""
         return sum(run.caller_id == caller_id for run in self.runs())
 
+    def report(self, name: str) -> dict[str, Any]:
+        """Returns the load report of an upstream."""
+        address = self.deployment.upstreams[name]["address"]
+        return json.loads(request(address, "GET", "/v2/report").body)
+
     def counts(self, name: str) -> dict[str, int]:
         """Returns the counters of the present boot of an engine."""
         address = self.deployment.upstreams[name]["address"]
