--- /dev/null
+++ b/test/processes/test_configuration.py
@@ -0,0 +1,176 @@
+"""I8: an accepted version is in force everywhere in time and stays."""
+
+import json
+import threading
+import time
+from concurrent.futures import ThreadPoolExecutor
+
+from standins.client import request
+from standins.deployment import Shape
+from test.processes import deployments
+from test.processes.deployments import at_once, eventually, patch
+
+IN_FORCE_S = 12.0
+
+
+class ConfigurationTest(deployments.DeploymentTest):
+    """Each version adds one model, so that entry processes show theirs."""
+
+    shape = Shape(hosts=2, engines=1, plain=0)
+    models = 2
+
+    @classmethod
+    def setUpClass(cls):
+        super().setUpClass()
+        cls.version = 1
+
+    def setUp(self):
+        self.falls = []
+        self.samples = 0
+        ended = threading.Event()
+        pool = self.enterContext(ThreadPoolExecutor(2 * len(self.hosts)))
+        self.addCleanup(ended.set)
+        for host in self.hosts:
+            for read in (self._control_version, self._entry_version):
+                pool.submit(self._watch, host, read, ended)
+
+    def _watch(self, host, read, ended):
+        highest = 0
+        while not ended.wait(0.05):
+            version = read(host)
+            if version is None:
+                continue
+            self.samples += 1
+            if version < highest:
+                self.falls.append((host.name, read.__name__, highest, version))
+            highest = max(highest, version)
+
+    def _control_version(self, host):
+        if not self._is_ready(host.admin):
+            return None
+        answer = request(host.admin, "GET", "/v1/config", timeout_s=5)
+        if answer is None or answer.status != 200 or not answer.complete:
+            return None
+        return json.loads(answer.body)["version"]
+
+    def _entry_version(self, host):
+        if not self._is_ready(host.listen):
+            return None
+        answer = request(host.listen, "GET", "/v1/models", timeout_s=5)
+        if answer is None or answer.status != 200 or not answer.complete:
+            return None
+        return len(json.loads(answer.body)["data"]) - self.models + 1
+
+    def _is_ready(self, address):
+        answer = request(address, "GET", "/readyz", timeout_s=5)
+        return answer is not None and answer.status == 200
+
+    def submit(self, host, patch_id=""):
+        """Submits the next version; returns the answer."""
+        number = self.version + 1
+        model = {"service": "drafting", "memory_bytes": 1}
+        return patch(
+            host,
+            {"models": {f"version-{number:03}": model}},
+            self.version,
+            patch_id or f"patch-{number}",
+        )
+
+    def accepted(self, answer):
+        """Notes that an answer accepted the next version."""
+        self.assertEqual(answer.status, 200, answer)
+        type(self).version += 1
+        self.assertEqual(json.loads(answer.body)["version"], self.version)
+
+    def check_in_force(self, hosts=None):
+        """Waits until the version is in force; none may have fallen."""
+        hosts = hosts or self.hosts
+        for host in hosts:
+            for read in (self._control_version, self._entry_version):
+                eventually(
+                    lambda h=host, r=read: r(h) == self.version,
+                    f"{read.__name__} of {host.name} is {self.version}",
+                    IN_FORCE_S,
+                )
+        self.assertEqual(self.falls, [])
+        self.assertGreater(self.samples, 0)
+
+    def test_kills_and_restarts(self):
+        """A process that starts again must not bring back an old version."""
+        for n, host in enumerate(self.hosts):
+            other = self.hosts[n - 1]
+            for kind in ("control", "entry"):
+                self.accepted(self.submit(other))
+                self.restart(kind, host)
+                self.check_in_force()
+
+    def test_stale_reads(self):
+        """A read that is behind must not lower the version, or hide it."""
+        self.platform_fault("table", stale=True)
+        for host in self.hosts[:2]:
+            self.accepted(self.submit(host))
+            self.restart("control", host)
+            self.restart("entry", host)
+            self.check_in_force()
+
+    def test_table_out_during_a_restart(self):
+        """Without the table a host takes the highest version of its peers."""
+        self.accepted(self.submit(self.hosts[0]))
+        self.check_in_force()
+        self.platform_fault("table", refuse=True)
+        self.platform_fault("objects", refuse=True)
+        for host in (self.hosts[0], self.hosts[-1]):
+            self.restart("control", host)
+            self.restart("entry", host)
+            self.check_in_force()
+        self.platform_fault("objects")
+        self.assertNotEqual(self.submit(self.hosts[0], "out").status, 200)
+
+    def test_frozen_host_wakes(self):
+        """A process that was frozen during changes must catch up."""
+        host = self.hosts[0]
+        with self.frozen(f"control {host.name}", f"entry {host.name}"):
+            for _ in range(3):
+                self.accepted(self.submit(self.hosts[1]))
+            time.sleep(1.0)
+        self.check_in_force()
+
+    def test_lost_answer_of_the_commit(self):
+        """A patch whose answer was lost is in the log once, or not at all."""
+        for fault in ("drop_answers", "drop_requests"):
+            for times in (1, 9):
+                patch_id = f"{fault}-{times}"
+                self.platform_fault(
+                    "table", **{fault: times}, only_keys="config/"
+                )
+                first = self.submit(self.hosts[0], patch_id)
+                self.platform_fault("table")
+                again = eventually(
+                    lambda patch_id=patch_id: (
+                        (found := self.submit(self.hosts[1], patch_id)).status
+                        == 200
+                        and found
+                    ),
+                    patch_id,
+                )
+                self.accepted(again)
+                if first.status == 200:
+                    self.assertEqual(
+                        json.loads(first.body)["version"], self.version
+                    )
+                self.check_in_force()
+
+    def test_two_operators_race(self):
+        """Of two patches to one version, one wins and the other hears of it."""
+        for attempt in range(5):
+            answers = at_once(
+                lambda h=h, a=attempt: self.submit(h, f"race-{a}-{h.name}")
+                for h in (self.hosts[0], self.hosts[-1])
+            )
+            won, lost = sorted(answers, key=lambda answer: answer.status)
+            self.accepted(won)
+            self.assertEqual(lost.status, 409, lost)
+            error = json.loads(lost.body)["error"]
+            self.assertEqual(error["type"], "version_conflict")
+            self.assertEqual(error["current_version"], self.version)
+        self.check_in_force()
