Poll doubted upstreams of other domains; do not count what was not sent

An upstream of another failure domain that an entry process could not reach stayed suspect until the next refresh of other domains' reports, 30 to 120 s later. The control process now polls each upstream that its own entry processes doubt until it answers, and hears of refused connections too.

--- a/acaciaspoke/control/fleetwatch.py
+++ b/acaciaspoke/control/fleetwatch.py
@@ -153,7 +153,10 @@
                     tasks.start_soon(guarded, step, self._metrics)
                 await self._poller.close_unused(
                     self._config.upstreams[upstream].address
-                    for upstream in self.upstreams.polled()
+                    for upstream in (
+                        *self.upstreams.polled(),
+                        *self.upstreams.checked(),
+                    )
                 )
                 await anyio.sleep(POLL_CHECK_INTERVAL_S)
 
--- a/acaciaspoke/control/upstreams.py
+++ b/acaciaspoke/control/upstreams.py
@@ -117,6 +117,10 @@
         self._changes = 0
         self._news: set[UpstreamId] = set()
         self._doubts: set[UpstreamId] = set()
+        # Upstreams that this host came to doubt and polls until they answer,
+        # though others poll them too. Reports of other failure domains come
+        # too rarely to end a doubt.
+        self._checked: set[UpstreamId] = set()
 
     # What the process tells.
 
@@ -130,6 +134,7 @@
             self._polled.pop(upstream, None)
             self._news.discard(upstream)
             self._doubts.discard(upstream)
+            self._checked.discard(upstream)
         for upstream, config in upstreams.items():
             known = self._known.get(upstream)
             if known is None or known.config.address != config.address:
@@ -187,7 +192,7 @@
         """Returns the upstreams to poll now, each counted as polled."""
         due = [
             upstream
-            for upstream in self._polled
+            for upstream in self._polled.keys() | self._checked
             if now_s >= self._known[upstream].poll_due_s
         ]
         for upstream in due:
@@ -259,6 +264,7 @@
         known = self._known.get(lost.upstream)
         if known and lost.boot_id not in known.ended_boots:
             self._doubt(lost.upstream, "connection_lost", now_s)
+            self._checked.add(lost.upstream)
 
     def _doubt(self, upstream: UpstreamId, event: str, now_s: float) -> None:
         known = self._known[upstream]
@@ -346,6 +352,7 @@
         if taken_s <= known.doubted_s:
             self._mark(upstream)
             return True
+        self._checked.discard(upstream)
         before = known.machine.state
         if self._send(upstream, "reported") is not before:
             self._news.add(upstream)
@@ -387,6 +394,10 @@
         """Returns the upstreams that this host polls."""
         return list(self._polled)
 
+    def checked(self) -> list[UpstreamId]:
+        """Returns the upstreams that it polls only until a doubt ends."""
+        return list(self._checked)
+
     def resident_elsewhere(self) -> frozenset[ArtifactName]:
         """Returns the artifacts on live upstreams of other domains."""
         return frozenset(
--- a/acaciaspoke/entry/crashes.py
+++ b/acaciaspoke/entry/crashes.py
@@ -73,7 +73,7 @@
     async def _examine(
         self, upstream: UpstreamId, boot_id: BootId, address: str
     ) -> None:
-        self._post(ConnectionLost(upstream=upstream, boot_id=boot_id))
+        self.report_lost(upstream, boot_id)
         key = (upstream, boot_id)
         running = self._examined.get(key)
         if running is not None:
@@ -87,6 +87,10 @@
             finished.set()
             del self._examined[key]
 
+    def report_lost(self, upstream: UpstreamId, boot_id: BootId) -> None:
+        """Tells the control process, which then polls the upstream."""
+        self._post(ConnectionLost(upstream=upstream, boot_id=boot_id))
+
     async def _share_crash(self, upstream: UpstreamId, boot_id: BootId) -> None:
         suspicions = self._dispatcher.crashed(
             upstream, boot_id, time.monotonic()
--- a/acaciaspoke/entry/dispatch.py
+++ b/acaciaspoke/entry/dispatch.py
@@ -159,10 +159,21 @@
         self._waiting[request.request_id] = _Waiting(request)
 
     def retry(
-        self, request: Request, tried: set[UpstreamId], now_s: float
+        self,
+        request: Request,
+        tried: set[UpstreamId],
+        now_s: float,
+        *,
+        counts: bool = True,
     ) -> None:
         """Queues a request again after an attempt that failed.
 
+        Args:
+            request: The request.
+            tried: Upstreams that shall not get it again.
+            now_s: The time.
+            counts: Whether the retry budget pays for it.
+
         Raises:
             CallerError: If it may not run any more.
         """
@@ -170,7 +181,8 @@
         if request.rank not in self.config.ranks:
             # Its queue may be gone.
             raise CallerError(ErrorType.NOT_FOUND, _RANK_REMOVED)
-        self.budget.note_retry(now_s)
+        if counts:
+            self.budget.note_retry(now_s)
         verdict = self.suspects.verdict(request.fingerprint, now_s)
         apart = verdict is not Verdict.CLEAN
         self._waiting[request.request_id] = _Waiting(request, tried, apart)
--- a/acaciaspoke/entry/exchange.py
+++ b/acaciaspoke/entry/exchange.py
@@ -40,10 +40,12 @@
 
     Attributes:
         examine_crash: Called after a connection with a request on it broke.
+        report_lost: Called after no connection could be made.
         share: Passes suspicions on to the control process.
     """
 
     examine_crash: ExamineCrash
+    report_lost: Callable[[UpstreamId, BootId], None]
     share: Callable[[tuple], None]
 
 
@@ -145,12 +147,15 @@
                 await self._answer(request, result, caller)
                 return
             await self._note_failure(assignment, result)
-            tried.add(assignment.upstream)
+            if result.ending is not Ending.NOT_SENT:
+                # One that could not be reached gets no work until it reports
+                # again, and may be tried then.
+                tried.add(assignment.upstream)
             now_s = time.monotonic()
             if not may_retry(
                 request,
                 exchange,
-                tries=len(exchanges),
+                tries=_tries(exchanges),
                 budget=self._dispatcher.budget,
                 now_s=now_s,
             ) or not self._would_help(result, request, tried):
@@ -181,7 +186,12 @@
         now_s: float,
     ) -> None:
         try:
-            self._dispatcher.retry(request, set(tried), now_s)
+            self._dispatcher.retry(
+                request,
+                set(tried),
+                now_s,
+                counts=bool(exchanges[-1].bytes_sent),
+            )
         except CallerError as error:
             raise endings.with_history(error, exchanges) from error
 
@@ -288,6 +298,8 @@
             return
         if result.ending in (Ending.BROKEN, Ending.NOT_SENT):
             self._dispatcher.connection_lost(assignment.upstream, now_s)
+        if result.ending is Ending.NOT_SENT:
+            self._hooks.report_lost(assignment.upstream, assignment.boot_id)
         if result.ending is Ending.BROKEN:
             # The request stays in flight until it is known whether the
             # upstream crashed, and is among the suspects if it did.
@@ -316,6 +328,13 @@
         )
 
 
+def _tries(exchanges: list[Exchange]) -> int:
+    # Counted apart, so that upstreams that were down do not use up the tries
+    # of a request that was on one that crashed.
+    reached = sum(bool(exchange.bytes_sent) for exchange in exchanges)
+    return max(reached, len(exchanges) - reached)
+
+
 _CALLERS_FAULT = frozenset(
     [ErrorType.NOT_FOUND, ErrorType.KEY_REUSED, ErrorType.KEY_IN_USE]
 )
--- a/acaciaspoke/entry/process.py
+++ b/acaciaspoke/entry/process.py
@@ -82,7 +82,11 @@
             self._dispatcher,
             self.claims,
             self._windows,
-            Hooks(self._crashes.examine, self._crashes.share),
+            Hooks(
+                self._crashes.examine,
+                self._crashes.report_lost,
+                self._crashes.share,
+            ),
             metrics,
         )
         self.app = EntryApp(
--- a/acaciaspoke/entry/retry.py
+++ b/acaciaspoke/entry/retry.py
@@ -103,13 +103,17 @@
 ) -> bool:
     """Returns whether a failed request may be sent to another upstream.
 
+    A request of which nothing was sent costs no upstream anything, so that
+    the budget does not count it.
+
     The caller of this function excludes the upstreams already tried when it
     routes the request, and then calls ``budget.note_retry``.
 
     Args:
         request: The request.
         exchange: Its last try.
-        tries: Tries so far.
+        tries: Tries so far of the kind, reaching an upstream or not, of which
+            there were more.
         budget: The budget of this process.
         now_s: The time.
     """
@@ -119,5 +123,5 @@
         and not exchange.answered
         and tries < MAX_TRIES
         and now_s < request.deadline_s
-        and budget.allows(now_s)
+        and (not exchange.bytes_sent or budget.allows(now_s))
     )
--- a/test/entry/serving.py
+++ b/test/entry/serving.py
@@ -187,7 +187,7 @@
             self.dispatcher,
             claims,
             ServiceWindows(),
-            Hooks(examine, lambda _: None),
+            Hooks(examine, lambda *_: None, lambda _: None),
             Metrics(),
         )
         self.draining = False
