Queue retries apart, and let them use an upstream that restarted

Cause: a retried request went back into the line of its artifact, ordered by deadline.

Ruled out: slots that were not given back (the engine's report shows 0 running), doubt about the engine (its state stayed live).

Change: a retry waits apart from the line; what was tried is remembered by boot, so that the only holder of a model can be used again after it restarted; after an answer to another request, as after a refusal, a request without another live upstream is answered at once.

--- a/acaciaspoke/entry/dispatch.py
+++ b/acaciaspoke/entry/dispatch.py
@@ -64,12 +64,12 @@
     """What is kept of a request beside its place in the queue.
 
     Attributes:
-        tried: Upstreams on which it failed.
+        tried: Boots of upstreams on which it failed.
         apart: Whether it is queued apart from others for its artifact.
     """
 
     request: Request
-    tried: set[UpstreamId] = set()
+    tried: frozenset[BootId] = frozenset()
     apart: bool = False
 
 
@@ -161,7 +161,7 @@
     def retry(
         self,
         request: Request,
-        tried: set[UpstreamId],
+        tried: Iterable[BootId],
         now_s: float,
         *,
         counts: bool = True,
@@ -170,7 +170,7 @@
 
         Args:
             request: The request.
-            tried: Upstreams that shall not get it again.
+            tried: Boots of upstreams that shall not get it again.
             now_s: The time.
             counts: Whether the retry budget pays for it.
 
@@ -183,15 +183,17 @@
             raise CallerError(ErrorType.NOT_FOUND, _RANK_REMOVED)
         if counts:
             self.budget.note_retry(now_s)
-        verdict = self.suspects.verdict(request.fingerprint, now_s)
-        apart = verdict is not Verdict.CLEAN
-        self._waiting[request.request_id] = _Waiting(request, tried, apart)
-        self._queue.put_back(request, now_s, apart=apart)
+        # Apart, because others for its artifact must not wait behind it until
+        # there is an upstream that it has not tried.
+        self._waiting[request.request_id] = _Waiting(
+            request, frozenset(tried), apart=True
+        )
+        self._queue.put_back(request, now_s, apart=True)
 
-    def has_untried(self, request: Request, tried: set[UpstreamId]) -> bool:
+    def has_untried(self, request: Request, tried: Iterable[BootId]) -> bool:
         """Tells whether another live upstream could run a request."""
         return any(
-            status.state is UpstreamState.LIVE and status.upstream not in tried
+            status.state is UpstreamState.LIVE and status.boot_id not in tried
             for status in self._fleet.holders(request.service, request.artifact)
         )
 
@@ -325,12 +327,21 @@
                 status, urgency, now_s
             ),
             rng=self._rng,
-            tried=waiting.tried,
+            tried=self._upstreams_of(waiting.tried),
             suspect=verdict is Verdict.SUSPECT,
             version=version,
         )
         return found.chosen is not None
 
+    def _upstreams_of(self, boots: frozenset[BootId]) -> list[UpstreamId]:
+        if not boots:
+            return []
+        return [
+            upstream
+            for upstream, status in self._fleet.upstreams.items()
+            if status.boot_id in boots
+        ]
+
     def _settle(self, found: "_Round", now_s: float) -> Iterator[Dropped]:
         for request, error_type in found.rejected:
             self._queue.cancel(request.request_id, now_s)
--- a/acaciaspoke/entry/exchange.py
+++ b/acaciaspoke/entry/exchange.py
@@ -118,7 +118,7 @@
     ) -> None:
         request = parsed.request
         claim: Claim | None = None
-        tried: set[UpstreamId] = set()
+        tried: set[BootId] = set()
         exchanges: list[Exchange] = []
         self._dispatcher.submit(request, time.monotonic())
         while True:
@@ -150,7 +150,7 @@
             if result.ending is not Ending.NOT_SENT:
                 # One that could not be reached gets no work until it reports
                 # again, and may be tried then.
-                tried.add(assignment.upstream)
+                tried.add(assignment.boot_id)
             now_s = time.monotonic()
             if not may_retry(
                 request,
@@ -170,25 +170,25 @@
             self._requeue(request, tried, exchanges, now_s)
 
     def _would_help(
-        self, result: Attempt, request: Request, tried: set[UpstreamId]
+        self, result: Attempt, request: Request, tried: set[BootId]
     ) -> bool:
-        if result.ending is Ending.REFUSED:
-            # Upstreams that refused stay where they are. Without another one
-            # the request would wait for its deadline.
+        if result.ending in (Ending.REFUSED, Ending.MISMATCHED):
+            # Such upstreams stay as they are. Without another one the request
+            # would wait for its deadline.
             return self._dispatcher.has_untried(request, tried)
         return result.ending is not Ending.UNUSABLE
 
     def _requeue(
         self,
         request: Request,
-        tried: set[UpstreamId],
+        tried: set[BootId],
         exchanges: list[Exchange],
         now_s: float,
     ) -> None:
         try:
             self._dispatcher.retry(
                 request,
-                set(tried),
+                tried,
                 now_s,
                 counts=bool(exchanges[-1].bytes_sent),
             )
--- a/test/entry/test_dispatch.py
+++ b/test/entry/test_dispatch.py
@@ -26,8 +26,9 @@
     return result
 
 
-def show(d, *live, now_s=0.0) -> None:
-    d.set_fleet(FleetView(upstreams=tuple(view(name) for name in live)), now_s)
+def show(d, *live, now_s=0.0, **fields) -> None:
+    views = tuple(view(name, **fields) for name in live)
+    d.set_fleet(FleetView(upstreams=views), now_s)
 
 
 def changed(version=2, **fields):
@@ -83,17 +84,43 @@
         d = dispatcher("draft0", "draft1")
         r = request()
         d.submit(r, 0.0)
-        tried = set()
+        tried, upstreams = set(), []
         for _ in range(2):
             [assigned] = d.decide(0.0)
-            tried.add(assigned.upstream)
+            tried.add(assigned.boot_id)
+            upstreams.append(assigned.upstream)
             d.failed(r)
             d.retry(r, set(tried), 0.0)
-        self.assertEqual(tried, {"draft0", "draft1"})
+        self.assertEqual(set(upstreams), {"draft0", "draft1"})
         self.assertEqual(list(d.decide(0.0)), [])
         self.assertEqual(d.in_flight, 0)
         self.assert_dropped(d.decide(60.0), ErrorType.DEADLINE_EXCEEDED)
 
+    def test_retry_does_not_hold_up_others(self):
+        """Guards against one failed request that stops its model's queue."""
+        d = dispatcher("draft0")
+        failed, other = request(), request(deadline_s=90.0)
+        d.submit(failed, 0.0)
+        [assigned] = d.decide(0.0)
+        d.failed(failed)
+        d.retry(failed, {assigned.boot_id}, 0.0)
+        d.submit(other, 0.0)
+        [assigned] = d.decide(0.0)
+        self.assertIs(assigned.request, other)
+
+    def test_retry_may_use_a_restarted_upstream(self):
+        """Guards against a lost model whose only holder is back."""
+        d = dispatcher("draft0")
+        r = request()
+        d.submit(r, 0.0)
+        [assigned] = d.decide(0.0)
+        d.failed(r)
+        d.retry(r, {assigned.boot_id}, 0.0)
+        self.assertEqual(list(d.decide(0.0)), [])
+        show(d, "draft0", now_s=1.0, boot_id="new")
+        [assigned] = d.decide(1.0)
+        self.assertEqual(assigned.boot_id, "new")
+
     def test_suspects_that_wait(self):
         """Guards against suspects that share an upstream, or run blocked."""
         d = dispatcher("draft0")
