Place models in the policy benchmark by the product's planner

One planner per failure domain sees demand messages, its own reservations and lagging states; the benchmark's own placement stays as the policy simple_placement. A failure domain's memory holds 70% of all models and adapters, the shift also raises all demand by a quarter, and a scenario of steady noisy demand counts moves. New figures: attained requests per accelerator, moves, waits of cold spells' first requests, requests never served within their deadline, time of a plan.

--- a/bench/policy/__main__.py
+++ b/bench/policy/__main__.py
@@ -21,6 +21,10 @@
 # 95 in 100 of the most urgent work meet their targets in these scenarios.
 NEED = 0.95
 NEEDED_IN = ("failure_free", "flood_least_urgent")
+# In these, every request of a created model is answered within its deadline.
+REACHABLE_IN = ("failure_free", "steady_noise", "shift_to_cold")
+MOST_MOVES_IN = ("steady_noise",)
+MOST_MOVES = 1
 FLOODS = ("flood_least_urgent", "flood_most_urgent")
 
 
@@ -75,7 +79,11 @@
 def _wanted(options: argparse.Namespace, scenario: str) -> bool:
     if options.scenario is not None:
         return scenario in ("failure_free", options.scenario)
-    return not options.short or scenario in (*NEEDED_IN, *FLOODS)
+    return not options.short or scenario in (
+        *NEEDED_IN,
+        *FLOODS,
+        *REACHABLE_IN,
+    )
 
 
 def _figures(title: str, run: Run, base: Run) -> Iterator[Result]:
@@ -101,6 +109,7 @@
     yield Result(
         name=f"{title}.adapter_loads", value=run.adapter_loads, unit="loads"
     )
+    yield from _placement(title, run)
     for rank, figures in measure.by_rank(run).items():
         if not title.endswith(f".{OURS.name}"):
             yield Result(
@@ -110,6 +119,32 @@
             )
 
 
+def _placement(title: str, run: Run) -> Iterator[Result]:
+    scenario, policy = title.split(".")[-2:]
+    ours = policy == OURS.name
+    figures = measure.placement(run)
+    reachable = ours and scenario in REACHABLE_IN
+    steady = ours and scenario in MOST_MOVES_IN
+    for name, value, unit, bound in (
+        ("attained", figures.attained, "1/s per accelerator", None),
+        ("loads", figures.loads, "moves", None),
+        ("unloads", figures.unloads, "moves", None),
+        (
+            "most_moves",
+            figures.most_moves,
+            "moves",
+            MOST_MOVES if steady else None,
+        ),
+        ("cold_wait_longest", figures.cold_s[0], "s", None),
+        ("cold_wait_p95", figures.cold_s[1], "s", None),
+        ("unserved", figures.unserved, "share", 0.0 if reachable else None),
+        ("plan_time", figures.plan_ms, "ms", None),
+    ):
+        yield Result(
+            name=f"{title}.{name}", value=value, unit=unit, bound=bound
+        )
+
+
 def _bounded(title: str, scenario: str, run: Run) -> Iterator[Result]:
     for rank, figures in measure.by_rank(run).items():
         most_urgent = RANKS[rank].level == 0
@@ -159,6 +194,15 @@
             file=sys.stderr,
             flush=True,
         )
+    f = measure.placement(run)
+    print(
+        f"{'':52} placement: {f.attained:.3f} attained/s per accelerator,"
+        f" {f.loads} loads, {f.unloads} unloads, at most {f.most_moves} of one"
+        f" artifact, cold {f.cold_s[0]:.1f} s (p95 {f.cold_s[1]:.1f}),"
+        f" unserved {f.unserved:.4f}, plan {f.plan_ms:.1f} ms",
+        file=sys.stderr,
+        flush=True,
+    )
 
 
 if __name__ == "__main__":
--- a/bench/policy/deployments.py
+++ b/bench/policy/deployments.py
@@ -22,7 +22,10 @@
 from acaciaspoke.entry.request import Request
 
 GIB = 1 << 30
-ENGINE_MEMORY = 96 * GIB
+# A failure domain's engines hold this share of all models and adapters, so that
+# the domains have to share the models.
+DOMAIN_MEMORY_SHARE = 0.7
+ENGINES_PER_DOMAIN = 3
 ADAPTER_MEMORY = GIB // 5
 SLOTS = 16
 
@@ -105,14 +108,16 @@
 }
 
 
-def upstreams_of(_: Deployment) -> dict[str, Upstream]:
+def upstreams_of(deployment: Deployment) -> dict[str, Upstream]:
     """Returns 9 engines and 3 plain workers over the three domains."""
+    total = sum(a.memory_bytes for a in artifacts_of(deployment).values())
+    memory_bytes = int(DOMAIN_MEMORY_SHARE * total / ENGINES_PER_DOMAIN)
     engines = {
         f"engine{n}": Upstream(
             service="draft",
             failure_domain=DOMAINS[n % 3],
             address=f"10.0.0.{n}:8000",
-            memory_bytes=ENGINE_MEMORY,
+            memory_bytes=memory_bytes,
             slots=SLOTS,
         )
         for n in range(9)
@@ -202,6 +207,7 @@
     rate_at: Callable[[Kind, float], float],
     weight_at: Callable[[str, float], float],
     extra_kinds: tuple[Kind, ...] = (),
+    noise: float = 0.5,
 ) -> list[Arrival]:
     """Returns the work of one run in order of time.
 
@@ -216,6 +222,7 @@
         rate_at: Factor on a kind's rate at a time.
         weight_at: Factor on an artifact's weight at a time.
         extra_kinds: Kinds that this scenario adds.
+        noise: Spread of the factor by which an artifact's demand jumps.
     """
     names = list(weights)
     bursts = random.Random(f"{seed}/bursts")
@@ -227,7 +234,7 @@
     for start_s in range(0, int(length_s), 5):
         # Demand of each artifact jumps every 5 s by a factor around 1.
         drawn = [
-            weights[n] * weight_at(n, start_s) * bursts.lognormvariate(0, 0.5)
+            weights[n] * weight_at(n, start_s) * bursts.lognormvariate(0, noise)
             for n in names
         ]
         sums = list(itertools.accumulate(drawn))
--- /dev/null
+++ b/bench/policy/domain_planner.py
@@ -0,0 +1,299 @@
+"""The planner of the product, one for each failure domain.
+
+It sees what a lease holder sees: the demand messages of its own domain's entry
+processes, its own reservations, and states and reports that lag.
+"""
+
+from __future__ import annotations
+
+import math
+import time
+from collections import Counter, defaultdict
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from acaciaspoke.config.schema import (
+    Adapter,
+    Artifact,
+    Config,
+    Model,
+    WeightStore,
+)
+from acaciaspoke.control.contacts import DOMAIN_SILENT_S
+from acaciaspoke.control.demand import HALF_LIFE_S, DemandRates
+from acaciaspoke.control.fleet import Situation
+from acaciaspoke.control.moves import Move, MoveKind
+from acaciaspoke.control.pacing import Pacer, share_of
+from acaciaspoke.control.placement import plan
+from acaciaspoke.control.planning import CHECK_INTERVAL_S, SETTLED_INTERVAL_S
+from acaciaspoke.control.reservations import Line, LineState, Reservation
+from acaciaspoke.control.residency import Residency
+from acaciaspoke.net.messages import Demand, UpstreamState
+from bench.policy.deployments import DOMAINS, KINDS, RANKS, SERVICES, Deployment
+
+if TYPE_CHECKING:
+    from bench.policy.world import World
+
+DEMAND_S = 1.0
+# The write of a reservation and the order that follows it.
+ORDER_DELAY_S = 0.02
+UNLOAD_CHECK_S = 0.05
+MISSED_REPORTS_S = 6.0
+# Reports of other domains' upstreams come on by relays.
+ELSEWHERE_S = 2.0
+PREPARE_ROUNDS = 200
+
+
+class DomainPlanners:
+    """The lease holders of all failure domains.
+
+    Attributes:
+        plan_ms: Processor time of each plan.
+        moves: Times and moves that were started.
+    """
+
+    def __init__(self, world: World):
+        self.world = world
+        self.plan_ms: list[float] = []
+        self.moves: list[tuple[float, Move]] = []
+        config = config_of(world)
+        self.live = set(DOMAINS)
+        self.by_domain = {
+            domain: DomainPlanner(self, config, domain) for domain in DOMAINS
+        }
+
+    def prepare(self, weights: dict[str, float], per_s: float) -> None:
+        """Loads, before the run, what the long-term demand asks for."""
+        per_s_by_rank = Counter()
+        for kind in KINDS:
+            per_s_by_rank[kind.rank] += kind.per_s if kind.tokens else 0.0
+        total = sum(per_s_by_rank.values())
+        gain = math.log(2) / HALF_LIFE_S
+        for planner in self.by_domain.values():
+            arrivals = {
+                name: {
+                    rank: weight * per_s / len(DOMAINS) * rate / total / gain
+                    for rank, rate in per_s_by_rank.items()
+                }
+                for name, weight in weights.items()
+            }
+            planner.demand.add(Demand(sender="", arrivals=arrivals), 0.0)
+        for _ in range(PREPARE_ROUNDS):
+            # A list, as each domain takes its turn in each round.
+            if not any([p.settle() for p in self.by_domain.values()]):
+                break
+        self.moves.clear()
+        self.plan_ms.clear()
+
+    def start(self) -> None:
+        """Begins to listen to entry processes and to plan."""
+        clock = self.world.clock
+        for entry in self.world.entries:
+            offset_s = self.world.rng.uniform(0, DEMAND_S)
+            clock.at(offset_s, self._report_on, entry)
+        for planner in self.by_domain.values():
+            clock.every(CHECK_INTERVAL_S, planner.step)
+            clock.every(ELSEWHERE_S, planner.look_elsewhere)
+
+    def lose(self, domain: str) -> None:
+        """Ends a domain's planner; the others learn of it later."""
+        self.by_domain[domain].alive = False
+        self.world.clock.after(DOMAIN_SILENT_S, self.live.discard, domain)
+
+    def _report_on(self, entry) -> None:
+        if not entry.alive:
+            return
+        demand = entry.take_demand()
+        if demand.arrivals or demand.cold:
+            hear = self.by_domain[entry.domain].hear
+            self.world.clock.after(self._hop_s(), hear, demand)
+        self.world.clock.after(DEMAND_S, self._report_on, entry)
+
+    def _hop_s(self) -> float:
+        # From the entry process to its control process and to the holder.
+        return 2 * self.world.deployment.domain_delay_s
+
+
+class DomainPlanner:
+    """Does what ``acaciaspoke.control.planning`` does, on a virtual clock."""
+
+    def __init__(self, planners: DomainPlanners, config: Config, domain: str):
+        self.alive = True
+        self.demand = DemandRates()
+        self._all = planners
+        self._world = planners.world
+        self._config = config
+        self._domain = domain
+        self._rows = {
+            name: Reservation(upstream=name, memory_bytes=u.memory_bytes)
+            for name, u in config.upstreams.items()
+            if u.failure_domain == domain and u.memory_bytes
+        }
+        self._residency = Residency()
+        limits = share_of(config.weight_store, domain, planners.live)
+        self._pacer = Pacer(limits, 0.0)
+        self._elsewhere: frozenset[str] = frozenset()
+        self._planned_s = float("-inf")
+        self._planned_for: tuple = ()
+        self._interval_s = SETTLED_INTERVAL_S
+
+    def hear(self, demand: Demand) -> None:
+        """Takes the message of an entry process."""
+        self.demand.add(demand, self._world.clock.now_s)
+
+    def look_elsewhere(self) -> None:
+        """Takes the reports of other domains' upstreams into account."""
+        self._elsewhere = frozenset(
+            name
+            for engine in self._world.engines.values()
+            if engine.config.failure_domain != self._domain and engine.alive
+            for name in engine.resident
+        )
+
+    def settle(self) -> list[Move]:
+        """Plans before the run and carries the moves out at once."""
+        self.look_elsewhere()
+        moves = plan(self._situation())
+        for move in moves:
+            engine = self._world.engines[move.upstream]
+            if move.kind is MoveKind.UNLOAD:
+                engine.unload(move.artifact.name)
+                self._remove_line(move)
+            elif engine.reserve(move.artifact):
+                engine.loaded(move.artifact.name, engine.boots)
+                self._set_line(move, LineState.RESIDENT)
+        return moves
+
+    def step(self) -> None:
+        """Plans if a plan is due, and starts the moves."""
+        now_s = self._world.clock.now_s
+        if not self.alive or not self._is_due(now_s):
+            return
+        self._planned_s = now_s
+        live = frozenset(self._all.live)
+        self._pacer.limits = share_of(
+            self._config.weight_store, self._domain, live
+        )
+        situation = self._situation()
+        began_s = time.process_time()
+        moves = plan(situation)
+        self._all.plan_ms.append(1e3 * (time.process_time() - began_s))
+        self._interval_s = CHECK_INTERVAL_S if moves else SETTLED_INTERVAL_S
+        unloads: defaultdict[str, list[Move]] = defaultdict(list)
+        for move in self._pacer.admit(moves, now_s):
+            self._all.moves.append((now_s, move))
+            if move.kind is MoveKind.UNLOAD:
+                self._set_line(move, LineState.UNLOADING)
+                unloads[move.upstream].append(move)
+            else:
+                self._set_line(move, LineState.RESERVED)
+                self._world.clock.after(ORDER_DELAY_S, self._load, move)
+        for batch in unloads.values():
+            self._world.clock.after(ORDER_DELAY_S, self._unload, batch)
+
+    def _is_due(self, now_s: float) -> bool:
+        seen = tuple(self._states(now_s).items())
+        changed, self._planned_for = seen != self._planned_for, seen
+        return bool(
+            changed
+            or self._pacer.in_flight
+            or self.demand.cold(RANKS, now_s)
+            or now_s - self._planned_s >= self._interval_s
+        )
+
+    def _states(self, now_s: float) -> dict[str, UpstreamState]:
+        engines = self._world.engines
+        return {
+            name: UpstreamState.SUSPECT
+            if now_s - engines[name].crashed_s > MISSED_REPORTS_S
+            else UpstreamState.LIVE
+            for name in self._rows
+        }
+
+    def _situation(self) -> Situation:
+        now_s = self._world.clock.now_s
+        self._residency.update(self._rows, {}, now_s)
+        prepared = not self._world.clock.now_s
+        return Situation(
+            config=self._config,
+            domain=self._domain,
+            live_domains=frozenset(self._all.live),
+            reservations=dict(self._rows),
+            states=self._states(now_s),
+            rates=self.demand.rates(RANKS, now_s),
+            cold=self.demand.cold(RANKS, now_s),
+            in_flight=self._pacer.in_flight,
+            ages_s={} if prepared else self._residency.ages_s(now_s),
+            elsewhere=self._elsewhere,
+        )
+
+    # Moves.
+
+    def _load(self, move: Move) -> None:
+        engine = self._world.engines[move.upstream]
+        base = move.artifact.base_model
+        if base and base not in engine.resident or not engine.reserve(move.artifact):
+            self._end(move, loaded=False)
+        else:
+            self._world.store.load(engine, move.artifact, self._end, move)
+
+    def _unload(self, batch: list[Move]) -> None:
+        """Unloads one after the other, as a model goes after its adapters."""
+        engine = self._world.engines[batch[0].upstream]
+        name = batch[0].artifact.name
+        engine.unload(name)
+        if name in engine.leaving:
+            self._world.clock.after(UNLOAD_CHECK_S, self._unload, batch)
+            return
+        self._end(batch[0], loaded=False)
+        if batch[1:]:
+            self._unload(batch[1:])
+
+    def _end(self, move: Move, loaded: bool = True) -> None:
+        self._pacer.ended(move)
+        if loaded:
+            self._set_line(move, LineState.RESIDENT)
+        else:
+            self._remove_line(move)
+
+    def _remove_line(self, move: Move) -> None:
+        row = self._rows[move.upstream]
+        lines = tuple(x for x in row.lines if x.artifact != move.artifact)
+        self._rows[move.upstream] = msgspec.structs.replace(row, lines=lines)
+
+    def _set_line(self, move: Move, state: LineState) -> None:
+        self._remove_line(move)
+        row = self._rows[move.upstream]
+        line = Line(artifact=move.artifact, state=state)
+        self._rows[move.upstream] = msgspec.structs.replace(
+            row, lines=(*row.lines, line)
+        )
+
+
+def config_of(world: World) -> Config:
+    """Returns the configuration that a lease holder plans by."""
+    deployment: Deployment = world.deployment
+    known: dict[str, Artifact] = world.artifacts
+    return Config(
+        ranks=RANKS,
+        services=SERVICES,
+        models={
+            name: Model(service="draft", memory_bytes=artifact.memory_bytes)
+            for name, artifact in known.items()
+            if artifact.base_model is None
+        },
+        adapters={
+            name: Adapter(
+                model=artifact.base_model, memory_bytes=artifact.memory_bytes
+            )
+            for name, artifact in known.items()
+            if artifact.base_model is not None
+        },
+        upstreams=world.upstreams,
+        weight_store=WeightStore(
+            model_loads_per_s=deployment.model_loads_per_s,
+            concurrent_model_loads=deployment.concurrent_model_loads,
+            adapters_in_transit=deployment.adapters_in_transit,
+        ),
+    )
--- a/bench/policy/engine.py
+++ b/bench/policy/engine.py
@@ -54,6 +54,7 @@
         self.clock = clock
         self.alive = True
         self.boots = 1
+        self.crashed_s = float("inf")
         self.resident: dict[str, Artifact] = {}
         self.reserved: dict[str, Artifact] = {}
         self.leaving: dict[str, Artifact] = {}
@@ -85,6 +86,7 @@
         """Ends with everything that runs here."""
         calls = [*self.running.values(), *(item[2] for item in self._waiting)]
         self.alive = False
+        self.crashed_s = self.clock.now_s
         self.boots += 1
         self._version += 1
         self.running.clear()
@@ -227,8 +229,21 @@
         """Model loads that were started and have not ended."""
         return self._models
 
-    def load(self, engine: Engine, artifact: Artifact) -> None:
-        """Loads an artifact for which memory is reserved."""
+    def load(
+        self,
+        engine: Engine,
+        artifact: Artifact,
+        on_end: Callable[..., None] = lambda: None,
+        *args,
+    ) -> None:
+        """Loads an artifact for which memory is reserved.
+
+        Args:
+            engine: The engine that has reserved the memory.
+            artifact: What it loads.
+            on_end: Called with ``args`` when the load has ended.
+            *args: Arguments of ``on_end``.
+        """
         deployment = self._deployment
         if artifact.base_model is not None:
             self.adapter_loads += 1
@@ -243,11 +258,20 @@
             excess = self._models / deployment.concurrent_model_loads
             delay_s = start_s - self._clock.now_s
             delay_s += deployment.model_load_s * max(1.0, excess)
-        self._clock.after(delay_s, self._loaded, engine, artifact, engine.boots)
+        loaded = (engine, artifact, engine.boots, on_end, args)
+        self._clock.after(delay_s, self._loaded, *loaded)
 
-    def _loaded(self, engine: Engine, artifact: Artifact, boot: int) -> None:
+    def _loaded(
+        self,
+        engine: Engine,
+        artifact: Artifact,
+        boot: int,
+        on_end: Callable[..., None],
+        args: tuple,
+    ) -> None:
         if artifact.base_model is None:
             self._models -= 1
         else:
             self._adapters -= 1
         engine.loaded(artifact.name, boot)
+        on_end(*args)
--- a/bench/policy/entry_process.py
+++ b/bench/policy/entry_process.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import random
+from collections import Counter
 from typing import TYPE_CHECKING
 
 import msgspec
@@ -18,7 +19,7 @@
 )
 from acaciaspoke.entry.routing import Fleet
 from acaciaspoke.entry.suspects import Suspects, Verdict
-from acaciaspoke.net.messages import UpstreamState, UpstreamView
+from acaciaspoke.net.messages import Demand, UpstreamState, UpstreamView
 from bench.policy.deployments import RANKS, Arrival
 from bench.policy.engine import Call
 
@@ -30,9 +31,14 @@
 
 
 class Record(msgspec.Struct):
-    """What became of a request."""
+    """What became of a request.
+
+    Attributes:
+        cold: Whether no live engine held its model or adapter at its arrival.
+    """
 
     arrival: Arrival
+    cold: bool = False
     dispatched: bool = False
     first_s: float | None = None
     sent_s: float = 0.0
@@ -65,6 +71,8 @@
         self.suspects = Suspects()
         self.flights: dict[str, Flight] = {}
         self.alive = True
+        self._arrivals: dict[str, Counter] = {}
+        self._cold: set[str] = set()
         self._choice: str | None = None
         self._urgency = Urgency(0, False)
         world.clock.every(0.1, self._tick)
@@ -74,6 +82,9 @@
         request = arrival.request
         self.flights[request.request_id] = Flight(record)
         self.budget.note_request(self.world.clock.now_s)
+        if request.artifact is not None:
+            counts = self._arrivals.setdefault(request.artifact, Counter())
+            counts[request.rank] += 1
         self.limits.note_arrival(
             RANKS[request.rank].level, self.world.clock.now_s
         )
@@ -91,6 +102,13 @@
             self.limits.reported(status)
         self.pump()
 
+    def take_demand(self) -> Demand:
+        """Returns the message to the control process, once a second."""
+        arrivals, self._arrivals = self._arrivals, {}
+        return Demand(
+            sender="", arrivals=arrivals, cold=tuple(sorted(self._cold))
+        )
+
     def crash(self) -> None:
         """Ends with everything that it holds."""
         self.alive = False
@@ -101,6 +119,7 @@
     def pump(self) -> None:
         """Dispatches what can be dispatched now."""
         now_s = self.world.clock.now_s
+        self._cold.clear()
         while self.alive:
             waiting = self.queue.waiting()
             request = self.queue.take(now_s, self._dispatchable)
@@ -113,6 +132,7 @@
     def _dispatchable(self, request: Request, urgency: Urgency) -> bool:
         flight = self.flights[request.request_id]
         now_s = self.world.clock.now_s
+        self._note_cold(request)
         verdict = self.suspects.verdict(request.fingerprint, now_s)
         if verdict is Verdict.HELD:
             return False
@@ -128,6 +148,13 @@
         )
         return self._choice is not None
 
+    def _note_cold(self, request: Request) -> None:
+        if request.artifact is None:
+            return
+        holders = self.fleet.holders(request.service, request.artifact)
+        if not any(s.state is UpstreamState.LIVE for s in holders):
+            self._cold.add(request.artifact)
+
     def _send(self, request: Request, upstream: str) -> None:
         flight = self.flights[request.request_id]
         now_s = self.world.clock.now_s
--- a/bench/policy/measure.py
+++ b/bench/policy/measure.py
@@ -1,10 +1,12 @@
 """Figures of a run."""
 
 import statistics
+from collections import Counter
 from collections.abc import Iterator
 
 import msgspec
 
+from acaciaspoke.control.moves import MoveKind
 from bench.policy.deployments import KINDS, RANKS
 from bench.policy.entry_process import Record
 from bench.policy.scenarios import Run
@@ -111,6 +113,78 @@
     )
 
 
+class PlacementFigures(msgspec.Struct, frozen=True):
+    """What the placement did and what came of it.
+
+    Attributes:
+        attained: Requests in the window that met their targets, per second
+            and accelerator.
+        loads: Loads that were started since the window began.
+        unloads: The same for unloads.
+        most_moves: The most moves of one artifact since the window began.
+        cold_s: The longest and the 95th percentile of the waits of each cold
+            spell's first request; without an answer, its whole deadline.
+        unserved: Share of requests for models and adapters in the window that
+            got no first token within their deadline.
+        plan_ms: Median processor time of a plan.
+    """
+
+    attained: float
+    loads: int
+    unloads: int
+    most_moves: int
+    cold_s: tuple[float, float]
+    unserved: float
+    plan_ms: float
+
+
+def placement(run: Run) -> PlacementFigures:
+    """Returns the figures of the placement."""
+    records = in_window(run)
+    moves = [m for at_s, m in run.moves if run.start_s <= at_s < run.end_s]
+    per_artifact = Counter(move.artifact.name for move in moves)
+    asking = [r for r in records if r.arrival.request.artifact is not None]
+    unserved = sum(_wait_s(r) is None for r in asking)
+    cold = _cold_waits_s(run) or [0.0]
+    kinds = Counter(move.kind for move in moves)
+    return PlacementFigures(
+        attained=sum(met(r) for r in records)
+        / (run.end_s - run.start_s)
+        / run.accelerators,
+        loads=kinds[MoveKind.LOAD],
+        unloads=kinds[MoveKind.UNLOAD],
+        most_moves=max(per_artifact.values(), default=0),
+        cold_s=(max(cold), sorted(cold)[int(0.95 * (len(cold) - 1))]),
+        unserved=unserved / max(1, len(asking)),
+        plan_ms=statistics.median(run.plan_ms) if run.plan_ms else 0.0,
+    )
+
+
+def _cold_waits_s(run: Run) -> list[float]:
+    """Returns the waits of the first requests of cold spells."""
+    waits_s = []
+    cold: set[str] = set()
+    for record in run.records:
+        request = record.arrival.request
+        if not record.cold:
+            cold.discard(request.artifact)
+        elif request.artifact not in cold:
+            cold.add(request.artifact)
+            if run.start_s <= request.arrived_s < run.end_s:
+                limit_s = request.deadline_s - request.arrived_s
+                wait_s = _wait_s(record)
+                waits_s.append(limit_s if wait_s is None else wait_s)
+    return waits_s
+
+
+def _wait_s(record: Record) -> float | None:
+    """Returns the time to the first token if it came within the deadline."""
+    request = record.arrival.request
+    if record.first_s is None or record.first_s > request.deadline_s:
+        return None
+    return record.first_s - request.arrived_s
+
+
 def _gap_ms(record: Record) -> float | None:
     gaps = record.arrival.tokens - 1
     if gaps < 1 or record.end_s is None:
--- a/bench/policy/planner.py
+++ b/bench/policy/planner.py
@@ -5,6 +5,7 @@
 import math
 from typing import TYPE_CHECKING
 
+from acaciaspoke.control.moves import Move, MoveKind, Reason
 from acaciaspoke.entry.request import Request
 from bench.policy import placements
 from bench.policy.deployments import RANKS
@@ -13,6 +14,8 @@
     from bench.policy.world import World
 
 ORDER_DELAY_S = 0.02
+PLAN_S = 0.25
+LEARN_S = 1.0
 
 # A flood of work of little worth must not push out replicas that others use.
 WORTH_WEIGHTS = {
@@ -27,6 +30,8 @@
     def __init__(self, world: World):
         self.world = world
         self.last_used_s: dict[str, float] = {}
+        self.moves: list[tuple[float, Move]] = []
+        self.plan_ms: list[float] = []
         self._demand: dict[str, dict[str, float]] = {}
         self._arrived: dict[str, dict[str, int]] = {}
         self._use: dict[str, float] = {}
@@ -59,6 +64,15 @@
                 self._execute(order, at_once=True)
             if not orders:
                 break
+        self.moves.clear()
+
+    def start(self) -> None:
+        """Begins to watch demand and to plan."""
+        self.world.clock.every(LEARN_S, self.learn)
+        self.world.clock.every(PLAN_S, self.plan)
+
+    def lose(self, domain: str) -> None:
+        """Goes on; this planner is outside of the failure domains."""
 
     def plan(self) -> None:
         """Runs the placement and sends its orders."""
@@ -123,6 +137,7 @@
     def _execute(self, order: placements.Order, at_once: bool = False) -> None:
         engine = self.world.engines[order.engine]
         for name in order.unload:
+            self._note(MoveKind.UNLOAD, order.engine, name)
             engine.unload(name)
         artifact = self.world.artifacts[order.load]
         held = engine.resident | engine.reserved
@@ -130,7 +145,17 @@
             return
         if order.load in held or not engine.reserve(artifact):
             return
+        self._note(MoveKind.LOAD, order.engine, order.load)
         if at_once:
             engine.loaded(order.load, engine.boots)
         else:
             self.world.store.load(engine, artifact)
+
+    def _note(self, kind: MoveKind, engine: str, name: str) -> None:
+        move = Move(
+            kind=kind,
+            upstream=engine,
+            artifact=self.world.artifacts[name],
+            reason=Reason.COPY,
+        )
+        self.moves.append((self.world.clock.now_s, move))
--- a/bench/policy/policies.py
+++ b/bench/policy/policies.py
@@ -112,6 +112,7 @@
 
     Attributes:
         ranked: Whether engines are told the rank's level.
+        place: The placement; None for the planner of the product.
         prepared: Whether the run starts with models placed by long-term demand.
     """
 
@@ -119,7 +120,7 @@
     queue: Callable[[random.Random], RequestQueue | FifoQueue]
     chooser: Callable[[], Callable[..., str | None]]
     limits: Callable[[int, random.Random], ConcurrencyLimits]
-    place: Callable[[placements.Situation], list[placements.Order]]
+    place: Callable[[placements.Situation], list[placements.Order]] | None
     ranked: bool = True
     prepared: bool = True
 
@@ -129,10 +130,17 @@
     queue=lambda rng: RequestQueue(RANKS, rng),
     chooser=lambda: choose_upstream,
     limits=ConcurrencyLimits,
-    place=placements.replicate,
+    place=None,
 )
 POLICIES = (
     OURS,
+    Policy(
+        name="simple_placement",
+        queue=OURS.queue,
+        chooser=OURS.chooser,
+        limits=OURS.limits,
+        place=placements.replicate,
+    ),
     Policy(
         name="round_robin_fifo",
         queue=lambda rng: FifoQueue(),
--- a/bench/policy/scenarios.py
+++ b/bench/policy/scenarios.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from acaciaspoke.control.moves import Move
 from bench.policy.deployments import (
     HINOKUNI,
     RIDDIM_YARD,
@@ -24,6 +25,9 @@
 }
 SHIFT_FACTOR = 10.0
 SHIFTED_SHARE = 1 / 3
+# All demand rises by this much at a shift.
+SHIFT_RISE = 1.25
+STEADY_NOISE = 1.0
 
 # The longest deadline, so that every request has ended.
 AFTER_S = 100.0
@@ -43,6 +47,9 @@
     end_s: float
     model_loads: int
     adapter_loads: int
+    moves: list[tuple[float, Move]]
+    plan_ms: list[float]
+    accelerators: int
 
 
 class Scenario(msgspec.Struct, frozen=True, kw_only=True):
@@ -50,13 +57,16 @@
 
     Attributes:
         flood: The rank that one kind of work floods, if any.
-        shift: Whether demand shifts to the models with the least of it.
+        shift: Whether demand rises and shifts to the models with the least
+            of it.
+        noise: Spread of the jumps of each artifact's demand.
         event: What fails at the start of the measured window.
     """
 
     name: str
     flood: str = ""
     shift: bool = False
+    noise: float = 0.5
     network: Network = Network()
     event: Callable[[World], None] | None = None
 
@@ -66,6 +76,7 @@
     Scenario(name="flood_least_urgent", flood="batch"),
     Scenario(name="flood_most_urgent", flood="urgent"),
     Scenario(name="shift_to_cold", shift=True),
+    Scenario(name="steady_noise", noise=STEADY_NOISE),
     Scenario(
         name="lost_upstream", event=lambda world: world.lose_upstream("engine0")
     ),
@@ -96,6 +107,9 @@
         end_s,
         world.store.model_loads,
         world.store.adapter_loads,
+        world.planner.moves,
+        world.planner.plan_ms,
+        sum(1 for u in world.upstreams.values() if u.memory_bytes),
     )
 
 
@@ -114,7 +128,8 @@
     def rate_at(kind: Kind, at_s: float) -> float:
         if kind.name == "flood":
             return 1.0 if start_s <= at_s < end_s else 0.0
-        return 1.0
+        shifts = scenario.shift and at_s >= start_s
+        return SHIFT_RISE if shifts else 1.0
 
     def weight_at(name: str, at_s: float) -> float:
         shifts = scenario.shift and at_s >= start_s and name in shifted
@@ -129,4 +144,5 @@
         rate_at,
         weight_at,
         (flood,) if flood else (),
+        scenario.noise,
     )
--- a/bench/policy/world.py
+++ b/bench/policy/world.py
@@ -15,6 +15,7 @@
     artifacts_of,
     upstreams_of,
 )
+from bench.policy.domain_planner import DomainPlanners
 from bench.policy.engine import Engine, WeightStore
 from bench.policy.entry_process import EntryProcess, Record
 from bench.policy.planner import Planner
@@ -24,8 +25,6 @@
 MISSED_AFTER_S = 3.0
 BALANCER_DELAY_S = 1.0
 HOST_LIST_DELAY_S = 15.0
-PLAN_S = 0.25
-LEARN_S = 1.0
 
 
 class Network(msgspec.Struct, frozen=True):
@@ -58,7 +57,7 @@
             name: Engine(name, config, self.clock)
             for name, config in self.upstreams.items()
         }
-        self.planner = Planner(self)
+        self.planner = (Planner if policy.place else DomainPlanners)(self)
         if policy.prepared:
             self.planner.prepare(weights, per_s)
         self.entries = [
@@ -71,16 +70,21 @@
         for engine in self.engines.values():
             self._poll(engine)
             self.clock.at(self.rng.uniform(0, POLL_S), self._poll_on, engine)
-        self.clock.every(LEARN_S, self.planner.learn)
-        self.clock.every(PLAN_S, self.planner.plan)
+        self.planner.start()
 
     def run(self, arrivals: list[Arrival], until_s: float) -> list[Record]:
         """Plays the arrivals; returns what became of each."""
         for arrival in arrivals:
             self.clock.at(arrival.request.arrived_s, self._arrive, arrival)
-        self.clock.run(until_s)
+        last_s = arrivals[-1].request.arrived_s
+        self.clock.run(last_s)
+        while self.clock.now_s < until_s and self._has_open():
+            self.clock.run(self.clock.now_s + 1.0)
         return self.records
 
+    def _has_open(self) -> bool:
+        return any(record.outcome is None for record in self.records)
+
     def gossip(self, sender: EntryProcess, notices) -> None:
         """Merges suspicions into the other entry processes."""
         for entry in self.entries:
@@ -101,6 +105,7 @@
         gone = [e for e in self.entries if e.domain == domain]
         for entry in gone:
             entry.crash()
+        self.planner.lose(domain)
         self.clock.after(BALANCER_DELAY_S, self._balance)
         self.clock.after(HOST_LIST_DELAY_S, self._recount)
 
@@ -118,9 +123,10 @@
             entry.report(view)
 
     def _arrive(self, arrival: Arrival) -> None:
-        record = Record(arrival)
+        record = Record(arrival, self._is_cold(arrival.request.artifact))
         self.records.append(record)
-        self.planner.note(arrival.request)
+        if self.policy.place:
+            self.planner.note(arrival.request)
         entry = self.rng.choice(self.behind_balancer)
         if entry.alive:
             entry.receive(arrival, record)
@@ -128,6 +134,11 @@
             record.outcome = Outcome.NOT_RUN
             record.error = "entry process lost"
 
+    def _is_cold(self, artifact: str | None) -> bool:
+        return artifact is not None and not any(
+            artifact in engine.resident for engine in self.engines.values()
+        )
+
     def _poll_on(self, engine: Engine) -> None:
         self._poll(engine)
         self.clock.after(POLL_S, self._poll_on, engine)
