Plan no load of an artifact that is being unloaded there

The reservation refuses such a load, and the planner repeated it four times a second; it also evicted models whose adapters were just being loaded, which the reservation refuses as well. The policy benchmark now keeps its rows by the product's reservation accounting.

--- a/acaciaspoke/control/eviction.py
+++ b/acaciaspoke/control/eviction.py
@@ -92,6 +92,8 @@
     """Judges whether a line may make room for ``need``."""
     if line.pending or key.name == need.artifact.base_model:
         return None  # its unload frees nothing, or it is needed
+    if place.is_awaited(key.name):
+        return None  # its unload would be refused
     artifact = fleet.in_force.get(key.name)
     if artifact is None or fleet.is_replaced(place, key):
         return Tier.STALE
--- a/acaciaspoke/control/fleet.py
+++ b/acaciaspoke/control/fleet.py
@@ -75,6 +75,7 @@
         free_bytes: Memory without a line or a planned load.
         coming_bytes: Memory that unloads on their way will give back.
         lines: Its lines, but for those being unloaded.
+        leaving: Artifacts that are being unloaded or planned to be.
         loading: Artifacts that are being loaded or planned to be.
         lost: Lines whose order got no answer and that nobody waits for.
         stuck: Loads that were repeated without an answer too often.
@@ -87,9 +88,11 @@
         self.free_bytes = reservation.free_bytes
         self.coming_bytes = 0
         self.lines: dict[Key, Line] = {}
+        self.leaving: set[Key] = set()
         self.loading: dict[Key, Artifact] = {}
         self.lost: list[Line] = []
         self.stuck: set[Key] = set()
+        self._by_base: defaultdict[str | None, list[Line]] | None = None
         moves = {
             (move.kind, Key(move.artifact.name, move.artifact.version)): move
             for move in situation.in_flight
@@ -112,8 +115,10 @@
                 else:
                     self.stuck.add(key)
         elif (MoveKind.UNLOAD, key) in moves:
+            self.leaving.add(key)
             self.coming_bytes += line.artifact.memory_bytes
         elif line.state is LineState.UNLOADING:
+            self.leaving.add(key)
             self.coming_bytes += line.artifact.memory_bytes
             self.lost.append(line)
         else:
@@ -126,7 +131,10 @@
 
     def plan_unload(self, line: Line) -> None:
         """Counts the memory of a line as coming."""
-        del self.lines[Key(line.artifact.name, line.artifact.version)]
+        key = Key(line.artifact.name, line.artifact.version)
+        del self.lines[key]
+        self.leaving.add(key)
+        self._by_base = None
         self.coming_bytes += line.artifact.memory_bytes
 
     def promise(self, memory_bytes: int) -> None:
@@ -138,17 +146,24 @@
         """Whether some version of an artifact is resident."""
         return any(key.name == name for key in self.lines)
 
+    def is_awaited(self, name: ArtifactName) -> bool:
+        """Whether an adapter of a model is being loaded."""
+        return any(
+            artifact.base_model == name for artifact in self.loading.values()
+        )
+
     def dependents(self, line: Line) -> list[Line]:
         """Returns the adapters that need a line's model."""
+        if self._by_base is None:
+            self._by_base = defaultdict(list)
+            for other in self.lines.values():
+                self._by_base[other.artifact.base_model].append(other)
         name = line.artifact.name
-        others = [key for key in self.lines if key.name == name]
-        if len(others) > 1:
+        if name not in self._by_base:
+            return []
+        if sum(key.name == name for key in self.lines) > 1:
             return []
-        return [
-            other
-            for other in self.lines.values()
-            if other.artifact.base_model == name
-        ]
+        return self._by_base[name]
 
 
 def usable_places(situation: Situation) -> list[Place]:
--- a/acaciaspoke/control/placement.py
+++ b/acaciaspoke/control/placement.py
@@ -207,7 +207,10 @@
     def _fits(self, place: Place, need: Need) -> bool:
         artifact = need.artifact
         key = Key(artifact.name, artifact.version)
-        if key in place.lines or key in place.loading:
+        # The reservation refuses a load while the artifact is being unloaded.
+        if any(
+            key in keys for keys in (place.lines, place.loading, place.leaving)
+        ):
             return False
         if artifact.base_model:
             return place.holds(artifact.base_model)
--- a/bench/policy/domain_planner.py
+++ b/bench/policy/domain_planner.py
@@ -6,13 +6,12 @@
 
 from __future__ import annotations
 
+import itertools
 import math
 import time
 from collections import Counter, defaultdict
 from typing import TYPE_CHECKING
 
-import msgspec
-
 from acaciaspoke.config.schema import (
     Adapter,
     Artifact,
@@ -27,7 +26,15 @@
 from acaciaspoke.control.pacing import Pacer, share_of
 from acaciaspoke.control.placement import plan
 from acaciaspoke.control.planning import CHECK_INTERVAL_S, SETTLED_INTERVAL_S
-from acaciaspoke.control.reservations import Line, LineState, Reservation
+from acaciaspoke.control.reservations import (
+    Answer,
+    Order,
+    Reservation,
+    ReservationError,
+    record_answer,
+    reserve_load,
+    reserve_unload,
+)
 from acaciaspoke.control.residency import Residency
 from acaciaspoke.net.messages import Demand, UpstreamState
 from bench.policy.deployments import DOMAINS, KINDS, RANKS, SERVICES, Deployment
@@ -131,6 +138,7 @@
             if u.failure_domain == domain and u.memory_bytes
         }
         self._residency = Residency()
+        self._order_ids = itertools.count()
         limits = share_of(config.weight_store, domain, planners.live)
         self._pacer = Pacer(limits, 0.0)
         self._elsewhere: frozenset[str] = frozenset()
@@ -159,10 +167,15 @@
             engine = self._world.engines[move.upstream]
             if move.kind is MoveKind.UNLOAD:
                 engine.unload(move.artifact.name)
-                self._remove_line(move)
-            elif engine.reserve(move.artifact):
+                reserve = reserve_unload
+            else:
+                engine.reserve(move.artifact)
                 engine.loaded(move.artifact.name, engine.boots)
-                self._set_line(move, LineState.RESIDENT)
+                reserve = reserve_load
+            order = self._order()
+            row = reserve(self._rows[move.upstream], move.artifact, order)
+            self._rows[move.upstream] = row
+            self._answered(move, order)
         return moves
 
     def step(self) -> None:
@@ -184,13 +197,11 @@
         for move in self._pacer.admit(moves, now_s):
             self._all.moves.append((now_s, move))
             if move.kind is MoveKind.UNLOAD:
-                self._set_line(move, LineState.UNLOADING)
                 unloads[move.upstream].append(move)
             else:
-                self._set_line(move, LineState.RESERVED)
-                self._world.clock.after(ORDER_DELAY_S, self._load, move)
+                self._load(move)
         for batch in unloads.values():
-            self._world.clock.after(ORDER_DELAY_S, self._unload, batch)
+            self._unload(batch)
 
     def _is_due(self, now_s: float) -> bool:
         seen = tuple(self._states(now_s).items())
@@ -231,43 +242,66 @@
     # Moves.
 
     def _load(self, move: Move) -> None:
+        order = self._order()
+        try:
+            row = reserve_load(self._rows[move.upstream], move.artifact, order)
+        except ReservationError:
+            self._pacer.ended(move)
+            return
+        self._rows[move.upstream] = row
+        self._world.clock.after(ORDER_DELAY_S, self._send_load, move, order)
+
+    def _send_load(self, move: Move, order: Order) -> None:
         engine = self._world.engines[move.upstream]
-        base = move.artifact.base_model
-        if base and base not in engine.resident or not engine.reserve(move.artifact):
-            self._end(move, loaded=False)
+        if engine.reserve(move.artifact):
+            self._world.store.load(
+                engine, move.artifact, self._answered, move, order
+            )
         else:
-            self._world.store.load(engine, move.artifact, self._end, move)
+            self._answered(move, order, Answer.REFUSED)
 
     def _unload(self, batch: list[Move]) -> None:
         """Unloads one after the other, as a model goes after its adapters."""
-        engine = self._world.engines[batch[0].upstream]
-        name = batch[0].artifact.name
-        engine.unload(name)
-        if name in engine.leaving:
-            self._world.clock.after(UNLOAD_CHECK_S, self._unload, batch)
+        for number, move in enumerate(batch):
+            order = self._order()
+            try:
+                row = reserve_unload(
+                    self._rows[move.upstream], move.artifact, order
+                )
+            except ReservationError:
+                self._pacer.ended(move)
+                continue
+            self._rows[move.upstream] = row
+            rest = batch[number + 1 :]
+            engine = self._world.engines[move.upstream]
+            clock = self._world.clock
+            clock.after(ORDER_DELAY_S, engine.unload, move.artifact.name)
+            clock.after(UNLOAD_CHECK_S, self._await_unload, move, order, rest)
             return
-        self._end(batch[0], loaded=False)
-        if batch[1:]:
-            self._unload(batch[1:])
 
-    def _end(self, move: Move, loaded: bool = True) -> None:
-        self._pacer.ended(move)
-        if loaded:
-            self._set_line(move, LineState.RESIDENT)
-        else:
-            self._remove_line(move)
-
-    def _remove_line(self, move: Move) -> None:
-        row = self._rows[move.upstream]
-        lines = tuple(x for x in row.lines if x.artifact != move.artifact)
-        self._rows[move.upstream] = msgspec.structs.replace(row, lines=lines)
+    def _await_unload(self, move: Move, order: Order, rest: list[Move]) -> None:
+        engine = self._world.engines[move.upstream]
+        if move.artifact.name in engine.leaving:
+            self._world.clock.after(
+                UNLOAD_CHECK_S, self._await_unload, move, order, rest
+            )
+            return
+        self._answered(move, order)
+        self._unload(rest)
 
-    def _set_line(self, move: Move, state: LineState) -> None:
-        self._remove_line(move)
+    def _answered(
+        self, move: Move, order: Order, answer: Answer = Answer.ACKNOWLEDGED
+    ) -> None:
+        self._pacer.ended(move)
         row = self._rows[move.upstream]
-        line = Line(artifact=move.artifact, state=state)
-        self._rows[move.upstream] = msgspec.structs.replace(
-            row, lines=(*row.lines, line)
+        self._rows[move.upstream] = record_answer(row, order.order_id, answer)
+
+    def _order(self) -> Order:
+        return Order(
+            order_id=str(next(self._order_ids)),
+            boot_id="",
+            token=0,
+            after_sequence=0,
         )
 
 
