Evict guests with another copy for cold models, and place by demand

For a cold model, placement evicted the domain's own models, which came back at the cost of the next one; guests that have a copy in another domain go first now. A new copy takes the place with the least demand among those with nearly the most free memory. Victims of a replica are looked for only where a table of least losses says that enough memory is cheap enough.

Lost: by demand alone, last copies filled the places with little demand and test_tenfold_shift_moves_replicas failed.

--- a/acaciaspoke/control/eviction.py
+++ b/acaciaspoke/control/eviction.py
@@ -1,5 +1,7 @@
 """Which lines give way to an artifact that needs room."""
 
+import bisect
+import itertools
 from enum import IntEnum
 from typing import NamedTuple
 
@@ -86,6 +88,47 @@
     return [] if missing_bytes > 0 else list(chosen.values())
 
 
+def may_make_room(fleet: Fleet, place: Place, need: Need) -> bool:
+    """Tells whether it is worth looking for victims for a replica.
+
+    The table of a place is made once per plan. Evictions only raise the losses
+    of other copies, so that it never hides a victim.
+    """
+    if need.reason is not Reason.REPLICA:
+        return True
+    table = fleet.losses.get(place.id)
+    if table is None:
+        table = fleet.losses[place.id] = _loss_table(fleet, place)
+    losses, freed_bytes = table
+    cheap = bisect.bisect_left(losses, need.worth / HYSTERESIS)
+    missing_bytes = need.artifact.memory_bytes - (
+        max(0, place.free_bytes) + place.coming_bytes
+    )
+    return cheap > 0 and freed_bytes[cheap - 1] >= missing_bytes
+
+
+def _loss_table(fleet: Fleet, place: Place) -> tuple[list[float], list[int]]:
+    """Returns the least losses of lines, and the bytes freed up to each."""
+    items = []
+    for key, line in place.lines.items():
+        count = fleet.resident[key]
+        if key.name not in fleet.in_force or fleet.is_replaced(place, key):
+            loss = float("-inf")
+        elif count > 1:
+            loss = fleet.worth(key.name) / (count * (count - 1))
+        elif key.name in fleet.situation.elsewhere:
+            loss = fleet.worth(key.name)
+        else:
+            continue
+        lines = (line, *place.dependents(line))
+        items.append((loss, sum(each.artifact.memory_bytes for each in lines)))
+    items.sort()
+    return (
+        [loss for loss, _ in items],
+        list(itertools.accumulate(size for _, size in items)),
+    )
+
+
 def _tier(
     fleet: Fleet, place: Place, key: Key, line: Line, need: Need
 ) -> Tier | None:
@@ -120,7 +163,14 @@
     fleet: Fleet, key: Key, need: Need, age_s: float
 ) -> Tier | None:
     worth = fleet.worth(key.name)
+    model = fleet.in_force[key.name].base_model or key.name
+    has_other_copy = key.name in fleet.situation.elsewhere
+    is_guest = model not in fleet.wanted
     if need.reason is Reason.COLD:
+        # A copy in another domain keeps a guest reachable, whereas a wanted
+        # model that goes comes back at once at the cost of another one.
+        if is_guest and has_other_copy and age_s >= MIN_RESIDENCE_S:
+            return Tier.GUEST
         is_cold = key.name in fleet.situation.cold
         is_busy = worth > need.worth
         factor = BUSY_RESIDENCE_FACTOR if is_busy or is_cold else 1.0
@@ -129,11 +179,9 @@
         return None
     # Where the domains can hold their shares, another domain's model has a
     # copy there. Otherwise the copy here may be the last one.
-    model = fleet.in_force[key.name].base_model or key.name
-    if model in fleet.wanted or age_s < MIN_RESIDENCE_S:
+    if not is_guest or age_s < MIN_RESIDENCE_S:
         return None
     is_worse = worth * HYSTERESIS < need.worth
-    has_other_copy = key.name in fleet.situation.elsewhere
     if need.reason is Reason.COPY:
         may_go = is_worse or has_other_copy or fleet.is_share_held
     else:
--- a/acaciaspoke/control/fleet.py
+++ b/acaciaspoke/control/fleet.py
@@ -257,6 +257,7 @@
         adapters: The adapters of each model.
         rates: The demand; that of adapters counts for the base as well.
         is_share_held: Whether all wanted models fit with their adapters.
+        losses: What eviction has found out of each place.
     """
 
     def __init__(self, situation: Situation):
@@ -282,6 +283,7 @@
             if artifact.base_model:
                 self.adapters[artifact.base_model].append(artifact)
         self.rates = self._rates_with_adapters()
+        self.losses: dict[UpstreamId, tuple[list[float], list[int]]] = {}
         self.is_share_held = self._wanted_bytes() <= sum(
             situation.reservations[place.id].memory_bytes
             for place in self.places
@@ -315,6 +317,20 @@
         """Returns the copies of one version, with those being loaded."""
         return self.copies[Key(artifact.name, artifact.version)]
 
+    def expected_per_s(self, place: Place) -> float:
+        """Returns the requests per second that a place's models will get."""
+        return sum(
+            self.rates[key.name].per_s / max(1, self.copies[key])
+            for key in (*place.lines, *place.loading)
+            if key.name in self.rates and not self.is_adapter(key)
+        )
+
+    def bytes_with_adapters(self, artifact: Artifact) -> int:
+        """Returns the memory of an artifact with its adapters."""
+        return artifact.memory_bytes + sum(
+            adapter.memory_bytes for adapter in self.adapters[artifact.name]
+        )
+
     def spare_bytes(self, place: Place) -> int:
         """Returns free memory, less what adapters of its models will need."""
         held = {key.name for key in (*place.lines, *place.loading)}
--- a/acaciaspoke/control/placement.py
+++ b/acaciaspoke/control/placement.py
@@ -9,7 +9,7 @@
 
 from acaciaspoke.config.schema import Artifact
 from acaciaspoke.control.demand import Rate
-from acaciaspoke.control.eviction import Need, victims_for
+from acaciaspoke.control.eviction import Need, may_make_room, victims_for
 from acaciaspoke.control.fleet import (
     REQUESTS_PER_COPY_S,
     Fleet,
@@ -23,6 +23,11 @@
 
 MAX_MOVES = 32
 
+# Demand decides between places whose free memory differs by at most this many
+# times the need. Without a limit, last copies fill the places with less demand
+# and leave replicas no room there.
+SIMILAR_ROOM = 2
+
 
 def plan(situation: Situation, max_moves: int = MAX_MOVES) -> list[Move]:
     """Returns the next moves of a failure domain, the most urgent first.
@@ -189,9 +194,19 @@
             if place.free_bytes >= artifact.memory_bytes
         ]
         if roomy:
-            # The most free memory also means the fewest artifacts that share
-            # the upstream's slots.
-            place = max(roomy, key=self.fleet.spare_bytes)
+            # Of the places with nearly the most memory, the one whose artifacts
+            # are asked for least has the most slots left.
+            spare = {place.id: self.fleet.spare_bytes(place) for place in roomy}
+            enough_bytes = max(
+                spare.values()
+            ) - SIMILAR_ROOM * self.fleet.bytes_with_adapters(artifact)
+            place = min(
+                (place for place in roomy if spare[place.id] >= enough_bytes),
+                key=lambda place: (
+                    self.fleet.expected_per_s(place),
+                    -spare[place.id],
+                ),
+            )
             place.plan_load(artifact)
             self.fleet.copies[Key(artifact.name, artifact.version)] += 1
             self._add(MoveKind.LOAD, place, artifact, need.reason)
@@ -220,6 +235,8 @@
     def _make_room(self, places: list[Place], need: Need) -> None:
         choices = []
         for place in places:
+            if not may_make_room(self.fleet, place, need):
+                continue
             victims = victims_for(self.fleet, place, need)
             if victims:
                 cost = (
