Move replicas only by demand that lasts

A gain counts the smaller and a loss the larger of two averages, with half-lives of 3 s and 12 s, so that bursts of a few seconds no longer swap replicas. Look-ups of a place's artifacts no longer walk its lines.

--- a/acaciaspoke/control/demand.py
+++ b/acaciaspoke/control/demand.py
@@ -13,6 +13,10 @@
 # new rate; a burst of one second counts for a quarter of its height.
 HALF_LIFE_S = 3.0
 
+# Replicas are moved by demand that lasts: noise of a few seconds would else
+# swap them again and again.
+SLOW_HALF_LIFE_S = 12.0
+
 # A cold miss is repeated in each message (1/s) while requests wait; two lost
 # messages must not end it.
 COLD_S = 3.5
--- a/acaciaspoke/control/eviction.py
+++ b/acaciaspoke/control/eviction.py
@@ -115,7 +115,7 @@
         if key.name not in fleet.in_force or fleet.is_replaced(place, key):
             loss = float("-inf")
         elif count > 1:
-            loss = fleet.worth(key.name) / (count * (count - 1))
+            loss = fleet.recent_worth(key.name) / (count * (count - 1))
         elif key.name in fleet.situation.elsewhere:
             loss = fleet.worth(key.name)
         else:
@@ -143,13 +143,12 @@
     if key.name == need.artifact.name:
         is_first = need.reason is not Reason.REPLICA
         return Tier.OWN_OLD_VERSION if is_first else None
-    worth = fleet.worth(key.name)
     age_s = fleet.situation.ages_s.get((place.id, key.name), float("inf"))
     if fleet.resident[key] > 1:
         if need.reason is not Reason.REPLICA:
             return Tier.REPLICA
         count = fleet.resident[key]
-        loss = worth / (count * (count - 1))
+        loss = fleet.recent_worth(key.name) / (count * (count - 1))
         is_old = age_s >= MIN_RESIDENCE_S
         is_worse = loss * HYSTERESIS < need.worth
         is_last = any(
--- a/acaciaspoke/control/fleet.py
+++ b/acaciaspoke/control/fleet.py
@@ -1,7 +1,7 @@
 """What placement sees: a situation, and a working view of its memory."""
 
 import math
-from collections import defaultdict
+from collections import Counter, defaultdict
 from collections.abc import Collection, Iterator, Mapping
 from typing import NamedTuple
 
@@ -44,6 +44,8 @@
     Attributes:
         domain: The failure domain that is planned.
         live_domains: The domains that share the models.
+        slow_rates: The same demand over a longer time, by which replicas are
+            judged as well; without it, ``rates`` decide alone.
         cold: Artifacts with waiting requests and no reachable copy, with the
             level of the most urgent rank that waits.
         in_flight: Moves that have been started and have not ended.
@@ -61,6 +63,7 @@
     reservations: Mapping[UpstreamId, Reservation]
     states: Mapping[UpstreamId, UpstreamState]
     rates: Mapping[ArtifactName, Rate] = {}
+    slow_rates: Mapping[ArtifactName, Rate] | None = None
     cold: Mapping[ArtifactName, int] = {}
     in_flight: Collection[Move] = ()
     ages_s: Mapping[tuple[UpstreamId, ArtifactName], float] = {}
@@ -93,6 +96,7 @@
         self.lost: list[Line] = []
         self.stuck: set[Key] = set()
         self._by_base: defaultdict[str | None, list[Line]] | None = None
+        self._held: Counter[ArtifactName] | None = None
         moves = {
             (move.kind, Key(move.artifact.name, move.artifact.version)): move
             for move in situation.in_flight
@@ -135,6 +139,7 @@
         del self.lines[key]
         self.leaving.add(key)
         self._by_base = None
+        self._held = None
         self.coming_bytes += line.artifact.memory_bytes
 
     def promise(self, memory_bytes: int) -> None:
@@ -144,7 +149,7 @@
 
     def holds(self, name: ArtifactName) -> bool:
         """Whether some version of an artifact is resident."""
-        return any(key.name == name for key in self.lines)
+        return name in self._names()
 
     def is_awaited(self, name: ArtifactName) -> bool:
         """Whether an adapter of a model is being loaded."""
@@ -161,10 +166,15 @@
         name = line.artifact.name
         if name not in self._by_base:
             return []
-        if sum(key.name == name for key in self.lines) > 1:
+        if self._names()[name] > 1:
             return []
         return self._by_base[name]
 
+    def _names(self) -> Counter[ArtifactName]:
+        if self._held is None:
+            self._held = Counter(key.name for key in self.lines)
+        return self._held
+
 
 def usable_places(situation: Situation) -> list[Place]:
     """Returns the live engines of the domain, in a stable order."""
@@ -256,6 +266,7 @@
         resident: Lines of each version that are resident.
         adapters: The adapters of each model.
         rates: The demand; that of adapters counts for the base as well.
+        slow_rates: The same over a longer time.
         is_share_held: Whether all wanted models fit with their adapters.
         losses: What eviction has found out of each place.
     """
@@ -282,7 +293,12 @@
         for artifact in self.in_force.values():
             if artifact.base_model:
                 self.adapters[artifact.base_model].append(artifact)
-        self.rates = self._rates_with_adapters()
+        self.rates = self._with_adapters(situation.rates)
+        self.slow_rates = (
+            self.rates
+            if situation.slow_rates is None
+            else self._with_adapters(situation.slow_rates)
+        )
         self.losses: dict[UpstreamId, tuple[list[float], list[int]]] = {}
         self.is_share_held = self._wanted_bytes() <= sum(
             situation.reservations[place.id].memory_bytes
@@ -296,10 +312,12 @@
             if (artifact.base_model or artifact.name) in self.wanted
         )
 
-    def _rates_with_adapters(self) -> dict[ArtifactName, Rate]:
+    def _with_adapters(
+        self, given: Mapping[ArtifactName, Rate]
+    ) -> dict[ArtifactName, Rate]:
         """Returns the rates; those of adapters count for the base as well."""
-        rates = dict(self.situation.rates)
-        for name, rate in self.situation.rates.items():
+        rates = dict(given)
+        for name, rate in given.items():
             artifact = self.in_force.get(name)
             if artifact is not None and artifact.base_model:
                 base = rates.get(artifact.base_model, Rate())
@@ -313,6 +331,17 @@
         """Returns the demand for an artifact, weighted by worth."""
         return self.rates.get(name, Rate()).worth_per_s
 
+    def lasting_rate(self, name: ArtifactName) -> Rate:
+        """Returns the demand that both the short and the long time show."""
+        return min(
+            self.rates.get(name, Rate()), self.slow_rates.get(name, Rate())
+        )
+
+    def recent_worth(self, name: ArtifactName) -> float:
+        """Returns the larger worth of the short and the long time."""
+        slow = self.slow_rates.get(name, Rate())
+        return max(self.worth(name), slow.worth_per_s)
+
     def count(self, artifact: Artifact) -> int:
         """Returns the copies of one version, with those being loaded."""
         return self.copies[Key(artifact.name, artifact.version)]
--- a/acaciaspoke/control/placement.py
+++ b/acaciaspoke/control/placement.py
@@ -8,7 +8,6 @@
 from collections.abc import Iterable
 
 from acaciaspoke.config.schema import Artifact
-from acaciaspoke.control.demand import Rate
 from acaciaspoke.control.eviction import Need, may_make_room, victims_for
 from acaciaspoke.control.fleet import (
     REQUESTS_PER_COPY_S,
@@ -139,7 +138,7 @@
         needs: list[Need] = []
         for name, artifact in self.fleet.in_force.items():
             count = self.fleet.count(artifact)
-            rate = self.fleet.rates.get(name, Rate())
+            rate = self.fleet.lasting_rate(name)
             if count and rate.per_s > count * REQUESTS_PER_COPY_S:
                 gain = rate.worth_per_s / (count * (count + 1))
                 needs.append(Need(artifact, Reason.REPLICA, gain))
@@ -223,9 +222,7 @@
         artifact = need.artifact
         key = Key(artifact.name, artifact.version)
         # The reservation refuses a load while the artifact is being unloaded.
-        if any(
-            key in keys for keys in (place.lines, place.loading, place.leaving)
-        ):
+        if key in place.lines or key in place.loading or key in place.leaving:
             return False
         if artifact.base_model:
             return place.holds(artifact.base_model)
--- a/acaciaspoke/control/planning.py
+++ b/acaciaspoke/control/planning.py
@@ -11,7 +11,7 @@
 from loguru import logger
 
 from acaciaspoke.config.schema import Config, ServiceKind, Upstream
-from acaciaspoke.control.demand import DemandRates
+from acaciaspoke.control.demand import SLOW_HALF_LIFE_S, DemandRates
 from acaciaspoke.control.engine_link import LinkError
 from acaciaspoke.control.fleet import Situation
 from acaciaspoke.control.lease import Lease, NotHolder
@@ -124,6 +124,7 @@
         metrics: Metrics,
     ):
         self.demand = DemandRates()
+        self._slow_demand = DemandRates(SLOW_HALF_LIFE_S)
         self._config = Config()
         self._domain = domain
         self._lease = lease
@@ -151,7 +152,9 @@
 
     def hear(self, demand: Demand) -> None:
         """Takes what entry processes report."""
-        self.demand.add(demand, time.monotonic())
+        now_s = time.monotonic()
+        self.demand.add(demand, now_s)
+        self._slow_demand.add(demand, now_s)
 
     async def run(self) -> None:
         """Plans again and again until cancelled."""
@@ -309,6 +312,7 @@
                 for upstream in reservations
             },
             rates=self.demand.rates(ranks, now_s),
+            slow_rates=self._slow_demand.rates(ranks, now_s),
             cold=self.demand.cold(ranks, now_s),
             in_flight=self._pacer.in_flight,
             ages_s=self._residency.ages_s(now_s),
--- a/bench/policy/domain_planner.py
+++ b/bench/policy/domain_planner.py
@@ -20,7 +20,11 @@
     WeightStore,
 )
 from acaciaspoke.control.contacts import DOMAIN_SILENT_S
-from acaciaspoke.control.demand import HALF_LIFE_S, DemandRates
+from acaciaspoke.control.demand import (
+    HALF_LIFE_S,
+    SLOW_HALF_LIFE_S,
+    DemandRates,
+)
 from acaciaspoke.control.fleet import Situation
 from acaciaspoke.control.moves import Move, MoveKind
 from acaciaspoke.control.pacing import Pacer, share_of
@@ -76,19 +80,25 @@
         for kind in KINDS:
             per_s_by_rank[kind.rank] += kind.per_s if kind.tokens else 0.0
         total = sum(per_s_by_rank.values())
-        gain = math.log(2) / HALF_LIFE_S
         for planner in self.by_domain.values():
-            arrivals = {
-                name: {
-                    rank: weight * per_s / len(DOMAINS) * rate / total / gain
-                    for rank, rate in per_s_by_rank.items()
+            for half_life_s, rates in (
+                (HALF_LIFE_S, planner.demand),
+                (SLOW_HALF_LIFE_S, planner.slow_demand),
+            ):
+                # So many arrivals at once make up the long-term rate.
+                scale = per_s / len(DOMAINS) / total
+                scale *= half_life_s / math.log(2)
+                arrivals = {
+                    name: {
+                        rank: weight * rate * scale
+                        for rank, rate in per_s_by_rank.items()
+                    }
+                    for name, weight in weights.items()
                 }
-                for name, weight in weights.items()
-            }
-            planner.demand.add(Demand(sender="", arrivals=arrivals), 0.0)
+                rates.add(Demand(sender="", arrivals=arrivals), 0.0)
         for _ in range(PREPARE_ROUNDS):
-            # A list, as each domain takes its turn in each round.
-            if not any([p.settle() for p in self.by_domain.values()]):
+            moves = [planner.settle() for planner in self.by_domain.values()]
+            if not any(moves):
                 break
         self.moves.clear()
         self.plan_ms.clear()
@@ -128,6 +138,7 @@
     def __init__(self, planners: DomainPlanners, config: Config, domain: str):
         self.alive = True
         self.demand = DemandRates()
+        self.slow_demand = DemandRates(SLOW_HALF_LIFE_S)
         self._all = planners
         self._world = planners.world
         self._config = config
@@ -148,7 +159,9 @@
 
     def hear(self, demand: Demand) -> None:
         """Takes the message of an entry process."""
-        self.demand.add(demand, self._world.clock.now_s)
+        now_s = self._world.clock.now_s
+        self.demand.add(demand, now_s)
+        self.slow_demand.add(demand, now_s)
 
     def look_elsewhere(self) -> None:
         """Takes the reports of other domains' upstreams into account."""
@@ -233,6 +246,7 @@
             reservations=dict(self._rows),
             states=self._states(now_s),
             rates=self.demand.rates(RANKS, now_s),
+            slow_rates=self.slow_demand.rates(RANKS, now_s),
             cold=self.demand.cold(RANKS, now_s),
             in_flight=self._pacer.in_flight,
             ages_s={} if prepared else self._residency.ages_s(now_s),
