--- /dev/null
+++ b/bench/plan_cost.py
@@ -0,0 +1,120 @@
+"""What one plan of a failure domain of the target size costs its host."""
+
+import random
+import statistics
+import time
+from collections.abc import Iterator
+
+import msgspec
+
+from acaciaspoke.config.schema import (
+    Adapter,
+    Config,
+    Model,
+    Service,
+    ServiceKind,
+    Upstream,
+)
+from acaciaspoke.control.demand import Rate
+from acaciaspoke.control.fleet import Situation
+from acaciaspoke.control.moves import MoveKind
+from acaciaspoke.control.placement import plan
+from acaciaspoke.control.reservations import Line, LineState, Reservation
+from acaciaspoke.net.messages import UpstreamState
+from bench.result import Result
+
+ENGINES = 78
+MODELS = 130
+ADAPTERS = 300
+ENGINE_GIB = 96
+REQUESTS_PER_S = 8.0
+SETTLE_ROUNDS = 200
+ROUNDS = 9
+
+
+def run(short: bool) -> Iterator[Result]:
+    """Measures plans that find nothing to do and plans after a noisy change."""
+    situation = _settled(_situation(random.Random(1)))
+    rng = random.Random(2)
+    noisy = {
+        name: Rate(rate.per_s * factor, rate.worth_per_s * factor)
+        for name, rate in situation.rates.items()
+        for factor in [rng.uniform(0.8, 1.2)]
+    }
+    changed = msgspec.structs.replace(situation, rates=noisy)
+    rounds = ROUNDS // 3 if short else ROUNDS
+    for name, each in (("settled", situation), ("noisy", changed)):
+        times_ms = []
+        for _ in range(rounds):
+            began_s = time.process_time()
+            plan(each)
+            times_ms.append(1e3 * (time.process_time() - began_s))
+        yield Result(
+            name=f"plan_cost.{name}",
+            value=statistics.median(times_ms),
+            unit="ms",
+            spread=(min(times_ms), max(times_ms)),
+        )
+
+
+def _situation(rng: random.Random) -> Situation:
+    names = [f"engine{n}" for n in range(ENGINES)]
+    config = Config(
+        services={"s": Service(kind=ServiceKind.ENGINE)},
+        models={
+            f"model{n}": Model(service="s", memory_bytes=rng.randrange(6, 20))
+            for n in range(MODELS)
+        },
+        adapters={
+            f"adapter{n}": Adapter(
+                model=f"model{rng.randrange(MODELS)}", memory_bytes=1
+            )
+            for n in range(ADAPTERS)
+        },
+        upstreams={
+            name: Upstream(
+                service="s",
+                failure_domain="d1",
+                address="127.0.0.1:1",
+                memory_bytes=ENGINE_GIB,
+            )
+            for name in names
+        },
+    )
+    rates = {
+        name: Rate(per_s, 30 * per_s)
+        for name in (*config.models, *config.adapters)
+        for per_s in [REQUESTS_PER_S * rng.expovariate(1)]
+    }
+    return Situation(
+        config=config,
+        domain="d1",
+        live_domains=frozenset({"d1"}),
+        reservations={
+            name: Reservation(upstream=name, memory_bytes=ENGINE_GIB)
+            for name in names
+        },
+        states=dict.fromkeys(names, UpstreamState.LIVE),
+        rates=rates,
+    )
+
+
+def _settled(situation: Situation) -> Situation:
+    """Carries out plans until nothing is left to do."""
+    for _ in range(SETTLE_ROUNDS):
+        moves = plan(situation)
+        if not moves:
+            break
+        rows = dict(situation.reservations)
+        for move in moves:
+            row = rows[move.upstream]
+            lines = [x for x in row.lines if x.artifact != move.artifact]
+            if move.kind is MoveKind.LOAD:
+                lines.append(
+                    Line(artifact=move.artifact, state=LineState.RESIDENT)
+                )
+            rows[move.upstream] = msgspec.structs.replace(
+                row, lines=tuple(lines)
+            )
+        situation = msgspec.structs.replace(situation, reservations=rows)
+    return situation
--- a/test/control/test_placement.py
+++ b/test/control/test_placement.py
@@ -190,6 +190,59 @@
         domain.settle()
         self.assertEqual(domain.names(), {cold})
 
+    def test_cold_model_evicts_a_guest_with_another_copy(self):
+        """Guards against a chain of swaps among the domain's own models."""
+        domain = Domain(fleet_config(models=40))
+        domain.settle()
+        own = {
+            name
+            for name in domain.names()
+            if home_domain(name, dict.fromkeys(("d1", "d2", "d3"), 300)) == "d1"
+        }
+        guests = domain.names() - own
+        cold = min(domain.situation.config.models.keys() - domain.names())
+        domain.change(
+            cold={cold: 0},
+            elsewhere=guests,
+            # The guests are worth more, so that only their copies count.
+            rates={name: Rate(1.0, 1.0) for name in guests},
+        )
+        domain.settle()
+        self.assertIn(cold, domain.names())
+        self.assertLessEqual(own, domain.names())
+
+    def test_artifact_is_not_loaded_where_it_is_being_unloaded(self):
+        """Guards against loads that the reservation refuses each time."""
+        domain = Domain(fleet_config(models=1, upstreams=1))
+        (load,) = domain.settle()
+        unload = msgspec.structs.replace(load, kind=MoveKind.UNLOAD)
+        domain.change(in_flight=(unload,), cold={"m0": 0})
+        self.assertEqual(plan(domain.situation), [])
+
+    def test_model_stays_while_its_adapter_is_loaded(self):
+        """Guards against unloads that the reservation refuses."""
+        config = fleet_config(models=2, upstreams=1, memory=11, adapters=1)
+        domain = Domain(config)
+        domain.change(live_domains=frozenset({"d1"}), rates={"m0": Rate(9, 9)})
+        loads = domain.settle()
+        self.assertEqual(domain.names(), {"m0", "a0"})
+        adapter = next(move for move in loads if move.artifact.base_model)
+        domain.carry_out(msgspec.structs.replace(adapter, kind=MoveKind.UNLOAD))
+        domain.change(in_flight=(adapter,), cold={"m1": 0}, ages_s={})
+        self.assertEqual(plan(domain.situation), [])
+
+    def test_burst_moves_no_replicas(self):
+        """Guards against replicas that noise of a few seconds swaps."""
+        domain = Domain(fleet_config(models=25))
+        long_term = {"m0": Rate(30.0, 30.0)}
+        domain.change(rates=long_term, slow_rates=long_term)
+        domain.settle()
+        domain.change(rates={"m0": Rate(3.0, 3.0), "m1": Rate(30.0, 30.0)})
+        self.assertEqual(domain.settle(), [])
+        domain.change(slow_rates=domain.situation.rates)
+        domain.settle()
+        self.assertEqual(domain.copies().count(("m1", "1")), 3)
+
     def test_swap_for_a_cold_model_is_the_only_one(self):
         """Guards against a chain of swaps where the fleet is too small."""
         domain = Domain(fleet_config(models=120))
