--- a/acaciaspoke/control/placement.py
+++ b/acaciaspoke/control/placement.py
@@ -184,7 +184,7 @@
 
     def _place(self, need: Need, *, may_evict: bool = True) -> None:
         artifact = need.artifact
-        places = [place for place in self.places if self._fits(place, need)]
+        places = self._fitting(need)
         if not places:
             return
         roomy = [
@@ -218,16 +218,22 @@
         if may_evict:
             self._make_room(places, need)
 
-    def _fits(self, place: Place, need: Need) -> bool:
+    def _fitting(self, need: Need) -> list[Place]:
+        """Returns the places that may hold an artifact if there is room."""
         artifact = need.artifact
         key = Key(artifact.name, artifact.version)
+        base = artifact.base_model
+        models = self.situation.config.models
+        service = None if base else models[artifact.name].service
         # The reservation refuses a load while the artifact is being unloaded.
-        if key in place.lines or key in place.loading or key in place.leaving:
-            return False
-        if artifact.base_model:
-            return place.holds(artifact.base_model)
-        model = self.situation.config.models[artifact.name]
-        return place.service == model.service
+        return [
+            place
+            for place in self.places
+            if key not in place.lines
+            and key not in place.loading
+            and key not in place.leaving
+            and (place.holds(base) if base else place.service == service)
+        ]
 
     def _make_room(self, places: list[Place], need: Need) -> None:
         choices = []
--- a/test/control/test_placement.py
+++ b/test/control/test_placement.py
@@ -207,7 +207,7 @@
             # The guests are worth more, so that only their copies count.
             rates={name: Rate(1.0, 1.0) for name in guests},
         )
-        domain.settle()
+        self.assertEqual(len(domain.settle()), 2)
         self.assertIn(cold, domain.names())
         self.assertLessEqual(own, domain.names())
 
