--- a/acaciaspoke/control/placement.py
+++ b/acaciaspoke/control/placement.py
@@ -8,8 +8,7 @@
 from collections.abc import Iterable
 
 from acaciaspoke.config.schema import Artifact
-from acaciaspoke.control.demand import Rate
-from acaciaspoke.control.eviction import Need, victims_for
+from acaciaspoke.control.eviction import Need, may_make_room, victims_for
 from acaciaspoke.control.fleet import (
     REQUESTS_PER_COPY_S,
     Fleet,
@@ -23,6 +22,11 @@
 
 MAX_MOVES = 32
 
+# Demand decides between places whose free memory differs by at most this many
+# times the need. Without a limit, last copies fill the places with less demand
+# and leave replicas no room there.
+SIMILAR_ROOM = 2
+
 
 def plan(situation: Situation, max_moves: int = MAX_MOVES) -> list[Move]:
     """Returns the next moves of a failure domain, the most urgent first.
@@ -134,7 +138,7 @@
         needs: list[Need] = []
         for name, artifact in self.fleet.in_force.items():
             count = self.fleet.count(artifact)
-            rate = self.fleet.rates.get(name, Rate())
+            rate = self.fleet.lasting_rate(name)
             if count and rate.per_s > count * REQUESTS_PER_COPY_S:
                 gain = rate.worth_per_s / (count * (count + 1))
                 needs.append(Need(artifact, Reason.REPLICA, gain))
@@ -180,7 +184,7 @@
 
     def _place(self, need: Need, *, may_evict: bool = True) -> None:
         artifact = need.artifact
-        places = [place for place in self.places if self._fits(place, need)]
+        places = self._fitting(need)
         if not places:
             return
         roomy = [
@@ -189,9 +193,19 @@
             if place.free_bytes >= artifact.memory_bytes
         ]
         if roomy:
-            # The most free memory also means the fewest artifacts that share
-            # the upstream's slots.
-            place = max(roomy, key=self.fleet.spare_bytes)
+            # Of the places with nearly the most memory, the one whose artifacts
+            # are asked for least has the most slots left.
+            spare = {place.id: self.fleet.spare_bytes(place) for place in roomy}
+            enough_bytes = max(
+                spare.values()
+            ) - SIMILAR_ROOM * self.fleet.bytes_with_adapters(artifact)
+            place = min(
+                (place for place in roomy if spare[place.id] >= enough_bytes),
+                key=lambda place: (
+                    self.fleet.expected_per_s(place),
+                    -spare[place.id],
+                ),
+            )
             place.plan_load(artifact)
             self.fleet.copies[Key(artifact.name, artifact.version)] += 1
             self._add(MoveKind.LOAD, place, artifact, need.reason)
@@ -204,19 +218,28 @@
         if may_evict:
             self._make_room(places, need)
 
-    def _fits(self, place: Place, need: Need) -> bool:
+    def _fitting(self, need: Need) -> list[Place]:
+        """Returns the places that may hold an artifact if there is room."""
         artifact = need.artifact
         key = Key(artifact.name, artifact.version)
-        if key in place.lines or key in place.loading:
-            return False
-        if artifact.base_model:
-            return place.holds(artifact.base_model)
-        model = self.situation.config.models[artifact.name]
-        return place.service == model.service
+        base = artifact.base_model
+        models = self.situation.config.models
+        service = None if base else models[artifact.name].service
+        # The reservation refuses a load while the artifact is being unloaded.
+        return [
+            place
+            for place in self.places
+            if key not in place.lines
+            and key not in place.loading
+            and key not in place.leaving
+            and (place.holds(base) if base else place.service == service)
+        ]
 
     def _make_room(self, places: list[Place], need: Need) -> None:
         choices = []
         for place in places:
+            if not may_make_room(self.fleet, place, need):
+                continue
             victims = victims_for(self.fleet, place, need)
             if victims:
                 cost = (
