Reach other domains' engines when the own ones are gone; no io_uring

Reachability. Cause: after all engines of a failure domain were killed, its models were still counted as that domain's share, because its hosts were alive, and its callers' cold demand went to its own lease holder, which had nowhere to load them. Ruled out: lost demand messages. Change: a domain all of whose engines are lost or leaving takes no share of the models, and its lease holder passes demand on to the other domains.

--- a/acaciaspoke/control/planning.py
+++ b/acaciaspoke/control/planning.py
@@ -156,6 +156,13 @@
         self.demand.add(demand, now_s)
         self._slow_demand.add(demand, now_s)
 
+    def has_engines(self) -> bool:
+        """Tells whether a model could be loaded in this failure domain."""
+        return any(
+            self._upstreams.state(upstream) is UpstreamState.LIVE
+            for upstream, _ in self._engines()
+        )
+
     async def run(self) -> None:
         """Plans again and again until cancelled."""
         async with anyio.create_task_group() as tasks:
@@ -276,7 +283,9 @@
         )
 
     def _plan(self, tasks: anyio.abc.TaskGroup, now_s: float) -> None:
-        live_domains = frozenset(self._live_domains())
+        live_domains = frozenset(
+            self._live_domains() - self._upstreams.domains_without_engines()
+        )
         self._pacer.limits = share_of(
             self._config.weight_store, self._domain, live_domains
         )
--- a/acaciaspoke/control/process.py
+++ b/acaciaspoke/control/process.py
@@ -5,6 +5,7 @@
 import uuid
 from collections.abc import Iterable
 
+import msgspec
 from loguru import logger
 
 from acaciaspoke.config.store import ConfigStore, apply_row
@@ -224,23 +225,37 @@
 
     def _take_demand(self, demand: Demand, now_s: float) -> None:
         """Takes demand, or adds up that of own entry processes."""
-        if self.lease_task.lease.is_held(now_s):
+        lease = self.lease_task.lease
+        if lease.is_held(now_s):
             self.planner.hear(demand)
+            if not demand.is_foreign and not self.planner.has_engines():
+                self._ask_other_domains(demand)
         elif demand.sender in self._entries.addresses():
             self._demand.add(demand)
+        elif demand.is_foreign:
+            self._post_to_holder(demand)
+
+    def _ask_other_domains(self, demand: Demand) -> None:
+        # Marked, so that two domains without engines do not send it to and
+        # fro.
+        foreign = msgspec.structs.replace(demand, is_foreign=True)
+        for contact in self._membership.foreign_contacts():
+            self._mailbox.post(contact.address, foreign)
+
+    def _post_to_holder(self, demand: Demand) -> None:
+        for member in self._membership.live():
+            if member.host == self.lease_task.lease.holder:
+                self._mailbox.post(member.address, demand)
 
     def _pass_on_demand(self, now_s: float) -> None:
         """Passes the sum on to the holder of the lease."""
         demand = self._demand.take(self._settings.control.mailbox, now_s)
-        lease = self.lease_task.lease
         if demand is None:
             return
-        if lease.is_held(now_s):
-            self.planner.hear(demand)
-            return
-        for member in self._membership.live():
-            if member.host == lease.holder:
-                self._mailbox.post(member.address, demand)
+        if self.lease_task.lease.is_held(now_s):
+            self._take_demand(demand, now_s)
+        else:
+            self._post_to_holder(demand)
 
     def _take_suspicions(self, notice: SuspicionNotice, now_s: float) -> None:
         self._membership.note_suspicions(notice.suspicions, now_s)
--- a/acaciaspoke/control/upstreams.py
+++ b/acaciaspoke/control/upstreams.py
@@ -398,6 +398,27 @@
         """Returns the upstreams that it polls only until a doubt ends."""
         return list(self._checked)
 
+    def domains_without_engines(self) -> set[DomainId]:
+        """Returns the other domains all of whose engines are lost or leaving.
+
+        Upstreams that nothing is known of yet count as present, or each start
+        would begin with the loads of all domains.
+        """
+        domains: dict[DomainId, bool] = {}
+        for known in self._known.values():
+            if known.config.memory_bytes:
+                domain = known.config.failure_domain
+                present = known.machine.state in (
+                    UpstreamState.LIVE,
+                    UpstreamState.UNKNOWN,
+                )
+                domains[domain] = domains.get(domain, False) or present
+        return {
+            domain
+            for domain, present in domains.items()
+            if not present and domain != self._domain
+        }
+
     def resident_elsewhere(self) -> frozenset[ArtifactName]:
         """Returns the artifacts on live upstreams of other domains."""
         return frozenset(
--- a/acaciaspoke/net/messages.py
+++ b/acaciaspoke/net/messages.py
@@ -277,6 +277,8 @@
     """Requests that entry processes saw since their last message.
 
     Attributes:
+        is_foreign: Whether it was passed on by another failure domain, which
+            has no engines left.
         arrivals: Requests per artifact and rank.
         cold: Artifacts with waiting requests and no reachable copy.
         interval_s: The time that the counts cover.
@@ -286,6 +288,7 @@
     arrivals: dict[ArtifactName, dict[RankId, int]]
     cold: tuple[ArtifactName, ...] = ()
     interval_s: float = 1.0
+    is_foreign: bool = False
 
 
 class ConnectionLost(_Message):
--- /dev/null
+++ b/test/processes/test_constraints.py
@@ -0,0 +1,24 @@
+"""What the hosts allow: no child processes, no io_uring."""
+
+import os
+from pathlib import Path
+
+from standins.deployment import Shape
+from test.processes import deployments
+
+
+class ConstraintsTest(deployments.DeploymentTest):
+    shape = Shape(domains=("d1",), hosts=1, engines=1, plain=0)
+    models = 1
+
+    def test_processes_keep_to_the_rules_of_the_hosts(self):
+        """Guards against libraries that use io_uring or start processes."""
+        for name, process in self.deployment.processes.items():
+            if not name.startswith(("control ", "entry ")):
+                continue
+            folder = Path("/proc") / str(process.pid)
+            files = [os.readlink(link) for link in (folder / "fd").iterdir()]
+            self.assertTrue(files)
+            self.assertEqual([f for f in files if "io_uring" in f], [], name)
+            children = folder / "task" / str(process.pid) / "children"
+            self.assertEqual(children.read_text().split(), [], name)
