--- a/standins/__main__.py
+++ b/standins/__main__.py
@@ -1,4 +1,4 @@
-"""Runs one stand-in: ``python -m standins KIND IP:PORT [NAME=NUMBER ...]``."""
+"""Runs one stand-in: ``python -m standins KIND IP:PORT [NAME=VALUE ...]``."""
 
 import sys
 
@@ -20,16 +20,19 @@
 }
 
 
-async def _serve(kind: str, address: str, options: dict[str, float]) -> None:
+async def _serve(kind: str, address: str, options: dict) -> None:
     standin = KINDS[kind](**options)
     ip, _, port = address.rpartition(":")
     async with serving(standin.handle, ip, int(port)):
         await anyio.sleep_forever()
 
 
-def _option(text: str) -> tuple[str, float]:
+def _option(text: str) -> tuple[str, float | str]:
     name, _, value = text.partition("=")
-    number = float(value)
+    try:
+        number = float(value)
+    except ValueError:
+        return name, value
     return name, int(number) if number.is_integer() else number
 
 
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -74,6 +74,7 @@
         memory_bytes: int = 0,
         checks_fencing: bool = False,
         weights: WeightStore | None = None,
+        crash_on: str = "",
     ):
         self.boot_id = uuid.uuid4().hex
         self.slots = slots
@@ -81,7 +82,7 @@
         self.repository = Repository(memory_bytes, checks_fencing)
         self.weights = weights
         self.orders: list[str] = []
-        self.faults = Faults()
+        self.faults = Faults(crash_on=crash_on)
         self.running = 0
         self.waiting = 0
         self.served = 0
--- a/test/processes/test_crashing_request.py
+++ b/test/processes/test_crashing_request.py
@@ -12,7 +12,15 @@
 
 
 class CrashingRequestTest(deployments.DeploymentTest):
-    shape = Shape(domains=("d1",), hosts=HOSTS, engines=6, plain=0)
+    # An option, so that a restarted engine crashes as well from its first
+    # request on; a run in between would rightly clear the suspicion.
+    shape = Shape(
+        domains=("d1",),
+        hosts=HOSTS,
+        engines=6,
+        plain=0,
+        engine_options=("slots=16", "token_gap_s=0.005", "crash_on=deadly"),
+    )
     models = 2
 
     def test_sent_again_and_again_through_all_hosts(self):
@@ -21,8 +29,8 @@
         with deployments.supervised(self, engines) as crashes:
             for wave in range(2):
                 before = len(crashes)
-                poison = f"poison {wave}"
-                self._poison(poison)
+                poison = f"deadly {wave}"
+                self._poison("deadly")
                 calls = [
                     lambda n=n: chat(self.hosts[n % HOSTS], f"innocent {n}")
                     for n in range(12)
@@ -75,7 +83,7 @@
     def test_innocent_on_a_crashed_engine(self):
         """What ran beside the request is retried and answered."""
         name = self._engine_of("model-01")
-        self.fault(name, crash_on="deadly", delay_s=1.0)
+        self.fault(name, crash_on="fatal", delay_s=1.0)
         with deployments.supervised(self, [name]) as crashes:
             calls = [
                 lambda: chat(self.hosts[0], "slow", model="model-01"),
@@ -84,7 +92,7 @@
 
             def crash():
                 eventually(lambda: self.report(name)["running"] >= 2, "work")
-                chat(self.hosts[2], "deadly", model="model-01")
+                chat(self.hosts[2], "fatal", model="model-01")
 
             answers = at_once([*calls, crash])
             self.assertEqual(len(crashes), 1)
