--- a/bench/load.py
+++ b/bench/load.py
@@ -365,7 +365,8 @@
 def main() -> None:
     """Runs the plan of the command line."""
     plan = msgspec.json.decode(sys.argv[1], type=Load | Pairs | Close)
-    outcome = uvloop.run(_RUNNERS[type(plan)](plan))
+    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+        outcome = runner.run(_RUNNERS[type(plan)](plan))
     sys.stdout.write(msgspec.json.encode(outcome).decode() + "\n")
 
 
