--- a/acaciaspoke/config/store.py
+++ b/acaciaspoke/config/store.py
@@ -5,7 +5,6 @@
 patch with this id made. The three are written in one transaction.
 """
 
-import itertools
 import time
 from collections.abc import Callable, Iterable
 from typing import NamedTuple, TypeVar
@@ -13,11 +12,18 @@
 import msgspec
 from loguru import logger
 
-from acaciaspoke.config.patch import apply_committed, apply_patch
+from acaciaspoke.config.errors import (
+    ConfigConflict,
+    ConfigLogError,
+    ConfigOutcomeUnknown,
+    ConfigUnavailable,
+    UnknownVersion,
+)
+from acaciaspoke.config.patch import apply_patch
+from acaciaspoke.config.rows import LogRow, advance
 from acaciaspoke.config.schema import Config
-from acaciaspoke.errors import AcaciaspokeError
 from acaciaspoke.ids import ConfigVersion, PatchId
-from acaciaspoke.net.messages import ConfigPush, PatchRow
+from acaciaspoke.net.records import PatchRow
 from acaciaspoke.platform.objects import ObjectsClient, ObjectsError
 from acaciaspoke.platform.table import (
     Committed,
@@ -45,49 +51,6 @@
 PATCH_PREFIX = "config/patch/"
 
 
-class ConfigError(AcaciaspokeError):
-    """Base class of the errors of the configuration log."""
-
-
-class ConfigUnavailable(ConfigError):  # noqa: N818 - as TableUnavailable
-    """The log does not answer; nothing was committed."""
-
-
-class ConfigOutcomeUnknown(ConfigError):  # noqa: N818 - as OutcomeUnknown
-    """The patch may have been committed; its id tells on a repetition."""
-
-
-class ConfigConflict(ConfigError):  # noqa: N818 - as Conflict
-    """The patch is based on a version that is not the current one.
-
-    Attributes:
-        current: The current version.
-    """
-
-    def __init__(self, current: ConfigVersion):
-        super().__init__(f"the current version is {current}")
-        self.current = current
-
-
-class UnknownVersion(ConfigError):  # noqa: N818 - reads as a statement
-    """There is no such version."""
-
-
-class ConfigLogError(ConfigError):
-    """The log contradicts itself or the version in hand."""
-
-
-class LogRow(PatchRow, frozen=True, kw_only=True):
-    """A patch as the log keeps it.
-
-    Attributes:
-        committed_at_s: Seconds since 1970 by the clock of the committing host;
-            for people to read only.
-    """
-
-    committed_at_s: float = 0.0
-
-
 class Submitted(NamedTuple):
     """An accepted patch.
 
@@ -104,56 +67,6 @@
     version: ConfigVersion = ConfigVersion(0)
 
 
-def advance(config: Config, rows: Iterable[PatchRow]) -> Config:
-    """Applies the rows that follow ``config`` without a gap.
-
-    Rows that are older, repeated or after a gap change nothing, so that the
-    version is never lowered.
-
-    Raises:
-        ConfigLogError: If the result is not a configuration.
-    """
-    by_version = {row.version: row.merge_patch for row in rows}
-    versions = itertools.takewhile(
-        by_version.__contains__, itertools.count(config.version + 1)
-    )
-    patches = [by_version[version] for version in versions]
-    if not patches:
-        return config
-    version = ConfigVersion(config.version + len(patches))
-    try:
-        return apply_committed(config, version, patches)
-    except msgspec.DecodeError as error:
-        # A newer program may have accepted fields that this one lacks.
-        problem = f"cannot apply the log up to version {version}: {error}"
-        raise ConfigLogError(problem) from error
-
-
-def apply_pushed(config: Config, push: ConfigPush) -> Config:
-    """Returns what is in force after a push; never an older version.
-
-    Raises:
-        msgspec.ValidationError: If the push holds no configuration.
-    """
-    if push.snapshot:
-        snapshot = msgspec.json.decode(push.snapshot, type=Config)
-        if snapshot.version > config.version:
-            config = snapshot
-    return advance(config, push.patches)
-
-
-def apply_row(config: Config, row: PatchRow) -> Config:
-    """Returns the version that one committed patch makes.
-
-    Raises:
-        ConfigLogError: If the patch does not fit the configuration.
-    """
-    try:
-        return advance(config, [row])
-    except msgspec.MsgspecError as error:
-        raise ConfigLogError(f"patch {row.version}: {error}") from error
-
-
 class ConfigStore:
     """The log and the newest version read from it.
 
--- a/acaciaspoke/control/admin.py
+++ b/acaciaspoke/control/admin.py
@@ -15,16 +15,16 @@
 import msgspec
 from loguru import logger
 
-from acaciaspoke.config.schema import Config
-from acaciaspoke.config.store import (
+from acaciaspoke.config.errors import (
     ConfigConflict,
     ConfigLogError,
     ConfigOutcomeUnknown,
     ConfigUnavailable,
-    LogRow,
-    Submitted,
     UnknownVersion,
 )
+from acaciaspoke.config.rows import LogRow
+from acaciaspoke.config.schema import Config
+from acaciaspoke.config.store import Submitted
 from acaciaspoke.errors import AcaciaspokeError, FieldError
 from acaciaspoke.ids import ConfigVersion, HostId, PatchId
 
--- a/acaciaspoke/control/burn.py
+++ b/acaciaspoke/control/burn.py
@@ -9,12 +9,8 @@
 from acaciaspoke.config.schema import Config
 from acaciaspoke.ids import Address, HostId
 from acaciaspoke.net.mailbox import Mailbox
-from acaciaspoke.net.messages import (
-    HostEntries,
-    Member,
-    Windows,
-    WindowsRequest,
-)
+from acaciaspoke.net.messages import HostEntries, Windows, WindowsRequest
+from acaciaspoke.net.records import Member
 from acaciaspoke.report.burn import BurnMerger, BurnReport, Source
 
 # How long the answers of all hosts are waited for.
--- a/acaciaspoke/control/configtask.py
+++ b/acaciaspoke/control/configtask.py
@@ -6,12 +6,8 @@
 import anyio
 from loguru import logger
 
-from acaciaspoke.config.store import (
-    SNAPSHOT_EVERY,
-    ConfigError,
-    ConfigStore,
-    ConfigUnavailable,
-)
+from acaciaspoke.config.errors import ConfigError, ConfigUnavailable
+from acaciaspoke.config.store import SNAPSHOT_EVERY, ConfigStore
 from acaciaspoke.control.configwatch import ConfigWatch
 from acaciaspoke.control.membership import Membership
 from acaciaspoke.net.messages import Outgoing
--- a/acaciaspoke/control/configwatch.py
+++ b/acaciaspoke/control/configwatch.py
@@ -15,13 +15,8 @@
 from acaciaspoke.config.schema import Config
 from acaciaspoke.errors import AcaciaspokeError
 from acaciaspoke.ids import Address, ConfigVersion, HostId
-from acaciaspoke.net.messages import (
-    ConfigPull,
-    ConfigPush,
-    Member,
-    Outgoing,
-    PatchRow,
-)
+from acaciaspoke.net.messages import ConfigPull, ConfigPush, Outgoing
+from acaciaspoke.net.records import Member, PatchRow
 from acaciaspoke.util.rendezvous import choose
 
 Apply = Callable[[Config, PatchRow], Config]
--- a/acaciaspoke/control/contacts.py
+++ b/acaciaspoke/control/contacts.py
@@ -10,7 +10,7 @@
 import msgspec
 
 from acaciaspoke.ids import DomainId, HostId
-from acaciaspoke.net.messages import Member, MemberState
+from acaciaspoke.net.records import Member, MemberState
 
 MAX_CONTACTS_PER_DOMAIN = 16
 PROBED_PER_DOMAIN = 2
--- a/acaciaspoke/control/domains.py
+++ b/acaciaspoke/control/domains.py
@@ -12,7 +12,8 @@
 
 from acaciaspoke.ids import Address, DomainId
 from acaciaspoke.net.mailbox import Mailbox
-from acaciaspoke.net.messages import DomainAnswer, DomainRequest, Member
+from acaciaspoke.net.messages import DomainAnswer, DomainRequest
+from acaciaspoke.net.records import Member
 
 ANSWER_TIMEOUT_S = 1.0
 CHECK_INTERVAL_S = 0.02
--- a/acaciaspoke/control/engine_link.py
+++ b/acaciaspoke/control/engine_link.py
@@ -15,7 +15,7 @@
 from acaciaspoke.control.reservations import Answer, Order
 from acaciaspoke.errors import AcaciaspokeError
 from acaciaspoke.ids import FencingToken
-from acaciaspoke.net.messages import EngineReport
+from acaciaspoke.net.records import EngineReport
 from acaciaspoke.util.net import split_address
 
 # 409 refuses an old fencing token, 429 and 503 refuse before running, 400 and
--- a/acaciaspoke/control/fleet.py
+++ b/acaciaspoke/control/fleet.py
@@ -18,7 +18,7 @@
 from acaciaspoke.control.moves import Move, MoveKind
 from acaciaspoke.control.reservations import Line, LineState, Reservation
 from acaciaspoke.ids import ArtifactName, DomainId, ServiceId, UpstreamId
-from acaciaspoke.net.messages import UpstreamState
+from acaciaspoke.net.records import UpstreamState
 
 # Requests/s that one copy is expected to serve. A further replica is added
 # above this rate per copy.
--- a/acaciaspoke/control/fleetwatch.py
+++ b/acaciaspoke/control/fleetwatch.py
@@ -22,8 +22,8 @@
     UpstreamLoads,
     UpstreamPull,
     UpstreamReports,
-    UpstreamView,
 )
+from acaciaspoke.net.records import UpstreamView
 from acaciaspoke.platform.hosts import HostsClient
 from acaciaspoke.util.metrics import Metrics
 from acaciaspoke.util.rendezvous import choose
--- a/acaciaspoke/control/hostlist.py
+++ b/acaciaspoke/control/hostlist.py
@@ -10,7 +10,7 @@
 
 from acaciaspoke.config.schema import Upstream
 from acaciaspoke.ids import UpstreamId
-from acaciaspoke.net.messages import LeavingNotice
+from acaciaspoke.net.records import LeavingNotice
 from acaciaspoke.platform.hosts import HostEntry, HostState
 
 # Longer than the list lags, so that an entry that says otherwise for as long
--- a/acaciaspoke/control/membership.py
+++ b/acaciaspoke/control/membership.py
@@ -30,14 +30,11 @@
     HostId,
     UpstreamId,
 )
-from acaciaspoke.net.messages import (
-    Ack,
+from acaciaspoke.net.messages import Ack, Outgoing, Ping, PingRequest
+from acaciaspoke.net.records import (
     LeavingNotice,
     Member,
     MemberState,
-    Outgoing,
-    Ping,
-    PingRequest,
     Suspicion,
 )
 
--- a/acaciaspoke/control/orders.py
+++ b/acaciaspoke/control/orders.py
@@ -35,7 +35,7 @@
     reserve_unload,
 )
 from acaciaspoke.ids import FencingToken, OrderId, UpstreamId
-from acaciaspoke.net.messages import EngineReport
+from acaciaspoke.net.records import EngineReport
 
 # The lease's epoch is the upper part of a fencing token, so that every token
 # of a new holder is above all tokens of the former ones.
--- a/acaciaspoke/control/planning.py
+++ b/acaciaspoke/control/planning.py
@@ -30,12 +30,8 @@
 from acaciaspoke.control.residency import Residency
 from acaciaspoke.control.upstreams import Upstreams
 from acaciaspoke.ids import DomainId, UpstreamId
-from acaciaspoke.net.messages import (
-    Demand,
-    EngineReport,
-    Resident,
-    UpstreamState,
-)
+from acaciaspoke.net.messages import Demand
+from acaciaspoke.net.records import EngineReport, Resident, UpstreamState
 from acaciaspoke.platform.table import (
     Committed,
     Condition,
--- a/acaciaspoke/control/polling.py
+++ b/acaciaspoke/control/polling.py
@@ -8,7 +8,7 @@
 
 from acaciaspoke.control.upstreams import Upstreams
 from acaciaspoke.ids import UpstreamId
-from acaciaspoke.net.messages import EngineReport
+from acaciaspoke.net.records import EngineReport
 from acaciaspoke.platform.hosts import HostEntry, HostsClient, HostsError
 from acaciaspoke.util.http import HttpClient, HttpError
 from acaciaspoke.util.metrics import Metrics
--- a/acaciaspoke/control/process.py
+++ b/acaciaspoke/control/process.py
@@ -8,7 +8,8 @@
 import msgspec
 from loguru import logger
 
-from acaciaspoke.config.store import ConfigStore, apply_row
+from acaciaspoke.config.rows import apply_row
+from acaciaspoke.config.store import ConfigStore
 from acaciaspoke.control.admin import admin_app
 from acaciaspoke.control.burn import BurnCollector
 from acaciaspoke.control.configtask import ConfigTask
@@ -34,7 +35,6 @@
     DomainRequest,
     EntryHello,
     HostEntries,
-    Member,
     Message,
     Outgoing,
     Ping,
@@ -44,6 +44,7 @@
     Windows,
     WindowsRequest,
 )
+from acaciaspoke.net.records import Member
 from acaciaspoke.platform.hosts import HostsClient
 from acaciaspoke.platform.objects import ObjectsClient
 from acaciaspoke.platform.table import TableClient
--- a/acaciaspoke/control/reports.py
+++ b/acaciaspoke/control/reports.py
@@ -12,7 +12,6 @@
 from acaciaspoke.control.upstreams import Upstreams
 from acaciaspoke.ids import Address, BootId, HostId, UpstreamId
 from acaciaspoke.net.messages import (
-    Member,
     Message,
     Outgoing,
     UpstreamLoads,
@@ -20,6 +19,7 @@
     UpstreamReports,
     encode,
 )
+from acaciaspoke.net.records import Member
 
 # Sent; as much again is received. With the gossip of 300 members (about
 # 10 KB/s both ways) this stays inside 27 KB/s.
--- a/acaciaspoke/control/reservations.py
+++ b/acaciaspoke/control/reservations.py
@@ -24,7 +24,7 @@
     OrderId,
     UpstreamId,
 )
-from acaciaspoke.net.messages import EngineReport
+from acaciaspoke.net.records import EngineReport
 from acaciaspoke.util.chart import Machine
 
 
--- a/acaciaspoke/control/residency.py
+++ b/acaciaspoke/control/residency.py
@@ -4,7 +4,7 @@
 
 from acaciaspoke.control.reservations import LineState, Reservation
 from acaciaspoke.ids import ArtifactName, UpstreamId
-from acaciaspoke.net.messages import EngineReport
+from acaciaspoke.net.records import EngineReport
 
 # The first reports after a load may have been made before it took effect. An
 # artifact is missing only after this many reports in a row without it.
--- a/acaciaspoke/control/upstreams.py
+++ b/acaciaspoke/control/upstreams.py
@@ -21,10 +21,9 @@
     HostId,
     UpstreamId,
 )
-from acaciaspoke.net.messages import (
-    ConnectionLost,
+from acaciaspoke.net.messages import ConnectionLost, FleetView
+from acaciaspoke.net.records import (
     EngineReport,
-    FleetView,
     LeavingNotice,
     Load,
     Member,
--- a/acaciaspoke/control/view.py
+++ b/acaciaspoke/control/view.py
@@ -14,7 +14,7 @@
 
 from acaciaspoke.control.gossip import Updates
 from acaciaspoke.ids import ConfigVersion, Fingerprint, HostId, UpstreamId
-from acaciaspoke.net.messages import (
+from acaciaspoke.net.records import (
     LeavingNotice,
     Member,
     MemberState,
--- a/acaciaspoke/entry/crashes.py
+++ b/acaciaspoke/entry/crashes.py
@@ -10,13 +10,8 @@
 
 from acaciaspoke.entry.dispatch import Dispatcher
 from acaciaspoke.ids import Address, BootId, UpstreamId
-from acaciaspoke.net.messages import (
-    ConnectionLost,
-    EngineReport,
-    Message,
-    Suspicion,
-    SuspicionNotice,
-)
+from acaciaspoke.net.messages import ConnectionLost, Message, SuspicionNotice
+from acaciaspoke.net.records import EngineReport, Suspicion
 from acaciaspoke.util.http import HttpClient, HttpError
 
 REPORT_TIMEOUT_S = 0.5
--- a/acaciaspoke/entry/dispatch.py
+++ b/acaciaspoke/entry/dispatch.py
@@ -29,7 +29,8 @@
     RequestId,
     UpstreamId,
 )
-from acaciaspoke.net.messages import FleetView, Suspicion, UpstreamState
+from acaciaspoke.net.messages import FleetView
+from acaciaspoke.net.records import Suspicion, UpstreamState
 
 # When an artifact has no copy, a caller that was refused may try again after
 # about the time that a load takes.
--- a/acaciaspoke/entry/process.py
+++ b/acaciaspoke/entry/process.py
@@ -8,8 +8,9 @@
 import msgspec
 from loguru import logger
 
+from acaciaspoke.config.errors import ConfigLogError
+from acaciaspoke.config.rows import apply_pushed
 from acaciaspoke.config.schema import Config
-from acaciaspoke.config.store import ConfigLogError, apply_pushed
 from acaciaspoke.entry.app import EntryApp
 from acaciaspoke.entry.claims import Claims
 from acaciaspoke.entry.crashes import CrashExaminer
--- a/acaciaspoke/entry/routing.py
+++ b/acaciaspoke/entry/routing.py
@@ -17,7 +17,7 @@
     ServiceId,
     UpstreamId,
 )
-from acaciaspoke.net.messages import UpstreamState, UpstreamView
+from acaciaspoke.net.records import UpstreamState, UpstreamView
 
 # Prefix affinity may raise an upstream's load to this factor above the mean of
 # the candidates; beyond that the queue costs more than a cold prefix cache.
--- a/acaciaspoke/entry/suspects.py
+++ b/acaciaspoke/entry/suspects.py
@@ -26,7 +26,7 @@
 import msgspec
 
 from acaciaspoke.ids import BootId, Fingerprint
-from acaciaspoke.net.messages import Suspicion
+from acaciaspoke.net.records import Suspicion
 
 MAX_SOLE_CRASHES = 2
 MAX_CRASHES = 3
--- a/acaciaspoke/report/burn.py
+++ b/acaciaspoke/report/burn.py
@@ -21,7 +21,8 @@
     RankId,
     ServiceId,
 )
-from acaciaspoke.net.messages import ServiceTrend, ServiceWindow, Windows
+from acaciaspoke.net.messages import Windows
+from acaciaspoke.net.records import ServiceTrend, ServiceWindow
 from acaciaspoke.report.hdr import (
     HistogramError,
     Percentiles,
--- a/acaciaspoke/report/histograms.py
+++ b/acaciaspoke/report/histograms.py
@@ -21,7 +21,7 @@
 
 from acaciaspoke.config.schema import Rank
 from acaciaspoke.ids import RankId, ServiceId
-from acaciaspoke.net.messages import ServiceTrend, ServiceWindow
+from acaciaspoke.net.records import ServiceTrend, ServiceWindow
 from acaciaspoke.report.hdr import (
     add_counts,
     add_encoded,
--- a/acaciaspoke/report/status.py
+++ b/acaciaspoke/report/status.py
@@ -20,8 +20,8 @@
     ServiceId,
     UpstreamId,
 )
-from acaciaspoke.net.messages import (
-    EntryHello,
+from acaciaspoke.net.messages import EntryHello
+from acaciaspoke.net.records import (
     Member,
     MemberState,
     UpstreamState,
--- a/bench/capacity/configuration.py
+++ b/bench/capacity/configuration.py
@@ -7,12 +7,13 @@
 import msgspec
 
 from acaciaspoke.config.patch import apply_patch
+from acaciaspoke.config.rows import apply_pushed, apply_row
 from acaciaspoke.config.schema import Config
-from acaciaspoke.config.store import apply_pushed, apply_row
 from acaciaspoke.control.upstreams import Upstreams
 from acaciaspoke.entry.dispatch import Dispatcher
 from acaciaspoke.entry.routing import Fleet
-from acaciaspoke.net.messages import ConfigPush, PatchRow, decode, encode
+from acaciaspoke.net.messages import ConfigPush, decode, encode
+from acaciaspoke.net.records import PatchRow
 from bench.capacity import scale
 from bench.capacity.measure import allocated_bytes, cpu_s, ms, size
 from bench.result import Result
--- a/bench/capacity/fleet.py
+++ b/bench/capacity/fleet.py
@@ -14,13 +14,8 @@
 from acaciaspoke.control.upstreams import Upstreams
 from acaciaspoke.entry.routing import Fleet
 from acaciaspoke.ids import Address, BootId, HostId
-from acaciaspoke.net.messages import (
-    Member,
-    UpstreamReports,
-    UpstreamView,
-    decode,
-    encode,
-)
+from acaciaspoke.net.messages import UpstreamReports, decode, encode
+from acaciaspoke.net.records import Member, UpstreamView
 from acaciaspoke.platform.hosts import HostsClient, parse_hosts
 from acaciaspoke.util.http import HttpAnswer
 from acaciaspoke.util.metrics import Metrics
--- a/bench/capacity/messages.py
+++ b/bench/capacity/messages.py
@@ -9,12 +9,12 @@
 from acaciaspoke.net.mailbox import Mailbox
 from acaciaspoke.net.messages import (
     DomainAnswer,
-    Load,
     UpstreamLoads,
     UpstreamReports,
     decode,
     encode,
 )
+from acaciaspoke.net.records import Load
 from acaciaspoke.util.metrics import Metrics
 from bench import gossip
 from bench.capacity import scale
--- a/bench/capacity/placement.py
+++ b/bench/capacity/placement.py
@@ -19,7 +19,7 @@
 )
 from acaciaspoke.control.upstreams import Upstreams
 from acaciaspoke.ids import HostId
-from acaciaspoke.net.messages import UpstreamView
+from acaciaspoke.net.records import UpstreamView
 from acaciaspoke.util.metrics import Metrics
 from bench.capacity import scale
 from bench.capacity.measure import allocated_bytes, cpu_s, ms, size
--- a/bench/capacity/scale.py
+++ b/bench/capacity/scale.py
@@ -13,7 +13,7 @@
     Upstream,
 )
 from acaciaspoke.ids import ArtifactName, BootId, DomainId, UpstreamId
-from acaciaspoke.net.messages import UpstreamState, UpstreamView
+from acaciaspoke.net.records import UpstreamState, UpstreamView
 
 GIB = 1 << 30
 DOMAINS = tuple(DomainId(f"r{n % 3}-az{n}") for n in range(7))
--- a/bench/gossip.py
+++ b/bench/gossip.py
@@ -5,7 +5,8 @@
 
 from acaciaspoke.control.membership import Membership
 from acaciaspoke.ids import Address, BootId, DomainId, HostId, UpstreamId
-from acaciaspoke.net.messages import Ack, LeavingNotice, Member, Ping
+from acaciaspoke.net.messages import Ack, Ping
+from acaciaspoke.net.records import LeavingNotice, Member
 from bench.result import Result
 from test.fakes import FakeNetwork
 
--- a/bench/plan_cost.py
+++ b/bench/plan_cost.py
@@ -20,7 +20,7 @@
 from acaciaspoke.control.moves import MoveKind
 from acaciaspoke.control.placement import plan
 from acaciaspoke.control.reservations import Line, LineState, Reservation
-from acaciaspoke.net.messages import UpstreamState
+from acaciaspoke.net.records import UpstreamState
 from bench.result import Result
 
 ENGINES = 78
--- a/bench/policy/domain_planner.py
+++ b/bench/policy/domain_planner.py
@@ -40,7 +40,8 @@
     reserve_unload,
 )
 from acaciaspoke.control.residency import Residency
-from acaciaspoke.net.messages import Demand, UpstreamState
+from acaciaspoke.net.messages import Demand
+from acaciaspoke.net.records import UpstreamState
 from bench.policy.deployments import DOMAINS, KINDS, RANKS, SERVICES, Deployment
 
 if TYPE_CHECKING:
--- a/bench/policy/engine.py
+++ b/bench/policy/engine.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable
 
 from acaciaspoke.config.schema import Artifact, Upstream
-from acaciaspoke.net.messages import UpstreamState, UpstreamView
+from acaciaspoke.net.records import UpstreamState, UpstreamView
 from bench.policy.clock import Clock
 from bench.policy.deployments import Arrival, Deployment
 
--- a/bench/policy/entry_process.py
+++ b/bench/policy/entry_process.py
@@ -19,7 +19,8 @@
 )
 from acaciaspoke.entry.routing import Fleet
 from acaciaspoke.entry.suspects import Suspects, Verdict
-from acaciaspoke.net.messages import Demand, UpstreamState, UpstreamView
+from acaciaspoke.net.messages import Demand
+from acaciaspoke.net.records import UpstreamState, UpstreamView
 from bench.policy.deployments import RANKS, Arrival
 from bench.policy.engine import Call
 
--- a/bench/policy/policies.py
+++ b/bench/policy/policies.py
@@ -11,7 +11,7 @@
 from acaciaspoke.entry.rank_queue import RefusalReason, Urgency
 from acaciaspoke.entry.request import Request
 from acaciaspoke.entry.routing import Fleet, UpstreamStatus, choose_upstream
-from acaciaspoke.net.messages import UpstreamState
+from acaciaspoke.net.records import UpstreamState
 from bench.policy import placements
 from bench.policy.deployments import RANKS
 
--- a/bench/policy/world.py
+++ b/bench/policy/world.py
@@ -6,7 +6,7 @@
 
 from acaciaspoke.config.schema import Upstream
 from acaciaspoke.entry.retry import Outcome
-from acaciaspoke.net.messages import UpstreamState, UpstreamView
+from acaciaspoke.net.records import UpstreamState, UpstreamView
 from bench.policy.clock import Clock
 from bench.policy.deployments import (
     DOMAINS,
--- a/bench/relay.py
+++ b/bench/relay.py
@@ -35,12 +35,8 @@
 )
 from acaciaspoke.ids import Address, BootId
 from acaciaspoke.net.mailbox import Mailbox, receive_forever
-from acaciaspoke.net.messages import (
-    ConfigPush,
-    FleetView,
-    UpstreamState,
-    UpstreamView,
-)
+from acaciaspoke.net.messages import ConfigPush, FleetView
+from acaciaspoke.net.records import UpstreamState, UpstreamView
 from acaciaspoke.util.metrics import Metrics
 from bench.load import Close, CloseOutcome, Load, LoadOutcome, Pair, Pairs
 from bench.result import Result
--- a/bench/reports.py
+++ b/bench/reports.py
@@ -19,15 +19,13 @@
 )
 from acaciaspoke.net.messages import (
     Ack,
-    EngineReport,
-    Member,
     Ping,
     PingRequest,
-    Resident,
     UpstreamLoads,
     UpstreamPull,
     UpstreamReports,
 )
+from acaciaspoke.net.records import EngineReport, Member, Resident
 from bench.result import Result
 from test.fakes import FakeNetwork
 
--- a/test/config/test_store.py
+++ b/test/config/test_store.py
@@ -6,17 +6,15 @@
 import anyio
 import msgspec
 
-from acaciaspoke.config.store import (
-    SNAPSHOT_EVERY,
+from acaciaspoke.config.errors import (
     ConfigConflict,
     ConfigLogError,
     ConfigOutcomeUnknown,
-    ConfigStore,
     ConfigUnavailable,
-    LogRow,
-    Submitted,
     UnknownVersion,
 )
+from acaciaspoke.config.rows import LogRow
+from acaciaspoke.config.store import SNAPSHOT_EVERY, ConfigStore, Submitted
 from acaciaspoke.platform.table import TableClient
 from standins.faults import Faults
 from standins.objects import Objects
--- a/test/control/test_admin.py
+++ b/test/control/test_admin.py
@@ -5,15 +5,15 @@
 
 import msgspec
 
-from acaciaspoke.config.schema import Config
-from acaciaspoke.config.store import (
+from acaciaspoke.config.errors import (
     ConfigConflict,
     ConfigOutcomeUnknown,
     ConfigUnavailable,
-    LogRow,
-    Submitted,
     UnknownVersion,
 )
+from acaciaspoke.config.rows import LogRow
+from acaciaspoke.config.schema import Config
+from acaciaspoke.config.store import Submitted
 from acaciaspoke.control.admin import MAX_PATCH_BYTES, admin_app
 from acaciaspoke.errors import FieldError
 from test.builders import admin_operations, small_config
--- a/test/control/test_configwatch.py
+++ b/test/control/test_configwatch.py
@@ -17,7 +17,8 @@
     DomainId,
     HostId,
 )
-from acaciaspoke.net.messages import ConfigPull, ConfigPush, Member, PatchRow
+from acaciaspoke.net.messages import ConfigPull, ConfigPush
+from acaciaspoke.net.records import Member, PatchRow
 from test.fakes import FakeNetwork
 
 
--- a/test/control/test_membership.py
+++ b/test/control/test_membership.py
@@ -13,12 +13,11 @@
     HostId,
     UpstreamId,
 )
-from acaciaspoke.net.messages import (
-    Ack,
+from acaciaspoke.net.messages import Ack, Ping
+from acaciaspoke.net.records import (
     LeavingNotice,
     Member,
     MemberState,
-    Ping,
     Suspicion,
 )
 from test.fakes import FakeNetwork
--- a/test/control/test_placement.py
+++ b/test/control/test_placement.py
@@ -18,7 +18,7 @@
 from acaciaspoke.control.moves import MoveKind, Reason
 from acaciaspoke.control.placement import plan
 from acaciaspoke.control.reservations import Line, LineState, Reservation
-from acaciaspoke.net.messages import UpstreamState
+from acaciaspoke.net.records import UpstreamState
 
 ROUNDS = 100
 
--- a/test/control/test_reservations.py
+++ b/test/control/test_reservations.py
@@ -22,7 +22,7 @@
     reserve_load,
     reserve_unload,
 )
-from acaciaspoke.net.messages import EngineReport, Resident
+from acaciaspoke.net.records import EngineReport, Resident
 from standins.repository import RefusedError, Repository
 
 MEMORY = 10
--- a/test/control/test_upstreams.py
+++ b/test/control/test_upstreams.py
@@ -20,16 +20,18 @@
 from acaciaspoke.net.messages import (
     Ack,
     ConnectionLost,
-    EngineReport,
-    LeavingNotice,
-    Load,
-    Member,
     Ping,
     PingRequest,
-    Resident,
     UpstreamLoads,
     UpstreamPull,
     UpstreamReports,
+)
+from acaciaspoke.net.records import (
+    EngineReport,
+    LeavingNotice,
+    Load,
+    Member,
+    Resident,
     UpstreamState,
     UpstreamView,
 )
--- a/test/entry/builders.py
+++ b/test/entry/builders.py
@@ -5,7 +5,7 @@
 from acaciaspoke.config.schema import Rank, Upstream
 from acaciaspoke.entry.request import Request
 from acaciaspoke.entry.routing import Fleet
-from acaciaspoke.net.messages import UpstreamState, UpstreamView
+from acaciaspoke.net.records import UpstreamState, UpstreamView
 
 _numbers = itertools.count(1)
 
--- a/test/entry/test_app.py
+++ b/test/entry/test_app.py
@@ -11,7 +11,8 @@
 from acaciaspoke.entry.errors import CallerError, ErrorType, Outcome
 from acaciaspoke.entry.parse import SERVICES_PREFIX
 from acaciaspoke.entry.process import EntryProcess
-from acaciaspoke.net.messages import ConfigPush, PatchRow
+from acaciaspoke.net.messages import ConfigPush
+from acaciaspoke.net.records import PatchRow
 from acaciaspoke.util.metrics import Metrics
 from acaciaspoke.util.server import HttpServer
 from test import virtualtime
--- a/test/entry/test_dispatch.py
+++ b/test/entry/test_dispatch.py
@@ -12,7 +12,8 @@
     Dropped,
 )
 from acaciaspoke.entry.errors import CallerError, ErrorType, Outcome
-from acaciaspoke.net.messages import FleetView, Suspicion
+from acaciaspoke.net.messages import FleetView
+from acaciaspoke.net.records import Suspicion
 from test.entry.builders import RANKS, request, view
 from test.entry.serving import config_for
 
--- a/test/entry/test_routing.py
+++ b/test/entry/test_routing.py
@@ -5,7 +5,7 @@
 from collections import Counter
 
 from acaciaspoke.entry.routing import choose_upstream
-from acaciaspoke.net.messages import UpstreamState
+from acaciaspoke.net.records import UpstreamState
 from test.entry.builders import fleet, request, view
 
 TWO_DOMAINS = {"u1": "d1", "u2": "d1", "u3": "d2"}
--- a/test/entry/test_suspects.py
+++ b/test/entry/test_suspects.py
@@ -13,7 +13,7 @@
     Suspects,
     Verdict,
 )
-from acaciaspoke.net.messages import Suspicion
+from acaciaspoke.net.records import Suspicion
 
 
 def crash(suspects, boot, *in_flight, now_s=0.0):
--- a/test/net/test_messages.py
+++ b/test/net/test_messages.py
@@ -12,11 +12,10 @@
     MessageError,
     SuspicionAck,
     SuspicionNotice,
-    UpstreamState,
-    UpstreamView,
     decode,
     encode,
 )
+from acaciaspoke.net.records import UpstreamState, UpstreamView
 
 ACK = encode(SuspicionAck(sequence=1))
 VIEW = UpstreamView(upstream="u", state=UpstreamState.LIVE, resident={"m": "1"})
--- a/test/report/sample.py
+++ b/test/report/sample.py
@@ -1,7 +1,8 @@
 """Test data for the reports."""
 
 from acaciaspoke.config.schema import Rank
-from acaciaspoke.net.messages import ServiceTrend, ServiceWindow, Windows
+from acaciaspoke.net.messages import Windows
+from acaciaspoke.net.records import ServiceTrend, ServiceWindow
 from acaciaspoke.report.burn import BurnMerger, Source
 from acaciaspoke.report.hdr import add_counts, encode_histogram, new_histogram
 from acaciaspoke.report.histograms import WINDOWS_S
--- a/test/report/test_status.py
+++ b/test/report/test_status.py
@@ -5,8 +5,8 @@
 import msgspec
 
 from acaciaspoke.config.schema import Config, Model, Upstream
-from acaciaspoke.net.messages import (
-    EntryHello,
+from acaciaspoke.net.messages import EntryHello
+from acaciaspoke.net.records import (
     Member,
     MemberState,
     UpstreamState,
--- a/test/ui/test_config.py
+++ b/test/ui/test_config.py
@@ -8,7 +8,9 @@
 
 from anyio import to_thread
 
-from acaciaspoke.config.store import ConfigConflict, LogRow, Submitted
+from acaciaspoke.config.errors import ConfigConflict
+from acaciaspoke.config.rows import LogRow
+from acaciaspoke.config.store import Submitted
 from acaciaspoke.control.admin import admin_app
 from acaciaspoke.errors import FieldError
 from acaciaspoke.ui import main
