--- a/acaciaspoke/control/fleet.py
+++ b/acaciaspoke/control/fleet.py
@@ -8,12 +8,7 @@
 import msgspec
 import xxhash
 
-from acaciaspoke.config.schema import (
-    Artifact,
-    Config,
-    ServiceKind,
-    artifact_of,
-)
+from acaciaspoke.config.schema import Artifact, Config, ServiceKind, artifact_of
 from acaciaspoke.control.demand import Rate
 from acaciaspoke.control.moves import Move, MoveKind
 from acaciaspoke.control.reservations import Line, LineState, Reservation
--- a/acaciaspoke/control/membership.py
+++ b/acaciaspoke/control/membership.py
@@ -11,11 +11,10 @@
 import random
 from collections.abc import Iterable
 
-import msgspec
-
 from acaciaspoke.control.contacts import PROBE_INTERVAL_S as CROSS_INTERVAL_S
 from acaciaspoke.control.contacts import Contacts
 from acaciaspoke.control.gossip import Updates
+from acaciaspoke.control.probes import Probe, Relay
 from acaciaspoke.control.view import (
     NOTICES_PER_MESSAGE,
     Gossip,
@@ -23,13 +22,7 @@
     View,
     precedence,
 )
-from acaciaspoke.ids import (
-    Address,
-    ConfigVersion,
-    DomainId,
-    HostId,
-    UpstreamId,
-)
+from acaciaspoke.ids import Address, ConfigVersion, DomainId, HostId, UpstreamId
 from acaciaspoke.net.messages import Ack, Outgoing, Ping, PingRequest
 from acaciaspoke.net.records import (
     LeavingNotice,
@@ -64,20 +57,6 @@
 JOINING_PROBES = 3
 
 
-class _Probe(msgspec.Struct):
-    host: HostId
-    sent_s: float
-    indirect: bool = False
-
-
-class _Relay(msgspec.Struct, frozen=True):
-    """A probe sent in the place of another member."""
-
-    address: Address
-    sequence: int
-    sent_s: float
-
-
 class Membership:
     """What one control process knows of its peers.
 
@@ -104,8 +83,8 @@
         self._contacts = Contacts(rng)
         # A random start keeps an answer to an earlier boot from matching.
         self._sequence = itertools.count(rng.getrandbits(48))
-        self._probes: dict[int, _Probe] = {}
-        self._relays: dict[int, _Relay] = {}
+        self._probes: dict[int, Probe] = {}
+        self._relays: dict[int, Relay] = {}
         self._round: list[HostId] = []
         self._sync_members = SYNC_BURST_MEMBERS
         # Notices from this host's own list, for the other domains.
@@ -274,7 +253,7 @@
         outgoing = []
         for target in self._next_of_round(JOINING_PROBES if joining else 1):
             sequence = next(self._sequence)
-            self._probes[sequence] = _Probe(target.host, now_s)
+            self._probes[sequence] = Probe(target.host, now_s)
             suspected = target.state is MemberState.SUSPECT
             about = target if suspected else None
             outgoing.append(self._ping(target.address, about, sequence))
@@ -363,7 +342,7 @@
         """Probes a member for another one."""
         self._view.apply(request.sender, now_s)
         sequence = next(self._sequence)
-        self._relays[sequence] = _Relay(
+        self._relays[sequence] = Relay(
             request.sender.address, request.sequence, now_s
         )
         return [self._ping(request.target, sequence=sequence)]
--- a/acaciaspoke/control/planning.py
+++ b/acaciaspoke/control/planning.py
@@ -24,9 +24,7 @@
     RowError,
     Written,
 )
-from acaciaspoke.control.reservations import (
-    RowFormatError,
-)
+from acaciaspoke.control.reservations import RowFormatError
 from acaciaspoke.control.residency import Residency
 from acaciaspoke.control.upstreams import Upstreams
 from acaciaspoke.ids import DomainId, UpstreamId
--- a/acaciaspoke/control/upstreams.py
+++ b/acaciaspoke/control/upstreams.py
@@ -7,20 +7,11 @@
 
 import itertools
 import random
-from collections import deque
 from collections.abc import Iterable, Mapping
 
-import msgspec
-import xxhash
-
 from acaciaspoke.config.schema import Upstream
-from acaciaspoke.ids import (
-    ArtifactName,
-    BootId,
-    DomainId,
-    HostId,
-    UpstreamId,
-)
+from acaciaspoke.control.knownupstream import KnownUpstream, content_hash
+from acaciaspoke.ids import ArtifactName, DomainId, HostId, UpstreamId
 from acaciaspoke.net.messages import ConnectionLost, FleetView
 from acaciaspoke.net.records import (
     EngineReport,
@@ -51,54 +42,10 @@
 # More hosts than this that join at once, as after a start, are ranked later.
 FEW_JOINED = 8
 
-# Boots of one upstream that are known to be over.
-KEPT_BOOTS = 8
 
 FLEET_VIEW_UPSTREAMS = 256
 
 
-def content_hash(boot_id: BootId, resident: Mapping[ArtifactName, str]) -> int:
-    """Returns the hash in ``Load``."""
-    content = msgspec.msgpack.encode((boot_id, sorted(resident.items())))
-    return xxhash.xxh32_intdigest(content)
-
-
-class _Known(msgspec.Struct):
-    """One upstream.
-
-    Attributes:
-        taken_s: When the newest report was taken, by the local clock.
-        doubted_s: When it was last doubted; only a later report ends that.
-        report: The newest report that this process polled itself.
-        pollers: The hosts that poll it, the first of which passes it on.
-        changed: Raised with each change, for entry processes.
-    """
-
-    config: Upstream
-    machine: Machine[UpstreamState]
-    poll_due_s: float
-    boot_id: BootId = BootId("")
-    sequence: int = 0
-    running: int = 0
-    waiting: int = 0
-    resident: dict[ArtifactName, str] = {}
-    content_hash: int = 0
-    taken_s: float = float("-inf")
-    doubted_s: float = float("-inf")
-    report: EngineReport | None = None
-    ended_boots: deque[BootId] = msgspec.field(
-        default_factory=lambda: deque(maxlen=KEPT_BOOTS)
-    )
-    pollers: tuple[str, ...] = ()
-    changed: int = 0
-
-    def is_newer(self, boot_id: BootId, sequence: int, taken_s: float) -> bool:
-        """Tells whether a report is newer than the one held."""
-        if boot_id == self.boot_id:
-            return sequence > self.sequence
-        return boot_id not in self.ended_boots and taken_s > self.taken_s
-
-
 class Upstreams:
     """The upstreams of all failure domains, as one host knows them."""
 
@@ -106,7 +53,7 @@
         self._host = host
         self._domain = domain
         self._rng = rng
-        self._known: dict[UpstreamId, _Known] = {}
+        self._known: dict[UpstreamId, KnownUpstream] = {}
         self._leaving: dict[UpstreamId, bool] = {}
         self._hosts: list[HostId] = [host]
         # The upstreams whose pollers have to be ranked, and those that this
@@ -139,7 +86,7 @@
             if known is None or known.config.address != config.address:
                 machine = Machine("upstream", UpstreamState)
                 due_s = now_s + self._rng.uniform(0, POLL_INTERVAL_S)
-                self._known[upstream] = _Known(config, machine, due_s)
+                self._known[upstream] = KnownUpstream(config, machine, due_s)
                 self._list(upstream)
                 self._mark(upstream)
                 if config.failure_domain == self._domain:
--- a/acaciaspoke/report/burn.py
+++ b/acaciaspoke/report/burn.py
@@ -14,13 +14,7 @@
 import msgspec
 
 from acaciaspoke.config.schema import Rank
-from acaciaspoke.ids import (
-    Address,
-    ConfigVersion,
-    HostId,
-    RankId,
-    ServiceId,
-)
+from acaciaspoke.ids import Address, ConfigVersion, HostId, RankId, ServiceId
 from acaciaspoke.net.messages import Windows
 from acaciaspoke.net.records import ServiceTrend, ServiceWindow
 from acaciaspoke.report.hdr import (
--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -5,15 +5,7 @@
 
 import click
 
-from bench import (
-    chart_cost,
-    gossip,
-    idle,
-    plan_cost,
-    recording,
-    relay,
-    reports,
-)
+from bench import chart_cost, gossip, idle, plan_cost, recording, relay, reports
 from bench.result import Result
 from test.known_red import known_red
 
--- a/test/control/test_orders.py
+++ b/test/control/test_orders.py
@@ -9,12 +9,7 @@
 from loguru import logger
 
 from acaciaspoke.config.schema import Artifact, Upstream
-from acaciaspoke.control.orders import (
-    EPOCH_SHIFT,
-    Outcome,
-    Target,
-    Verb,
-)
+from acaciaspoke.control.orders import EPOCH_SHIFT, Outcome, Target, Verb
 from acaciaspoke.control.reservation_rows import (
     LeaseLostError,
     RowUnknownError,
--- a/test/control/test_upstreams.py
+++ b/test/control/test_upstreams.py
@@ -5,9 +5,10 @@
 
 from acaciaspoke.config.schema import Upstream
 from acaciaspoke.control.hostlist import LIST_LAG_S, HostListWatch
+from acaciaspoke.control.knownupstream import content_hash
 from acaciaspoke.control.membership import Membership
 from acaciaspoke.control.reports import ReportSpread
-from acaciaspoke.control.upstreams import Upstreams, content_hash
+from acaciaspoke.control.upstreams import Upstreams
 from acaciaspoke.ids import (
     Address,
     ArtifactName,
--- a/test/entry/test_claims.py
+++ b/test/entry/test_claims.py
@@ -18,10 +18,7 @@
     read_row,
     sweep_step,
 )
-from acaciaspoke.entry.claims import (
-    DISPATCH_WITHIN_S,
-    Claims,
-)
+from acaciaspoke.entry.claims import DISPATCH_WITHIN_S, Claims
 from acaciaspoke.entry.claimtypes import (
     AlreadyClaimed,
     AnswerNotKept,
--- a/test/net/test_mailbox.py
+++ b/test/net/test_mailbox.py
@@ -6,11 +6,7 @@
 import anyio
 import pynng
 
-from acaciaspoke.net.mailbox import (
-    SEND_QUEUE_MESSAGES,
-    Mailbox,
-    MailboxError,
-)
+from acaciaspoke.net.mailbox import SEND_QUEUE_MESSAGES, Mailbox, MailboxError
 from acaciaspoke.net.messages import SuspicionAck
 from test.builders import next_address
 
--- a/test/processes/test_not_run.py
+++ b/test/processes/test_not_run.py
@@ -11,13 +11,7 @@
 from standins.deployment import Shape
 from standins.documents import RANKS
 from test.processes import deployments
-from test.processes.deployments import (
-    at_once,
-    book,
-    chat,
-    error,
-    new_caller_id,
-)
+from test.processes.deployments import at_once, book, chat, error, new_caller_id
 
 SEED = 20261204
 REQUESTS = 300
