Define the fencing token's layout once; refuse leases below 6 s

Lease and orders each had a shift of their own for the epoch (24 and 32 bits). A lease_s below the renewals' interval of 3 s made the lease lapse all the time (epoch 10 after 25 s); settings now refuse less than 6 s.

--- a/acaciaspoke/control/lease.py
+++ b/acaciaspoke/control/lease.py
@@ -43,8 +43,10 @@
 # Keeps candidates that saw the same expiry from all writing at once.
 TAKE_JITTER_S = 0.5
 
-# Tokens stay below 2**53, which every JSON reader handles as an integer.
-COUNTER_BITS = 24
+# The epoch is the upper part of a fencing token, so that every token of a new
+# holder is above all tokens of the former ones. Up to epoch 2**21 tokens stay
+# below 2**53, which every JSON reader handles as an integer.
+EPOCH_SHIFT = 32
 
 KEPT_ATTEMPTS = 32
 
@@ -196,10 +198,10 @@
             LeaseError: If the epoch has no tokens left.
         """
         self._require_held(now_s)
-        if self._counter + 1 >> COUNTER_BITS:
+        if self._counter + 1 >> EPOCH_SHIFT:
             raise LeaseError(f"epoch {self._epoch} has no tokens left")
         self._counter += 1
-        return FencingToken(self._epoch << COUNTER_BITS | self._counter)
+        return FencingToken(self._epoch << EPOCH_SHIFT | self._counter)
 
     def _require_held(self, now_s: float) -> None:
         if not self.is_held(now_s):
--- a/acaciaspoke/control/orders.py
+++ b/acaciaspoke/control/orders.py
@@ -17,6 +17,7 @@
 
 from acaciaspoke.config.schema import Artifact, Upstream
 from acaciaspoke.control.engine_link import EngineLink, open_link
+from acaciaspoke.control.lease import EPOCH_SHIFT
 from acaciaspoke.control.reservation_rows import (
     HeldLease,
     LeaseLostError,
@@ -37,10 +38,6 @@
 from acaciaspoke.ids import FencingToken, OrderId, UpstreamId
 from acaciaspoke.net.records import EngineReport
 
-# The lease's epoch is the upper part of a fencing token, so that every token
-# of a new holder is above all tokens of the former ones.
-EPOCH_SHIFT = 32
-
 # An order that meets a conflict or a closed connection this often is left to
 # the next plan.
 ATTEMPTS = 3
--- a/acaciaspoke/settings.py
+++ b/acaciaspoke/settings.py
@@ -80,7 +80,8 @@
     mailbox: Address
     seeds: tuple[Address, ...] = ()
     admin_token_sha256: Annotated[str, Meta(pattern=r"^([0-9a-f]{64})?$")] = ""
-    lease_s: Duration = 10.0
+    # Twice the interval of renewals; a shorter lease would lapse between them.
+    lease_s: Annotated[float, Meta(ge=6, le=300)] = 10.0
 
 
 class Settings(_Base):
