--- a/test/control/test_lease.py
+++ b/test/control/test_lease.py
@@ -7,6 +7,7 @@
 import anyio
 
 from acaciaspoke.control.lease import (
+    EPOCH_SHIFT,
     Lease,
     LeaseState,
     NotHolder,
@@ -145,7 +146,7 @@
             await anyio.sleep(0.1)
             self.assertTrue(holder.held)
         token = holder.lease.next_token(anyio.current_time())
-        self.assertEqual(token >> 24, 1)
+        self.assertEqual(token >> EPOCH_SHIFT, 1)
 
     @with_hosts(1)
     async def test_acquisition_found_too_late(self, table, hosts):
@@ -158,7 +159,7 @@
         self.assertFalse(hosts[0].held)
         holder = await the_holder(hosts, 60)
         token = holder.lease.next_token(anyio.current_time())
-        self.assertEqual(token >> 24, 2)
+        self.assertEqual(token >> EPOCH_SHIFT, 2)
 
     @with_hosts(1, write_s=4.0)
     async def test_validity_counts_from_sending(self, table, hosts):
