Answer at once after a silent upstream when no other one is left

Cause: a request that timed out waited for its deadline although the only holder of its model was the one it had tried. Ruled out: a connection that was not given back.

Change: as after a refusal, the caller gets its error at once.

--- a/acaciaspoke/entry/exchange.py
+++ b/acaciaspoke/entry/exchange.py
@@ -172,9 +172,7 @@
     def _would_help(
         self, result: Attempt, request: Request, tried: set[BootId]
     ) -> bool:
-        if result.ending in (Ending.REFUSED, Ending.MISMATCHED):
-            # Such upstreams stay as they are. Without another one the request
-            # would wait for its deadline.
+        if result.ending in _STAYS_AS_IT_IS:
             return self._dispatcher.has_untried(request, tried)
         return result.ending is not Ending.UNUSABLE
 
@@ -335,6 +333,11 @@
     return max(reached, len(exchanges) - reached)
 
 
+# After these an upstream is not doubted and has the same boot, so that waiting
+# for it to be tried again would be in vain.
+_STAYS_AS_IT_IS = frozenset(
+    [Ending.REFUSED, Ending.MISMATCHED, Ending.TIMED_OUT]
+)
 _CALLERS_FAULT = frozenset(
     [ErrorType.NOT_FOUND, ErrorType.KEY_REUSED, ErrorType.KEY_IN_USE]
 )
