Keep the rank of demand while nothing waits; keep pairs of urgent models

Cause: the sum of demand took an artifact's rank only from requests that wait at that moment; without any, the rank was 0.

Change: the board remembers the most urgent rank; the second copy of a model has a cost by rank, as the last one has. Tests failed before: test_priority_is_known_while_nothing_waits, test_pair_of_a_silent_urgent_model_stays.

--- a/acaciaspoke/gateway/demand.py
+++ b/acaciaspoke/gateway/demand.py
@@ -22,6 +22,9 @@
 # A rate is not extrapolated from less than this, as one request is no trend.
 MIN_RATE_AGE_S = 1.0
 
+# Rank of an artifact that nobody has asked for.
+LEAST_URGENT = 9
+
 # What a host said counts for so long.
 DIGEST_MAX_AGE_S = 1.0
 
@@ -76,6 +79,8 @@
     def __init__(self, service: ServiceId, now_s: float):
         self.service = service
         self.last_s = now_s
+        # Of the most urgent request so far, as hosts told.
+        self.priority = LEAST_URGENT
         self.requests = _Rate(now_s)
         self.tokens = _Rate(now_s)
 
@@ -126,6 +131,7 @@
             if trend is None:
                 trend = _Trend(item.service, now_s)
                 self._trends[item.artifact] = trend
+            trend.priority = min(trend.priority, item.priority)
             trend.add(
                 max(0, now.arrivals - before.arrivals),
                 max(0, now.prompt_tokens - before.prompt_tokens),
@@ -136,23 +142,19 @@
         """Returns the demand for each artifact."""
         waiting: Counter[Artifact] = Counter()
         oldest: dict[Artifact, float] = {}
-        priority: dict[Artifact, int] = {}
         for digest in self._fresh(now_s):
             for item in digest.demand:
                 if item.waiting:
                     name = item.artifact
                     waiting[name] += item.waiting
                     oldest[name] = max(oldest.get(name, 0.0), item.oldest_s)
-                    priority[name] = min(
-                        priority.get(name, item.priority), item.priority
-                    )
         return {
             artifact: Want(
                 service=trend.service,
                 artifact=artifact,
                 arrivals=0,
                 waiting=waiting[artifact],
-                priority=priority.get(artifact, 0),
+                priority=trend.priority,
                 oldest_s=oldest.get(artifact, 0.0),
                 rate_per_s=trend.requests.at(now_s),
                 tokens_per_s=trend.tokens.at(now_s),
--- a/acaciaspoke/gateway/owndemand.py
+++ b/acaciaspoke/gateway/owndemand.py
@@ -3,13 +3,11 @@
 from collections import Counter
 from collections.abc import Iterable
 
+from acaciaspoke.gateway.demand import LEAST_URGENT
 from acaciaspoke.gateway.messages import ArtifactDemand
 from acaciaspoke.gateway.types import Artifact, Request
 from acaciaspoke.ids import ServiceId
 
-# Rank of an artifact that nobody has asked for.
-LEAST_URGENT = 9
-
 # Demand for an artifact is remembered for so long after the last request, and
 # reported each time for a short while, so that reports stay small.
 DEMAND_KEPT_S = 120.0
--- a/acaciaspoke/gateway/placement.py
+++ b/acaciaspoke/gateway/placement.py
@@ -7,7 +7,7 @@
 
 import math
 from collections import Counter, defaultdict
-from collections.abc import Callable, Iterable, Iterator, Mapping
+from collections.abc import Callable, Iterable, Iterator, Mapping, Sequence
 from typing import Any
 
 from acaciaspoke.gateway.demand import Want
@@ -72,6 +72,11 @@
 # several copies were placed where demand is expected.
 UNKNOWN_PAIR_COST_PER_S = 1.5
 
+# Cost of unloading the second copy for each second of a load, by the most
+# urgent priority that asked for it. Demand for urgent work moves back to models
+# that have become silent, and one copy is soon full or out of reach.
+PAIR_COSTS_PER_S = (0.75, 0.5, 0.0)
+
 # Gain of loading a model that nobody has asked for yet, a second of its load.
 PRELOAD_GAIN_PER_S = 0.7
 
@@ -150,12 +155,23 @@
         )
 
     def _last_copy_cost(self, model: ModelId) -> float:
+        return self._by_priority(
+            model, LAST_COPY_COSTS_PER_S, UNKNOWN_COPY_COST_PER_S
+        )
+
+    def _pair_cost(self, model: ModelId) -> float:
+        return self._by_priority(
+            model, PAIR_COSTS_PER_S, UNKNOWN_PAIR_COST_PER_S
+        )
+
+    def _by_priority(
+        self, model: ModelId, costs_per_s: Sequence[float], unknown: float
+    ) -> float:
         load_s = self._terms.models[model].load_s
         priority = self.priority.get(model)
         if priority is None:
-            return UNKNOWN_COPY_COST_PER_S * load_s
-        rank = min(priority, len(LAST_COPY_COSTS_PER_S) - 1)
-        return LAST_COPY_COSTS_PER_S[rank] * load_s
+            return unknown * load_s
+        return costs_per_s[min(priority, len(costs_per_s) - 1)] * load_s
 
     def paging_cost(self, engine: EngineView, move_s: float) -> float:
         """Returns what it costs that an engine takes no adapters for a time."""
@@ -229,10 +245,9 @@
                 return math.inf
             cost += LAST_COPY_COST * weight * self.rate[model]
             return cost + self._last_copy_cost(model)
+        if len(others) == 1:
+            cost += self._pair_cost(model)
         if model not in self.priority:
-            if len(others) == 1:
-                load_s = self._terms.models[model].load_s
-                cost += UNKNOWN_PAIR_COST_PER_S * load_s
             return cost
         demand = self.demand(model)
         load = sum(one.running.total() for one in others)
--- a/test/gateway/test_demand.py
+++ b/test/gateway/test_demand.py
@@ -15,10 +15,10 @@
         self.board = DemandBoard()
         self.sequence = 0
 
-    def _take(self, arrivals, now_s, tokens=0):
+    def _take(self, arrivals, now_s, tokens=0, priority=0):
         self.sequence += 1
         item = ArtifactDemand(
-            SERVICE, artifact("m1"), arrivals, 0, 0, 0.0, tokens
+            SERVICE, artifact("m1"), arrivals, 0, priority, 0.0, tokens
         )
         self.board.take(
             DemandDigest(
@@ -52,3 +52,12 @@
         for tenth in range(1, 16):
             self._take(30 + tenth, 30 + tenth / 10)
         self.assertAlmostEqual(10.0, self._want(31.5).rate_per_s, delta=2.0)
+
+    def test_priority_is_known_while_nothing_waits(self):
+        # Models of the least urgent work counted as the most urgent ones
+        # whenever none of their requests waited, and kept their copies.
+        self._take(1, 0.0, priority=2)
+        self.assertEqual(2, self._want(0.1).priority)
+        self._take(2, 0.2, priority=1)
+        self._take(3, 0.3, priority=2)
+        self.assertEqual(1, self._want(0.4).priority)
--- a/test/gateway/test_placement.py
+++ b/test/gateway/test_placement.py
@@ -190,6 +190,26 @@
         (move,) = plan_models(engines, demand, self.SLOW, 5, 0.0)
         self.assertEqual((artifact("m2"), "m5"), (move[2], move.room_for))
 
+    def test_pair_of_a_silent_urgent_model_stays(self):
+        # Its second copy made way for any request, and after the next shift
+        # half of its callers waited for a load.
+        engines = [engine("u1", "m1", "m2", "m3"), engine("u2", "m1", "m2")]
+        demand = wants(
+            *(want(artifact(m)) for m in ("m1", "m2")),
+            want(artifact("m3"), priority=2),
+            want(artifact("m5"), waiting=2, oldest_s=3.0, priority=2),
+        )
+        engines[1].models[ModelId("m4")] = -100.0
+        moves = plan_models(
+            engines,
+            demand | wants(want(artifact("m4"), priority=2)),
+            self.SLOW,
+            5,
+            0.0,
+        )
+        self.assertEqual(1, len(moves))
+        self.assertIn(moves[0].artifact.model, ("m3", "m4"))
+
 
 class AdapterTest(unittest.TestCase):
     """Adapters are asked for that no engine holds."""
