Import only the module of the command that runs

Cause: each gateway imported the reports and their histogram library, which only operator commands use; memory at its peak is charged. Change: commands are looked up by name. Ruled out: reading the lease's chart without its library (about 2 MB), as the charts stay data that the code interprets.

--- a/acaciaspoke/ui/__init__.py
+++ b/acaciaspoke/ui/__init__.py
@@ -1,28 +1,51 @@
 """The command line: one module per group of subcommands."""
 
+import importlib
 import sys
 
 import click
 
 from acaciaspoke.errors import UserError
-from acaciaspoke.ui import config, report, serve, trace
 
-
-@click.group()
+# The commands and the modules that define them.
+_MODULES = {
+    "config": "config",
+    "control": "serve",
+    "entry": "serve",
+    "gateway": "serve",
+    "report": "report",
+    "settings": "serve",
+    "status": "report",
+    "trace": "trace",
+}
+
+
+class _Commands(click.Group):
+    """Imports only the module of the command that is run.
+
+    The processes stay in memory for as long as a host runs, and memory is
+    charged.
+    """
+
+    def list_commands(self, context: click.Context) -> list[str]:
+        """Returns the names of all commands."""
+        return sorted(_MODULES)
+
+    def get_command(
+        self, context: click.Context, name: str
+    ) -> click.Command | None:
+        """Returns a command, or None if there is none of that name."""
+        if name not in _MODULES:
+            return None
+        module = importlib.import_module(f"acaciaspoke.ui.{_MODULES[name]}")
+        return getattr(module, name)
+
+
+@click.group(cls=_Commands)
 def commands() -> None:
     """Serves many models on fewer accelerators."""
 
 
-commands.add_command(config.config)
-commands.add_command(report.report)
-commands.add_command(report.status)
-commands.add_command(serve.control)
-commands.add_command(serve.entry)
-commands.add_command(serve.gateway)
-commands.add_command(serve.settings)
-commands.add_command(trace.trace)
-
-
 def main(arguments: list[str] | None = None) -> None:
     """Runs a command; prints a ``UserError`` as one line and exits with 1."""
     try:
