Let the last holder of the lease compete for it after an outage

Another host took it 1.8 s after the store's return and had to be silent for 3 s: no orders for 12.4 s, 7.6 s of them the outage.

Ruled out: that the former holder could not reach the store; it reached it in the same tenth of a second.

Change: competes() lets the last holder compete wherever it ranks.

--- a/acaciaspoke/gateway/leader.py
+++ b/acaciaspoke/gateway/leader.py
@@ -3,7 +3,7 @@
 import random
 import time
 from collections import Counter
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 
 import anyio
 from loguru import logger
@@ -39,10 +39,14 @@
 )
 from acaciaspoke.platform.engine import OrderAction
 from acaciaspoke.util.clock import boot_time_s
+from acaciaspoke.util.rendezvous import rank_by_link
 
 # One holder gives the orders to all engines of the deployment.
 LEASE_SCOPE = DomainId("engines")
 
+# Hosts that compete for the lease when nobody holds it.
+LEASE_CANDIDATES = 3
+
 # A holder that is away is replaced after this time and the silence that the
 # platform asks for between two holders.
 LEASE_S = 1.6
@@ -85,6 +89,24 @@
 SILENCE_MARGIN_S = ORDER_TIMEOUT_S
 
 
+def competes(
+    own: HostId, last_holder: HostId | None, links_mbps: Mapping[HostId, float]
+) -> bool:
+    """Tells whether a host should try to take a lease that nobody holds.
+
+    The last holder always does: after an outage of the store it may give orders
+    at once, another one only after the silence between two holders.
+
+    Args:
+        own: The host.
+        last_holder: The holder that the row of the lease names.
+        links_mbps: The live hosts, with what their links carry.
+    """
+    return own == last_holder or own in rank_by_link(
+        "lease", links_mbps, LEASE_CANDIDATES
+    )
+
+
 class Leader:
     """The part of a gateway that may give orders to engines."""
 
--- a/acaciaspoke/gateway/process.py
+++ b/acaciaspoke/gateway/process.py
@@ -23,7 +23,7 @@
     feed_wait_s,
     pause_s,
 )
-from acaciaspoke.gateway.leader import Leader
+from acaciaspoke.gateway.leader import Leader, competes
 from acaciaspoke.gateway.loadexchange import LoadExchange
 from acaciaspoke.gateway.messages import (
     DemandDigest,
@@ -64,7 +64,6 @@
 from acaciaspoke.util.drain import Drain, stop_on_signals
 from acaciaspoke.util.log import LogWriter
 from acaciaspoke.util.net import split_address
-from acaciaspoke.util.rendezvous import rank_by_link
 from acaciaspoke.util.server import HttpServer
 
 STORE_TIMEOUT_S = 1.0
@@ -75,9 +74,6 @@
 # The holder of the lease is away if no notice of it came for so long.
 LEADER_MAX_AGE_S = 0.8
 
-# Hosts that compete for the lease when nobody holds it.
-LEASE_CANDIDATES = 3
-
 # When all hosts start for the first time, each knows the others after this;
 # before, all of them would compete.
 FIRST_START_S = 1.5
@@ -380,9 +376,8 @@
         for host in self._loads.live(now_s):
             row = self._peers.rows.get(host)
             links_mbps[host] = row.link_mbps if row else 0.0
-        return self._settings.host_id in rank_by_link(
-            "lease", links_mbps, LEASE_CANDIDATES
-        )
+        last_holder = self._leader.lease.holder
+        return competes(self._settings.host_id, last_holder, links_mbps)
 
     def _make_followers(self) -> dict[str, TableFollower]:
         takes = {
