Write what libraries log as lines of the same form, without blocking

Cause: the server logs by the standard library, which without any handler writes plain text to standard error at once. Ruled out: the server's own log settings (off already). Change: set_up_logs takes warnings and worse of libraries into the queue of log lines. Its test failed before.

--- a/acaciaspoke/util/log.py
+++ b/acaciaspoke/util/log.py
@@ -7,6 +7,7 @@
 
 import atexit
 import collections
+import logging
 import sys
 import threading
 import time
@@ -109,6 +110,21 @@
     return _encoder.encode(line).decode() + "\n"
 
 
+class LibraryLogs(logging.Handler):
+    """Takes what libraries log by the standard library into these logs.
+
+    By default it would be written to standard error at once, as plain text, and
+    could block the process.
+    """
+
+    def emit(self, record: logging.LogRecord) -> None:
+        """Logs a record under its library's name."""
+        entry = logger.patch(lambda found: found.update(name=record.name))
+        entry.opt(exception=record.exc_info).log(
+            record.levelname, "{}", record.getMessage()
+        )
+
+
 def set_up_logs(level: str, **fields: str) -> LogWriter:
     """Writes JSON lines to standard output, each with ``fields``."""
     writer = LogWriter()
@@ -121,5 +137,8 @@
     # The values of variables could hold callers' text, so they stay out.
     logger.add(sink, level=level.upper(), format="{message}", diagnose=False)
     logger.configure(extra=fields)
+    logging.basicConfig(
+        handlers=[LibraryLogs()], level=logging.WARNING, force=True
+    )
     atexit.register(writer.flush)
     return writer
--- a/test/util/test_log.py
+++ b/test/util/test_log.py
@@ -1,11 +1,21 @@
 """Tests of acaciaspoke.util.log."""
 
+import json
+import subprocess
+import sys
 import threading
 import time
 import unittest
 
 from acaciaspoke.util.log import MAX_LINES_PER_S, MAX_QUEUED_LINES, LogWriter
 
+_LOG_BY_LIBRARY = """
+import logging
+from acaciaspoke.util.log import set_up_logs
+set_up_logs("info", host="h1")
+logging.getLogger("uvicorn.error").error("an answer of %s", "theirs")
+"""
+
 
 class LogWriterTest(unittest.TestCase):
 
@@ -30,3 +40,20 @@
         self.assertLessEqual(text.count("\n"), 2 * MAX_LINES_PER_S + 2)
         self.assertIn("warning\n", text)
         self.assertIn("log lines dropped", text)
+
+
+class LibraryLogsTest(unittest.TestCase):
+
+    def test_libraries_log_lines_of_the_same_form(self):
+        # The server's errors went to standard error, as plain text.
+        ran = subprocess.run(
+            [sys.executable, "-c", _LOG_BY_LIBRARY],
+            capture_output=True,
+            check=True,
+            text=True,
+        )
+        self.assertEqual("", ran.stderr)
+        line = json.loads(ran.stdout)
+        self.assertEqual("uvicorn.error", line["module"])
+        self.assertEqual("an answer of theirs", line["message"])
+        self.assertEqual(("ERROR", "h1"), (line["level"], line["host"]))
