Change adapters in one step; plan as often with many hosts as with few

A change of an adapter took two plans, one for the unload and one for the load, and with many hosts plans had been made each 40 ms at most since the messages were thinned.

Change: the load follows the unload at once, if the engine has said that the unload holds; plans are limited by what they take only, notices of news still to one in 40 ms.

--- a/acaciaspoke/gateway/engineview.py
+++ b/acaciaspoke/gateway/engineview.py
@@ -51,6 +51,7 @@
 
     Attributes:
         room_for: The model that an unload makes room for.
+        then_load: The adapter to load as soon as another one is unloaded.
     """
 
     upstream: UpstreamId
@@ -58,6 +59,7 @@
     artifact: Artifact
     reason: str
     room_for: ModelId | None = None
+    then_load: Artifact | None = None
 
 
 def free_mb(engine: EngineView, terms: EngineTerms) -> float:
--- a/acaciaspoke/gateway/follow.py
+++ b/acaciaspoke/gateway/follow.py
@@ -9,7 +9,6 @@
 
 from acaciaspoke.clients.table import TableUnavailable
 from acaciaspoke.gateway.metrics import GatewayMetrics
-from acaciaspoke.gateway.rowrelay import READER_PAUSE_SHARE, READER_WAIT_SHARE
 from acaciaspoke.platform.store import (
     HOSTS_TABLE,
     OPERATOR_TABLE,
@@ -42,6 +41,11 @@
 # left alone.
 MAX_PAUSE_SHARE = 0.5
 
+# The same of a host that reads the upstreams' table for others: its pause, and
+# how long its calls wait, so that the others know how old its answer is.
+READER_PAUSE_SHARE = 1 / 6
+READER_WAIT_SHARE = 1 / 4
+
 # A host that hears of a newer configuration for so long reads it again. The
 # wait doubles each time: over a slow link, reading takes longer than the first.
 BEHIND_S = 0.3
--- a/acaciaspoke/gateway/leader.py
+++ b/acaciaspoke/gateway/leader.py
@@ -59,16 +59,15 @@
 MIN_PLAN_INTERVAL_S = 0.01
 MAX_PLAN_INTERVAL_S = 0.2
 
-# With many hosts each order is told to all of them, and demand comes from all:
-# plans and notices are made this often at most.
-MANY_HOSTS_PLAN_INTERVAL_S = 0.04
-
 # A plan is followed by a pause of so many times what it took, which leaves the
 # core to the requests of a host that plans for many engines.
 PLAN_PAUSES = 2.0
 
 NOTICE_INTERVAL_S = 0.2
 
+# With many hosts news goes to all of them, so it is told this often at most.
+MANY_HOSTS_NEWS_INTERVAL_S = 0.04
+
 # News of a loaded artifact is repeated for so long; then the engine's own
 # record has it.
 NEWS_S = 1.5
@@ -267,20 +266,18 @@
         """Plans and orders while the lease is held."""
         async with self._orders, anyio.create_task_group() as tasks:
             while True:
-                with anyio.move_on_after(MAX_PLAN_INTERVAL_S):
+                with anyio.move_on_after(
+                    MANY_HOSTS_NEWS_INTERVAL_S
+                    if self._has_news
+                    else MAX_PLAN_INTERVAL_S
+                ):
                     await self._wake.wait()
                 self._wake = anyio.Event()
                 began_s = time.monotonic()
                 if self.holds_lease and self._configuration is not None:
                     self._guarded_step(tasks)
                 pause_s = PLAN_PAUSES * (time.monotonic() - began_s)
-                await anyio.sleep(max(self._min_plan_interval_s, pause_s))
-
-    @property
-    def _min_plan_interval_s(self) -> float:
-        if self._repeats_news():
-            return MIN_PLAN_INTERVAL_S
-        return MANY_HOSTS_PLAN_INTERVAL_S
+                await anyio.sleep(max(MIN_PLAN_INTERVAL_S, pause_s))
 
     def _guarded_step(self, tasks: anyio.abc.TaskGroup) -> None:
         try:
@@ -380,8 +377,13 @@
 
     # News.
 
+    def _may_tell_news(self, now_s: float) -> bool:
+        if not self._has_news or self._repeats_news():
+            return self._has_news
+        return now_s >= self._noticed_s + MANY_HOSTS_NEWS_INTERVAL_S
+
     def _send_notice(self, now_s: float) -> None:
-        if now_s < self._notice_due_s and not self._has_news:
+        if now_s < self._notice_due_s and not self._may_tell_news(now_s):
             return
         # Notices may be lost, so that what is new is said again.
         since_s = now_s - NEWS_S
--- a/acaciaspoke/gateway/loadexchange.py
+++ b/acaciaspoke/gateway/loadexchange.py
@@ -166,6 +166,19 @@
         silent = {*self._silent, self._own}
         return [host for host in self._peers.rows if host not in silent]
 
+    def live_links_mbps(self, now_s: float) -> dict[HostId, float]:
+        """Returns the other hosts that are alive, with their links."""
+        rows = self._peers.rows
+        return {
+            host: rows[host].link_mbps if host in rows else 0.0
+            for host in self.live(now_s)
+        }
+
+    @property
+    def is_reader(self) -> bool:
+        """Whether this host has no other one as its aggregator."""
+        return self.aggregator in (None, self._own)
+
     def members(self) -> list[HostId]:
         """Returns the other hosts that have this one as aggregator."""
         members = self._aggregator.members(self._clock())
--- a/acaciaspoke/gateway/orders.py
+++ b/acaciaspoke/gateway/orders.py
@@ -133,43 +133,52 @@
             check_after_s: When to ask whether a model order was carried out.
         """
         try:
-            order = Order(
-                move.action,
-                move.artifact,
-                ledger.seq,
-                self._holder,
-                self._next_token(),
-            )
-            result = await send_order(
-                self._client(ledger), move.upstream, order
-            )
-            self._metrics.orders.labels(move.action.value, result.value).inc()
-            now_s = time.monotonic()
-            logger.info(
-                "order to {} {} {}: {}",
-                move.upstream,
-                move.action.value,
-                move.artifact,
-                result.value,
-                reason=move.reason,
-                seq=order.expected_seq,
-                token=order.token,
-            )
-            ledger.take_result(move, result, now_s)
-            if ledger.moving is move:
-                ledger.ask_due_s = now_s + check_after_s
-            elif result is OrderResult.UNKNOWN:
-                ledger.ask_due_s = now_s + ASK_AGAIN_S
-            if (
-                move.artifact.adapter is not None
-                and move.action is OrderAction.LOAD
-                and result is OrderResult.ACCEPTED
-            ):
-                await anyio.sleep(ADAPTER_LOAD_S)
+            result = await self._send(ledger, move, check_after_s)
+            if move.then_load and result is OrderResult.HOLDS_ALREADY:
+                load = Move(
+                    move.upstream, OrderAction.LOAD, move.then_load, "room made"
+                )
+                await self._send(ledger, load, check_after_s)
         finally:
             ledger.is_busy = False
             self._changed()
 
+    async def _send(
+        self, ledger: EngineLedger, move: Move, check_after_s: float
+    ) -> OrderResult:
+        order = Order(
+            move.action,
+            move.artifact,
+            ledger.seq,
+            self._holder,
+            self._next_token(),
+        )
+        result = await send_order(self._client(ledger), move.upstream, order)
+        self._metrics.orders.labels(move.action.value, result.value).inc()
+        now_s = time.monotonic()
+        logger.info(
+            "order to {} {} {}: {}",
+            move.upstream,
+            move.action.value,
+            move.artifact,
+            result.value,
+            reason=move.reason,
+            seq=order.expected_seq,
+            token=order.token,
+        )
+        ledger.take_result(move, result, now_s)
+        if ledger.moving is move:
+            ledger.ask_due_s = now_s + check_after_s
+        elif result is OrderResult.UNKNOWN:
+            ledger.ask_due_s = now_s + ASK_AGAIN_S
+        if (
+            move.artifact.adapter is not None
+            and move.action is OrderAction.LOAD
+            and result is OrderResult.ACCEPTED
+        ):
+            await anyio.sleep(ADAPTER_LOAD_S)
+        return result
+
     def _client(self, ledger: EngineLedger) -> HttpClient:
         name = ledger.record.upstream
         client = self._clients.get(name)
--- a/acaciaspoke/gateway/paging.py
+++ b/acaciaspoke/gateway/paging.py
@@ -70,7 +70,11 @@
         victim = _idle_adapter(engine, wants)
         if victim is not None:
             return Move(
-                engine.name, OrderAction.UNLOAD, victim, f"for {artifact}"
+                engine.name,
+                OrderAction.UNLOAD,
+                victim,
+                f"for {artifact}",
+                then_load=artifact,
             )
     return None
 
--- a/acaciaspoke/gateway/peers.py
+++ b/acaciaspoke/gateway/peers.py
@@ -9,6 +9,7 @@
 
 from acaciaspoke.gateway.messages import Message, decode, encode
 from acaciaspoke.ids import DomainId, HostId
+from acaciaspoke.platform.store import FeedRow
 
 # A host that has sent nothing for so long counts as away.
 PEER_MAX_AGE_S = 1.0
@@ -92,6 +93,21 @@
             except anyio.WouldBlock:
                 logger.debug("no room for a datagram to {}", host)
 
+    def take_rows(self, rows: list[FeedRow], is_whole: bool) -> None:
+        """Takes in where the other hosts are."""
+        if is_whole:
+            self.rows.clear()
+        for row in rows:
+            if row.value is None:
+                self.rows.pop(HostId(row.key), None)
+                continue
+            try:
+                found = msgspec.json.decode(row.value, type=HostRow)
+            except msgspec.MsgspecError as error:
+                logger.warning("row of host {} ignored: {}", row.key, error)
+                continue
+            self.rows[HostId(row.key)] = found
+
     def live(self, now_s: float) -> list[HostId]:
         """Returns the other hosts that were heard lately."""
         return [
--- a/acaciaspoke/gateway/process.py
+++ b/acaciaspoke/gateway/process.py
@@ -33,18 +33,17 @@
     RowAnswer,
     RowChanges,
     RowRequest,
-    RowsRead,
     SendBatch,
     SendNotice,
 )
 from acaciaspoke.gateway.metrics import GatewayMetrics
-from acaciaspoke.gateway.peers import HostRow, Peers
+from acaciaspoke.gateway.peers import Peers
 from acaciaspoke.gateway.peertable import PeerTable
 from acaciaspoke.gateway.protocol import limited_protocol
 from acaciaspoke.gateway.registration import Registration
 from acaciaspoke.gateway.registry import UpstreamRegistry
 from acaciaspoke.gateway.reload import log_reloads
-from acaciaspoke.gateway.rowrelay import RowRelay, to_page
+from acaciaspoke.gateway.rowrelay import RowRelay
 from acaciaspoke.gateway.settings import GatewaySettings
 from acaciaspoke.gateway.types import CallerLimits
 from acaciaspoke.ids import BootId, HostId, UpstreamId
@@ -143,10 +142,14 @@
             self._take_digest,
             self._dispatcher.fleet.others.take_send,
             tell_rows_read=lambda: self._relay.tell(),
-            take_rows_read=self._note_rows_read,
+            take_rows_read=lambda read: self._relay.note_told(read),
         )
         self._relay = RowRelay(
-            settings.drain_ms / 1000, self._loads.members, self._post
+            settings.drain_ms / 1000,
+            follower=lambda: self._followers[UPSTREAMS_TABLE],
+            is_reader=lambda: self._loads.is_reader,
+            members=self._loads.members,
+            post=self._post,
         )
         self._digests = DigestSender(
             settings.host_id,
@@ -241,21 +244,6 @@
         self._leader.wake()
         self._exchanges.dispatch()
 
-    def take_host_rows(self, rows: list[FeedRow], is_whole: bool) -> None:
-        """Takes in where the other hosts are."""
-        if is_whole:
-            self._peers.rows.clear()
-        for row in rows:
-            if row.value is None:
-                self._peers.rows.pop(HostId(row.key), None)
-                continue
-            try:
-                found = msgspec.json.decode(row.value, type=HostRow)
-            except msgspec.MsgspecError as error:
-                logger.warning("row of host {} ignored: {}", row.key, error)
-                continue
-            self._peers.rows[HostId(row.key)] = found
-
     # Messages.
 
     def _handle(self, message: Message) -> None:
@@ -264,7 +252,7 @@
             case LoadDigest() | SendNotice() | SendBatch():
                 self._loads.take(message, now_s)
             case RowChanges():
-                self._take_changes(message)
+                self._relay.take(message)
             case DemandDigest():
                 self._leader.take_demand(message)
             case PlacementNotice():
@@ -287,22 +275,6 @@
             self._followers[OPERATOR_TABLE].read_anew()
         self._exchanges.dispatch()
 
-    def _take_changes(self, changes: RowChanges) -> None:
-        follower = self._followers[UPSTREAMS_TABLE]
-        if follower.offer(changes.after, to_page(changes)):
-            self._relay.pass_on(changes)
-
-    def _note_rows_read(self, read: RowsRead) -> None:
-        version = self._followers[UPSTREAMS_TABLE].version
-        self._relay.note_told(read, version)
-
-    def _relies(self, version: int) -> bool:
-        return self._relay.relies(version, self._is_reader)
-
-    @property
-    def _is_reader(self) -> bool:
-        return self._loads.aggregator in (None, self._settings.host_id)
-
     def _take_notice(self, notice: PlacementNotice, now_s: float) -> None:
         if notice.epoch < self._leader_epoch:
             return
@@ -372,20 +344,21 @@
             return False
         if now_s - self._leader_heard_s < LEADER_MAX_AGE_S:
             return False
-        links_mbps = {self._settings.host_id: self._settings.link_mbps}
-        for host in self._loads.live(now_s):
-            row = self._peers.rows.get(host)
-            links_mbps[host] = row.link_mbps if row else 0.0
-        last_holder = self._leader.lease.holder
-        return competes(self._settings.host_id, last_holder, links_mbps)
+        own = self._settings.host_id
+        links_mbps = self._loads.live_links_mbps(now_s)
+        links_mbps[own] = self._settings.link_mbps
+        return competes(own, self._leader.lease.holder, links_mbps)
 
     def _make_followers(self) -> dict[str, TableFollower]:
         takes = {
             OPERATOR_TABLE: self.take_operator_rows,
             UPSTREAMS_TABLE: self.take_upstream_rows,
-            HOSTS_TABLE: self.take_host_rows,
+            HOSTS_TABLE: self._peers.take_rows,
+        }
+        relayed = {
+            "has_read": self._relay.note_page,
+            "relies": self._relay.relies,
         }
-        relayed = {"has_read": self._relay.note_page, "relies": self._relies}
         return {
             table: TableFollower(
                 self._store,
@@ -404,12 +377,12 @@
     def _pause_s(self, table: str) -> float:
         drain_s = self._settings.drain_ms / 1000
         hosts = len(self._peers.rows)
-        return pause_s(table, hosts, drain_s, self._is_reader)
+        return pause_s(table, hosts, drain_s, self._loads.is_reader)
 
     def _feed_wait_s(self, table: str) -> float:
         drain_s = self._settings.drain_ms / 1000
         hosts = len(self._peers.rows)
-        return feed_wait_s(table, hosts, drain_s, self._is_reader)
+        return feed_wait_s(table, hosts, drain_s, self._loads.is_reader)
 
     def _restart_followers(self) -> None:
         for follower in self._followers.values():
--- a/acaciaspoke/gateway/rowrelay.py
+++ b/acaciaspoke/gateway/rowrelay.py
@@ -10,6 +10,7 @@
 
 from loguru import logger
 
+from acaciaspoke.gateway.follow import TableFollower
 from acaciaspoke.gateway.messages import (
     RelayedRow,
     RowChanges,
@@ -19,10 +20,8 @@
 from acaciaspoke.platform.store import FeedPage, FeedRow
 from acaciaspoke.util.clock import boot_time_s
 
-# Shares of the time within which a draining upstream has to be left alone; what
-# one host may be late by, one after the other, stays below half of it.
-READER_PAUSE_SHARE = 1 / 6
-READER_WAIT_SHARE = 1 / 4
+# Shares of the time within which a draining upstream has to be left alone. With
+# the pause of a reader (``follow.py``), a host is late by less than half of it.
 MAX_READ_AGE_SHARE = 1 / 2
 BEHIND_SHARE = 1 / 4
 
@@ -82,6 +81,8 @@
     def __init__(
         self,
         drain_s: float,
+        follower: Callable[[], TableFollower],
+        is_reader: Callable[[], bool],
         members: Callable[[], Iterable[HostId]],
         post: Callable[[RowChanges, Iterable[HostId]], object],
         clock: Callable[[], float] = boot_time_s,
@@ -90,11 +91,15 @@
 
         Args:
             drain_s: Within this time a draining upstream has to be left alone.
+            follower: Returns what follows the table at this host.
+            is_reader: Whether this host reads for others.
             members: Returns the hosts for which this one reads.
             post: Sends a message to hosts.
             clock: Tells the time, also that of a suspension.
         """
         self._watch = ReadWatch(drain_s)
+        self._follower = follower
+        self._is_reader = is_reader
         self._members = members
         self._post = post
         self._clock = clock
@@ -111,34 +116,37 @@
         changed = max((row.version for row in page.rows), default=0)
         self._watch.note_read(changed, self._clock())
         if after is not None and page.rows:
-            self.pass_on(
-                RowChanges(
-                    after=after,
-                    version=page.version,
-                    rows=tuple(RelayedRow(*row) for row in page.rows),
-                )
+            changes = RowChanges(
+                after=after,
+                version=page.version,
+                rows=tuple(RelayedRow(*row) for row in page.rows),
             )
+            self._post(changes, self._members())
 
-    def pass_on(self, changes: RowChanges) -> None:
-        """Sends changes to the hosts that rely on this one."""
-        self._post(changes, self._members())
+    def take(self, changes: RowChanges) -> None:
+        """Takes in changes that another host has read, and passes them on."""
+        page = FeedPage(
+            [FeedRow(*row) for row in changes.rows], changes.version
+        )
+        if self._follower().offer(changes.after, page):
+            self._post(changes, self._members())
 
     def tell(self) -> RowsRead | None:
         """Returns what to tell other hosts; None if nothing was read."""
         return self._watch.tell(self._clock())
 
-    def note_told(self, read: RowsRead, own_version: int) -> None:
+    def note_told(self, read: RowsRead) -> None:
         """Notes what another host has read, or heard of."""
-        self._watch.note_told(read, own_version, self._clock())
+        version = self._follower().version
+        self._watch.note_told(read, version, self._clock())
 
-    def relies(self, own_version: int, is_reader: bool) -> bool:
+    def relies(self, own_version: int) -> bool:
         """Tells whether this host can leave the reading to another one.
 
         Args:
             own_version: Up to which it knows the table.
-            is_reader: Whether it reads for others.
         """
-        relies = not is_reader and self._watch.is_up_to_date(
+        relies = not self._is_reader() and self._watch.is_up_to_date(
             own_version, self._clock()
         )
         if relies != self._relied:
@@ -152,8 +160,3 @@
             )
         self._relied = relies
         return relies
-
-
-def to_page(changes: RowChanges) -> FeedPage:
-    """Returns the changes as if they had been read from the store."""
-    return FeedPage([FeedRow(*row) for row in changes.rows], changes.version)
--- a/test/gateway/test_rowrelay.py
+++ b/test/gateway/test_rowrelay.py
@@ -12,7 +12,6 @@
     MAX_READ_AGE_SHARE,
     ReadWatch,
     RowRelay,
-    to_page,
 )
 from acaciaspoke.ids import HostId
 from acaciaspoke.platform.store import UPSTREAMS_TABLE, FeedPage, FeedRow
@@ -148,29 +147,59 @@
         self.assertEqual(["read", "follow"], self.store.calls)
 
 
+class _Follower:
+    """Takes what it is offered, if it may."""
+
+    def __init__(self, version: int):
+        self.version = version
+        self.may_take = True
+        self.offered: list[tuple[int, FeedPage]] = []
+
+    def offer(self, after: int, page: FeedPage) -> bool:
+        self.offered.append((after, page))
+        return self.may_take
+
+
 class RelayTest(unittest.TestCase):
     """An aggregator passes on what it reads."""
 
+    PAGE = FeedPage([FeedRow("u1", b"x", 6), FeedRow("u2", None, 7)], 7)
+
     def setUp(self):
         self.sent = []
         self.now_s = 0.0
+        self.is_reader = True
+        self.follower = _Follower(5)
         self.members = [HostId("h1"), HostId("h2")]
         self.relay = RowRelay(
             DRAIN_S,
-            lambda: self.members,
-            lambda message, hosts: self.sent.append((message, list(hosts))),
+            follower=lambda: self.follower,
+            is_reader=lambda: self.is_reader,
+            members=lambda: self.members,
+            post=lambda message, hosts: self.sent.append(
+                (message, list(hosts))
+            ),
             clock=lambda: self.now_s,
         )
 
     def test_changes_go_to_all_members(self):
-        page = FeedPage([FeedRow("u1", b"x", 6), FeedRow("u2", None, 7)], 7)
-        self.relay.note_page(5, page)
+        self.relay.note_page(5, self.PAGE)
         [(changes, hosts)] = self.sent
         self.assertEqual(self.members, hosts)
-        self.assertEqual(page, to_page(decode(encode(changes))))
+        self.relay.take(decode(encode(changes)))
+        self.assertEqual([(5, self.PAGE)], self.follower.offered)
         self.now_s = 0.5
         self.assertEqual(RowsRead(7, 0.5), self.relay.tell())
 
+    def test_only_changes_that_were_taken_are_passed_on(self):
+        self.relay.note_page(5, self.PAGE)
+        changes, _ = self.sent.pop()
+        self.relay.take(changes)
+        self.assertEqual([(changes, self.members)], self.sent)
+        self.follower.may_take = False
+        self.relay.take(changes)
+        self.assertEqual(1, len(self.sent))
+
     def test_answers_without_changes_are_not_passed_on(self):
         self.relay.note_page(5, FeedPage([], 9))
         self.assertEqual([], self.sent)
@@ -181,12 +210,14 @@
         self.assertEqual([], self.sent)
 
     def test_reader_relies_on_nobody(self):
-        self.relay.note_told(RowsRead(5, 0.0), 5)
-        self.assertTrue(self.relay.relies(5, is_reader=False))
-        self.assertFalse(self.relay.relies(5, is_reader=True))
+        self.relay.note_told(RowsRead(5, 0.0))
+        self.assertFalse(self.relay.relies(5))
+        self.is_reader = False
+        self.assertTrue(self.relay.relies(5))
 
     def test_time_of_a_suspension_counts(self):
         # The clock includes it, so rows that were read before are old.
-        self.relay.note_told(RowsRead(5, 0.0), 5)
+        self.is_reader = False
+        self.relay.note_told(RowsRead(5, 0.0))
         self.now_s = 10.0
-        self.assertFalse(self.relay.relies(5, is_reader=False))
+        self.assertFalse(self.relay.relies(5))
