--- a/acaciaspoke.spec
+++ b/acaciaspoke.spec
@@ -1,10 +1,11 @@
 # -*- mode: python ; coding: utf-8 -*-
 from PyInstaller.utils.hooks import collect_data_files
 from PyInstaller.utils.hooks import collect_all
+from PyInstaller.utils.hooks import collect_submodules
 
 datas = []
 binaries = []
-hiddenimports = []
+hiddenimports = collect_submodules('acaciaspoke.ui')
 datas += collect_data_files('acaciaspoke')
 tmp_ret = collect_all('uvicorn')
 datas += tmp_ret[0]; binaries += tmp_ret[1]; hiddenimports += tmp_ret[2]
