Move candidacy and the view of an engine out of leader.py

leader.py held three jobs: who competes for the lease, how a ledger looks to placement, and planning. The first is now candidacy.py, the second a method of the ledger.

--- a/acaciaspoke/gateway/leader.py
+++ b/acaciaspoke/gateway/leader.py
@@ -3,7 +3,7 @@
 import random
 import time
 from collections import Counter
-from collections.abc import Callable, Mapping
+from collections.abc import Callable
 
 import anyio
 from loguru import logger
@@ -18,7 +18,7 @@
     carry_out,
 )
 from acaciaspoke.gateway.demand import DemandBoard
-from acaciaspoke.gateway.engineview import EngineView, Move
+from acaciaspoke.gateway.engineview import Move
 from acaciaspoke.gateway.fleet import Fleet
 from acaciaspoke.gateway.ledger import EngineLedger
 from acaciaspoke.gateway.messages import DemandDigest, PlacementNotice
@@ -39,14 +39,10 @@
 )
 from acaciaspoke.platform.engine import OrderAction
 from acaciaspoke.util.clock import boot_time_s
-from acaciaspoke.util.rendezvous import rank_by_link
 
 # One holder gives the orders to all engines of the deployment.
 LEASE_SCOPE = DomainId("engines")
 
-# Hosts that compete for the lease when nobody holds it.
-LEASE_CANDIDATES = 3
-
 # A holder that is away is replaced after this time and the silence that the
 # platform asks for between two holders.
 LEASE_S = 1.6
@@ -72,9 +68,6 @@
 # record has it.
 NEWS_S = 1.5
 
-# What waited for a new adapter is at the engine, and known here, this late.
-ADAPTER_NEWS_S = 0.25
-
 # An unload without running requests takes no longer.
 UNLOAD_S = 0.1
 
@@ -88,24 +81,6 @@
 SILENCE_MARGIN_S = ORDER_TIMEOUT_S
 
 
-def competes(
-    own: HostId, last_holder: HostId | None, links_mbps: Mapping[HostId, float]
-) -> bool:
-    """Tells whether a host should try to take a lease that nobody holds.
-
-    The last holder always does: after an outage of the store it may give orders
-    at once, another one only after the silence between two holders.
-
-    Args:
-        own: The host.
-        last_holder: The holder that the row of the lease names.
-        links_mbps: The live hosts, with what their links carry.
-    """
-    return own == last_holder or own in rank_by_link(
-        "lease", links_mbps, LEASE_CANDIDATES
-    )
-
-
 class Leader:
     """The part of a gateway that may give orders to engines."""
 
@@ -324,7 +299,7 @@
         }
         running = self.board.running(now_s)
         engines = [
-            _view(ledger, running.get(name, Counter()), now_s)
+            ledger.view(running.get(name, Counter()), now_s)
             for name, ledger in self._orders.ledgers.items()
             if ledger.record.service == service and name not in down
         ]
@@ -417,43 +392,3 @@
                 coming_s=coming_s,
             )
         )
-
-
-def _view(
-    ledger: EngineLedger, running: Counter[Artifact], now_s: float
-) -> EngineView:
-    is_idle = ledger.is_known and not ledger.is_busy
-    leaving: frozenset[ModelId] = frozenset()
-    loading = None
-    if ledger.moving and ledger.moving.action is OrderAction.UNLOAD:
-        leaving = frozenset([ledger.moving.artifact.model])
-    elif ledger.moving:
-        loading = ledger.moving.artifact.model
-    by_model: Counter[ModelId] = Counter()
-    for artifact, count in running.items():
-        by_model[artifact.model] += count
-    adapters = {one for one in ledger.artifacts if one.adapter is not None}
-    in_use = {
-        one
-        for one in adapters
-        if running[one] or now_s - ledger.since_s.get(one, 0.0) < ADAPTER_NEWS_S
-    }
-    return EngineView(
-        name=ledger.record.upstream,
-        failure_domain=ledger.record.failure_domain,
-        slots=ledger.record.slots,
-        models={
-            one.model: ledger.since_s.get(one, 0.0)
-            for one in ledger.artifacts
-            if one.adapter is None
-        },
-        adapters=frozenset(adapters),
-        adapters_in_use=frozenset(in_use),
-        can_move=is_idle and ledger.moving is None,
-        can_page=is_idle and ledger.moving is None,
-        leaving=leaving,
-        loading=loading,
-        reserved=ledger.reserved,
-        running=by_model,
-        warm=frozenset(ledger.warm),
-    )
--- a/acaciaspoke/gateway/ledger.py
+++ b/acaciaspoke/gateway/ledger.py
@@ -5,9 +5,11 @@
 only take effect as the next one: once another order is accepted, it never will.
 """
 
+from collections import Counter
+
 from msgspec.structs import replace
 
-from acaciaspoke.gateway.engineview import Move
+from acaciaspoke.gateway.engineview import EngineView, Move
 from acaciaspoke.gateway.types import (
     Artifact,
     EngineReport,
@@ -17,6 +19,9 @@
 from acaciaspoke.ids import ModelId
 from acaciaspoke.platform.engine import OrderAction, OrderResult
 
+# What waited for a new adapter is at the engine, and known here, this late.
+ADAPTER_NEWS_S = 0.25
+
 # Reports tell of some tenths of a second ago, so an adapter order is compared
 # with them only later.
 REPORT_LAG_S = 0.6
@@ -160,6 +165,50 @@
             gone.append(self.moving.artifact)
         return tuple(gone)
 
+    def view(self, running: Counter[Artifact], now_s: float) -> EngineView:
+        """Returns the engine as placement sees it.
+
+        Args:
+            running: Requests of all hosts at it.
+            now_s: The time.
+        """
+        is_idle = self.is_known and not self.is_busy
+        leaving: frozenset[ModelId] = frozenset()
+        loading = None
+        if self.moving and self.moving.action is OrderAction.UNLOAD:
+            leaving = frozenset([self.moving.artifact.model])
+        elif self.moving:
+            loading = self.moving.artifact.model
+        by_model: Counter[ModelId] = Counter()
+        for artifact, count in running.items():
+            by_model[artifact.model] += count
+        adapters = {one for one in self.artifacts if one.adapter is not None}
+        in_use = {
+            one
+            for one in adapters
+            if running[one]
+            or now_s - self.since_s.get(one, 0.0) < ADAPTER_NEWS_S
+        }
+        return EngineView(
+            name=self.record.upstream,
+            failure_domain=self.record.failure_domain,
+            slots=self.record.slots,
+            models={
+                one.model: self.since_s.get(one, 0.0)
+                for one in self.artifacts
+                if one.adapter is None
+            },
+            adapters=frozenset(adapters),
+            adapters_in_use=frozenset(in_use),
+            can_move=is_idle and self.moving is None,
+            can_page=is_idle and self.moving is None,
+            leaving=leaving,
+            loading=loading,
+            reserved=self.reserved,
+            running=by_model,
+            warm=frozenset(self.warm),
+        )
+
     def _apply(self, move: Move, now_s: float) -> None:
         artifact = move.artifact
         if artifact.adapter is None:
--- a/acaciaspoke/gateway/process.py
+++ b/acaciaspoke/gateway/process.py
@@ -14,6 +14,7 @@
 from acaciaspoke import __version__
 from acaciaspoke.gateway.app import GatewayApp
 from acaciaspoke.gateway.budget import RetryBudget
+from acaciaspoke.gateway.candidacy import competes
 from acaciaspoke.gateway.digests import DigestSender
 from acaciaspoke.gateway.dispatch import Assignment, Dispatcher
 from acaciaspoke.gateway.exchange import Exchanges
@@ -23,7 +24,7 @@
     feed_wait_s,
     pause_s,
 )
-from acaciaspoke.gateway.leader import Leader, competes
+from acaciaspoke.gateway.leader import Leader
 from acaciaspoke.gateway.loadexchange import LoadExchange
 from acaciaspoke.gateway.messages import (
     DemandDigest,
--- a/test/gateway/test_leader.py
+++ b/test/gateway/test_candidacy.py
@@ -2,7 +2,7 @@
 
 import unittest
 
-from acaciaspoke.gateway.leader import LEASE_CANDIDATES, competes
+from acaciaspoke.gateway.candidacy import LEASE_CANDIDATES, competes
 from acaciaspoke.ids import HostId
 
 HOSTS = [HostId(f"h{n}") for n in range(9)]
