Believe only refusals that are to the attempt just sent; bound all reads

Cause: a refusal without an id, or with the id of the same request's earlier attempt at the same worker, was believed, as the earlier connection was used again; the client for the store, orders and reports kept connections on which bytes had come after a response. Heads of informational responses had no limit, error bodies and refusals the 32 MB of successes, and buffered bodies no common one.

Ruled out: data on idle connections of pools, responses with another id.

Change: new connection for a repeat at the same worker; a refusal without an id counts only on a connection that carried nothing else; versions of the store are checked; gateway/bodies.py bounds bodies and their memory.

--- a/acaciaspoke/entry/pool.py
+++ b/acaciaspoke/entry/pool.py
@@ -21,15 +21,24 @@
 KEEPALIVE_S = 4.0
 MAX_IDLE_CONNECTIONS = 32
 
+# Limit on what is read before the response's head is complete. It includes
+# heads of informational responses, of which there may be any number.
+MAX_HEAD_BYTES = 64 * 1024
+
 
 class Connection:
-    """A pooled connection and its byte stream."""
+    """A pooled connection and its byte stream.
+
+    Attributes:
+        is_reused: Whether it has carried another request before this one.
+    """
 
     def __init__(self, origin: httpcore.Origin):
         self._backend = UpstreamBackend()
         self.http = httpcore.AsyncHTTPConnection(
             origin, keepalive_expiry=KEEPALIVE_S, network_backend=self._backend
         )
+        self.is_reused = False
         self._written_before_bytes = 0
 
     @property
@@ -54,6 +63,20 @@
         http11 = self.http._connection
         return http11 is not None and bool(http11._h11_state.trailing_data[0])
 
+    async def send(self, request: httpcore.Request) -> httpcore.Response:
+        """Sends a request; returns the response, whose body is not read yet.
+
+        Raises:
+            httpcore.RemoteProtocolError: If the head is invalid or exceeds
+                ``MAX_HEAD_BYTES``.
+            httpcore.NetworkError: If the connection fails.
+            httpcore.TimeoutException: If a timeout of the request passes.
+        """
+        self._backend.limit_reads(MAX_HEAD_BYTES)
+        response = await self.http.handle_async_request(request)
+        self._backend.limit_reads(None)
+        return response
+
     def limit_idle(self, idle_s: float) -> None:
         """Limits the idle time after which the connection is closed.
 
@@ -66,7 +89,8 @@
             http11._keepalive_expiry = min(http11._keepalive_expiry, idle_s)
 
     def begin_request(self) -> None:
-        """Resets ``sent_bytes`` for a new request."""
+        """Prepares an idle connection for a new request."""
+        self.is_reused = True
         if self._backend.stream is not None:
             self._written_before_bytes = self._backend.stream.written_bytes
 
@@ -105,12 +129,15 @@
         while self._idle:
             await self._idle.pop().http.aclose()
 
-    async def acquire(self) -> Connection:
+    async def acquire(self, *, new: bool = False) -> Connection:
         """Returns a connection for one request.
 
         A new one is not connected yet; httpcore connects with the request.
+
+        Args:
+            new: Whether it must not have carried any request before.
         """
-        while self._idle:
+        while self._idle and not new:
             connection = self._idle.pop()
             if connection.http.is_available() and not (
                 connection.http.has_expired()
--- a/acaciaspoke/entry/relay.py
+++ b/acaciaspoke/entry/relay.py
@@ -195,9 +195,7 @@
     timings: TokenTimings,
     guard: StallGuard,
 ) -> Attempt:
-    response = await connection.http.handle_async_request(
-        _to_httpcore(address, call)
-    )
+    response = await connection.send(_to_httpcore(address, call))
     try:
         return await _read_response(
             connection, response, call, service, caller, timings, guard
--- a/acaciaspoke/entry/transport.py
+++ b/acaciaspoke/entry/transport.py
@@ -140,6 +140,7 @@
     Attributes:
         written_bytes: Bytes passed to the transport so far.
         before_read: Awaited before each read that has to wait for the peer.
+        readable_bytes: How much may still be read; None if there is no limit.
     """
 
     def __init__(self, protocol: _Protocol):
@@ -148,9 +149,18 @@
         self._closed = False
         self.written_bytes = 0
         self.before_read: Callable[[], Awaitable[None]] | None = None
+        self.readable_bytes: int | None = None
 
     async def read(self, max_bytes: int, timeout: float | None = None) -> bytes:
         """Reads available data, or waits up to ``timeout`` seconds."""
+        if self.readable_bytes is not None and self.readable_bytes <= 0:
+            raise httpcore.RemoteProtocolError("the head is too large")
+        data = await self._read(max_bytes, timeout)
+        if self.readable_bytes is not None:
+            self.readable_bytes -= len(data)
+        return data
+
+    async def _read(self, max_bytes: int, timeout: float | None) -> bytes:
         protocol = self._protocol
         if not protocol.is_readable:
             if self.before_read is not None:
@@ -241,6 +251,13 @@
 
     def __init__(self) -> None:
         self.stream: UpstreamStream | None = None
+        self._readable_bytes: int | None = None
+
+    def limit_reads(self, readable_bytes: int | None) -> None:
+        """Limits how much may still be read, also from a future stream."""
+        self._readable_bytes = readable_bytes
+        if self.stream is not None:
+            self.stream.readable_bytes = readable_bytes
 
     async def connect_tcp(
         self,
@@ -265,4 +282,5 @@
         for option in DEAD_PEER_DETECTION_OPTIONS:
             raw.setsockopt(*option)
         self.stream = UpstreamStream(protocol)
+        self.stream.readable_bytes = self._readable_bytes
         return self.stream
--- a/acaciaspoke/gateway/app.py
+++ b/acaciaspoke/gateway/app.py
@@ -125,7 +125,8 @@
         # A newer configuration may have become active while the body arrived.
         fields, route = self._check(caller)
         request = _to_request(caller, fields, route, target, body, arrived_s)
-        await self._serve_until_disconnect(request, Relay(caller, target, body))
+        relay = Relay(caller, target, body, self._request_handler.body_memory)
+        await self._serve_until_disconnect(request, relay)
 
     def _check(self, caller: Caller) -> tuple[RequestFields, Route]:
         if self.configuration is None:
--- a/acaciaspoke/gateway/attempt.py
+++ b/acaciaspoke/gateway/attempt.py
@@ -11,6 +11,13 @@
 
 from acaciaspoke.entry.caller import Caller
 from acaciaspoke.entry.pool import Connection
+from acaciaspoke.gateway.bodies import (
+    MAX_BODY_BYTES,
+    MAX_ERROR_BODY_BYTES,
+    BodyMemory,
+    discard_body,
+    read_body,
+)
 from acaciaspoke.gateway.dispatch import Assignment
 from acaciaspoke.gateway.events import EventSplitter, EventTooLargeError
 from acaciaspoke.gateway.types import Request, RouteKind
@@ -26,9 +33,6 @@
 # Upstreams are a few milliseconds away; an unreachable one never responds.
 CONNECT_TIMEOUT_S = 0.35
 
-# Responses of plain services are buffered until they are complete.
-MAX_BODY_BYTES = 32 * 1024 * 1024
-
 # Statuses that promise callers that a request has not run. They are not
 # forwarded, as only the upstream's own header makes this certain.
 UNEXECUTED_STATUSES = frozenset({408, 421, 429, 503})
@@ -81,12 +85,21 @@
         first_event_s: When the first event was forwarded.
         last_event_s: When the last event was forwarded.
         longest_gap_s: Longest pause between forwarded events.
+        sent_to: Addresses to which bytes of the request were sent.
     """
 
-    def __init__(self, caller: Caller, target: bytes, body: bytes):
+    def __init__(
+        self,
+        caller: Caller,
+        target: bytes,
+        body: bytes,
+        body_memory: BodyMemory,
+    ):
         self.caller = caller
         self.target = target
         self.body = body
+        self.sent_to: set[str] = set()
+        self._body_memory = body_memory
         self.splitter = EventSplitter()
         self.first_event_s: float | None = None
         self.longest_gap_s = 0.0
@@ -125,6 +138,9 @@
             return Attempt(
                 ending=ending, detail=f"{type(error).__name__}: {error}"
             )
+        finally:
+            if connection.sent_bytes:
+                self.sent_to.add(assignment.address)
 
     async def _exchange(
         self,
@@ -133,15 +149,13 @@
         clock: Callable[[], float],
     ) -> Attempt:
         request = assignment.request
-        response = await connection.http.handle_async_request(
-            self._to_httpcore(assignment, clock())
-        )
+        response = await connection.send(self._to_httpcore(assignment, clock()))
         reusable = False
         try:
             fields = decode_response(response.headers)
             _limit_idle_time(connection, response.headers)
             attempt = await self._handle_response(
-                request, response, fields, clock
+                request, connection, response, fields, clock
             )
             attempt.load = fields.load
             attempt.status = response.status
@@ -181,6 +195,7 @@
     async def _handle_response(
         self,
         request: Request,
+        connection: Connection,
         response: httpcore.Response,
         fields: ResponseFields,
         clock: Callable[[], float],
@@ -191,7 +206,12 @@
                 detail=f"an answer to {fields.attempt_id!r}",
             )
         if response.status == 421 or fields.not_executed:
-            await _read_body(response)
+            if not fields.attempt_id and connection.is_reused:
+                # It may be an earlier refusal, written once more.
+                return Attempt(
+                    ending=Ending.MISMATCHED, detail="a refusal without an id"
+                )
+            await discard_body(response)
             ending = Ending.NOT_EXECUTED
             if response.status == 421:
                 ending = Ending.MISDIRECTED
@@ -203,7 +223,8 @@
             return Attempt(ending=Ending.MISMATCHED, detail="encoded body")
         if is_success and request.route.kind is RouteKind.STREAMING:
             return await self._stream(response, clock)
-        body = await _read_body(response)
+        max_bytes = MAX_BODY_BYTES if is_success else MAX_ERROR_BODY_BYTES
+        body = await read_body(response, self._body_memory, max_bytes)
         headers = _forwarded_headers(response.headers)
         if is_success:
             await self.caller.answer(response.status, headers, body)
@@ -248,17 +269,6 @@
             await self.caller.send(events, more=True)
 
 
-async def _read_body(response: httpcore.Response) -> bytes:
-    parts: list[bytes] = []
-    size_bytes = 0
-    async for part in response.aiter_stream():
-        size_bytes += len(part)
-        if size_bytes > MAX_BODY_BYTES:
-            raise httpcore.RemoteProtocolError("the answer is too large")
-        parts.append(part)
-    return b"".join(parts)
-
-
 def _forwarded_headers(headers: Headers) -> Headers:
     return [
         (name, value.strip())
--- /dev/null
+++ b/acaciaspoke/gateway/bodies.py
@@ -0,0 +1,119 @@
+"""Reads bodies of upstreams' responses within bounds on size and memory.
+
+A faulty upstream may send bytes without end. A body that is buffered until it
+is complete therefore has a limit of its own, and all of them share the memory
+that the host has for them.
+"""
+
+from collections.abc import Iterator
+from contextlib import contextmanager
+
+import anyio
+import httpcore
+
+# Size of a successful response that is buffered, and of an error response.
+MAX_BODY_BYTES = 32 * 1024 * 1024
+MAX_ERROR_BODY_BYTES = 1024 * 1024
+
+# The body of a refusal is read only so that its connection can be reused.
+MAX_REFUSAL_BODY_BYTES = 64 * 1024
+REFUSAL_BODY_TIMEOUT_S = 0.25
+
+# The first part of each body needs no reservation, so that oversized responses
+# do not make small ones fail.
+UNRESERVED_BYTES = 64 * 1024
+
+# Share of the host's memory for all buffered bodies together.
+MEMORY_SHARE = 0.25
+
+
+class BodyMemory:
+    """The memory that buffered bodies share.
+
+    Attributes:
+        limit_bytes: Maximum size of all reservations together.
+        reserved_bytes: Size of the current reservations.
+    """
+
+    def __init__(self, limit_bytes: int):
+        self.limit_bytes = limit_bytes
+        self.reserved_bytes = 0
+
+    @contextmanager
+    def reservation(self) -> Iterator["BodyReservation"]:
+        """Yields one body's reservation and releases it at the end."""
+        reservation = BodyReservation(self)
+        try:
+            yield reservation
+        finally:
+            self.reserved_bytes -= reservation.reserved_bytes
+
+
+class BodyReservation:
+    """The memory reserved for one body.
+
+    Attributes:
+        reserved_bytes: Its size beyond ``UNRESERVED_BYTES``.
+    """
+
+    def __init__(self, memory: BodyMemory):
+        self.reserved_bytes = 0
+        self._memory = memory
+
+    def grow_to(self, size_bytes: int) -> None:
+        """Reserves memory for a body of this size.
+
+        Raises:
+            httpcore.RemoteProtocolError: If too little memory is left.
+        """
+        added_bytes = size_bytes - UNRESERVED_BYTES - self.reserved_bytes
+        if added_bytes <= 0:
+            return
+        memory = self._memory
+        if memory.reserved_bytes + added_bytes > memory.limit_bytes:
+            raise httpcore.RemoteProtocolError(
+                "too little memory is left for the body:"
+                f" {memory.reserved_bytes} of {memory.limit_bytes} bytes in use"
+            )
+        memory.reserved_bytes += added_bytes
+        self.reserved_bytes += added_bytes
+
+
+async def read_body(
+    response: httpcore.Response, memory: BodyMemory, max_bytes: int
+) -> bytes:
+    """Returns the whole body.
+
+    Raises:
+        httpcore.RemoteProtocolError: If it is larger than ``max_bytes``, or
+            than the memory that is left.
+    """
+    parts: list[bytes] = []
+    size_bytes = 0
+    with memory.reservation() as reservation:
+        async for part in response.aiter_stream():
+            size_bytes += len(part)
+            if size_bytes > max_bytes:
+                raise httpcore.RemoteProtocolError(
+                    f"the body is larger than {max_bytes} bytes"
+                )
+            reservation.grow_to(size_bytes)
+            parts.append(part)
+        return b"".join(parts)
+
+
+async def discard_body(response: httpcore.Response) -> None:
+    """Reads a body that nobody needs; gives up if it is long or slow.
+
+    Never raises for failures of the upstream; the connection of a body that
+    was not read to its end is not reused.
+    """
+    size_bytes = 0
+    with anyio.move_on_after(REFUSAL_BODY_TIMEOUT_S):
+        try:
+            async for part in response.aiter_stream():
+                size_bytes += len(part)
+                if size_bytes > MAX_REFUSAL_BODY_BYTES:
+                    return
+        except (httpcore.NetworkError, httpcore.ProtocolError):
+            return
--- a/acaciaspoke/gateway/events.py
+++ b/acaciaspoke/gateway/events.py
@@ -17,7 +17,7 @@
 
     def __init__(self) -> None:
         self.last_id: bytes | None = None
-        self._partial = b""
+        self._partial = bytearray()
 
     @property
     def has_partial(self) -> bool:
@@ -30,11 +30,18 @@
         Raises:
             EventTooLargeError: If an event exceeds ``MAX_EVENT_BYTES``.
         """
-        data = self._partial + data
-        end = max(data.rfind(b"\n\n") + 2, data.rfind(b"\n\r\n") + 3)
+        # The part that was searched before holds no end of an event, except
+        # the beginning of one.
+        start = max(0, len(self._partial) - 2)
+        self._partial += data
+        end = max(
+            self._partial.rfind(b"\n\n", start) + 2,
+            self._partial.rfind(b"\n\r\n", start) + 3,
+        )
         if end < 3:
             end = 0
-        complete, self._partial = data[:end], data[end:]
+        complete = bytes(self._partial[:end])
+        del self._partial[:end]
         if len(self._partial) > MAX_EVENT_BYTES:
             raise EventTooLargeError(
                 f"event is longer than {MAX_EVENT_BYTES} bytes"
@@ -44,12 +51,13 @@
 
     def take_partial(self) -> bytes:
         """Returns and clears the partial event."""
-        partial, self._partial = self._partial, b""
+        partial = bytes(self._partial)
+        self._partial.clear()
         return partial
 
     def drop_partial(self) -> None:
         """Discards the partial event of a stream that broke off."""
-        self._partial = b""
+        self._partial.clear()
 
     def _record_id(self, complete: bytes) -> None:
         start = -1
--- a/acaciaspoke/gateway/exchange.py
+++ b/acaciaspoke/gateway/exchange.py
@@ -13,6 +13,7 @@
 from acaciaspoke.entry.pool import ConnectionPool
 from acaciaspoke.gateway.admission import Refusal, refuse
 from acaciaspoke.gateway.attempt import Attempt, Ending, Relay
+from acaciaspoke.gateway.bodies import BodyMemory
 from acaciaspoke.gateway.dispatch import Assignment, Dispatcher, DroppedRequest
 from acaciaspoke.gateway.failures import Failure, FailureType, send_failure
 from acaciaspoke.gateway.metrics import GatewayMetrics
@@ -65,12 +66,14 @@
 
     Attributes:
         suspects: Requests that may crash upstreams.
+        body_memory: Memory for responses that are buffered.
     """
 
     def __init__(
         self,
         dispatcher: Dispatcher,
         metrics: GatewayMetrics,
+        body_memory: BodyMemory,
         on_load_needed: Callable[[], None],
         on_sent: Callable[[Assignment], None],
     ):
@@ -79,12 +82,14 @@
         Args:
             dispatcher: Chooses upstreams for requests.
             metrics: Counts responses and retries.
+            body_memory: Memory for responses that are buffered.
             on_load_needed: Called when a request waits for an engine to load
                 its artifact.
             on_sent: Called with each request that is sent to an engine.
         """
         self._dispatcher = dispatcher
         self._metrics = metrics
+        self.body_memory = body_memory
         self._on_load_needed = on_load_needed
         self._on_sent = on_sent
         self.suspects = CrashSuspects()
@@ -179,7 +184,9 @@
         pool = self._pools.get(address)
         if pool is None:
             pool = self._pools[address] = ConnectionPool(address)
-        connection = await pool.acquire()
+        # An upstream may repeat its response to an earlier attempt, which has
+        # the same id, on the connection of that attempt.
+        connection = await pool.acquire(new=address in relay.sent_to)
         clean = False
         try:
             with self._abortable(assignment, relay) as scope:
--- a/acaciaspoke/gateway/process.py
+++ b/acaciaspoke/gateway/process.py
@@ -13,6 +13,7 @@
 
 from acaciaspoke import __version__
 from acaciaspoke.gateway.app import GatewayApp
+from acaciaspoke.gateway.bodies import MEMORY_SHARE, BodyMemory
 from acaciaspoke.gateway.candidacy import should_compete
 from acaciaspoke.gateway.digests import DigestSender
 from acaciaspoke.gateway.dispatch import Assignment, Dispatcher
@@ -115,8 +116,13 @@
         self._registry = UpstreamRegistry(
             self._dispatcher.fleet, settings.drain_ms / 1000
         )
+        memory_bytes = settings.memory_mb * 1024 * 1024
         self._request_handler = RequestHandler(
-            self._dispatcher, self.metrics, self._on_load_needed, self._on_sent
+            self._dispatcher,
+            self.metrics,
+            BodyMemory(int(MEMORY_SHARE * memory_bytes)),
+            self._on_load_needed,
+            self._on_sent,
         )
         self._configuration_lag = ConfigurationLag()
         self._leader_host: HostId | None = None
--- a/acaciaspoke/gateway/settings.py
+++ b/acaciaspoke/gateway/settings.py
@@ -27,6 +27,7 @@
         internal_ports: First and last port for traffic between hosts.
         store: ``ip:port`` of the platform's metadata store.
         metrics_port: Port of the metrics address.
+        memory_mb: Memory that the process may use.
         link_mbps: Bandwidth of the host's network link; 0 if unknown.
         is_first_start: Whether all hosts start for the first time.
         lease_silence_ms: Handover delay: time without orders between two
@@ -48,6 +49,7 @@
     internal_ports: Annotated[tuple[Port, ...], Meta(min_length=2)]
     store: str
     metrics_port: Port = 7390
+    memory_mb: Annotated[float, Meta(gt=0)] = 256.0
     link_mbps: Annotated[float, Meta(ge=0)] = 0.0
     is_first_start: bool = False
     lease_silence_ms: Milliseconds = 3000
--- a/acaciaspoke/platform/store.py
+++ b/acaciaspoke/platform/store.py
@@ -76,7 +76,8 @@
 
     def __init__(self, address: str, timeout_s: float):
         self._http = HttpClient(address, timeout_s)
-        self._timeout_s = timeout_s
+        # The highest version in any response so far.
+        self._newest_version = 0
 
     async def __aenter__(self) -> Self:
         await self._http.__aenter__()
@@ -125,6 +126,8 @@
                 if isinstance(write, Delete)
             ],
         }
+        # Each transaction that writes gets a higher version than all before.
+        oldest_version = self._newest_version + bool(transaction.writes)
         try:
             response = await self._http.request(
                 "POST",
@@ -136,7 +139,16 @@
             if error.was_sent:
                 raise OutcomeUnknown(str(error)) from error
             raise TableUnavailable(str(error)) from error
-        return _to_result(response, transaction.conditions)
+        result = _to_result(response, transaction.conditions)
+        if isinstance(result, Committed):
+            if result.revision < oldest_version:
+                # The server has repeated its response to an earlier request.
+                raise OutcomeUnknown(
+                    f"a response of version {result.revision}, but"
+                    f" {oldest_version} or a later one is due"
+                )
+            self._record_version(result.revision)
+        return result
 
     async def read_table(self, table: str) -> FeedPage:
         """Returns all rows of a table and the version to follow it from.
@@ -181,6 +193,8 @@
         self, path: str, query: dict, timeout_s: float | None = None
     ) -> _WireRows:
         target = f"{path}?{urlencode(query)}"
+        # The response of a feed has the version of the last row in it.
+        oldest_version = query.get("after", self._newest_version)
         try:
             response = await self._http.request(
                 "GET", target, timeout_s=timeout_s
@@ -192,9 +206,20 @@
         if response.status != 200:
             raise TableUnavailable(f"{path}: status {response.status}")
         try:
-            return msgspec.json.decode(response.body, type=_WireRows)
+            found = msgspec.json.decode(response.body, type=_WireRows)
         except msgspec.MsgspecError as error:
             raise TableUnavailable(f"{path}: {error}") from error
+        if found.ver < oldest_version:
+            # The server has repeated its response to an earlier request.
+            raise TableUnavailable(
+                f"{path}: a response of version {found.ver}, but"
+                f" {oldest_version} is known"
+            )
+        self._record_version(found.ver)
+        return found
+
+    def _record_version(self, version: int) -> None:
+        self._newest_version = max(self._newest_version, version)
 
 
 def _to_result(
--- a/acaciaspoke/util/http.py
+++ b/acaciaspoke/util/http.py
@@ -10,6 +10,10 @@
 
 MAX_CONNECTIONS = 32
 
+# Larger bodies are an error. A table is read in pages of 1 MB; the largest
+# single document is the configuration.
+MAX_RESPONSE_BYTES = 16 * 1024 * 1024
+
 # Detects a peer lost to a partition or power loss: an idle connection is probed
 # each second, and any connection closes after about 2 s without acknowledgement
 # (TCP_USER_TIMEOUT, which takes precedence over TCP_KEEPCNT).
@@ -100,7 +104,8 @@
         """Sends a request once and reads its complete response.
 
         Raises:
-            HttpError: If there is no complete response within the timeout.
+            HttpError: If there is no complete response within the timeout, or
+                its body exceeds ``MAX_RESPONSE_BYTES``.
         """
         was_sent = False
         last_part = "body" if body else "headers"
@@ -112,13 +117,14 @@
         timeout_s = self._timeout_s if timeout_s is None else timeout_s
         try:
             with anyio.fail_after(timeout_s):
-                response = await self._pool.request(
+                async with self._pool.stream(
                     method,
                     self._base + path,
                     headers=dict(headers or {}),
                     content=body,
                     extensions={"trace": trace},
-                )
+                ) as response:
+                    return await _read(response)
         except TimeoutError as error:
             raise HttpError(
                 f"no answer within {timeout_s} s", was_sent=was_sent
@@ -134,4 +140,26 @@
                 was_sent=was_sent,
                 connection_refused=isinstance(error, httpcore.ConnectError),
             ) from error
-        return HttpResponse(response.status, response.content)
+
+
+async def _read(response: httpcore.Response) -> HttpResponse:
+    parts: list[bytes] = []
+    size_bytes = 0
+    async for part in response.aiter_stream():
+        size_bytes += len(part)
+        if size_bytes > MAX_RESPONSE_BYTES:
+            raise httpcore.RemoteProtocolError(
+                f"the body is larger than {MAX_RESPONSE_BYTES} bytes"
+            )
+        parts.append(part)
+    if _has_trailing_data(response):
+        # It would be taken for the response to the next request. The pool
+        # drops a connection whose stream is closed.
+        await response.extensions["network_stream"].aclose()
+    return HttpResponse(response.status, b"".join(parts))
+
+
+def _has_trailing_data(response: httpcore.Response) -> bool:
+    """Returns whether the server sent data after the end of the response."""
+    http11 = response.stream._stream._connection
+    return bool(http11._h11_state.trailing_data[0])
--- a/test/entry/test_relay.py
+++ b/test/entry/test_relay.py
@@ -55,6 +55,9 @@
         self.stream = FakeStream(type(self).parts)
         return self.stream
 
+    def limit_reads(self, readable_bytes):
+        """Prepared responses need no limit."""
+
 
 class ResponseCase:
     """A generated response of an upstream, with its expected properties."""
--- a/test/platform/test_store.py
+++ b/test/platform/test_store.py
@@ -1,9 +1,17 @@
 """Tests of the client of the platform's metadata store."""
 
+import asyncio
+import re
 import unittest
 from contextlib import asynccontextmanager
 
-from acaciaspoke.clients.table import Put, TableUnavailable, Transaction
+from acaciaspoke.clients.table import (
+    Committed,
+    OutcomeUnknown,
+    Put,
+    TableUnavailable,
+    Transaction,
+)
 from acaciaspoke.platform.store import HistoryGoneError, StoreClient
 from standins.http import serving
 from standins.metastore import MetaStore
@@ -60,3 +68,57 @@
         with self.assertRaises(TableUnavailable):
             async with self.unconnected() as store:
                 await store.follow("op", 0, 0.1)
+
+
+class RepeatedResponseTest(unittest.IsolatedAsyncioTestCase):
+    """A response comes once more where the next one is expected."""
+
+    async def asyncSetUp(self):
+        self.address = next_address()
+        self.responses = []
+        self.asked = []
+        ip, port = self.address.split(":")
+        server = await asyncio.start_server(self._serve, ip, int(port))
+        await self.enterAsyncContext(server)
+        self.store = await self.enterAsyncContext(
+            StoreClient(self.address, 2.0)
+        )
+
+    async def _serve(self, reader, writer):
+        try:
+            while True:
+                head = await reader.readuntil(b"\r\n\r\n")
+                match = re.search(rb"(?i)content-length: (\d+)", head)
+                if match:
+                    await reader.readexactly(int(match[1]))
+                self.asked.append(head.split(b" ", 2)[1].decode())
+                for version in self.responses.pop(0):
+                    body = b'{"ver": %d, "rows": []}' % version
+                    writer.write(
+                        b"HTTP/1.1 200 OK\r\ncontent-length: %d\r\n\r\n%s"
+                        % (len(body), body)
+                    )
+        except (asyncio.IncompleteReadError, ConnectionError, IndexError):
+            writer.close()
+
+    async def _commit(self):
+        return await self.store.commit(Transaction((), (Put("hosts/a", b""),)))
+
+    async def test_commit_is_not_taken_for_written(self):
+        # The second response comes after the request that it does not answer.
+        self.responses = [[5], [5, 6]]
+        self.assertEqual(Committed(5), await self._commit())
+        with self.assertRaises(OutcomeUnknown):
+            await self._commit()
+
+    async def test_rows_of_an_earlier_read_are_not_used(self):
+        self.responses = [[5], [6], [5, 6]]
+        await self.store.read_table("hosts")
+        await self._commit()
+        with self.assertRaises(TableUnavailable):
+            await self.store.read_table("hosts")
+
+    async def test_copy_that_comes_at_once_is_not_read_at_all(self):
+        self.responses = [[5, 5], [6, 6], [7]]
+        for version in (5, 6, 7):
+            self.assertEqual(Committed(version), await self._commit())
--- a/test/util/test_http.py
+++ b/test/util/test_http.py
@@ -3,7 +3,7 @@
 import asyncio
 import unittest
 
-from acaciaspoke.util.http import HttpClient, HttpError
+from acaciaspoke.util.http import MAX_RESPONSE_BYTES, HttpClient, HttpError
 
 
 class TimedOutRequestTest(unittest.IsolatedAsyncioTestCase):
@@ -31,3 +31,30 @@
             with self.assertRaises(HttpError):
                 await client.request("GET", "/")
             self.assertIsInstance(await ended, ConnectionResetError)
+
+
+class EndlessResponseTest(unittest.IsolatedAsyncioTestCase):
+
+    async def test_body_without_end_is_an_error(self):
+        closed = asyncio.get_running_loop().create_future()
+
+        async def serve(reader, writer):
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(b"HTTP/1.1 200 OK\r\n\r\n")
+            sent_bytes = 0
+            try:
+                while sent_bytes < 4 * MAX_RESPONSE_BYTES:
+                    writer.write(bytes(64 * 1024))
+                    sent_bytes += 64 * 1024
+                    await writer.drain()
+            except ConnectionError:
+                pass
+            closed.set_result(sent_bytes)
+            writer.close()
+
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        address = f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
+        async with server, HttpClient(address, 30.0) as client:
+            with self.assertRaisesRegex(HttpError, "larger than"):
+                await client.request("GET", "/")
+            self.assertLess(await closed, 2 * MAX_RESPONSE_BYTES)
