Measure the prefill rate of engines; let unused models yield with time

Cause: all decisions took 38,000 prompt tokens/s, while engines of other deployments do half of that, so that prompts were sent to engines that were still reading others and models had too few replicas. Load headers with a fourth figure were dropped whole. Models that nobody had asked for kept their places while requests of the least urgent work waited up to 13 s for one, and displaced replicas of models in use. A process that had been suspended took all engines for stalled and moved their streams.

Change: engine_speed.py estimates the rate (Theil-Sen over first events), balance, peerloads and placement ask it; the value of unrequested models decays; stalls.py judges engines by the time in which this process ran, and allows for prefill; the load header is decoded with further figures.

--- a/acaciaspoke/gateway/aggregate.py
+++ b/acaciaspoke/gateway/aggregate.py
@@ -7,7 +7,7 @@
 """
 
 from collections import Counter
-from collections.abc import Iterable, Iterator, Mapping
+from collections.abc import Callable, Iterable, Iterator, Mapping
 
 from acaciaspoke.gateway.fleet import UNREACHABLE_REPORTERS
 from acaciaspoke.gateway.messages import (
@@ -105,10 +105,18 @@
         aggregators_seen_s: When each other aggregator last sent a sum.
     """
 
-    def __init__(self) -> None:
+    def __init__(
+        self, prefill_tokens_per_s: Callable[[UpstreamId], float] | None = None
+    ) -> None:
+        """Creates an aggregator without members.
+
+        Args:
+            prefill_tokens_per_s: Returns the prefill rate of an engine.
+        """
+        rate = [prefill_tokens_per_s] if prefill_tokens_per_s else []
         self.aggregators_seen_s: dict[HostId, float] = {}
-        self._members = PeerLoads()
-        self._domains = PeerLoads()
+        self._members = PeerLoads(*rate)
+        self._domains = PeerLoads(*rate)
         self._last_seen_s: dict[HostId, float] = {}
         self._member_crashes = CrashSuspects()
         self._domain_crashes = CrashSuspects()
--- a/acaciaspoke/gateway/attempt.py
+++ b/acaciaspoke/gateway/attempt.py
@@ -64,6 +64,7 @@
     Attributes:
         status: Status of the upstream's response, if there was one.
         load: The upstream's load, if the response reports it.
+        has_invalid_load: Whether it reports one that cannot be decoded.
         failure: An error of the upstream to forward to the caller.
     """
 
@@ -71,6 +72,7 @@
     status: int = 0
     detail: str = ""
     load: LoadReport | None = None
+    has_invalid_load: bool = False
     failure: tuple[int, Headers, bytes] | None = None
 
 
@@ -158,6 +160,7 @@
                 request, connection, response, fields, clock
             )
             attempt.load = fields.load
+            attempt.has_invalid_load = fields.has_invalid_load
             attempt.status = response.status
             reusable = attempt.ending is not Ending.MISMATCHED
             return attempt
--- a/acaciaspoke/gateway/balance.py
+++ b/acaciaspoke/gateway/balance.py
@@ -12,8 +12,8 @@
 
 import xxhash
 
+from acaciaspoke.gateway.engine_speed import EngineSpeed
 from acaciaspoke.gateway.fleet import Upstream
-from acaciaspoke.gateway.peerloads import PREFILL_TOKENS_PER_S
 from acaciaspoke.gateway.types import BackupEngine, Request, WaitReason
 from acaciaspoke.ids import DomainId, UpstreamId
 
@@ -64,11 +64,13 @@
         running: Requests at each upstream.
         prefill_tokens: Prompt tokens of requests that await their first event.
         slow: Engines that are far slower than others.
+        speed: The measured speed of engines.
     """
 
     running: Counter[UpstreamId]
     prefill_tokens: Counter[UpstreamId]
     slow: Set[UpstreamId] = frozenset()
+    speed: EngineSpeed = EngineSpeed()  # Without samples; never changed.
 
     def add(self, upstream: UpstreamId, request: Request) -> None:
         """Counts a request that is sent now."""
@@ -89,16 +91,17 @@
     if request.artifact is None or not loads.prefill_tokens[name]:
         return True
     tokens = loads.prefill_tokens[name] + request.prompt_tokens
-    return tokens <= prefill_limit_tokens(request)
+    return tokens <= prefill_limit_tokens(request, loads.speed)
 
 
-def prefill_limit_tokens(request: Request) -> float:
+def prefill_limit_tokens(request: Request, speed: EngineSpeed) -> float:
     """Returns the prompt tokens that an engine may prefill at a time.
 
     Its streams pause meanwhile.
     """
     gap_s = request.route.gap_objective_s or DEFAULT_GAP_S
-    return PREFILL_GAP_SHARE * gap_s * PREFILL_TOKENS_PER_S
+    tokens_per_s = speed.prefill_tokens_per_s(request.service)
+    return PREFILL_GAP_SHARE * gap_s * tokens_per_s
 
 
 def choose_upstream(
--- a/acaciaspoke/gateway/demand.py
+++ b/acaciaspoke/gateway/demand.py
@@ -119,6 +119,11 @@
             tuple[HostId, BootId, Artifact], _ReportedCounts
         ] = {}
         self._rates: dict[Artifact, _ArtifactRates] = {}
+        self._first_s: float | None = None
+
+    def observed_s(self, now_s: float) -> float:
+        """Returns for how long demand has been reported."""
+        return 0.0 if self._first_s is None else now_s - self._first_s
 
     def apply(self, digest: DemandDigest, now_s: float) -> None:
         """Applies a host's digest."""
@@ -126,6 +131,8 @@
         if known and is_superseded(digest, known[0]):
             return
         self._digests[digest.host] = (digest, now_s)
+        if digest.demand and self._first_s is None:
+            self._first_s = now_s
         for item in digest.demand:
             key = (digest.host, digest.boot, item.artifact)
             latest = _ReportedCounts(item.arrivals, item.prompt_tokens)
--- a/acaciaspoke/gateway/dispatch.py
+++ b/acaciaspoke/gateway/dispatch.py
@@ -158,6 +158,7 @@
             self.fleet.loads(now_s),
             self.fleet.prefill_tokens(now_s),
             self.fleet.slow(now_s),
+            self.fleet.speed,
         )
         unreachable = self.fleet.unreachable(now_s)
         holders: dict[tuple[ServiceId, Artifact | None], list[Upstream]] = {}
@@ -192,12 +193,13 @@
             request, holders, loads, self._local_domain, now_s
         )
         if upstream is not None:
+            is_alone = not loads.prefill_tokens[upstream.record.upstream]
             loads.add(upstream.record.upstream, request)
             if self._needs_backup(request):
                 request.backup_engine = choose_backup_engine(
                     upstream, holders, loads, self._local_domain
                 )
-            return self._assign(request, upstream, now_s)
+            return self._assign(request, upstream, now_s, is_alone)
         request.wait_reason = wait_reason_of(request, holders, loads, now_s)
         if holders:
             # Keeps shorter, less urgent prompts from overtaking it.
@@ -285,13 +287,17 @@
         return self._service_s.get(request.route.name, 0.0)
 
     def _assign(
-        self, request: Request, upstream: Upstream, now_s: float
+        self,
+        request: Request,
+        upstream: Upstream,
+        now_s: float,
+        is_alone: bool = False,
     ) -> Assignment:
         del self._waiting[request.id]
         name = upstream.record.upstream
         request.sent_s = now_s
         self._running[request.id] = (request, name)
-        self.fleet.record_sent(upstream, request)
+        self.fleet.record_sent(upstream, request, is_alone)
         return Assignment(request, name, upstream.record.address)
 
     def _backlog(self, request: Request, now_s: float) -> Backlog:
--- a/acaciaspoke/gateway/exchange.py
+++ b/acaciaspoke/gateway/exchange.py
@@ -17,6 +17,7 @@
 from acaciaspoke.gateway.dispatch import Assignment, Dispatcher, DroppedRequest
 from acaciaspoke.gateway.failures import Failure, FailureType, send_failure
 from acaciaspoke.gateway.metrics import GatewayMetrics
+from acaciaspoke.gateway.stalls import StallDetector
 from acaciaspoke.gateway.suspects import CrashSuspects
 from acaciaspoke.gateway.types import Request, WaitReason
 from acaciaspoke.ids import RequestId, UpstreamId
@@ -30,11 +31,6 @@
 # capacity when the caller retries.
 REFUSED_RETRY_AFTER_S = 0.3
 
-# Time without any event of an engine after which its streams are aborted and
-# resumed at other engines. Callers leave a stream after 2 s without an event
-# (the platform's protocol, "Requests"), and most runs end within 1 to 2 s.
-EVENT_TIMEOUT_S = 0.7
-
 _BLOCKED = Failure(
     FailureType.REQUEST_BLOCKED,
     "upstreams that ran this request crashed; it is blocked for now",
@@ -96,6 +92,8 @@
         self._pending: dict[RequestId, _PendingDecision] = {}
         self._streams: dict[RequestId, _Stream] = {}
         self._pools: dict[str, ConnectionPool] = {}
+        self._logged_invalid_loads: set[UpstreamId] = set()
+        self._stalls = StallDetector()
 
     def dispatch(self) -> None:
         """Delivers the dispatcher's new decisions to waiting requests."""
@@ -196,6 +194,8 @@
             if scope.cancelled_caught:
                 attempt = Attempt(ending=Ending.BROKEN, detail="silent")
             clean = attempt.ending not in (Ending.BROKEN, Ending.MISMATCHED)
+            if attempt.has_invalid_load:
+                self._record_invalid_load(assignment.upstream)
         finally:
             with anyio.CancelScope(shield=True):
                 await pool.release(connection, clean=clean)
@@ -216,6 +216,12 @@
         )
         return attempt
 
+    def _record_invalid_load(self, upstream: UpstreamId) -> None:
+        self._metrics.invalid_loads.inc()
+        if upstream not in self._logged_invalid_loads:
+            self._logged_invalid_loads.add(upstream)
+            logger.warning("{} reports a load that is invalid", upstream)
+
     def _on_event(self, request: Request) -> None:
         if self._dispatcher.record_event(request, time.monotonic()):
             self.dispatch()
@@ -239,22 +245,23 @@
         Only streams that have begun and have a KV backup are aborted.
         """
         now_s = time.monotonic()
+        self._stalls.record_check(now_s)
+        fleet = self._dispatcher.fleet
+        prefill_tokens = fleet.prefill_tokens(now_s)
         for stream in self._streams.values():
-            request = stream.assignment.request
+            upstream = stream.assignment.upstream
             if (
-                request.backup_engine is not None
+                stream.assignment.request.backup_engine is not None
                 and stream.relay.first_event_s is not None
-                and now_s - stream.relay.last_event_s >= EVENT_TIMEOUT_S
-                and self._is_unresponsive(stream.assignment.upstream, now_s)
+                and self._stalls.is_stalled(
+                    fleet.last_event_s(upstream, stream.relay.last_event_s),
+                    prefill_tokens[upstream]
+                    / fleet.prefill_tokens_per_s(upstream),
+                    now_s,
+                )
             ):
                 stream.scope.cancel()
 
-    def _is_unresponsive(self, name: UpstreamId, now_s: float) -> bool:
-        upstream = self._dispatcher.fleet.upstreams.get(name)
-        return upstream is None or upstream.is_unresponsive(
-            EVENT_TIMEOUT_S, now_s
-        )
-
     def _may_resume(
         self, request: Request, relay: Relay, attempt: Attempt, now_s: float
     ) -> bool:
@@ -423,6 +430,7 @@
             upstream.record.address
             for upstream in self._dispatcher.fleet.upstreams.values()
         }
+        self._logged_invalid_loads &= self._dispatcher.fleet.upstreams.keys()
         for address in [name for name in self._pools if name not in used]:
             await self._pools.pop(address).aclose()
 
--- a/acaciaspoke/gateway/fleet.py
+++ b/acaciaspoke/gateway/fleet.py
@@ -5,6 +5,7 @@
 from collections.abc import Iterator
 from typing import NamedTuple
 
+from acaciaspoke.gateway.engine_speed import EngineSpeed
 from acaciaspoke.gateway.event_intervals import EventIntervals
 from acaciaspoke.gateway.messages import PlacementNotice
 from acaciaspoke.gateway.peerloads import MIN_PREFILL_S, PeerLoads
@@ -40,10 +41,15 @@
 
 
 class Prompt(NamedTuple):
-    """A prompt that was sent to an engine."""
+    """A prompt that was sent to an engine.
+
+    Attributes:
+        is_alone: Whether the engine had no other prompt to prefill then.
+    """
 
     sent_s: float
     tokens: int
+    is_alone: bool = False
 
 
 class Upstream:
@@ -139,7 +145,14 @@
         self.event_intervals = EventIntervals()
         # When the models that are being loaded will be ready.
         self.ready_at_s: dict[ModelId, float] = {}
-        self.peer_loads = PeerLoads()
+        self.speed = EngineSpeed()
+        self.peer_loads = PeerLoads(self.prefill_tokens_per_s)
+
+    def prefill_tokens_per_s(self, upstream_id: UpstreamId) -> float:
+        """Returns the prefill rate of an engine."""
+        upstream = self.upstreams.get(upstream_id)
+        service = upstream.record.service if upstream else None
+        return self.speed.prefill_tokens_per_s(service)
 
     def put(self, record: UpstreamRecord) -> None:
         """Adds an upstream or renews its record."""
@@ -172,12 +185,20 @@
             if upstream.holds(artifact, now_s)
         ]
 
-    def record_sent(self, upstream: Upstream, request: Request) -> None:
-        """Counts a request at an upstream."""
+    def record_sent(
+        self, upstream: Upstream, request: Request, is_alone: bool = False
+    ) -> None:
+        """Counts a request at an upstream.
+
+        Args:
+            upstream: The upstream.
+            request: The request.
+            is_alone: Whether the engine has no other prompt to prefill.
+        """
         upstream.in_flight[request.artifact] += 1
         if request.artifact is not None:
             upstream.prefilling[request.id] = Prompt(
-                request.sent_s, request.prompt_tokens
+                request.sent_s, request.prompt_tokens, is_alone
             )
 
     def record_event(
@@ -199,8 +220,27 @@
         if prompt is None:
             return False
         upstream.recent_prefills.append(prompt)
+        if prompt.is_alone:
+            self.speed.record_prefill(
+                upstream.record.service,
+                prompt.tokens,
+                now_s - prompt.sent_s,
+                now_s,
+            )
         return True
 
+    def last_event_s(
+        self, upstream_id: UpstreamId, stream_event_s: float
+    ) -> float:
+        """Returns when the last event of an engine was received.
+
+        Args:
+            upstream_id: The engine.
+            stream_event_s: When that of one of its streams was received.
+        """
+        upstream = self.upstreams.get(upstream_id)
+        return max(stream_event_s, upstream.last_event_s if upstream else 0.0)
+
     def record_finished(
         self, upstream_id: UpstreamId, request: Request
     ) -> None:
--- a/acaciaspoke/gateway/leader.py
+++ b/acaciaspoke/gateway/leader.py
@@ -323,7 +323,15 @@
             if tracker.record.service == service and name not in unreachable
         ]
         remaining = self._load_limit(service).remaining(spec.loads_per_s, now_s)
-        orders = plan_models(engines, demands, spec, remaining, now_s)
+        orders = plan_models(
+            engines,
+            demands,
+            spec,
+            remaining,
+            now_s,
+            self._fleet.speed.prefill_tokens_per_s(service),
+            self.demand.observed_s(now_s),
+        )
         assigned = {order.upstream for order in orders}
         orders.extend(
             order
--- a/acaciaspoke/gateway/loadexchange.py
+++ b/acaciaspoke/gateway/loadexchange.py
@@ -25,7 +25,7 @@
     is_superseded,
 )
 from acaciaspoke.gateway.peers import Peers
-from acaciaspoke.ids import DomainId, HostId
+from acaciaspoke.ids import DomainId, HostId, UpstreamId
 
 # Up to this many hosts exchange loads without aggregators: 16 hosts with 10
 # requests a second each make 300 datagrams a second and host.
@@ -58,6 +58,7 @@
         apply_send: Callable[[SendNotice, float], None],
         get_read_progress: Callable[[], ReadProgress | None] = lambda: None,
         record_read_progress: Callable[[ReadProgress], None] = lambda _: None,
+        prefill_tokens_per_s: Callable[[UpstreamId], float] | None = None,
         clock: Callable[[], float] = time.monotonic,
     ):
         """Creates an exchange that has sent nothing.
@@ -73,6 +74,7 @@
             get_read_progress: Returns how current this host's upstreams table
                 is.
             record_read_progress: Records how current another host's is.
+            prefill_tokens_per_s: Returns the prefill rate of an engine.
             clock: Returns the time.
         """
         self._local_host = local_host
@@ -84,7 +86,7 @@
         self._record_read_progress = record_read_progress
         self._choice = AggregatorChoice(local_host, domain)
         self._domain = domain
-        self._aggregator = LoadAggregator()
+        self._aggregator = LoadAggregator(prefill_tokens_per_s)
         self._unresponsive: tuple[HostId, ...] = ()
         self._last_summary_s = float("-inf")
         self._summaries_due_s = 0.0
--- a/acaciaspoke/gateway/metrics.py
+++ b/acaciaspoke/gateway/metrics.py
@@ -53,6 +53,9 @@
         self.store_failures = self._counter(
             "store_failures", "Calls to the store without an answer"
         )
+        self.invalid_loads = self._counter(
+            "invalid_loads", "Responses with a load that cannot be decoded"
+        )
         self.faults = self._counter("faults", "Unexpected errors")
         self.log_lines_dropped = self._gauge(
             "log_lines_dropped", "Log lines dropped for lack of room"
--- a/acaciaspoke/gateway/peerloads.py
+++ b/acaciaspoke/gateway/peerloads.py
@@ -2,8 +2,9 @@
 
 import itertools
 from collections import Counter
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 
+from acaciaspoke.gateway.engine_speed import DEFAULT_PREFILL_TOKENS_PER_S
 from acaciaspoke.gateway.messages import (
     LoadDigest,
     SendNotice,
@@ -15,9 +16,6 @@
 # send theirs ten times a second.
 LOAD_MAX_AGE_S = 0.7
 
-# Prefill speed of an engine, from the platform's sheets ("Engines").
-PREFILL_TOKENS_PER_S = 38_000.0
-
 # A prompt counts at least this long after it was sent, even if its prefill is
 # over.
 MIN_PREFILL_S = 0.1
@@ -26,7 +24,18 @@
 class PeerLoads:
     """The latest digest of each host and its notices since then."""
 
-    def __init__(self) -> None:
+    def __init__(
+        self,
+        prefill_tokens_per_s: Callable[[UpstreamId], float] = lambda _: (
+            DEFAULT_PREFILL_TOKENS_PER_S
+        ),
+    ) -> None:
+        """Creates an object without any loads.
+
+        Args:
+            prefill_tokens_per_s: Returns the prefill rate of an engine.
+        """
+        self._prefill_tokens_per_s = prefill_tokens_per_s
         self._digests: dict[HostId, tuple[LoadDigest, float]] = {}
         self._notices: dict[HostId, list[tuple[SendNotice, float]]] = {}
 
@@ -79,15 +88,22 @@
         """
         total: Counter[UpstreamId] = Counter()
         for digest, received_s in self._fresh_digests(now_s, host):
-            processed = int((now_s - received_s) * PREFILL_TOKENS_PER_S)
+            age_s = now_s - received_s
             for name, tokens in digest.reading.items():
-                total[name] += max(0, tokens - processed)
+                total[name] += self._remaining(name, tokens, age_s)
         for notice, received_s in self._fresh_notices(now_s, host):
             age_s = max(0.0, now_s - received_s - MIN_PREFILL_S)
-            processed = int(age_s * PREFILL_TOKENS_PER_S)
-            total[notice.upstream] += max(0, notice.prompt_tokens - processed)
+            total[notice.upstream] += self._remaining(
+                notice.upstream, notice.prompt_tokens, age_s
+            )
         return total
 
+    def _remaining(
+        self, upstream: UpstreamId, tokens: int, age_s: float
+    ) -> int:
+        processed = int(age_s * self._prefill_tokens_per_s(upstream))
+        return max(0, tokens - processed)
+
     def _fresh_digests(
         self, now_s: float, host: HostId | None
     ) -> Iterator[tuple[LoadDigest, float]]:
--- a/acaciaspoke/gateway/placement.py
+++ b/acaciaspoke/gateway/placement.py
@@ -11,6 +11,7 @@
 from typing import Any
 
 from acaciaspoke.gateway.demand import TotalDemand
+from acaciaspoke.gateway.engine_speed import DEFAULT_PREFILL_TOKENS_PER_S
 from acaciaspoke.gateway.engineview import EngineView, PlannedOrder, free_mb
 from acaciaspoke.gateway.types import Artifact, EngineSpec
 from acaciaspoke.ids import ModelId, UpstreamId
@@ -23,10 +24,9 @@
 # Weights of a request by priority, most urgent first.
 PRIORITY_WEIGHTS = (3.0, 2.0, 1.0)
 
-# Streams pause while their engine prefills prompts, so an engine with this
-# prefill rate counts as full: about half of what the engines of the platform's
-# sheets ("Engines") can do.
-FULL_PREFILL_TOKENS_PER_S = 19_000.0
+# Streams pause while their engine prefills prompts, so an engine that does so
+# for this share of the time counts as full.
+FULL_PREFILL_SHARE = 0.75
 
 # Share of the slots up to which engines should be used. The rest absorbs new
 # requests while another replica is loaded, so it is larger for longer loads.
@@ -70,6 +70,10 @@
 LAST_REPLICA_COSTS_PER_LOAD_S = (3.0, 2.0, 0.0)
 UNREQUESTED_LAST_REPLICA_COST_PER_LOAD_S = 1.5
 
+# A model without any request for this time is half as likely to get one soon
+# as at the start, so what it is worth to keep or to load it halves too.
+UNREQUESTED_HALF_TIME_S = 30.0
+
 # Cost of unloading the second replica of a model without any request so far:
 # several replicas were placed where demand is expected.
 UNREQUESTED_SECOND_REPLICA_COST_PER_LOAD_S = 1.5
@@ -109,8 +113,16 @@
         demands: Mapping[Artifact, TotalDemand],
         spec: EngineSpec,
         now_s: float,
+        prefill_tokens_per_s: float,
+        observed_s: float,
     ):
         self.now_s = now_s
+        # The chance that a model without requests so far gets one, as a share
+        # of the chance at the start (rule of succession).
+        self.unrequested_share = UNREQUESTED_HALF_TIME_S / (
+            UNREQUESTED_HALF_TIME_S + observed_s
+        )
+        self._prefill_tokens_per_s = prefill_tokens_per_s
         self._spec = spec
         # Costs by engine, which are needed for many models; valid until a
         # replica is added or removed.
@@ -153,13 +165,19 @@
 
     def demand(self, model: ModelId) -> float:
         """Returns the slots that a model's requests need."""
-        prefill_share = self.prefill_rate[model] / FULL_PREFILL_TOKENS_PER_S
+        full_tokens_per_s = FULL_PREFILL_SHARE * self._prefill_tokens_per_s
+        prefill_share = self.prefill_rate[model] / full_tokens_per_s
         return max(
             self.running[model],
             self.rate[model] * MIN_SLOT_TIME_S,
             prefill_share * self._spec.slots,
         )
 
+    def is_urgent(self, model: ModelId | None) -> bool:
+        """Returns whether a model has had requests above the least urgent."""
+        least_urgent = len(PRIORITY_WEIGHTS) - 1
+        return self.priority.get(model, least_urgent) < least_urgent
+
     def _last_replica_cost(self, model: ModelId) -> float:
         return self._cost_by_priority(
             model,
@@ -180,7 +198,7 @@
         load_s = self._spec.models[model].load_s
         priority = self.priority.get(model)
         if priority is None:
-            return default_per_s * load_s
+            return default_per_s * load_s * self.unrequested_share
         return costs_per_s[min(priority, len(costs_per_s) - 1)] * load_s
 
     def adapter_block_cost(self, engine: EngineView, load_s: float) -> float:
@@ -290,6 +308,8 @@
     spec: EngineSpec,
     cold_loads: int,
     now_s: float,
+    prefill_tokens_per_s: float = DEFAULT_PREFILL_TOKENS_PER_S,
+    observed_s: float = 0.0,
 ) -> list[PlannedOrder]:
     """Returns the model orders to send now, at most one for each engine.
 
@@ -299,8 +319,12 @@
         spec: The properties that the engines share.
         cold_loads: Loads from the weight store that may begin now.
         now_s: The current time.
+        prefill_tokens_per_s: The prefill rate of an engine.
+        observed_s: For how long the demand has been observed.
     """
-    replicas = _Replicas(engines, demands, spec, now_s)
+    replicas = _Replicas(
+        engines, demands, spec, now_s, prefill_tokens_per_s, observed_s
+    )
     available = {
         engine.name: engine for engine in engines if engine.accepts_model_order
     }
@@ -360,6 +384,7 @@
                 additions.append((model, gain, "no copy"))
             elif model not in replicas.priority:
                 gain = PRELOAD_GAIN_PER_LOAD_S * spec.models[model].load_s
+                gain *= replicas.unrequested_share
                 additions.append((model, gain, "not asked for yet"))
             continue
         slots = sum(engine.slots for engine in holders)
@@ -397,6 +422,8 @@
         if cold_loads <= 0 and model not in engine.cached_models:
             continue
         victim, cost = _victim(model, engine, replicas, spec)
+        if model not in replicas.priority and replicas.is_urgent(victim):
+            continue
         load_share = replicas.load_share(engine)
         cost += FULL_ENGINE_COST * load_share
         cost += gain * max(0.0, load_share - TARGET_SHARE)
--- a/acaciaspoke/gateway/process.py
+++ b/acaciaspoke/gateway/process.py
@@ -147,6 +147,7 @@
             self._post,
             self._apply_digest,
             self._dispatcher.fleet.peer_loads.apply_send,
+            prefill_tokens_per_s=self._dispatcher.fleet.prefill_tokens_per_s,
             get_read_progress=lambda: self._row_relay.progress(),
             record_read_progress=lambda read: self._row_relay.record_peer_read(
                 read
--- a/acaciaspoke/platform/headers.py
+++ b/acaciaspoke/platform/headers.py
@@ -65,6 +65,9 @@
 
 LEAST_URGENT = 9
 
+# Figures of a load report that each upstream states.
+_LOAD_COUNTS = 3
+
 
 class RequestFields(NamedTuple):
     """Properties of a request, from a caller's headers.
@@ -83,11 +86,17 @@
 
 
 class LoadReport(NamedTuple):
-    """The load that an upstream reports with its responses."""
+    """The load that an upstream reports with its responses.
+
+    Attributes:
+        work_time_percent: How long work takes at this moment, as a share of
+            the usual time; 100 if the upstream does not report it.
+    """
 
     running: int
     waiting: int
     slots: int
+    work_time_percent: int = 100
 
 
 class ResponseFields(NamedTuple):
@@ -98,6 +107,8 @@
         is_signed: Whether it has the upstream's signature.
         not_executed: Whether the upstream declares that it ran nothing.
         is_encoded: Whether the body has a content coding.
+        load: The upstream's load; None if it is missing or invalid.
+        has_invalid_load: Whether there is a load that cannot be decoded.
     """
 
     attempt_id: str
@@ -105,6 +116,7 @@
     not_executed: bool
     is_encoded: bool
     load: LoadReport | None
+    has_invalid_load: bool = False
 
 
 def attempt_id_of(headers: Iterable[tuple[bytes, bytes]]) -> RequestId:
@@ -192,17 +204,28 @@
     """Decodes the headers of an upstream's response."""
     found = {name.lower(): value for name, value in headers}
     coding = found.get(b"content-encoding", b"identity").strip().lower()
+    load = _decode_load(found.get(SERVER_LOAD, b""))
     return ResponseFields(
         attempt_id=found.get(ATTEMPT_ID, b"").decode("latin-1").strip(),
         is_signed=RESPONSE_SEAL in found,
         not_executed=NOT_EXECUTED in found,
         is_encoded=coding not in (b"", b"identity"),
-        load=_decode_load(found.get(SERVER_LOAD, b"")),
+        load=load,
+        has_invalid_load=load is None and SERVER_LOAD in found,
     )
 
 
 def _decode_load(value: bytes) -> LoadReport | None:
-    fields = value.split(b",")
-    if len(fields) != 3 or not all(f.strip().isdigit() for f in fields):
+    """Decodes a load; ignores figures after the known ones.
+
+    An invalid optional figure does not invalidate the others.
+    """
+    texts = [text.strip() for text in value.split(b",")]
+    counts = texts[:_LOAD_COUNTS]
+    if len(counts) < _LOAD_COUNTS or not all(map(bytes.isdigit, counts)):
         return None
-    return LoadReport(*map(int, fields))
+    load = LoadReport(*map(int, counts))
+    work_time = texts[_LOAD_COUNTS : _LOAD_COUNTS + 1]
+    if work_time and work_time[0].isdigit() and int(work_time[0]):
+        return load._replace(work_time_percent=int(work_time[0]))
+    return load
--- a/test/gateway/test_balance.py
+++ b/test/gateway/test_balance.py
@@ -10,9 +10,13 @@
     prefill_limit_tokens,
 )
 from acaciaspoke.gateway.dispatch import Assignment
+from acaciaspoke.gateway.engine_speed import (
+    DEFAULT_PREFILL_TOKENS_PER_S,
+    EngineSpeed,
+)
 from acaciaspoke.gateway.event_intervals import SLOW_RETENTION_S, EventIntervals
 from acaciaspoke.gateway.messages import LoadDigest, SendNotice
-from acaciaspoke.gateway.peerloads import MIN_PREFILL_S, PREFILL_TOKENS_PER_S
+from acaciaspoke.gateway.peerloads import MIN_PREFILL_S
 from acaciaspoke.ids import BootId, DomainId, HostId, ModelId, UpstreamId
 from test.gateway.builders import fleet, new_dispatcher, record, request, route
 
@@ -31,7 +35,7 @@
 
     def setUp(self):
         self.dispatcher = new_dispatcher(record("u1", "m1", slots=24))
-        self.long = int(0.7 * prefill_limit_tokens(request()))
+        self.long = int(0.7 * prefill_limit_tokens(request(), EngineSpeed()))
 
     def _submit(self, name, tokens, priority=0):
         prompt = request(
@@ -91,7 +95,7 @@
         self.dispatcher.fleet.peer_loads.apply_digest(digest, 0.0)
         self._submit("q1", self.long)
         self.assertEqual([], _assigned(self.dispatcher, 0.001))
-        read_s = self.long / PREFILL_TOKENS_PER_S
+        read_s = self.long / DEFAULT_PREFILL_TOKENS_PER_S
         self.assertEqual(["q1"], _assigned(self.dispatcher, read_s + 0.001))
 
     def test_prompt_that_another_host_has_just_sent_counts(self):
--- a/test/gateway/test_placement.py
+++ b/test/gateway/test_placement.py
@@ -205,6 +205,37 @@
         (order,) = plan_models(engines, demand, self.SLOW, 5, 0.0)
         self.assertEqual((artifact("m2"), "m5"), (order[2], order.reserve_for))
 
+    def test_unrequested_model_does_not_displace_an_urgent_one(self):
+        # Three replicas of the busiest models were evicted for models that
+        # nobody had asked for; with loads of 8 s they were missing at once.
+        engines = [engine(f"u{n}", "m1", "m2", "m3") for n in (1, 2, 3)]
+        demand = demands(
+            *(
+                demand_for(artifact(m), rate_per_s=0.3)
+                for m in ("m1", "m2", "m3")
+            )
+        )
+        slow = engine_spec(*MODELS, load_s=8.0)
+        self.assertEqual([], plan_models(engines, demand, slow, 5, 0.0))
+
+    def test_models_that_nobody_asks_for_yield_with_time(self):
+        # Requests of the least urgent work waited for up to 13 s and were then
+        # refused, while models without any request kept their places.
+        engines = [engine("u1", "m1", "m2", "m3")]
+        demand = demands(
+            *(demand_for(artifact(m), rate_per_s=3.0) for m in ("m1", "m2")),
+            demand_for(artifact("m5"), waiting=1, oldest_s=6.0, priority=2),
+        )
+
+        def orders(observed_s):
+            return plan_models(
+                engines, demand, self.SLOW, 5, 0.0, observed_s=observed_s
+            )
+
+        self.assertEqual([], orders(0.0))
+        (order,) = orders(60.0)
+        self.assertEqual((artifact("m3"), "m5"), (order[2], order.reserve_for))
+
     def test_two_replicas_of_an_idle_urgent_model_are_kept(self):
         # When any request could evict the second one, half of the callers
         # waited for a load after the next shift of demand.
--- a/test/gateway/test_process.py
+++ b/test/gateway/test_process.py
@@ -3,6 +3,7 @@
 import asyncio
 import os
 import signal
+import time
 
 import anyio
 import httpcore
@@ -361,6 +362,23 @@
             answer = await self._ask()
         self.assertIn(b"id: 2", answer.content)
 
+    async def test_stream_is_not_moved_after_a_suspension_of_this_process(self):
+        """Events that arrived meanwhile have not been read yet."""
+
+        async def first(arrival):
+            await arrival.stream(*EVENTS[:1], end=False)
+            await anyio.sleep(0.1)
+            time.sleep(1.0)
+            await anyio.sleep(0.1)
+            for event in (*EVENTS[1:], b""):
+                arrival.writer.write(b"%x\r\n%s\r\n" % (len(event), event))
+            await arrival.writer.drain()
+
+        self._script(first, _reset)
+        answer = await self._ask()
+        self.assertEqual(b"".join(EVENTS), answer.content)
+        self.assertEqual(1, len(_arrivals(self.engines)))
+
     async def test_stream_with_a_lost_backup_is_not_retried(self):
         async def first(arrival):
             await arrival.stream(b"id: 1\ndata: a\n\n", end=False)
