Wait out the hand-over also after a restart of the new leader

Cause: a process that took the lease over from an earlier process of its own host sent orders at once, although that process may still have had to wait for another host; a process that lost and acquired the lease again while it waited forgot its wait.

Change: handover.py decides the wait from the former holder and how often it had renewed; a wait in progress is never shortened.

--- a/acaciaspoke/control/lease.py
+++ b/acaciaspoke/control/lease.py
@@ -180,6 +180,11 @@
         """The holder named by the last observed row."""
         return (self._row.holder or None) if self._row else None
 
+    @property
+    def renewals(self) -> int:
+        """How often the holder in the last observed row has renewed it."""
+        return self._row.renewals if self._row else 0
+
     @property
     def epoch(self) -> int:
         """The epoch in which this process last held the lease."""
--- a/acaciaspoke/gateway/leader.py
+++ b/acaciaspoke/gateway/leader.py
@@ -14,7 +14,6 @@
     LeaseError,
     LeaseNotHeldError,
     LeaseTable,
-    LeaseTiming,
     execute_action,
 )
 from acaciaspoke.gateway.adapter_placement import plan_adapters
@@ -22,6 +21,12 @@
 from acaciaspoke.gateway.engine_tracker import EngineTracker
 from acaciaspoke.gateway.engineview import PlannedOrder
 from acaciaspoke.gateway.fleet import Fleet
+from acaciaspoke.gateway.handover import (
+    LEASE_S,
+    LEASE_TIMING,
+    NO_ORDERS_S,
+    handover_delay_s,
+)
 from acaciaspoke.gateway.messages import DemandDigest, PlacementNotice
 from acaciaspoke.gateway.metrics import GatewayMetrics
 from acaciaspoke.gateway.orders import (
@@ -47,12 +52,6 @@
 # One leader sends the orders to all engines of the deployment.
 LEASE_SCOPE = DomainId("engines")
 
-# An unreachable leader is replaced after this time plus the handover delay that
-# the platform requires between two lease holders.
-LEASE_S = 1.6
-LEASE_TIMING = LeaseTiming(
-    renew_s=0.4, retry_s=0.3, read_s=0.4, slow_read_s=2.0, takeover_jitter_s=0.2
-)
 STEP_INTERVAL_S = 0.1
 
 # Orders are planned at each change, but not more often than the first interval,
@@ -77,17 +76,6 @@
 # Longest time of an unload without running requests.
 UNLOAD_S = 0.1
 
-# The leader sends no order in the last part of its lease, which shortens the
-# handover delay of its successor by that time: the successor acquires the lease
-# LEASE_S after the last renewal at the earliest, and the leader counts on a
-# renewal for nine tenths of LEASE_S.
-NO_ORDERS_S = 0.54
-ORDER_PERIOD_S = 0.9 * LEASE_S - NO_ORDERS_S
-
-# Added to the handover delay, as an order that was sent just before may still
-# arrive.
-HANDOVER_MARGIN_S = ORDER_TIMEOUT_S
-
 
 class Leader:
     """Plans orders and sends them to the engines while it holds the lease."""
@@ -134,6 +122,7 @@
         self._wake = anyio.Event()
         self._led_epoch = 0
         self._former_holder: HostId | None = None
+        self._former_renewals = 0
         self._no_orders_until_s = 0.0
         self._notice_due_s = 0.0
         self._last_notice_s = 0.0
@@ -189,6 +178,7 @@
         while True:
             if not self.holds_lease:
                 self._former_holder = self.lease.holder
+                self._former_renewals = self.lease.renewals
             if self.holds_lease or is_candidate():
                 action = self.lease.step(boot_time_s(), True)
                 await execute_action(
@@ -234,15 +224,17 @@
             return
         self._led_epoch = self.lease.epoch
         self._order_sender.clear()
-        self._no_orders_until_s = 0.0
+        if self._led_epoch > 1:
+            delay_s = handover_delay_s(
+                self._settings.lease_silence_ms / 1000,
+                self._settings.host_id,
+                self._former_holder,
+                self._former_renewals,
+            )
+            self._no_orders_until_s = max(
+                self._no_orders_until_s, boot_time_s() + delay_s
+            )
         if self._led_epoch > 1 and self._former_holder != self._settings.host:
-            handover_s = self._settings.lease_silence_ms / 1000
-            handover_s += HANDOVER_MARGIN_S
-            if self._former_holder is not None:
-                # The former holder let the lease expire. A holder that released
-                # it may have sent its last order just before.
-                handover_s -= LEASE_S - ORDER_PERIOD_S
-            self._no_orders_until_s = boot_time_s() + handover_s
             for service, spec in self._engine_services():
                 limit = self._load_limit(service)
                 limit.exhaust(spec.loads_per_s, time.monotonic())
--- a/test/gateway/test_process.py
+++ b/test/gateway/test_process.py
@@ -9,7 +9,7 @@
 import httpcore
 
 from acaciaspoke.control.lease import LeaseNotHeldError
-from acaciaspoke.gateway.leader import (
+from acaciaspoke.gateway.handover import (
     LEASE_S,
     NO_ORDERS_S,
     ORDER_PERIOD_S,
