Take the measured speed back out of the planner; split placement

The prefill at an engine is summed up only when a stream is overdue, not at each tick. replicas.py holds what placement.py knew of replicas and their costs, by moving it.

--- a/acaciaspoke/gateway/adapter_placement.py
+++ b/acaciaspoke/gateway/adapter_placement.py
@@ -11,7 +11,7 @@
 
 from acaciaspoke.gateway.demand import TotalDemand
 from acaciaspoke.gateway.engineview import EngineView, PlannedOrder, free_mb
-from acaciaspoke.gateway.placement import TARGET_SHARE
+from acaciaspoke.gateway.replicas import TARGET_SHARE
 from acaciaspoke.gateway.types import Artifact, EngineSpec
 from acaciaspoke.ids import UpstreamId
 from acaciaspoke.platform.engine import OrderAction
--- a/acaciaspoke/gateway/exchange.py
+++ b/acaciaspoke/gateway/exchange.py
@@ -246,22 +246,32 @@
         """
         now_s = time.monotonic()
         self._stalls.record_check(now_s)
+        overdue = [
+            stream
+            for stream in self._streams.values()
+            if stream.assignment.request.backup_engine is not None
+            and stream.relay.first_event_s is not None
+            and self._is_stalled(stream, 0.0, now_s)
+        ]
+        if not overdue:
+            return
         fleet = self._dispatcher.fleet
         prefill_tokens = fleet.prefill_tokens(now_s)
-        for stream in self._streams.values():
+        for stream in overdue:
             upstream = stream.assignment.upstream
-            if (
-                stream.assignment.request.backup_engine is not None
-                and stream.relay.first_event_s is not None
-                and self._stalls.is_stalled(
-                    fleet.last_event_s(upstream, stream.relay.last_event_s),
-                    prefill_tokens[upstream]
-                    / fleet.prefill_tokens_per_s(upstream),
-                    now_s,
-                )
-            ):
+            tokens_per_s = fleet.prefill_tokens_per_s(upstream)
+            prefill_s = prefill_tokens[upstream] / tokens_per_s
+            if self._is_stalled(stream, prefill_s, now_s):
                 stream.scope.cancel()
 
+    def _is_stalled(
+        self, stream: _Stream, prefill_s: float, now_s: float
+    ) -> bool:
+        last_event_s = self._dispatcher.fleet.last_event_s(
+            stream.assignment.upstream, stream.relay.last_event_s
+        )
+        return self._stalls.is_stalled(last_event_s, prefill_s, now_s)
+
     def _may_resume(
         self, request: Request, relay: Relay, attempt: Attempt, now_s: float
     ) -> bool:
--- a/acaciaspoke/gateway/leader.py
+++ b/acaciaspoke/gateway/leader.py
@@ -321,8 +321,7 @@
             spec,
             remaining,
             now_s,
-            self._fleet.speed.prefill_tokens_per_s(service),
-            self.demand.observed_s(now_s),
+            observed_s=self.demand.observed_s(now_s),
         )
         assigned = {order.upstream for order in orders}
         orders.extend(
--- a/test/gateway/test_placement.py
+++ b/test/gateway/test_placement.py
@@ -4,7 +4,8 @@
 from collections import Counter
 
 from acaciaspoke.gateway.adapter_placement import plan_adapters
-from acaciaspoke.gateway.placement import MIN_RESIDENCE_S, plan_models
+from acaciaspoke.gateway.placement import plan_models
+from acaciaspoke.gateway.replicas import MIN_RESIDENCE_S
 from acaciaspoke.ids import ModelId
 from acaciaspoke.platform.engine import OrderAction
 from test.gateway.builders import (
