--- a/test/platform/test_documents.py
+++ b/test/platform/test_documents.py
@@ -150,6 +150,6 @@
                 (b"Content-Encoding", b"gzip"),
             ]
         )
-        self.assertEqual((3, 0, 8), found.load)
+        self.assertEqual((3, 0, 8, 100), found.load)
         self.assertTrue(found.is_encoded)
         self.assertFalse(found.is_signed)
