Log why a model with waiting requests gets no order

The leader logged only the orders that it sent, so that a missing demand, busy engines, the load limit and prices above the gain could not be told apart.

The planner reports each model that should get a replica but gets no order, with the obstacle and the parts of the least cost; the leader logs it at most once in 2 s for a model with waiting requests, and counts it by obstacle.

--- a/acaciaspoke/gateway/leader.py
+++ b/acaciaspoke/gateway/leader.py
@@ -1,5 +1,6 @@
 """Competes for the order lease; plans and sends orders while holding it."""
 
+import functools
 import random
 import time
 from collections import Counter
@@ -37,6 +38,7 @@
 from acaciaspoke.gateway.placement import plan_models
 from acaciaspoke.gateway.settings import GatewaySettings
 from acaciaspoke.gateway.types import Artifact, Configuration, EngineSpec
+from acaciaspoke.gateway.unplaced import UnplacedLog
 from acaciaspoke.ids import (
     BootId,
     DomainId,
@@ -127,6 +129,7 @@
         self._notice_due_s = 0.0
         self._last_notice_s = 0.0
         self._has_changes = False
+        self._unplaced_log = UnplacedLog(metrics)
         self._order_sender = OrderSender(
             settings.host_id, self._next_token, metrics, self._on_change
         )
@@ -322,6 +325,9 @@
             remaining,
             now_s,
             observed_s=self.demand.observed_s(now_s),
+            on_unplaced=functools.partial(
+                self._unplaced_log.record, demands, now_s
+            ),
         )
         assigned = {order.upstream for order in orders}
         orders.extend(
--- a/acaciaspoke/gateway/metrics.py
+++ b/acaciaspoke/gateway/metrics.py
@@ -44,6 +44,13 @@
             ["action", "result"],
             registry=self.registry,
         )
+        self.unplaced = Counter(
+            "acaciaspoke_unplaced",
+            "Planning rounds in which a model with waiting requests got no"
+            " order, by obstacle",
+            ["obstacle"],
+            registry=self.registry,
+        )
         self.feed_calls = Counter(
             "acaciaspoke_feed_calls",
             "Calls to the store that follow a table",
--- a/acaciaspoke/gateway/placement.py
+++ b/acaciaspoke/gateway/placement.py
@@ -5,7 +5,9 @@
 a busy model gets more replicas as its engines fill up. All functions are pure.
 """
 
-from collections.abc import Iterator, Mapping
+from collections.abc import Callable, Iterator, Mapping
+from enum import Enum
+from typing import NamedTuple
 
 from acaciaspoke.gateway.demand import TotalDemand
 from acaciaspoke.gateway.engine_speed import DEFAULT_PREFILL_TOKENS_PER_S
@@ -46,6 +48,49 @@
 SAME_DOMAIN_COST = 0.2
 
 
+class Obstacle(Enum):
+    """Why no engine gets an order for a model.
+
+    ``ENGINE``: all engines that lack it execute or await other orders.
+    ``LOAD_LIMIT``: the weight store allows no load now. ``COST``: at each
+    engine, the load costs more than the model gains.
+    """
+
+    ENGINE = "engine"
+    LOAD_LIMIT = "load_limit"
+    COST = "cost"
+
+
+class ReplicaCost(NamedTuple):
+    """The cost of a new replica at an engine.
+
+    Attributes:
+        eviction: Of the replica that is evicted for it.
+        load: Of the engine's load and of replicas in its failure domain.
+        engine_time: Of the time for which it executes no other order.
+        adapters: Of the adapters that it cannot load meanwhile.
+    """
+
+    eviction: float
+    load: float
+    engine_time: float
+    adapters: float
+
+
+class Unplaced(NamedTuple):
+    """A model for which no engine gets an order now.
+
+    Attributes:
+        gain: The gain of a replica.
+        least_cost: The least cost of one; None if no engine was examined.
+    """
+
+    model: ModelId
+    obstacle: Obstacle
+    gain: float
+    least_cost: ReplicaCost | None = None
+
+
 def plan_models(
     engines: list[EngineView],
     demands: Mapping[Artifact, TotalDemand],
@@ -54,6 +99,7 @@
     now_s: float,
     prefill_tokens_per_s: float = DEFAULT_PREFILL_TOKENS_PER_S,
     observed_s: float = 0.0,
+    on_unplaced: Callable[[Unplaced], None] = lambda unplaced: None,
 ) -> list[PlannedOrder]:
     """Returns the model orders to send now, at most one for each engine.
 
@@ -65,6 +111,8 @@
         now_s: The current time.
         prefill_tokens_per_s: The prefill rate of an engine.
         observed_s: For how long the demand has been observed.
+        on_unplaced: Called with each model that should get a replica, but for
+            which no order is sent.
     """
     replicas = Replicas(
         engines, demands, spec, now_s, prefill_tokens_per_s, observed_s
@@ -77,12 +125,11 @@
         engine = available.pop(order.upstream)
         cold_loads -= order.artifact.model not in engine.cached_models
     for model, gain, reason in _replicas_to_add(replicas, spec):
-        if not available:
-            break
         order = _plan_replica(
             model, gain, reason, available, replicas, spec, cold_loads
         )
-        if order is None:
+        if isinstance(order, Unplaced):
+            on_unplaced(order)
             continue
         orders.append(order)
         engine = available.pop(order.upstream)
@@ -157,31 +204,40 @@
     replicas: Replicas,
     spec: EngineSpec,
     cold_loads: int,
-) -> PlannedOrder | None:
+) -> PlannedOrder | Unplaced:
     best: tuple | None = None
+    least_cost: ReplicaCost | None = None
+    obstacle = Obstacle.ENGINE
     domains = {engine.failure_domain for engine in replicas.holders[model]}
     for engine in available.values():
         if model in engine.models or engine.reserved is not None:
             continue
         if cold_loads <= 0 and model not in engine.cached_models:
+            if obstacle is Obstacle.ENGINE:
+                obstacle = Obstacle.LOAD_LIMIT
             continue
-        victim, cost = _victim(model, engine, replicas, spec)
+        obstacle = Obstacle.COST
+        victim, eviction_cost = _victim(model, engine, replicas, spec)
         if model not in replicas.priority and replicas.is_urgent(victim):
             continue
-        load_share = replicas.load_share(engine)
-        cost += FULL_ENGINE_COST * load_share
-        cost += gain * max(0.0, load_share - TARGET_SHARE)
-        cost += SAME_DOMAIN_COST if engine.failure_domain in domains else 0.0
-        load_s = _load_s(model, engine, spec)
-        cost += ENGINE_TIME_COST_PER_S * load_s
-        cost += replicas.adapter_block_cost(engine, load_s)
+        costs = _replica_cost(
+            gain,
+            engine,
+            engine.failure_domain in domains,
+            eviction_cost,
+            _load_s(model, engine, spec),
+            replicas,
+        )
+        cost = sum(costs)
+        if least_cost is None or cost < sum(least_cost):
+            least_cost = costs
         if cost >= gain:
             continue
         cost += _delay_cost(model, engine, replicas, spec)
         if best is None or cost < best[0]:
             best = (cost, engine, victim)
     if best is None:
-        return None
+        return Unplaced(model, obstacle, gain, least_cost)
     _, engine, victim = best
     if victim is None:
         return PlannedOrder(
@@ -196,6 +252,26 @@
     )
 
 
+def _replica_cost(
+    gain: float,
+    engine: EngineView,
+    is_same_domain: bool,
+    eviction_cost: float,
+    load_s: float,
+    replicas: Replicas,
+) -> ReplicaCost:
+    load_share = replicas.load_share(engine)
+    load_cost = FULL_ENGINE_COST * load_share
+    load_cost += gain * max(0.0, load_share - TARGET_SHARE)
+    load_cost += SAME_DOMAIN_COST if is_same_domain else 0.0
+    return ReplicaCost(
+        eviction=eviction_cost,
+        load=load_cost,
+        engine_time=ENGINE_TIME_COST_PER_S * load_s,
+        adapters=replicas.adapter_block_cost(engine, load_s),
+    )
+
+
 def _delay_cost(
     model: ModelId, engine: EngineView, replicas: Replicas, spec: EngineSpec
 ) -> float:
--- a/test/gateway/test_placement.py
+++ b/test/gateway/test_placement.py
@@ -4,7 +4,7 @@
 from collections import Counter
 
 from acaciaspoke.gateway.adapter_placement import plan_adapters
-from acaciaspoke.gateway.placement import plan_models
+from acaciaspoke.gateway.placement import Obstacle, plan_models
 from acaciaspoke.gateway.replicas import MIN_RESIDENCE_S
 from acaciaspoke.ids import ModelId
 from acaciaspoke.platform.engine import OrderAction
@@ -105,6 +105,40 @@
         self.assertEqual("u2", order.upstream)
 
 
+class ObstacleTest(unittest.TestCase):
+    """A model with waiting requests gets no order."""
+
+    def _unplaced(self, engines, cold_loads=5):
+        found = []
+        demand = demands(
+            *(demand_for(artifact(m), rate_per_s=9.0) for m in MODELS[:4]),
+            demand_for(artifact("m5"), waiting=1, priority=2),
+        )
+        orders = plan_models(
+            engines, demand, SPEC, cold_loads, 0.0, on_unplaced=found.append
+        )
+        self.assertEqual([], orders)
+        (unplaced,) = [each for each in found if each.model == "m5"]
+        return unplaced
+
+    def test_engines_execute_other_orders(self):
+        busy = engine("u1", "m1", "m2", "m3", accepts_model_order=False)
+        unplaced = self._unplaced([busy])
+        self.assertEqual(Obstacle.ENGINE, unplaced.obstacle)
+        self.assertIsNone(unplaced.least_cost)
+
+    def test_weight_store_allows_no_load(self):
+        unplaced = self._unplaced([engine("u1", "m1")], cold_loads=0)
+        self.assertEqual(Obstacle.LOAD_LIMIT, unplaced.obstacle)
+
+    def test_eviction_costs_more_than_the_model_gains(self):
+        unplaced = self._unplaced([engine("u1", "m1", "m2", "m3")])
+        self.assertEqual(Obstacle.COST, unplaced.obstacle)
+        costs = unplaced.least_cost
+        self.assertEqual(max(costs), costs.eviction)
+        self.assertGreater(sum(costs), unplaced.gain)
+
+
 class ReplicaTest(unittest.TestCase):
     """One model gets more requests than its engine has slots."""
 
