Price only missing adapters in the planner's cost of blocking an engine

Cause: the cost of a model order at an engine counted the rate of all requests for adapters of its models, as if each needed an adapter order. An engine that loads a model goes on serving the adapters it holds.

Only adapters that no engine with a free slot holds need an order, so only their rate counts now.

Test: test_loaded_adapters_do_not_keep_models_from_being_loaded got no order before.

--- a/acaciaspoke/gateway/replicas.py
+++ b/acaciaspoke/gateway/replicas.py
@@ -102,13 +102,17 @@
         self.priority: dict[ModelId, int] = {}
         self.rate: Counter[ModelId] = Counter()
         self.prefill_rate: Counter[ModelId] = Counter()
-        self.adapter_rate: Counter[ModelId] = Counter()
+        # Requests a second for adapters that no engine can serve now.
+        self.missing_adapter_rate: Counter[ModelId] = Counter()
         self.running: Counter[ModelId] = Counter()
         self.holders: dict[ModelId, list[EngineView]] = defaultdict(list)
         # Models with a replica that is being loaded, which will serve waiting
         # requests.
         self.loading_models: set[ModelId] = set()
+        served_adapters: set[Artifact] = set()
         for engine in engines:
+            if engine.load_share < 1:
+                served_adapters |= engine.adapters
             self.running.update(engine.running)
             for model in engine.models:
                 if model not in engine.unloading_models:
@@ -125,8 +129,8 @@
             model = artifact.model
             self.rate[model] += total.rate_per_s
             self.prefill_rate[model] += total.tokens_per_s
-            if artifact.adapter is not None:
-                self.adapter_rate[model] += total.rate_per_s
+            if artifact.adapter is not None and artifact not in served_adapters:
+                self.missing_adapter_rate[model] += total.rate_per_s
             self.waiting[model] += total.waiting
             known = self.priority.get(model, total.priority)
             self.priority[model] = min(known, total.priority)
@@ -218,6 +222,8 @@
         return candidate, cost
 
     def _adapter_block_cost_per_s(self, engine: EngineView) -> float:
+        # A blocked engine still serves the adapters that it holds, so only those
+        # that need an order are delayed.
         cost = 0.0
         for model in engine.models:
             other_holders = [
@@ -225,7 +231,8 @@
                 for other in self.holders[model]
                 if other is not engine and other.accepts_adapter_order
             ]
-            rate = self.adapter_rate[model] / (1 + len(other_holders)) ** 2
+            rate = self.missing_adapter_rate[model]
+            rate /= (1 + len(other_holders)) ** 2
             cost += rate * self.weight.get(model, 1.0)
         return cost
 
