Take the last replica cost of unrequested models from the requested ones

Cause: a model without any request was kept at a fixed cost of 1.5 per second of its load time, as if its first request were nearly as likely to be urgent as not. In these deployments most models are only asked for by the least urgent kind, whose last replicas cost nothing to keep.

The cost is now the mean over the models that had requests, by their most urgent priority, with one more model of each priority for what is not known.

--- a/acaciaspoke/gateway/replicas.py
+++ b/acaciaspoke/gateway/replicas.py
@@ -51,11 +51,11 @@
 LAST_REPLICA_COST = 2.0
 
 # Cost of unloading a last replica per second of its load time, by the most
-# urgent priority of its requests, and for a model without any request so far.
-# Least urgent work can bear a cold start; urgent demand moves to idle models,
-# and a load then takes longer than callers wait.
+# urgent priority of its requests. Least urgent work can bear a cold start;
+# urgent demand moves to idle models, and a load then takes longer than callers
+# wait. The first request for a model is expected to be as urgent as the others'
+# requests are, so for a model without any request the mean applies.
 LAST_REPLICA_COSTS_PER_LOAD_S = (3.0, 2.0, 0.0)
-UNREQUESTED_LAST_REPLICA_COST_PER_LOAD_S = 1.5
 
 # A model without any request for this time is half as likely to get one soon
 # as at the start, so what it is worth to keep or to load it halves too.
@@ -138,6 +138,9 @@
             self.oldest_s[model] = max(
                 total.oldest_s, self.oldest_s.get(model, 0.0)
             )
+        self._unrequested_last_replica_cost_per_s = _mean_cost(
+            LAST_REPLICA_COSTS_PER_LOAD_S, self.priority.values()
+        )
 
     def demand(self, model: ModelId) -> float:
         """Returns the slots that a model's requests need."""
@@ -158,7 +161,7 @@
         return self._cost_by_priority(
             model,
             LAST_REPLICA_COSTS_PER_LOAD_S,
-            UNREQUESTED_LAST_REPLICA_COST_PER_LOAD_S,
+            self._unrequested_last_replica_cost_per_s,
         )
 
     def _second_replica_cost(self, model: ModelId) -> float:
@@ -222,7 +225,7 @@
         return candidate, cost
 
     def _adapter_block_cost_per_s(self, engine: EngineView) -> float:
-        # A blocked engine still serves the adapters that it holds, so only those
+        # A blocked engine still serves the adapters that it holds; only those
         # that need an order are delayed.
         cost = 0.0
         for model in engine.models:
@@ -270,6 +273,15 @@
         return cost + weight * (missing_slots + spare)
 
 
+def _mean_cost(costs: Sequence[float], priorities: Iterable[int]) -> float:
+    """Returns the mean cost over models with requests of these priorities.
+
+    One more model of each priority stands for what is not known yet.
+    """
+    known = [costs[min(priority, len(costs) - 1)] for priority in priorities]
+    return sum([*costs, *known]) / (len(costs) + len(known))
+
+
 def weight_of(priority: int) -> float:
     """Returns the weight of a request of a priority."""
     return PRIORITY_WEIGHTS[min(priority, len(PRIORITY_WEIGHTS) - 1)]
