Block prompt parts whose requests crash the engines that run them

Cause: crashes were counted by the hash of the whole request. No two of these requests are alike, so each had a count of its own.

Each host now also records, for the shared parts of a prompt, the engines that closed the connection before the first event, and when a request with the part last began; hosts exchange both with ages. It works because a request with the harmful part never begins, while those that run beside a crash share their parts with requests that begin elsewhere; one crash seen by many hosts counts once. The answers to callers move from exchange.py to answers.py, to make room.

--- a/acaciaspoke/gateway/aggregate.py
+++ b/acaciaspoke/gateway/aggregate.py
@@ -18,9 +18,16 @@
     SendBatch,
     SendNotice,
 )
+from acaciaspoke.gateway.part_suspects import (
+    EVIDENCE_RETENTION_S,
+    EvidenceByPart,
+    PartEvidence,
+    merge_evidence,
+    most_suspected,
+)
 from acaciaspoke.gateway.peerloads import PeerLoads
 from acaciaspoke.gateway.suspects import CrashSuspects
-from acaciaspoke.ids import DomainId, HostId, ModelId, UpstreamId
+from acaciaspoke.ids import DomainId, HostId, ModelId, PartId, UpstreamId
 from acaciaspoke.util.rendezvous import rank_by_link
 
 # A host that has sent nothing to any aggregator for this time counts as
@@ -120,6 +127,10 @@
         self._last_seen_s: dict[HostId, float] = {}
         self._member_crashes = CrashSuspects()
         self._domain_crashes = CrashSuspects()
+        # What members, and the members of other aggregators, know of prompt
+        # parts, and when it was received.
+        self._member_parts: dict[HostId, tuple[EvidenceByPart, float]] = {}
+        self._domain_parts: dict[HostId, tuple[EvidenceByPart, float]] = {}
         self._pending_from_members: list[SendNotice] = []
         self._pending_from_domains: list[SendNotice] = []
 
@@ -128,6 +139,7 @@
         self._members.apply_digest(digest, now_s)
         self._last_seen_s[digest.host] = now_s
         self._member_crashes.apply_counts(digest.host, digest.crashes, now_s)
+        self._member_parts[digest.host] = (digest.suspected_parts, now_s)
 
     def apply_send(self, notice: SendNotice, now_s: float) -> None:
         """Applies a notice of a request that a member sends."""
@@ -139,6 +151,7 @@
         self._domains.apply_digest(loads, now_s)
         self.aggregators_seen_s[loads.host] = now_s
         self._domain_crashes.apply_counts(loads.host, loads.crashes, now_s)
+        self._domain_parts[loads.host] = (loads.suspected_parts, now_s)
 
     def apply_batch(self, batch: SendBatch, now_s: float) -> None:
         """Applies the notices of another aggregator's members."""
@@ -172,6 +185,7 @@
             slow=_union(digest.slow for digest in digests),
             configuration=_newest_configuration(digests),
             crashes=dict(self._member_crashes.remote_counts(now_s)),
+            suspected_parts=_merge_parts(self._member_parts.values(), now_s),
             members=tuple(sorted(self.members(now_s))),
             rows_read=rows_read,
         )
@@ -199,6 +213,9 @@
         waiting = _sum_waiting(digests)
         crashes = self._member_crashes.remote_counts(now_s)
         crashes += self._domain_crashes.remote_counts(now_s)
+        parts = _merge_parts(
+            [*self._member_parts.values(), *self._domain_parts.values()], now_s
+        )
         slow = _union(digest.slow for digest in digests)
         newest = _newest_configuration(digests)
         unresponsive = self._unresponsive_hosts(hosts, now_s)
@@ -219,6 +236,7 @@
                 slow=slow,
                 configuration=newest,
                 crashes=dict(crashes - Counter(member_digest.crashes)),
+                suspected_parts=parts,
                 silent=unresponsive,
                 rows_read=rows_read,
             )
@@ -242,6 +260,18 @@
         return tuple(sorted(set(hosts) - responsive))
 
 
+def _merge_parts(
+    reports: Iterable[tuple[EvidenceByPart, float]], now_s: float
+) -> dict[PartId, PartEvidence]:
+    """Merges the reports of hosts whose suspicions still count."""
+    recent = [
+        (evidence, now_s - received_s)
+        for evidence, received_s in reports
+        if now_s - received_s <= EVIDENCE_RETENTION_S
+    ]
+    return most_suspected(merge_evidence(recent))
+
+
 def _sum_waiting(
     digests: Iterable[LoadDigest],
 ) -> dict[ModelId, dict[int, int]]:
--- /dev/null
+++ b/acaciaspoke/gateway/answers.py
@@ -0,0 +1,178 @@
+"""Ends requests: answers their callers, and counts and logs the answers."""
+
+import time
+
+from loguru import logger
+
+from acaciaspoke.entry.caller import Caller
+from acaciaspoke.entry.errors import Outcome
+from acaciaspoke.gateway.admission import Refusal, refuse
+from acaciaspoke.gateway.attempt import Attempt, Relay
+from acaciaspoke.gateway.failures import Failure, FailureType, send_failure
+from acaciaspoke.gateway.metrics import GatewayMetrics
+from acaciaspoke.gateway.types import Request
+
+# Other requests end within this time, so that an upstream that refused has
+# capacity when the caller retries.
+REFUSED_RETRY_AFTER_S = 0.3
+
+_BLOCKED = Failure(
+    FailureType.REQUEST_BLOCKED,
+    "upstreams that ran this request, or others with a part of its prompt,"
+    " crashed; it is blocked for now",
+)
+
+
+class StreamBrokenError(Exception):
+    """A stream that has begun cannot be finished."""
+
+
+def record_answer(
+    metrics: GatewayMetrics,
+    request: Request,
+    relay: Relay,
+    attempt: Attempt,
+    now_s: float,
+) -> None:
+    """Counts and logs a response that the caller has."""
+    first_s = relay.first_event_s or now_s
+    metrics.record_response(
+        request.route.name, first_s - request.arrived_s, "served"
+    )
+    logger.info(
+        "answered {}",
+        attempt.status,
+        request_id=request.id,
+        route=request.route.name,
+        first_ms=round((first_s - request.arrived_s) * 1000),
+        gap_ms=round(relay.longest_gap_s * 1000),
+        total_ms=round((now_s - request.arrived_s) * 1000),
+    )
+
+
+async def answer_refused(
+    metrics: GatewayMetrics, request: Request, relay: Relay, refusal: Refusal
+) -> None:
+    """Answers a request that is refused before any attempt."""
+    failure = Failure(
+        FailureType.OVERLOADED,
+        f"no upstream is free in time ({refusal.reason})",
+        retry_after_s=refusal.retry_after_s,
+    )
+    await _answer_failure(metrics, request, relay.caller, failure)
+
+
+async def answer_dropped(
+    metrics: GatewayMetrics, request: Request, relay: Relay, refusal: Refusal
+) -> None:
+    """Answers a request that is refused while it is queued.
+
+    Raises:
+        StreamBrokenError: If the response has begun.
+    """
+    if relay.caller.started:
+        raise StreamBrokenError("no upstream is free to resume at")
+    if request.starts:
+        failure = Failure(
+            FailureType.UPSTREAM_FAILED,
+            "the upstream failed, and no other one is free in time",
+            Outcome.UNKNOWN,
+        )
+        await _answer_failure(metrics, request, relay.caller, failure)
+        return
+    await answer_refused(metrics, request, relay, refusal)
+
+
+async def answer_blocked(
+    metrics: GatewayMetrics, request: Request, relay: Relay
+) -> None:
+    """Answers a request that may crash upstreams.
+
+    Raises:
+        StreamBrokenError: If the response has begun.
+    """
+    if relay.caller.started:
+        raise StreamBrokenError(_BLOCKED.message)
+    failure = _BLOCKED
+    if request.starts:
+        failure = failure._replace(outcome=Outcome.UNKNOWN)
+    await _answer_failure(metrics, request, relay.caller, failure)
+
+
+async def answer_failed(
+    metrics: GatewayMetrics, request: Request, relay: Relay, attempt: Attempt
+) -> None:
+    """Answers a request whose last attempt failed.
+
+    Raises:
+        StreamBrokenError: If the response has begun.
+    """
+    if relay.caller.started:
+        raise StreamBrokenError(attempt.detail or attempt.ending.value)
+    if attempt.failure is not None:
+        status, headers, body = attempt.failure
+        metrics.record_response(request.route.name, None, "upstream_error")
+        logger.info(
+            "forwarded the upstream's status {}",
+            status,
+            request_id=request.id,
+        )
+        await relay.caller.answer(status, headers, body)
+        return
+    if request.starts == 0:
+        now_s = time.monotonic()
+        refusal = refuse(request, "refused", REFUSED_RETRY_AFTER_S, now_s)
+        failure = Failure(
+            FailureType.UPSTREAM_REFUSED,
+            f"upstreams did not take it ({attempt.ending.value})",
+            retry_after_s=refusal.retry_after_s,
+        )
+    else:
+        failure = Failure(
+            FailureType.UPSTREAM_FAILED,
+            f"the upstream's answer is lost ({attempt.ending.value})",
+            Outcome.UNKNOWN,
+        )
+    await _answer_failure(metrics, request, relay.caller, failure)
+
+
+async def answer_expired(
+    metrics: GatewayMetrics, request: Request, relay: Relay
+) -> None:
+    """Answers a request whose deadline has passed.
+
+    Raises:
+        StreamBrokenError: If the response has begun.
+    """
+    if relay.caller.started:
+        raise StreamBrokenError("the deadline passed")
+    failure = Failure(
+        FailureType.UPSTREAM_TIMEOUT,
+        "the deadline passed",
+        Outcome.UNKNOWN if request.starts else Outcome.NOT_RUN,
+    )
+    await _answer_failure(metrics, request, relay.caller, failure)
+
+
+async def _answer_failure(
+    metrics: GatewayMetrics, request: Request, caller: Caller, failure: Failure
+) -> None:
+    metrics.record_response(request.route.name, None, failure.type.value)
+    logger.info(
+        "answered {}: {}",
+        failure.status,
+        failure.message,
+        request_id=request.id,
+        route=request.route.name,
+        outcome=failure.outcome.value,
+        retry_after_s=failure.retry_after_s,
+        artifact=str(request.artifact or ""),
+        waited_for=wait_reason_text(request),
+        held_ms=round((time.monotonic() - request.arrived_s) * 1000),
+    )
+    await send_failure(caller, failure)
+
+
+def wait_reason_text(request: Request) -> str:
+    """Returns why a request waited, for logs."""
+    return request.wait_reason.value if request.wait_reason else ""
--- a/acaciaspoke/gateway/app.py
+++ b/acaciaspoke/gateway/app.py
@@ -9,8 +9,9 @@
 
 from acaciaspoke.entry.caller import Caller, CallerDisconnectedError
 from acaciaspoke.entry.errors import CallerError, Outcome
+from acaciaspoke.gateway.answers import StreamBrokenError
 from acaciaspoke.gateway.attempt import Relay
-from acaciaspoke.gateway.exchange import RequestHandler, StreamBrokenError
+from acaciaspoke.gateway.exchange import RequestHandler
 from acaciaspoke.gateway.failures import Failure, FailureType, send_failure
 from acaciaspoke.gateway.metrics import CONTENT_TYPE, GatewayMetrics
 from acaciaspoke.gateway.routes import RouteTable, choose_service
@@ -187,6 +188,7 @@
         deadline_s=arrived_s + wait_s,
         artifact=fields.artifact,
         affinity=fields.affinity,
+        shared_parts=fields.shared_parts,
         prompt_tokens=fields.prompt_tokens,
         output_tokens=fields.output_tokens,
         fingerprint=xxhash.xxh64_intdigest(target + b"\0" + body),
--- a/acaciaspoke/gateway/attempt.py
+++ b/acaciaspoke/gateway/attempt.py
@@ -37,6 +37,13 @@
 # forwarded, as only the upstream's own header makes this certain.
 UNEXECUTED_STATUSES = frozenset({408, 421, 429, 503})
 
+# Errors of a connection that the upstream closed, as if its process had ended.
+_CLOSED_ERRORS = (
+    httpcore.ReadError,
+    httpcore.WriteError,
+    httpcore.RemoteProtocolError,
+)
+
 
 class Ending(Enum):
     """How an attempt ended.
@@ -65,6 +72,8 @@
         status: Status of the upstream's response, if there was one.
         load: The upstream's load, if the response reports it.
         has_invalid_load: Whether it reports one that cannot be decoded.
+        is_closed: Whether the upstream closed the connection of a request that
+            it had, before the end of its response.
         failure: An error of the upstream to forward to the caller.
     """
 
@@ -73,6 +82,7 @@
     detail: str = ""
     load: LoadReport | None = None
     has_invalid_load: bool = False
+    is_closed: bool = False
     failure: tuple[int, Headers, bytes] | None = None
 
 
@@ -138,7 +148,10 @@
             # A request of which no byte was sent may be sent again.
             ending = Ending.BROKEN if connection.sent_bytes else Ending.NOT_SENT
             return Attempt(
-                ending=ending, detail=f"{type(error).__name__}: {error}"
+                ending=ending,
+                detail=f"{type(error).__name__}: {error}",
+                is_closed=ending is Ending.BROKEN
+                and isinstance(error, _CLOSED_ERRORS),
             )
         finally:
             if connection.sent_bytes:
--- a/acaciaspoke/gateway/digests.py
+++ b/acaciaspoke/gateway/digests.py
@@ -9,6 +9,7 @@
 from acaciaspoke.gateway.leader import Leader
 from acaciaspoke.gateway.loadexchange import LoadExchange
 from acaciaspoke.gateway.messages import DemandDigest, LoadDigest
+from acaciaspoke.gateway.part_suspects import PartSuspects
 from acaciaspoke.gateway.peers import Peers
 from acaciaspoke.gateway.suspects import CrashSuspects
 from acaciaspoke.gateway.types import Configuration
@@ -39,6 +40,7 @@
         next_sequence: Callable[[], int],
         dispatcher: Dispatcher,
         suspects: CrashSuspects,
+        part_suspects: PartSuspects,
         leader: Leader,
         leader_host: Callable[[], HostId | None],
         configuration: Callable[[], Configuration | None],
@@ -53,6 +55,7 @@
             next_sequence: Numbers the messages of the boot.
             dispatcher: Returns the loads and the demand.
             suspects: Returns this host's lost attempts.
+            part_suspects: Returns what this host knows of prompt parts.
             leader: Gets the demand directly if this host holds the lease.
             leader_host: Returns the host of the leader, if known.
             configuration: Returns the version in force.
@@ -64,6 +67,7 @@
         self._next_sequence = next_sequence
         self._dispatcher = dispatcher
         self._suspects = suspects
+        self._part_suspects = part_suspects
         self._leader = leader
         self._leader_host = leader_host
         self._configuration = configuration
@@ -113,6 +117,7 @@
             slow=tuple(self._dispatcher.fleet.event_intervals.slow(now_s)),
             configuration=configuration.version if configuration else 0,
             crashes=self._suspects.local_counts(now_s),
+            suspected_parts=self._part_suspects.local_evidence(now_s),
         )
         self._loads.send(digest)
 
--- a/acaciaspoke/gateway/dispatch.py
+++ b/acaciaspoke/gateway/dispatch.py
@@ -46,11 +46,16 @@
 
 
 class Assignment(NamedTuple):
-    """A request and the upstream chosen for it."""
+    """A request and the upstream chosen for it.
+
+    Attributes:
+        started_ms: The start of the upstream's process.
+    """
 
     request: Request
     upstream: UpstreamId
     address: str
+    started_ms: int = 0
 
 
 class DroppedRequest(NamedTuple):
@@ -298,7 +303,8 @@
         request.sent_s = now_s
         self._running[request.id] = (request, name)
         self.fleet.record_sent(upstream, request, is_alone)
-        return Assignment(request, name, upstream.record.address)
+        record = upstream.record
+        return Assignment(request, name, record.address, record.started_ms)
 
     def _backlog(self, request: Request, now_s: float) -> Backlog:
         service_s = self._service_s.get(request.service, INITIAL_SERVICE_S)
--- a/acaciaspoke/gateway/exchange.py
+++ b/acaciaspoke/gateway/exchange.py
@@ -8,18 +8,15 @@
 import anyio
 from loguru import logger
 
-from acaciaspoke.entry.caller import Caller
-from acaciaspoke.entry.errors import Outcome
 from acaciaspoke.entry.pool import ConnectionPool
-from acaciaspoke.gateway.admission import Refusal, refuse
+from acaciaspoke.gateway import answers
 from acaciaspoke.gateway.attempt import Attempt, Ending, Relay
 from acaciaspoke.gateway.bodies import BodyMemory
+from acaciaspoke.gateway.crash_guard import CrashGuard
 from acaciaspoke.gateway.dispatch import Assignment, Dispatcher, DroppedRequest
-from acaciaspoke.gateway.failures import Failure, FailureType, send_failure
 from acaciaspoke.gateway.metrics import GatewayMetrics
 from acaciaspoke.gateway.stalls import StallDetector
-from acaciaspoke.gateway.suspects import CrashSuspects
-from acaciaspoke.gateway.types import Request, WaitReason
+from acaciaspoke.gateway.types import Request
 from acaciaspoke.ids import RequestId, UpstreamId
 
 # Endings after which the upstream has certainly not run the request.
@@ -27,19 +24,6 @@
     {Ending.NOT_EXECUTED, Ending.MISDIRECTED, Ending.NOT_SENT}
 )
 
-# Other requests end within this time, so that an upstream that refused has
-# capacity when the caller retries.
-REFUSED_RETRY_AFTER_S = 0.3
-
-_BLOCKED = Failure(
-    FailureType.REQUEST_BLOCKED,
-    "upstreams that ran this request crashed; it is blocked for now",
-)
-
-
-class StreamBrokenError(Exception):
-    """A stream that has begun cannot be finished."""
-
 
 class _PendingDecision:
     """The dispatcher's decision on a request, once there is one."""
@@ -61,7 +45,7 @@
     """Serves requests as a dispatcher decides.
 
     Attributes:
-        suspects: Requests that may crash upstreams.
+        crash_guard: Blocks requests that may crash upstreams.
         body_memory: Memory for responses that are buffered.
     """
 
@@ -88,7 +72,7 @@
         self.body_memory = body_memory
         self._on_load_needed = on_load_needed
         self._on_sent = on_sent
-        self.suspects = CrashSuspects()
+        self.crash_guard = CrashGuard()
         self._pending: dict[RequestId, _PendingDecision] = {}
         self._streams: dict[RequestId, _Stream] = {}
         self._pools: dict[str, ConnectionPool] = {}
@@ -115,12 +99,12 @@
             CallerDisconnectedError: If the caller disconnected.
         """
         now_s = time.monotonic()
-        if self.suspects.is_blocked(request.fingerprint, now_s):
-            await self._answer_failure(request, relay.caller, _BLOCKED)
+        if self.crash_guard.is_blocked(request, now_s):
+            await answers.answer_blocked(self._metrics, request, relay)
             return
         refusal = self._dispatcher.submit(request, now_s)
         if refusal is not None:
-            await self._answer_refused(request, relay.caller, refusal)
+            await answers.answer_refused(self._metrics, request, relay, refusal)
             return
         try:
             with anyio.move_on_at(
@@ -128,7 +112,7 @@
             ) as scope:
                 await self._serve_queued(request, relay)
             if scope.cancelled_caught:
-                await self._answer_expired(request, relay)
+                await answers.answer_expired(self._metrics, request, relay)
         finally:
             self._pending.pop(request.id, None)
             self._dispatcher.cancel(request)
@@ -138,14 +122,22 @@
         while True:
             decision = await self._wait_for_decision(request)
             if isinstance(decision, DroppedRequest):
-                await self._answer_dropped(request, relay, decision.refusal)
+                await answers.answer_dropped(
+                    self._metrics, request, relay, decision.refusal
+                )
+                return
+            if self.crash_guard.is_blocked(request, time.monotonic()):
+                # It was blocked while the request waited.
+                await answers.answer_blocked(self._metrics, request, relay)
                 return
             attempt = await self._attempt(decision, relay)
             self._dispatcher.record_finished(request)
             now_s = time.monotonic()
-            self._record_outcome(decision, attempt, now_s)
+            self._record_outcome(decision, relay, attempt, now_s)
             if attempt.ending is Ending.ANSWERED:
-                self._record_answer(request, relay, attempt, now_s)
+                answers.record_answer(
+                    self._metrics, request, relay, attempt, now_s
+                )
                 return
             if self._may_resume(request, relay, attempt, now_s):
                 request.resume_at, request.backup_engine = (
@@ -159,7 +151,9 @@
                     request_id=request.id,
                 )
             elif not self._may_retry(request, attempt, now_s):
-                await self._answer_failed(request, relay, attempt)
+                await answers.answer_failed(
+                    self._metrics, request, relay, attempt
+                )
                 return
             self._dispatcher.resubmit(request, now_s)
             self._metrics.repeats.inc()
@@ -208,7 +202,7 @@
             status=attempt.status,
             detail=attempt.detail,
             waited_ms=round((request.sent_s - request.arrived_s) * 1000),
-            waited_for=_value_of(request.wait_reason),
+            waited_for=answers.wait_reason_text(request),
             artifact=str(request.artifact or ""),
             prompt_tokens=request.prompt_tokens,
             service=request.service,
@@ -223,7 +217,9 @@
             logger.warning("{} reports a load that is invalid", upstream)
 
     def _on_event(self, request: Request) -> None:
-        if self._dispatcher.record_event(request, time.monotonic()):
+        now_s = time.monotonic()
+        if self._dispatcher.record_event(request, now_s):
+            self.crash_guard.record_begun(request, now_s)
             self.dispatch()
 
     @contextmanager
@@ -281,19 +277,24 @@
             and request.backup_engine is not None
             and relay.splitter.last_id is not None
             and now_s < request.deadline_s
-            and not self.suspects.is_blocked(request.fingerprint, now_s)
+            and not self.crash_guard.is_blocked(request, now_s)
             and self._dispatcher.budget(request.service).allows_retry(now_s)
         )
 
     def _record_outcome(
-        self, assignment: Assignment, attempt: Attempt, now_s: float
+        self,
+        assignment: Assignment,
+        relay: Relay,
+        attempt: Attempt,
+        now_s: float,
     ) -> None:
         request, upstream = assignment.request, assignment.upstream
+        has_begun = relay.first_event_s is not None
+        self.crash_guard.record_attempt(assignment, attempt, has_begun, now_s)
         fleet = self._dispatcher.fleet
         match attempt.ending:
             case Ending.ANSWERED:
                 self._dispatcher.record_success(request, upstream, now_s)
-                self.suspects.record_success(request.fingerprint)
             case Ending.NOT_EXECUTED:
                 fleet.record_refusal(upstream, now_s)
             case Ending.MISDIRECTED:
@@ -303,8 +304,6 @@
                 else:
                     request.tried.add(upstream)
             case Ending.NOT_SENT | Ending.BROKEN:
-                if attempt.ending is Ending.BROKEN:
-                    self.suspects.record_crash(request.fingerprint, now_s)
                 request.tried.add(upstream)
                 fleet.record_failure(upstream, now_s)
             case Ending.MISMATCHED | Ending.FAILED:
@@ -323,117 +322,10 @@
             return False
         if now_s >= request.deadline_s or request.resume_at is not None:
             return False
-        if self.suspects.is_blocked(request.fingerprint, now_s):
+        if self.crash_guard.is_blocked(request, now_s):
             return False
         return self._dispatcher.budget(request.service).allows_retry(now_s)
 
-    # Responses to the caller.
-
-    def _record_answer(
-        self, request: Request, relay: Relay, attempt: Attempt, now_s: float
-    ) -> None:
-        first_s = relay.first_event_s or now_s
-        self._metrics.record_response(
-            request.route.name, first_s - request.arrived_s, "served"
-        )
-        logger.info(
-            "answered {}",
-            attempt.status,
-            request_id=request.id,
-            route=request.route.name,
-            first_ms=round((first_s - request.arrived_s) * 1000),
-            gap_ms=round(relay.longest_gap_s * 1000),
-            total_ms=round((now_s - request.arrived_s) * 1000),
-        )
-
-    async def _answer_refused(
-        self, request: Request, caller: Caller, refusal: Refusal
-    ) -> None:
-        failure = Failure(
-            FailureType.OVERLOADED,
-            f"no upstream is free in time ({refusal.reason})",
-            retry_after_s=refusal.retry_after_s,
-        )
-        await self._answer_failure(request, caller, failure)
-
-    async def _answer_dropped(
-        self, request: Request, relay: Relay, refusal: Refusal
-    ) -> None:
-        if relay.caller.started:
-            raise StreamBrokenError("no upstream is free to resume at")
-        if request.starts:
-            failure = Failure(
-                FailureType.UPSTREAM_FAILED,
-                "the upstream failed, and no other one is free in time",
-                Outcome.UNKNOWN,
-            )
-            await self._answer_failure(request, relay.caller, failure)
-            return
-        await self._answer_refused(request, relay.caller, refusal)
-
-    async def _answer_failed(
-        self, request: Request, relay: Relay, attempt: Attempt
-    ) -> None:
-        if relay.caller.started:
-            raise StreamBrokenError(attempt.detail or attempt.ending.value)
-        if attempt.failure is not None:
-            status, headers, body = attempt.failure
-            self._metrics.record_response(
-                request.route.name, None, "upstream_error"
-            )
-            logger.info(
-                "forwarded the upstream's status {}",
-                status,
-                request_id=request.id,
-            )
-            await relay.caller.answer(status, headers, body)
-            return
-        if request.starts == 0:
-            now_s = time.monotonic()
-            refusal = refuse(request, "refused", REFUSED_RETRY_AFTER_S, now_s)
-            failure = Failure(
-                FailureType.UPSTREAM_REFUSED,
-                f"upstreams did not take it ({attempt.ending.value})",
-                retry_after_s=refusal.retry_after_s,
-            )
-        else:
-            failure = Failure(
-                FailureType.UPSTREAM_FAILED,
-                f"the upstream's answer is lost ({attempt.ending.value})",
-                Outcome.UNKNOWN,
-            )
-        await self._answer_failure(request, relay.caller, failure)
-
-    async def _answer_expired(self, request: Request, relay: Relay) -> None:
-        if relay.caller.started:
-            raise StreamBrokenError("the deadline passed")
-        failure = Failure(
-            FailureType.UPSTREAM_TIMEOUT,
-            "the deadline passed",
-            Outcome.UNKNOWN if request.starts else Outcome.NOT_RUN,
-        )
-        await self._answer_failure(request, relay.caller, failure)
-
-    async def _answer_failure(
-        self, request: Request, caller: Caller, failure: Failure
-    ) -> None:
-        self._metrics.record_response(
-            request.route.name, None, failure.type.value
-        )
-        logger.info(
-            "answered {}: {}",
-            failure.status,
-            failure.message,
-            request_id=request.id,
-            route=request.route.name,
-            outcome=failure.outcome.value,
-            retry_after_s=failure.retry_after_s,
-            artifact=str(request.artifact or ""),
-            waited_for=_value_of(request.wait_reason),
-            held_ms=round((time.monotonic() - request.arrived_s) * 1000),
-        )
-        await send_failure(caller, failure)
-
     async def close_unused(self) -> None:
         """Closes connections to addresses that no upstream has."""
         used = {
@@ -443,7 +335,3 @@
         self._logged_invalid_loads &= self._dispatcher.fleet.upstreams.keys()
         for address in [name for name in self._pools if name not in used]:
             await self._pools.pop(address).aclose()
-
-
-def _value_of(wait_reason: WaitReason | None) -> str:
-    return wait_reason.value if wait_reason else ""
--- a/acaciaspoke/gateway/messages.py
+++ b/acaciaspoke/gateway/messages.py
@@ -8,11 +8,13 @@
 import msgspec
 
 from acaciaspoke.clients.table import Condition, Put, Transaction
+from acaciaspoke.gateway.part_suspects import PartEvidence
 from acaciaspoke.gateway.types import Artifact
 from acaciaspoke.ids import (
     BootId,
     HostId,
     ModelId,
+    PartId,
     ServiceId,
     UpstreamId,
 )
@@ -48,6 +50,7 @@
         configuration: The version in force.
         crashes: Number of attempts that ended with a lost connection, by
             fingerprint of the request.
+        suspected_parts: What is known of prompt parts that may crash engines.
     """
 
     in_flight: dict[UpstreamId, int] = {}
@@ -57,6 +60,7 @@
     slow: tuple[UpstreamId, ...] = ()
     configuration: int = 0
     crashes: dict[int, int] = {}
+    suspected_parts: dict[PartId, PartEvidence] = {}
 
 
 class ReadProgress(NamedTuple):
--- a/acaciaspoke/gateway/process.py
+++ b/acaciaspoke/gateway/process.py
@@ -165,7 +165,8 @@
             self._boot,
             self._next_sequence,
             self._dispatcher,
-            self._request_handler.suspects,
+            self._request_handler.crash_guard.requests,
+            self._request_handler.crash_guard.parts,
             self._leader,
             lambda: self._leader_host,
             lambda: self.app.configuration,
@@ -278,9 +279,12 @@
 
     def _apply_digest(self, digest: LoadDigest, now_s: float) -> None:
         self._dispatcher.fleet.peer_loads.apply_digest(digest, now_s)
-        self._request_handler.suspects.apply_counts(
+        self._request_handler.crash_guard.requests.apply_counts(
             digest.host, digest.crashes, now_s
         )
+        self._request_handler.crash_guard.parts.apply_evidence(
+            digest.host, digest.suspected_parts, now_s
+        )
         if self._configuration_lag.observe(digest.configuration, now_s):
             logger.info(
                 "host {} has configuration {}; reading it again",
--- a/acaciaspoke/gateway/types.py
+++ b/acaciaspoke/gateway/types.py
@@ -10,6 +10,7 @@
     ConfigVersion,
     DomainId,
     ModelId,
+    PartId,
     RequestId,
     ServiceId,
     UpstreamId,
@@ -211,6 +212,7 @@
         deadline_s: When it must be answered.
         artifact: The model or adapter that it needs.
         affinity: Key of the session or shared prompt prefix.
+        shared_parts: Parts of the prompt that other requests may share.
         tried: Upstreams that did not serve it.
         starts: Number of upstreams that may have run it.
         wait_reason: Why it waits, or waited last.
@@ -225,6 +227,7 @@
     deadline_s: float
     artifact: Artifact | None = None
     affinity: str = ""
+    shared_parts: tuple[PartId, ...] = ()
     prompt_tokens: int = 0
     output_tokens: int = 0
     fingerprint: int = 0
--- a/acaciaspoke/platform/headers.py
+++ b/acaciaspoke/platform/headers.py
@@ -4,7 +4,13 @@
 from typing import NamedTuple
 
 from acaciaspoke.gateway.types import Artifact, Request
-from acaciaspoke.ids import AdapterId, ModelId, RequestId, UpstreamId
+from acaciaspoke.ids import (
+    AdapterId,
+    ModelId,
+    PartId,
+    RequestId,
+    UpstreamId,
+)
 
 Headers = list[tuple[bytes, bytes]]
 
@@ -65,6 +71,9 @@
 
 LEAST_URGENT = 9
 
+# Parts of a prompt that are kept; a longer list is truncated.
+MAX_SHARED_PARTS = 32
+
 # Figures of a load report that each upstream states.
 _LOAD_COUNTS = 3
 
@@ -75,6 +84,7 @@
     Attributes:
         remaining_s: How long the caller waits; None if unknown.
         affinity: The last part of the prompt, which identifies the session.
+        shared_parts: The other parts, which requests may share.
     """
 
     attempt_id: str
@@ -83,6 +93,7 @@
     prompt_tokens: int
     output_tokens: int
     affinity: str
+    shared_parts: tuple[PartId, ...] = ()
 
 
 class LoadReport(NamedTuple):
@@ -138,17 +149,24 @@
     }
     remaining_ms = text[TIME_REMAINING_MS]
     prompt, _, output = text[TOKEN_COUNT].partition(",")
-    parts = found.get(PROMPT_PREFIX, b"").decode("latin-1")
+    *shared_parts, last_part = _decode_parts(found.get(PROMPT_PREFIX, b""))
     return RequestFields(
         attempt_id=text[ATTEMPT_ID],
         remaining_s=float(remaining_ms) / 1000 if remaining_ms else None,
         artifact=_decode_artifact(text[MODEL]),
         prompt_tokens=int(prompt or 0),
         output_tokens=int(output or 0),
-        affinity=parts.rpartition(",")[2].partition(":")[0].strip(),
+        affinity=last_part,
+        shared_parts=tuple(filter(None, shared_parts[:MAX_SHARED_PARTS])),
     )
 
 
+def _decode_parts(value: bytes) -> list[PartId]:
+    """Returns the ids of a prompt's parts; an empty one if there are none."""
+    parts = value.decode("latin-1").split(",")
+    return [PartId(part.partition(":")[0].strip()) for part in parts]
+
+
 def _decode_artifact(text: str) -> Artifact | None:
     if not text:
         return None
--- a/test/platform/test_documents.py
+++ b/test/platform/test_documents.py
@@ -13,6 +13,7 @@
     decode_upstream,
 )
 from acaciaspoke.platform.headers import (
+    MAX_SHARED_PARTS,
     decode_request,
     decode_response,
     encode_request,
@@ -110,6 +111,23 @@
         self.assertEqual(artifact("m1", "a3"), found.artifact)
         self.assertEqual((1460, 80), found[3:5])
         self.assertEqual("91bd", found.affinity)
+        self.assertEqual(("5c1e",), found.shared_parts)
+
+    def test_odd_prompt_parts_are_decoded(self):
+        for value, affinity, shared in (
+            (b"", "", ()),
+            (b"5c1e", "5c1e", ()),
+            (b",, 5c1e:8 ,91bd:4", "91bd", ("5c1e",)),
+            (b"5c1e:8,", "", ("5c1e",)),
+        ):
+            with self.subTest(value):
+                headers = [(b"acaciaspoke-prompt-prefix", value)]
+                found = decode_request(headers)
+                self.assertEqual(affinity, found.affinity)
+                self.assertEqual(shared, found.shared_parts)
+        many = b",".join(b"%x:1" % n for n in range(1, 1000))
+        found = decode_request([(b"acaciaspoke-prompt-prefix", many)])
+        self.assertEqual(MAX_SHARED_PARTS, len(found.shared_parts))
 
     def test_reserved_headers_of_a_caller_are_dropped(self):
         sent = encode_request(
