Ignore rows of upstreams that are nested too deeply or hold huge numbers

A deeply nested row raised RecursionError, which nobody caught, so that the table was not followed any more; one with a number of slots of 400 digits was accepted, and would have overflowed where a share of the slots is computed. One value that is no base64 made the whole page unreadable.

Such documents are invalid now: decode_json turns errors of nesting and of encoding into decoding errors, slots have an upper bound, names of upstreams must be printable, and ports must be ASCII digits in their range. A value that cannot be decoded spoils only its own row.

--- a/acaciaspoke/gateway/peers.py
+++ b/acaciaspoke/gateway/peers.py
@@ -2,6 +2,7 @@
 
 import time
 from collections.abc import Callable, Iterable
+from typing import Annotated
 
 import anyio
 import msgspec
@@ -10,10 +11,13 @@
 from acaciaspoke.gateway.messages import Message, decode, encode
 from acaciaspoke.ids import DomainId, HostId
 from acaciaspoke.platform.store import FeedRow
+from acaciaspoke.util.decoding import decode_json
 
 # A host that has sent nothing for this time counts as unresponsive.
 PEER_MAX_AGE_S = 1.0
 
+MAX_PORT = 65535
+
 # Datagrams that wait to be sent. In a longer queue, messages would be outdated
 # before they are sent.
 MAX_QUEUED_DATAGRAMS = 256
@@ -27,7 +31,7 @@
     """
 
     address: str
-    port: int
+    port: Annotated[int, msgspec.Meta(ge=1, le=MAX_PORT)]
     failure_domain: DomainId
     link_mbps: float = 0.0
 
@@ -103,7 +107,7 @@
                 self.rows.pop(HostId(row.key), None)
                 continue
             try:
-                decoded = msgspec.json.decode(row.value, type=HostRow)
+                decoded = decode_json(row.value, HostRow)
             except msgspec.MsgspecError as error:
                 logger.warning(
                     "invalid row of host {} ignored: {}", row.key, error
--- a/acaciaspoke/platform/documents.py
+++ b/acaciaspoke/platform/documents.py
@@ -28,9 +28,14 @@
     ServiceId,
     UpstreamId,
 )
+from acaciaspoke.util.decoding import decode_json
 from acaciaspoke.util.net import split_address
 
+# Slots of an upstream; a number beyond this is an error of its writer.
+MAX_SLOTS = 1_000_000
+
 Count = Annotated[int, msgspec.Meta(ge=0)]
+Slots = Annotated[int, msgspec.Meta(ge=0, le=MAX_SLOTS)]
 
 
 class DocumentError(AcaciaspokeError):
@@ -124,7 +129,7 @@
     service: str
     address: str
     zone: str
-    slots: Count
+    slots: Slots
     state: str
     # Unix time of the process's start, in milliseconds.
     born: int = 0
@@ -224,6 +229,8 @@
         DocumentError: If it is invalid.
     """
     document = _decode(data, _Server)
+    if not (upstream.isascii() and upstream.isprintable()):
+        raise DocumentError(f"{upstream!r} is no name of an upstream")
     try:
         split_address(document.address)
         state = UpstreamState(document.state)
@@ -278,6 +285,6 @@
 
 def _decode(data: bytes, kind: type) -> Any:
     try:
-        return msgspec.json.decode(data, type=kind)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        return decode_json(data, kind)
+    except msgspec.MsgspecError as error:
         raise DocumentError(str(error)) from error
--- a/acaciaspoke/platform/store.py
+++ b/acaciaspoke/platform/store.py
@@ -10,6 +10,7 @@
 from urllib.parse import urlencode
 
 import msgspec
+from loguru import logger
 
 from acaciaspoke.clients.table import (
     Committed,
@@ -22,6 +23,7 @@
     TableUnavailable,
     Transaction,
 )
+from acaciaspoke.util.decoding import decode_json
 from acaciaspoke.util.http import HttpClient, HttpError, HttpResponse
 
 OPERATOR_TABLE = "op"
@@ -206,7 +208,7 @@
         if response.status != 200:
             raise TableUnavailable(f"{path}: status {response.status}")
         try:
-            found = msgspec.json.decode(response.body, type=_WireRows)
+            found = decode_json(response.body, _WireRows)
         except msgspec.MsgspecError as error:
             raise TableUnavailable(f"{path}: {error}") from error
         if found.ver < oldest_version:
@@ -227,9 +229,9 @@
 ) -> Committed | Conflict:
     try:
         if response.status == 200:
-            return Committed(msgspec.json.decode(response.body)["ver"])
+            return Committed(decode_json(response.body)["ver"])
         if response.status == 412:
-            found = msgspec.json.decode(response.body, type=_WireRows)
+            found = decode_json(response.body, _WireRows)
             rows = {row.key: row for row in found.rows if row.ver}
             current = {}
             for condition in conditions:
@@ -267,4 +269,10 @@
     if row.removed:
         # The platform's pages don't say whether a removal has its own version.
         return FeedRow(row.key, None, row.ver or page_version)
-    return FeedRow(row.key, _value_of(row), row.ver)
+    try:
+        value = _value_of(row)
+    except TableUnavailable as error:
+        # Another writer's row must not make the rest of the page unreadable.
+        logger.warning("a value cannot be decoded: {}", error)
+        value = b""
+    return FeedRow(row.key, value, row.ver)
--- a/acaciaspoke/util/net.py
+++ b/acaciaspoke/util/net.py
@@ -22,6 +22,7 @@
         raise ValueError(f"{address!r} is not ip:port")
     ip = ip.removeprefix("[").removesuffix("]")
     ipaddress.ip_address(ip)
-    if not port.isdigit() or not 0 < int(port) < 65536:
+    is_number = port.isascii() and port.isdigit() and len(port) <= 5
+    if not is_number or not 0 < int(port) < 65536:
         raise ValueError(f"{address!r} has no valid port")
     return HostPort(ip, int(port))
--- a/test/gateway/test_process.py
+++ b/test/gateway/test_process.py
@@ -7,6 +7,7 @@
 
 import anyio
 import httpcore
+import msgspec
 
 from acaciaspoke.control.lease import LeaseNotHeldError
 from acaciaspoke.gateway.handover import (
@@ -96,6 +97,40 @@
         self.assertEqual(400, (await self.ask("/safe/", **headers)).status)
 
 
+class OddRowTest(GatewayTest):
+    """Another writer leaves rows among those of the upstreams."""
+
+    async def _assert_follows_and_serves(self):
+        late = await self.worker("app9", "app")
+        await self.eventually(lambda: "app9" in self.known())
+        self.store.remove("servers", late.name)
+        await self.eventually(lambda: "app9" not in self.known())
+        for _ in range(4):
+            self.assertEqual(200, (await self.ask("/unsafe/x")).status)
+        self.assertFalse(any(task.done() for task in self.tasks))
+
+    async def test_odd_rows_do_not_end_the_process_or_stop_the_feed(self):
+        row = self.apps[0].row()
+        deep = b"[" * 100_000 + b"]" * 100_000
+        encoded = msgspec.json.encode(row)
+        odd = {
+            "nested": encoded[:-1] + b', "x": ' + deep + b"}",
+            "slots": encoded.replace(b'"slots":4', b'"slots":' + b"9" * 400),
+            "port": msgspec.json.encode({**row, "address": "127.0.0.1:99999"}),
+            "bytes": b"\xff\xfe",
+            "name\r\nx: y": encoded,
+        }
+        for name, data in odd.items():
+            self.store.put("servers", name, data)
+            self.store.put("hosts", name, data)
+        await self._assert_follows_and_serves()
+
+    async def test_odd_rows_are_left_out_when_the_table_is_read_again(self):
+        self.store.put("servers", "nested", b"[" * 100_000)
+        self.store.discard_history()
+        await self._assert_follows_and_serves()
+
+
 class RetryTest(GatewayTest):
 
     async def test_unsafe_request_is_sent_once(self):
--- a/test/platform/test_documents.py
+++ b/test/platform/test_documents.py
@@ -60,6 +60,28 @@
         with self.assertRaises(DocumentError):
             decode_upstream(UpstreamId("i-1"), b"\xff\x00")
 
+    def test_records_of_other_writers_are_rejected(self):
+        deep = b"[" * 100_000 + b"]" * 100_000
+        record = msgspec.json.encode(RECORD)
+        for name, data in {
+            "nested value": record[:-1] + b', "x": ' + deep + b"}",
+            "nested adapters": record.replace(b'["a1"]', deep),
+            "only brackets": b"[" * 100_000,
+            "huge number": record.replace(b"24", b"9" * 400),
+            "many slots": record.replace(b"24", b"9" * 18),
+            "infinite number": record.replace(b"24", b"1e999"),
+            "port out of range": record.replace(b":80", b":65536"),
+            "long port": record.replace(b":80", b":" + b"9" * 5000),
+            "port in other digits": record.replace(
+                b":80", ":\N{ARABIC-INDIC DIGIT THREE}".encode()
+            ),
+        }.items():
+            with self.subTest(name), self.assertRaises(DocumentError):
+                decode_upstream(UpstreamId("i-1"), data)
+        for name in ("i-1\r\nx: y", "i-\N{SNOWMAN}"):
+            with self.subTest(name), self.assertRaises(DocumentError):
+                decode_upstream(UpstreamId(name), record)
+
 
 class ConfigurationTest(unittest.TestCase):
 
