Forward only events in their order, and no partial one, in streams

Reported by other operators: a stream had begun and broke off, and clients found the next worker's error, at times its whole head, in the middle of it, or it ended as if it were complete; a worker closed inside its head, and clients got a 200 with an empty body.

The splitter now accepts only lines that are fields of events, with increasing ids; anything else ends the attempt as a response that is not valid. A stream that ends inside an event is a broken connection, which is resumed if it may be.

--- a/acaciaspoke/gateway/attempt.py
+++ b/acaciaspoke/gateway/attempt.py
@@ -19,7 +19,11 @@
     read_body,
 )
 from acaciaspoke.gateway.dispatch import Assignment
-from acaciaspoke.gateway.events import EventSplitter, EventTooLargeError
+from acaciaspoke.gateway.events import (
+    EventSplitter,
+    EventTooLargeError,
+    InvalidEventError,
+)
 from acaciaspoke.gateway.types import Request, RouteKind
 from acaciaspoke.platform.headers import (
     Headers,
@@ -138,6 +142,8 @@
             return await self._exchange(assignment, connection, clock)
         except (httpcore.ConnectError, httpcore.ConnectTimeout) as error:
             return Attempt(ending=Ending.NOT_SENT, detail=str(error))
+        except InvalidEventError as error:
+            return Attempt(ending=Ending.MISMATCHED, detail=str(error))
         except (
             httpcore.NetworkError,
             httpcore.ProtocolError,
@@ -259,8 +265,14 @@
             if events:
                 self._on_event()
                 await self._forward(response, events, clock)
-        partial = self.splitter.take_partial()
-        await self._forward(response, partial, clock)
+        if self.splitter.has_partial:
+            # Without a length or chunks, the end of the connection may be that
+            # of the upstream's process.
+            return Attempt(
+                ending=Ending.BROKEN, detail="the stream ended inside an event"
+            )
+        if not self.caller.started:
+            await self._forward(response, b"", clock)
         await self.caller.send(b"", more=False)
         return Attempt(ending=Ending.ANSWERED)
 
--- a/acaciaspoke/gateway/events.py
+++ b/acaciaspoke/gateway/events.py
@@ -1,13 +1,24 @@
 """Splits a stream of server-sent events into complete events."""
 
+import re
+
 # A partial event is buffered up to this size; a longer one is an error.
 MAX_EVENT_BYTES = 1024 * 1024
 
 
+# Lines of events: a field with its value, a comment, or the empty last line.
+_EVENTS = re.compile(rb"(?:(?:[\w-]*:[^\r\n]*)?\r?\n)*")
+_IDS = re.compile(rb"^id: ?([^\r\n]*)", re.MULTILINE)
+
+
 class EventTooLargeError(Exception):
     """An event exceeds ``MAX_EVENT_BYTES``."""
 
 
+class InvalidEventError(Exception):
+    """A stream contains something else than events in their order."""
+
+
 class EventSplitter:
     """Returns complete events and buffers a partial one at the end.
 
@@ -29,6 +40,9 @@
 
         Raises:
             EventTooLargeError: If an event exceeds ``MAX_EVENT_BYTES``.
+            InvalidEventError: If the data is not a series of events with
+                increasing ids, for instance an error that a faulty upstream
+                has written into the stream.
         """
         # The part that was searched before holds no end of an event, except
         # the beginning of one.
@@ -46,27 +60,26 @@
             raise EventTooLargeError(
                 f"event is longer than {MAX_EVENT_BYTES} bytes"
             )
-        self._record_id(complete)
+        if not _EVENTS.fullmatch(complete):
+            raise InvalidEventError("the stream has lines that are no fields")
+        self._record_ids(complete)
         return complete
 
-    def take_partial(self) -> bytes:
-        """Returns and clears the partial event."""
-        partial = bytes(self._partial)
-        self._partial.clear()
-        return partial
-
     def drop_partial(self) -> None:
         """Discards the partial event of a stream that broke off."""
         self._partial.clear()
 
-    def _record_id(self, complete: bytes) -> None:
-        start = -1
-        position = complete.rfind(b"id:")
-        while position >= 0:
-            if position == 0 or complete[position - 1 : position] == b"\n":
-                start = position
-                break
-            position = complete.rfind(b"id:", 0, position)
-        if start >= 0:
-            line = complete[start + 3 :].split(b"\n", 1)[0]
-            self.last_id = line.strip()
+    def _record_ids(self, complete: bytes) -> None:
+        for event_id in _IDS.findall(complete):
+            if not _follows(event_id, self.last_id):
+                raise InvalidEventError(
+                    f"event {event_id!r} follows {self.last_id!r}"
+                )
+            self.last_id = event_id
+
+
+def _follows(event_id: bytes, last_id: bytes | None) -> bool:
+    """Returns whether an id may follow another; numeric ids increase."""
+    if not last_id or not (event_id.isdigit() and last_id.isdigit()):
+        return True
+    return int(event_id) > int(last_id)
