Send nothing new to upstreams that say in a response that they leave or pause

New on the wire: any response of an upstream that leaves says so, and a refusal with 503 may name a pause. Neither was decoded; whether an upstream drains came from its record alone, and the pause after a refusal was 0.1 s.

The adapter decodes both from responses to requests (at the head, so also of a stream that goes on), orders and reports. Leaving holds for the process that said so, whatever its record states and also if that is removed and comes back; only a new process ends it. An earlier refusal that is written once more names no pause.

To make room, building followers and placement notices moves to modules of their own (followers.py, placement_notice.py), unchanged.

--- a/acaciaspoke/gateway/attempt.py
+++ b/acaciaspoke/gateway/attempt.py
@@ -26,9 +26,11 @@
 )
 from acaciaspoke.gateway.types import Request, RouteKind
 from acaciaspoke.platform.headers import (
+    SERVER_LEAVING,
     Headers,
     LoadReport,
     ResponseFields,
+    UpstreamNotice,
     decode_response,
     encode_request,
     end_to_end_headers,
@@ -121,12 +123,14 @@
         self.longest_gap_s = 0.0
         self.last_event_s = 0.0
         self._on_event: Callable[[], None] = lambda: None
+        self._on_notice: Callable[[int, UpstreamNotice], None] = lambda *_: None
 
     async def attempt(
         self,
         assignment: Assignment,
         connection: Connection,
         on_event: Callable[[], None],
+        on_notice: Callable[[int, UpstreamNotice], None] = lambda *_: None,
         clock: Callable[[], float] = time.monotonic,
     ) -> Attempt:
         """Makes one attempt; never raises for failures of the upstream.
@@ -135,9 +139,12 @@
             assignment: The request and its upstream.
             connection: A connection to the upstream.
             on_event: Called at each event of a stream.
+            on_notice: Called with the status of the response, and with what its
+                head says about requests to come.
             clock: Returns the time.
         """
         self._on_event = on_event
+        self._on_notice = on_notice
         try:
             return await self._exchange(assignment, connection, clock)
         except (httpcore.ConnectError, httpcore.ConnectTimeout) as error:
@@ -175,6 +182,7 @@
         try:
             fields = decode_response(response.headers)
             _limit_idle_time(connection, response.headers)
+            self._handle_notice(request, connection, response.status, fields)
             attempt = await self._handle_response(
                 request, connection, response, fields, clock
             )
@@ -190,6 +198,22 @@
                 else:
                     await connection.http.aclose()
 
+    def _handle_notice(
+        self,
+        request: Request,
+        connection: Connection,
+        status: int,
+        fields: ResponseFields,
+    ) -> None:
+        notice = fields.notice
+        is_answer = fields.attempt_id == str(request.id) or (
+            not fields.attempt_id and not connection.is_reused
+        )
+        if not is_answer:
+            # An earlier refusal that is written once more names an old pause.
+            notice = UpstreamNotice(is_leaving=notice.is_leaving)
+        self._on_notice(status, notice)
+
     def _to_httpcore(
         self, assignment: Assignment, now_s: float
     ) -> httpcore.Request:
@@ -301,7 +325,7 @@
     return [
         (name, value.strip())
         for name, value in end_to_end_headers(headers)
-        if name != b"x-request-id"
+        if name not in (b"x-request-id", SERVER_LEAVING)
     ]
 
 
--- a/acaciaspoke/gateway/balance.py
+++ b/acaciaspoke/gateway/balance.py
@@ -123,7 +123,7 @@
     usable = [
         upstream
         for upstream in candidates
-        if upstream.paused_until_s <= now_s
+        if upstream.accepts(now_s)
         and upstream.record.upstream not in request.tried
         and has_capacity(upstream, request, loads)
     ]
@@ -165,6 +165,21 @@
     return min(usable, key=rank)
 
 
+def named_pause_end_s(
+    request: Request, candidates: Iterable[Upstream], now_s: float
+) -> float:
+    """Returns when the first of the upstreams in a named pause takes requests.
+
+    This is now if any upstream for the request has named none.
+    """
+    ends_s = [
+        max(now_s, upstream.named_pause_until_s)
+        for upstream in candidates
+        if upstream.record.upstream not in request.tried
+    ]
+    return min(ends_s, default=now_s)
+
+
 def wait_reason_of(
     request: Request,
     candidates: Iterable[Upstream],
@@ -178,7 +193,7 @@
     usable = [
         upstream
         for upstream in holders
-        if upstream.paused_until_s <= now_s
+        if upstream.accepts(now_s)
         and upstream.record.upstream not in request.tried
     ]
     if not usable:
--- a/acaciaspoke/gateway/dispatch.py
+++ b/acaciaspoke/gateway/dispatch.py
@@ -16,6 +16,7 @@
     Loads,
     choose_backup_engine,
     choose_upstream,
+    named_pause_end_s,
     slot_limit,
     wait_reason_of,
 )
@@ -139,7 +140,7 @@
         self, request: Request, upstream: UpstreamId, now_s: float
     ) -> None:
         """Records a complete response."""
-        self.fleet.record_success(upstream)
+        self.fleet.record_success(upstream, now_s)
         duration_s = now_s - request.sent_s
         for key in (request.service, request.route.name):
             mean_s = self._service_s.get(key, duration_s)
@@ -207,6 +208,10 @@
             return self._assign(request, upstream, now_s, is_alone)
         request.wait_reason = wait_reason_of(request, holders, loads, now_s)
         if holders:
+            pause_end_s = named_pause_end_s(request, holders, now_s)
+            if pause_end_s > self._latest_start_s(request):
+                wait_s = pause_end_s - now_s
+                return self._refuse(request, "paused", wait_s, now_s)
             # Keeps shorter, less urgent prompts from overtaking it.
             least_loaded = min(
                 (upstream.record.upstream for upstream in holders),
@@ -226,7 +231,11 @@
     ) -> Assignment | DroppedRequest:
         """Assigns an interrupted stream to the engine with its KV backup."""
         upstream = self.fleet.upstreams.get(backup.upstream)
-        if upstream is None or upstream.is_draining:
+        if (
+            upstream is None
+            or upstream.is_draining
+            or now_s < upstream.named_pause_until_s
+        ):
             return self._refuse(request, "copy lost", 0.0, now_s)
         return self._assign(request, upstream, now_s)
 
--- a/acaciaspoke/gateway/exchange.py
+++ b/acaciaspoke/gateway/exchange.py
@@ -1,5 +1,6 @@
 """The lifecycle of a request: queued, assigned, attempted, responded to."""
 
+import functools
 import time
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
@@ -17,6 +18,7 @@
 from acaciaspoke.gateway.metrics import GatewayMetrics
 from acaciaspoke.gateway.stalls import StallDetector
 from acaciaspoke.gateway.types import Request
+from acaciaspoke.gateway.upstream_notices import NoticeRecorder
 from acaciaspoke.ids import RequestId, UpstreamId
 
 # Endings after which the upstream has certainly not run the request.
@@ -73,6 +75,7 @@
         self._on_load_needed = on_load_needed
         self._on_sent = on_sent
         self.crash_guard = CrashGuard()
+        self._notices = NoticeRecorder(dispatcher.fleet, metrics)
         self._pending: dict[RequestId, _PendingDecision] = {}
         self._streams: dict[RequestId, _Stream] = {}
         self._pools: dict[str, ConnectionPool] = {}
@@ -183,7 +186,14 @@
         try:
             with self._abortable(assignment, relay) as scope:
                 attempt = await relay.attempt(
-                    assignment, connection, lambda: self._on_event(request)
+                    assignment,
+                    connection,
+                    lambda: self._on_event(request),
+                    functools.partial(
+                        self._notices.record,
+                        assignment.upstream,
+                        assignment.started_ms,
+                    ),
                 )
             if scope.cancelled_caught:
                 attempt = Attempt(ending=Ending.BROKEN, detail="silent")
@@ -327,10 +337,15 @@
         return self._dispatcher.budget(request.service).allows_retry(now_s)
 
     async def close_unused(self) -> None:
-        """Closes connections to addresses that no upstream has."""
+        """Closes connections that get no requests any more.
+
+        These are connections to addresses that no upstream has, and those to
+        upstreams that leave, once their requests have ended.
+        """
         used = {
             upstream.record.address
             for upstream in self._dispatcher.fleet.upstreams.values()
+            if not upstream.is_draining or upstream.in_flight
         }
         self._logged_invalid_loads &= self._dispatcher.fleet.upstreams.keys()
         for address in [name for name in self._pools if name not in used]:
--- a/acaciaspoke/gateway/fleet.py
+++ b/acaciaspoke/gateway/fleet.py
@@ -1,7 +1,7 @@
 """The upstreams and their loads, as one gateway knows them."""
 
 import itertools
-from collections import Counter, deque
+from collections import Counter, OrderedDict, deque
 from collections.abc import Iterator
 from typing import NamedTuple
 
@@ -35,6 +35,9 @@
 UNREACHABLE_FAILURES = 2
 UNREACHABLE_REPORTERS = 2
 
+# Upstreams that are remembered as leaving after their records are removed.
+MAX_LEAVING_UPSTREAMS = 4096
+
 # How long an announced load or unload overrides the upstream's own record;
 # records are renewed every 1.2 s.
 ANNOUNCEMENT_VALID_S = 3.0
@@ -67,6 +70,10 @@
         streaming: Time of the last event of each local request that had one.
         last_event_s: When the last event of a local request was received.
         paused_until_s: When it may get work again after a refusal or failure.
+        named_pause_until_s: The end of the last pause that it has named.
+        is_on_trial: Whether no request has begun since that pause. Until then
+            it gets one request at a time, so that not all that waited for the
+            end of the pause arrive at once.
         failures: Failed or broken connections since the last complete response
             or the upstream's restart.
     """
@@ -80,6 +87,9 @@
         self.streaming: dict[RequestId, float] = {}
         self.last_event_s = 0.0
         self.paused_until_s = 0.0
+        self.named_pause_until_s = 0.0
+        self.is_on_trial = False
+        self.trial_request: RequestId | None = None
         self.failures = 0
         self._announced: dict[Artifact, float] = {}
         self._withdrawn: dict[Artifact, float] = {}
@@ -88,6 +98,12 @@
         """Returns whether local streams run but none has had a recent event."""
         return bool(self.streaming) and now_s - self.last_event_s >= timeout_s
 
+    def accepts(self, now_s: float) -> bool:
+        """Returns whether it may get a request at this moment."""
+        if now_s < max(self.paused_until_s, self.named_pause_until_s):
+            return False
+        return not self.is_on_trial or self.trial_request is None
+
     def local_prefill_tokens(self, now_s: float) -> int:
         """Returns the prompt tokens of local requests in or just after prefill.
 
@@ -134,6 +150,8 @@
             self._withdrawn.clear()
             self.failures = 0
             self.paused_until_s = 0.0
+            self.named_pause_until_s = 0.0
+            self.is_on_trial = False
         self.record = record
 
 
@@ -145,6 +163,9 @@
         self.event_intervals = EventIntervals()
         # When the models that are being loaded will be ready.
         self.ready_at_s: dict[ModelId, float] = {}
+        # Upstreams that have said that they leave, with the start of the
+        # process that said so.
+        self._leaving: OrderedDict[UpstreamId, int] = OrderedDict()
         self.speed = EngineSpeed()
         self.peer_loads = PeerLoads(self.prefill_tokens_per_s)
 
@@ -161,12 +182,76 @@
             upstream = self.upstreams[record.upstream] = Upstream(record)
         else:
             upstream.update_record(record)
-        upstream.is_draining = record.state is UpstreamState.DRAINING
+        if self._leaving.get(record.upstream) != record.started_ms:
+            self._leaving.pop(record.upstream, None)
+        upstream.is_draining = (
+            record.state is UpstreamState.DRAINING
+            or record.upstream in self._leaving
+        )
 
     def remove(self, upstream: UpstreamId) -> None:
         """Removes an upstream."""
         self.upstreams.pop(upstream, None)
 
+    def record_leaving(self, upstream_id: UpstreamId, started_ms: int) -> bool:
+        """Records that an upstream says that it leaves.
+
+        This holds for the process that said so, whatever its record states, and
+        also if the record is removed and comes back.
+
+        Args:
+            upstream_id: The upstream.
+            started_ms: The start of its process.
+
+        Returns:
+            Whether it was not known.
+        """
+        upstream = self.upstreams.get(upstream_id)
+        if upstream is None or upstream.record.started_ms != started_ms:
+            return False
+        is_new = upstream_id not in self._leaving
+        self._leaving[upstream_id] = started_ms
+        if len(self._leaving) > MAX_LEAVING_UPSTREAMS:
+            self._leaving.popitem(last=False)
+        upstream.is_draining = True
+        return is_new
+
+    def record_named_pause(
+        self,
+        upstream_id: UpstreamId,
+        started_ms: int,
+        pause_s: float,
+        now_s: float,
+    ) -> bool:
+        """Records that an upstream wants no requests for some time.
+
+        Args:
+            upstream_id: The upstream.
+            started_ms: The start of its process.
+            pause_s: How long.
+            now_s: The current time.
+
+        Returns:
+            Whether it was not in a pause.
+        """
+        upstream = self.upstreams.get(upstream_id)
+        if upstream is None or upstream.record.started_ms != started_ms:
+            return False
+        is_new = upstream.named_pause_until_s <= now_s
+        upstream.named_pause_until_s = max(
+            upstream.named_pause_until_s, now_s + pause_s
+        )
+        upstream.is_on_trial = True
+        return is_new
+
+    def in_named_pause(self, now_s: float) -> set[UpstreamId]:
+        """Returns the upstreams that want no requests now."""
+        return {
+            name
+            for name, upstream in self.upstreams.items()
+            if now_s < upstream.named_pause_until_s
+        }
+
     def of_service(self, service: ServiceId) -> Iterator[Upstream]:
         """Yields the upstreams of a service that may get new work."""
         return (
@@ -196,6 +281,8 @@
             is_alone: Whether the engine has no other prompt to prefill.
         """
         upstream.in_flight[request.artifact] += 1
+        if upstream.is_on_trial:
+            upstream.trial_request = request.id
         if request.artifact is not None:
             upstream.prefilling[request.id] = Prompt(
                 request.sent_s, request.prompt_tokens, is_alone
@@ -209,6 +296,8 @@
         if upstream is None:
             return False
         upstream.last_event_s = now_s
+        if upstream.trial_request == request.id:
+            upstream.is_on_trial = False
         last_event_s = upstream.streaming.get(request.id)
         upstream.streaming[request.id] = now_s
         if last_event_s is not None:
@@ -251,15 +340,18 @@
         artifact = request.artifact
         upstream.prefilling.pop(request.id, None)
         upstream.streaming.pop(request.id, None)
+        if upstream.trial_request == request.id:
+            upstream.trial_request = None
         upstream.in_flight[artifact] -= 1
         if upstream.in_flight[artifact] <= 0:
             del upstream.in_flight[artifact]
 
-    def record_success(self, upstream_id: UpstreamId) -> None:
+    def record_success(self, upstream_id: UpstreamId, now_s: float) -> None:
         """Records a complete response of an upstream."""
         upstream = self.upstreams.get(upstream_id)
         if upstream is not None:
             upstream.failures = 0
+            upstream.is_on_trial &= now_s < upstream.named_pause_until_s
 
     def record_refusal(self, upstream_id: UpstreamId, now_s: float) -> None:
         """Records that an upstream refused a request because it was full."""
--- a/acaciaspoke/gateway/leader.py
+++ b/acaciaspoke/gateway/leader.py
@@ -36,15 +36,16 @@
     OrderSender,
 )
 from acaciaspoke.gateway.placement import plan_models
+from acaciaspoke.gateway.placement_notice import build_notice
 from acaciaspoke.gateway.settings import GatewaySettings
 from acaciaspoke.gateway.types import Artifact, Configuration, EngineSpec
 from acaciaspoke.gateway.unplaced import UnplacedLog
+from acaciaspoke.gateway.upstream_notices import NoticeRecorder
 from acaciaspoke.ids import (
     BootId,
     DomainId,
     FencingToken,
     HostId,
-    ModelId,
     ServiceId,
     UpstreamId,
 )
@@ -131,7 +132,11 @@
         self._has_changes = False
         self._unplaced_log = UnplacedLog(metrics)
         self._order_sender = OrderSender(
-            settings.host_id, self._next_token, metrics, self._on_change
+            settings.host_id,
+            self._next_token,
+            metrics,
+            self._on_change,
+            NoticeRecorder(fleet, metrics).record,
         )
 
     @property
@@ -281,8 +286,11 @@
             if upstream.record.service in services and not upstream.is_draining
         ]
         self._order_sender.update(records, now_s)
-        unreachable = self._fleet.unreachable(now_s)
-        for tracker in self._order_sender.trackers.values():
+        paused = self._fleet.in_named_pause(now_s)
+        unreachable = self._fleet.unreachable(now_s) | paused
+        for name, tracker in self._order_sender.trackers.items():
+            if name in paused:
+                continue
             if not tracker.is_busy and now_s >= tracker.query_due_s:
                 tracker.is_busy = True
                 tasks.start_soon(self._order_sender.query, tracker)
@@ -395,36 +403,13 @@
         else:
             self._notice_due_s = now_s + NOTICE_INTERVAL_S
         self._last_notice_s, self._has_changes = now_s, False
-        services = dict(self._engine_services())
-        coming_s: dict[ModelId, float] = {}
-        loaded: dict[UpstreamId, tuple[Artifact, ...]] = {}
-        withdrawn: dict[UpstreamId, tuple[Artifact, ...]] = {}
-        for name, tracker in self._order_sender.trackers.items():
-            loaded[name] = tracker.loaded_since(since_s)
-            withdrawn[name] = tracker.withdrawn_since(since_s)
-            spec = services.get(tracker.record.service)
-            next_ready = tracker.next_ready_model(spec, now_s) if spec else None
-            if next_ready is not None:
-                model, remaining_s = next_ready
-                coming_s[model] = min(
-                    remaining_s, coming_s.get(model, remaining_s)
-                )
-        row = self.lease.row
         self._announce(
-            PlacementNotice(
-                epoch=self.lease.epoch,
-                lease_value=row.value if row else b"",
-                lease_revision=row.mod_revision if row else 0,
-                loaded={
-                    name: artifacts
-                    for name, artifacts in loaded.items()
-                    if artifacts
-                },
-                withdrawn={
-                    name: artifacts
-                    for name, artifacts in withdrawn.items()
-                    if artifacts
-                },
-                coming_s=coming_s,
+            build_notice(
+                self._order_sender.trackers.values(),
+                dict(self._engine_services()),
+                since_s,
+                now_s,
+                self.lease.epoch,
+                self.lease.row,
             )
         )
--- a/acaciaspoke/gateway/metrics.py
+++ b/acaciaspoke/gateway/metrics.py
@@ -63,11 +63,20 @@
         self.invalid_loads = self._counter(
             "invalid_loads", "Responses with a load that cannot be decoded"
         )
+        self.invalid_pauses = self._counter(
+            "invalid_pauses", "Refusals with a Retry-After that is invalid"
+        )
         self.faults = self._counter("faults", "Unexpected errors")
         self.log_lines_dropped = self._gauge(
             "log_lines_dropped", "Log lines dropped for lack of room"
         )
         self.waiting = self._gauge("waiting", "Requests that wait")
+        self.leaving = self._gauge(
+            "leaving_upstreams", "Upstreams that are to get no new requests"
+        )
+        self.paused = self._gauge(
+            "paused_upstreams", "Upstreams that have named a pause"
+        )
         self.configuration = self._gauge(
             "configuration_version", "Version in force"
         )
--- a/acaciaspoke/gateway/orders.py
+++ b/acaciaspoke/gateway/orders.py
@@ -1,5 +1,6 @@
 """Sends orders to engines and queries their state."""
 
+import functools
 import time
 from collections import deque
 from collections.abc import Callable
@@ -22,8 +23,13 @@
     fetch_report,
     send_order,
 )
+from acaciaspoke.platform.headers import UpstreamNotice
 from acaciaspoke.util.http import HttpClient
 
+# Called with an upstream, the start of its process, the status of its response,
+# and what that says about requests to come.
+NoticeHandler = Callable[[UpstreamId, int, int, UpstreamNotice], None]
+
 # An engine responds to an order before it executes it.
 ORDER_TIMEOUT_S = 0.6
 
@@ -67,6 +73,7 @@
         next_token: Callable[[], FencingToken],
         metrics: GatewayMetrics,
         on_change: Callable[[], None],
+        on_notice: NoticeHandler,
     ):
         """Creates a sender without engines.
 
@@ -76,12 +83,14 @@
                 if this host may not send orders.
             metrics: Counts the orders.
             on_change: Called when an engine's state may have changed.
+            on_notice: Called with each engine's responses.
         """
         self.trackers: dict[UpstreamId, EngineTracker] = {}
         self._holder = holder
         self._next_token = next_token
         self._metrics = metrics
         self._on_change = on_change
+        self._on_notice = on_notice
         self._clients: dict[UpstreamId, HttpClient] = {}
         self._exit_stack = AsyncExitStack()
 
@@ -112,7 +121,9 @@
     async def query(self, tracker: EngineTracker) -> None:
         """Queries the state of an engine."""
         try:
-            report = await fetch_report(self._client(tracker))
+            report = await fetch_report(
+                self._client(tracker), self._notice_handler(tracker)
+            )
         except EngineError as error:
             tracker.query_due_s = time.monotonic() + QUERY_RETRY_S
             logger.warning("engine {}: {}", tracker.record.upstream, error)
@@ -161,7 +172,10 @@
             self._next_token(),
         )
         result = await send_order(
-            self._client(tracker), planned.upstream, order
+            self._client(tracker),
+            planned.upstream,
+            order,
+            self._notice_handler(tracker),
         )
         self._metrics.orders.labels(planned.action.value, result.value).inc()
         now_s = time.monotonic()
@@ -188,6 +202,14 @@
             await anyio.sleep(ADAPTER_LOAD_S)
         return result
 
+    def _notice_handler(
+        self, tracker: EngineTracker
+    ) -> Callable[[int, UpstreamNotice], None]:
+        record = tracker.record
+        return functools.partial(
+            self._on_notice, record.upstream, record.started_ms
+        )
+
     def _client(self, tracker: EngineTracker) -> HttpClient:
         name = tracker.record.upstream
         client = self._clients.get(name)
--- a/acaciaspoke/gateway/process.py
+++ b/acaciaspoke/gateway/process.py
@@ -18,6 +18,7 @@
 from acaciaspoke.gateway.digests import DigestSender
 from acaciaspoke.gateway.dispatch import Assignment, Dispatcher
 from acaciaspoke.gateway.exchange import RequestHandler
+from acaciaspoke.gateway.followers import make_followers
 from acaciaspoke.gateway.leader import Leader
 from acaciaspoke.gateway.loadexchange import LoadExchange
 from acaciaspoke.gateway.messages import (
@@ -41,12 +42,7 @@
 from acaciaspoke.gateway.retry_budget import RetryBudget
 from acaciaspoke.gateway.rowrelay import RowRelay
 from acaciaspoke.gateway.settings import GatewaySettings
-from acaciaspoke.gateway.table_follower import (
-    ConfigurationLag,
-    TableFollower,
-    feed_wait_s,
-    pause_s,
-)
+from acaciaspoke.gateway.table_follower import ConfigurationLag
 from acaciaspoke.gateway.types import CallerLimits
 from acaciaspoke.ids import BootId, HostId, UpstreamId
 from acaciaspoke.platform.documents import (
@@ -173,7 +169,20 @@
             self._peers,
             self._loads,
         )
-        self._followers = self._make_followers()
+        self._followers = make_followers(
+            self._store,
+            {
+                OPERATOR_TABLE: self.apply_operator_rows,
+                UPSTREAMS_TABLE: self.apply_upstream_rows,
+                HOSTS_TABLE: self._peers.apply_rows,
+            },
+            self._on_store_failure,
+            self.metrics,
+            self._row_relay,
+            drain_s=settings.drain_ms / 1000,
+            count_hosts=lambda: len(self._peers.rows),
+            is_reader=lambda: self._loads.is_reader,
+        )
         self.app = GatewayApp(
             self._request_handler,
             self.metrics,
@@ -351,8 +360,16 @@
             self._request_handler.dispatch()
             self.metrics.log_lines_dropped.set(self._log_writer.dropped)
             self.metrics.waiting.set(self._dispatcher.waiting)
+            self._count_upstreams()
             await self._request_handler.close_unused()
 
+    def _count_upstreams(self) -> None:
+        fleet = self._dispatcher.fleet
+        self.metrics.leaving.set(
+            sum(each.is_draining for each in fleet.upstreams.values())
+        )
+        self.metrics.paused.set(len(fleet.in_named_pause(time.monotonic())))
+
     def is_lease_candidate(self) -> bool:
         """Returns whether this host should try to acquire the lease."""
         now_s = time.monotonic()
@@ -368,45 +385,6 @@
         links_mbps[local_host] = self._settings.link_mbps
         return should_compete(local_host, self._leader.lease.holder, links_mbps)
 
-    def _make_followers(self) -> dict[str, TableFollower]:
-        apply_by_table = {
-            OPERATOR_TABLE: self.apply_operator_rows,
-            UPSTREAMS_TABLE: self.apply_upstream_rows,
-            HOSTS_TABLE: self._peers.apply_rows,
-        }
-        relay_callbacks = {
-            "on_page": self._row_relay.record_page,
-            "is_delegated": self._row_relay.is_delegated,
-        }
-        return {
-            table: TableFollower(
-                self._store,
-                table,
-                apply,
-                self._on_store_failure,
-                self._restart_followers,
-                self.metrics,
-                functools.partial(self._pause_s, table),
-                functools.partial(self._feed_wait_s, table),
-                **(relay_callbacks if table == UPSTREAMS_TABLE else {}),
-            )
-            for table, apply in apply_by_table.items()
-        }
-
-    def _pause_s(self, table: str) -> float:
-        drain_s = self._settings.drain_ms / 1000
-        hosts = len(self._peers.rows)
-        return pause_s(table, hosts, drain_s, self._loads.is_reader)
-
-    def _feed_wait_s(self, table: str) -> float:
-        drain_s = self._settings.drain_ms / 1000
-        hosts = len(self._peers.rows)
-        return feed_wait_s(table, hosts, drain_s, self._loads.is_reader)
-
-    def _restart_followers(self) -> None:
-        for follower in self._followers.values():
-            follower.restart()
-
     def _on_store_failure(self) -> None:
         self._registry.record_store_failure(time.monotonic())
 
--- a/acaciaspoke/platform/engine.py
+++ b/acaciaspoke/platform/engine.py
@@ -1,5 +1,6 @@
 """Calls a model engine: fetches its state, and sends load and unload orders."""
 
+from collections.abc import Callable
 from enum import Enum
 from typing import NamedTuple
 
@@ -9,6 +10,7 @@
 from acaciaspoke.gateway.types import Artifact, EngineReport
 from acaciaspoke.ids import FencingToken, HostId, UpstreamId
 from acaciaspoke.platform.documents import DocumentError, decode_report
+from acaciaspoke.platform.headers import UpstreamNotice, decode_notice
 from acaciaspoke.util.http import HttpClient, HttpError
 
 
@@ -54,14 +56,22 @@
 }
 
 
-async def fetch_report(http: HttpClient) -> EngineReport:
+async def fetch_report(
+    http: HttpClient, on_notice: Callable[[int, UpstreamNotice], None]
+) -> EngineReport:
     """Fetches an engine's state.
 
+    Args:
+        http: Client of the engine.
+        on_notice: Called with the status of the response, and with what it says
+            about requests to come.
+
     Raises:
         EngineError: If there is no valid response.
     """
     try:
         response = await http.request("GET", "/report")
+        on_notice(response.status, decode_notice(response.headers))
         if response.status != 200:
             raise EngineError(f"report: status {response.status}")
         return decode_report(response.body)
@@ -70,9 +80,20 @@
 
 
 async def send_order(
-    http: HttpClient, upstream: UpstreamId, order: Order
+    http: HttpClient,
+    upstream: UpstreamId,
+    order: Order,
+    on_notice: Callable[[int, UpstreamNotice], None],
 ) -> OrderResult:
-    """Sends an order once; never raises for failures of the engine."""
+    """Sends an order once; never raises for failures of the engine.
+
+    Args:
+        http: Client of the engine.
+        upstream: The engine.
+        order: The order.
+        on_notice: Called with the status of the response, and with what it says
+            about requests to come.
+    """
     body = {
         "operation": order.action.value,
         "model": order.artifact.model,
@@ -92,4 +113,5 @@
         )
     except HttpError as error:
         return OrderResult.UNKNOWN if error.was_sent else OrderResult.REFUSED
+    on_notice(response.status, decode_notice(response.headers))
     return _RESULTS.get(response.status, OrderResult.REFUSED)
--- a/acaciaspoke/platform/headers.py
+++ b/acaciaspoke/platform/headers.py
@@ -1,6 +1,9 @@
 """Headers of requests and responses on the platform."""
 
-from collections.abc import Iterable
+import math
+import time
+from collections.abc import Callable, Iterable
+from email.utils import parsedate_to_datetime
 from typing import NamedTuple
 
 from acaciaspoke.gateway.types import Artifact, Request
@@ -27,6 +30,9 @@
 SERVER_LOAD = b"acaciaspoke-server-load"
 # Priority at the engine, from 0 (most urgent) to LEAST_URGENT.
 REQUEST_URGENCY = b"acaciaspoke-request-urgency"
+# Says that the upstream is about to leave.
+SERVER_LEAVING = b"server-leaving"
+RETRY_AFTER = b"retry-after"
 LAST_EVENT_ID = b"last-event-id"
 # Address of the engine that gets the KV backup of the run.
 KV_BACKUP = b"acaciaspoke-kv-backup"
@@ -41,6 +47,7 @@
         REQUEST_URGENCY,
         NOT_EXECUTED,
         SERVER_LOAD,
+        SERVER_LEAVING,
         RESPONSE_SEAL,
         b"acaciaspoke-expect-version",
         b"acaciaspoke-hold",
@@ -110,6 +117,21 @@
     work_time_percent: int = 100
 
 
+class UpstreamNotice(NamedTuple):
+    """What an upstream says in a response about requests to come.
+
+    Attributes:
+        is_leaving: Whether it is about to leave.
+        pause_s: For how long it wants no requests from this host; None if it
+            does not say.
+        has_invalid_pause: Whether it names a pause that cannot be decoded.
+    """
+
+    is_leaving: bool = False
+    pause_s: float | None = None
+    has_invalid_pause: bool = False
+
+
 class ResponseFields(NamedTuple):
     """Properties of an upstream's response, from its headers.
 
@@ -120,6 +142,7 @@
         is_encoded: Whether the body has a content coding.
         load: The upstream's load; None if it is missing or invalid.
         has_invalid_load: Whether there is a load that cannot be decoded.
+        notice: What the upstream says about requests to come.
     """
 
     attempt_id: str
@@ -128,6 +151,7 @@
     is_encoded: bool
     load: LoadReport | None
     has_invalid_load: bool = False
+    notice: UpstreamNotice = UpstreamNotice()
 
 
 def attempt_id_of(headers: Iterable[tuple[bytes, bytes]]) -> RequestId:
@@ -230,9 +254,49 @@
         is_encoded=coding not in (b"", b"identity"),
         load=load,
         has_invalid_load=load is None and SERVER_LOAD in found,
+        notice=decode_notice(headers),
+    )
+
+
+def decode_notice(
+    headers: Iterable[tuple[bytes, bytes]],
+    clock: Callable[[], float] = time.time,
+) -> UpstreamNotice:
+    """Decodes what an upstream says about requests to come.
+
+    Args:
+        headers: The headers of its response.
+        clock: Returns the Unix time, from which a date counts.
+    """
+    found = {name.lower(): value.strip() for name, value in headers}
+    retry_after = found.get(RETRY_AFTER)
+    pause_s = None
+    if retry_after is not None:
+        pause_s = _decode_retry_after(retry_after, clock)
+    return UpstreamNotice(
+        is_leaving=found.get(SERVER_LEAVING) == b"1",
+        pause_s=pause_s,
+        has_invalid_pause=retry_after is not None and pause_s is None,
     )
 
 
+def _decode_retry_after(
+    value: bytes, clock: Callable[[], float]
+) -> float | None:
+    """Returns a delay, given in seconds or as an HTTP date; None if invalid."""
+    text = value.decode("latin-1")
+    try:
+        delay_s = float(text)
+    except ValueError:
+        try:
+            delay_s = parsedate_to_datetime(text).timestamp() - clock()
+        except (ValueError, OverflowError):
+            return None
+        # A date that has passed, perhaps by another clock, names no pause.
+        delay_s = max(0.0, delay_s)
+    return delay_s if math.isfinite(delay_s) and delay_s >= 0 else None
+
+
 def _decode_load(value: bytes) -> LoadReport | None:
     """Decodes a load; ignores figures after the known ones.
 
--- a/acaciaspoke/util/http.py
+++ b/acaciaspoke/util/http.py
@@ -2,7 +2,7 @@
 
 import socket
 import struct
-from collections.abc import Mapping
+from collections.abc import Mapping, Sequence
 from typing import NamedTuple, Self
 
 import anyio
@@ -56,6 +56,7 @@
 
     status: int
     body: bytes
+    headers: Sequence[tuple[bytes, bytes]] = ()
 
 
 class HttpClient:
@@ -156,7 +157,7 @@
         # It would be taken for the response to the next request. The pool
         # drops a connection whose stream is closed.
         await response.extensions["network_stream"].aclose()
-    return HttpResponse(response.status, b"".join(parts))
+    return HttpResponse(response.status, b"".join(parts), response.headers)
 
 
 def _has_trailing_data(response: httpcore.Response) -> bool:
--- a/standins/worker.py
+++ b/standins/worker.py
@@ -54,7 +54,12 @@
         lines += [f"{name}: {value}" for name, value in headers.items()]
         self.writer.write("\r\n".join([*lines, "", ""]).encode())
 
-    async def stream(self, *events: bytes, end: bool = True) -> None:
+    async def stream(
+        self,
+        *events: bytes,
+        end: bool = True,
+        headers: dict[str, str] | None = None,
+    ) -> None:
         """Sends events as chunks, and the last chunk if ``end`` is set."""
         self.head(
             200,
@@ -63,6 +68,7 @@
                 SEAL_HEADER: f"seal-{self.id}",
                 "content-type": "text/event-stream",
                 "transfer-encoding": "chunked",
+                **(headers or {}),
             },
         )
         for event in events:
@@ -98,6 +104,7 @@
 
     Attributes:
         script: Answers requests.
+        control_headers: Headers of the responses to reports and orders.
         arrivals: The requests received.
         orders: The orders accepted.
         models: The loaded models, each with its loaded adapters.
@@ -121,6 +128,7 @@
         self.script = script
         self.slots = slots
         self.born = born
+        self.control_headers: dict[str, str] = {}
         self.arrivals: list[Arrival] = []
         self.orders: list[dict[str, Any]] = []
         self._connections: dict[asyncio.Task, asyncio.StreamWriter] = {}
@@ -178,9 +186,14 @@
                     "models": self._model_documents(),
                 }
                 report |= {"busy": False, "born": self.born}
-                await arrival.answer(body=msgspec.json.encode(report))
+                await arrival.answer(
+                    body=msgspec.json.encode(report),
+                    headers=self.control_headers,
+                )
             case "/order":
-                await arrival.answer(self._apply_order(arrival.body), b"")
+                await arrival.answer(
+                    self._apply_order(arrival.body), b"", self.control_headers
+                )
             case _:
                 self.arrivals.append(arrival)
                 await self.script(arrival)
--- a/test/gateway/test_orders.py
+++ b/test/gateway/test_orders.py
@@ -8,7 +8,7 @@
 from acaciaspoke.gateway.metrics import GatewayMetrics
 from acaciaspoke.gateway.orders import OrderSender
 from acaciaspoke.ids import FencingToken, HostId, UpstreamId
-from acaciaspoke.platform.engine import Order, OrderAction, OrderResult
+from acaciaspoke.platform.engine import OrderAction, OrderResult
 from test.gateway.builders import artifact, record
 
 OLD, NEW = artifact("m1", "a1"), artifact("m1", "a2")
@@ -25,7 +25,7 @@
         self.busy: list[bool] = []
 
     async def _replace_adapter(self, unload_result: OrderResult) -> None:
-        async def respond(client, upstream, order: Order) -> OrderResult:
+        async def respond(client, upstream, order, on_notice) -> OrderResult:
             self.sent_orders.append((order.action, order.expected_seq))
             self.busy.append(self.tracker.is_busy)
             if order.action is OrderAction.UNLOAD:
@@ -40,6 +40,7 @@
             lambda: FencingToken(1),
             GatewayMetrics(),
             lambda: None,
+            lambda *_: None,
         )
         with mock.patch("acaciaspoke.gateway.orders.send_order", respond):
             async with sender:
