Value one replica at its share of the demand, not at all of it

Callers saw: on the grown deployments, models that only the least urgent kind asks for were hardly ever loaded, however long requests waited, while nearly all places for models were taken by replicas of eight busy ones.

Cause: what the removal of a replica costs, and what another one gains, was bounded by the whole demand of its model.

A replica is now worth at most its share of the demand: the demand by the number of replicas with it.

--- a/acaciaspoke/gateway/placement.py
+++ b/acaciaspoke/gateway/placement.py
@@ -184,7 +184,8 @@
         missing_slots = max(load, demand) - share * slots
         # A rarely used model gets no replica just because other models'
         # requests fill its engines.
-        missing_slots = min(missing_slots, demand)
+        # One more replica serves only its share of the demand.
+        missing_slots = min(missing_slots, demand / (1 + len(holders)))
         is_full = all(engine.load_share >= FULL_SHARE for engine in holders)
         if is_full and model not in replicas.loading_models:
             missing_slots += replicas.waiting[model]
--- a/acaciaspoke/gateway/replicas.py
+++ b/acaciaspoke/gateway/replicas.py
@@ -268,7 +268,9 @@
         share = SPARE_SHARE * target_share(self._spec.models[model].load_s)
         capacity = share * sum(other.slots for other in other_holders)
         missing_slots = max(load + engine.running[model], demand) - capacity
-        missing_slots = max(0.0, min(missing_slots, demand))
+        # One replica serves only its share of the demand.
+        served_slots = demand / (1 + len(other_holders))
+        missing_slots = max(0.0, min(missing_slots, served_slots))
         spare = SPARE_REPLICA_SHARE * demand if len(other_holders) == 1 else 0.0
         return cost + weight * (missing_slots + spare)
 
--- a/test/gateway/test_placement.py
+++ b/test/gateway/test_placement.py
@@ -192,6 +192,52 @@
         self.assertEqual(["m4", "m5"], sorted(m.reserve_for for m in orders))
 
 
+class ManyReplicasTest(unittest.TestCase):
+    """Urgent models have replicas at most engines of a large fleet."""
+
+    SPEC = engine_spec(*MODELS, load_s=5.0, slots=24)
+
+    def _plan(self, *demand, running=3):
+        engines = [
+            engine(
+                f"u{n}",
+                "m1",
+                "m2",
+                "m3",
+                slots=24,
+                running=Counter({ModelId(m): running for m in MODELS[:3]}),
+            )
+            for n in range(1, 11)
+        ]
+        busy = (demand_for(artifact(m), rate_per_s=50.0) for m in MODELS[:3])
+        found = []
+        orders = plan_models(
+            engines,
+            demands(*busy, demand_for(artifact("m4"), priority=2), *demand),
+            self.SPEC,
+            5,
+            0.0,
+            on_unplaced=found.append,
+        )
+        return orders, found
+
+    def test_one_of_many_replicas_yields_to_a_model_without_any(self):
+        # On 30 engines nearly all places were taken by replicas of eight busy
+        # models; to evict one of ten cost as much as to evict all of them.
+        waiting = demand_for(
+            artifact("m5"), waiting=6, oldest_s=15.0, priority=2
+        )
+        (order,), _ = self._plan(waiting)
+        self.assertEqual("m5", order.reserve_for)
+
+    def test_one_of_many_replicas_costs_its_share_of_the_demand(self):
+        waiting = demand_for(artifact("m5"), waiting=1, priority=2)
+        _, found = self._plan(waiting)
+        (unplaced,) = [each for each in found if each.model == "m5"]
+        # Three slots of the most urgent weight, and the running requests.
+        self.assertLess(unplaced.least_cost.eviction, 15.0)
+
+
 class ChurnTest(unittest.TestCase):
     """Busy and rarely used models compete while the engines are loaded."""
 
