--- a/acaciaspoke/gateway/leader.py
+++ b/acaciaspoke/gateway/leader.py
@@ -38,7 +38,7 @@
 from acaciaspoke.gateway.placement import plan_models
 from acaciaspoke.gateway.placement_notice import build_notice
 from acaciaspoke.gateway.settings import GatewaySettings
-from acaciaspoke.gateway.types import Artifact, Configuration, EngineSpec
+from acaciaspoke.gateway.types import Configuration, EngineSpec
 from acaciaspoke.gateway.unplaced import UnplacedLog
 from acaciaspoke.gateway.upstream_notices import NoticeRecorder
 from acaciaspoke.ids import (
