Remember the crashes of a prompt part after its block has ended

Callers saw, while requests with a harmful prompt part kept coming: 30 s after the last crash the part was free again and took three more engines, every 30 s.

Cause: the evidence expired together with the block, so the count began anew.

Crashes now count for 600 s; a part is blocked for 60 s after the third and for twice as long with each further crash, so that one request, or those of the tenth of a second until all hosts know, tests it. Hosts keep the crashes of a blocked part that others saw, so that it stays blocked when those restart. A request that begins drops the crashes before it, here and at hosts that hear of it.

Tests, failing before: test_one_more_crash_blocks_for_twice_as_long, test_block_outlasts_the_hosts_that_saw_the_crashes.

--- a/acaciaspoke/gateway/aggregate.py
+++ b/acaciaspoke/gateway/aggregate.py
@@ -19,7 +19,7 @@
     SendNotice,
 )
 from acaciaspoke.gateway.part_suspects import (
-    EVIDENCE_RETENTION_S,
+    BEGUN_RETENTION_S,
     EvidenceByPart,
     PartEvidence,
     merge_evidence,
@@ -267,7 +267,7 @@
     recent = [
         (evidence, now_s - received_s)
         for evidence, received_s in reports
-        if now_s - received_s <= EVIDENCE_RETENTION_S
+        if now_s - received_s <= BEGUN_RETENTION_S
     ]
     return most_suspected(merge_evidence(recent))
 
--- a/acaciaspoke/gateway/part_suspects.py
+++ b/acaciaspoke/gateway/part_suspects.py
@@ -23,14 +23,21 @@
 MAX_CRASHES = 3
 MAX_CRASHES_IF_BEGUN = 5
 
-# How long crashes and begun requests count.
-EVIDENCE_RETENTION_S = 30.0
+# How long crashes count, and requests that have begun.
+CRASH_RETENTION_S = 600.0
+BEGUN_RETENTION_S = 30.0
 
-# How long a part is blocked that has begun lately; each further crash doubles
-# the time. If all engines crash at once, no request is left that could clear
-# the part.
+# How long a part is blocked after the last crash. Then some requests test it,
+# and each further crash doubles the time.
+FIRST_BLOCK_S = 60.0
+
+# The same for a part that has begun lately. If all engines crash at once, no
+# request is left that could clear the part.
 FIRST_BLOCK_IF_BEGUN_S = 2.0
 
+# Parts with fewer crashes than block them are reported for this time.
+REPORTED_S = 30.0
+
 # Begun requests are remembered for this many parts.
 MAX_BEGUN_PARTS = 8192
 
@@ -133,7 +140,7 @@
 
 def _has_begun(evidence: PartEvidence) -> bool:
     begun_age_s = evidence.begun_age_s
-    return begun_age_s is not None and begun_age_s <= EVIDENCE_RETENTION_S
+    return begun_age_s is not None and begun_age_s <= BEGUN_RETENTION_S
 
 
 def _active_crashes(evidence: PartEvidence) -> dict[int, float]:
@@ -142,18 +149,16 @@
     return {
         crash: age_s
         for crash, age_s in evidence.crash_ages_s.items()
-        if age_s <= EVIDENCE_RETENTION_S
+        if age_s <= CRASH_RETENTION_S
         and (begun_age_s is None or age_s < begun_age_s)
     }
 
 
 def _is_blocked(crash_ages_s: list[float], has_begun: bool) -> bool:
-    if not has_begun:
-        return len(crash_ages_s) >= MAX_CRASHES
-    excess = len(crash_ages_s) - MAX_CRASHES_IF_BEGUN
-    if excess < 0:
-        return False
-    return min(crash_ages_s) < FIRST_BLOCK_IF_BEGUN_S * 2**excess
+    limit = MAX_CRASHES_IF_BEGUN if has_begun else MAX_CRASHES
+    first_s = FIRST_BLOCK_IF_BEGUN_S if has_begun else FIRST_BLOCK_S
+    excess = len(crash_ages_s) - limit
+    return excess >= 0 and min(crash_ages_s) < first_s * 2**excess
 
 
 class PartSuspects:
@@ -191,6 +196,7 @@
         for part in parts:
             self._begun_s[part] = now_s
             self._begun_s.move_to_end(part)
+            self._crashed_s.pop(part, None)
         while len(self._begun_s) > MAX_BEGUN_PARTS:
             self._begun_s.popitem(last=False)
 
@@ -198,10 +204,28 @@
         self, host: HostId, evidence: EvidenceByPart, now_s: float
     ) -> None:
         """Updates the evidence of another host, or of all others."""
-        if evidence:
-            self._remote[host] = (evidence, now_s)
-        else:
+        if not evidence:
             self._remote.pop(host, None)
+            return
+        self._remote[host] = (evidence, now_s)
+        for part in evidence:
+            self._settle(part, now_s)
+
+    def _settle(self, part: PartId, now_s: float) -> None:
+        """Keeps the crashes of a part that are enough to block it.
+
+        So they are still known when the hosts that saw them have restarted.
+        Crashes before a request that has begun at another host are dropped.
+        """
+        evidence = self.evidence_of(part, now_s)
+        active = _active_crashes(evidence)
+        if len(active) >= MAX_CRASHES:
+            self._depths.setdefault(part, evidence.depth)
+            for crash, age_s in active.items():
+                crashed_s = self._crashed_s.setdefault(part, {})
+                crashed_s.setdefault(crash, now_s - age_s)
+        elif not active:
+            self._crashed_s.pop(part, None)
 
     def blocked_part(
         self, parts: Iterable[PartId], now_s: float
@@ -242,7 +266,13 @@
         evidence_by_part = {
             part: self._local_evidence(part, now_s) for part in suspected
         }
-        return most_suspected(evidence_by_part)
+        return most_suspected(
+            {
+                part: evidence
+                for part, evidence in evidence_by_part.items()
+                if _is_reported(evidence)
+            }
+        )
 
     def _locally_suspected(self) -> set[PartId]:
         """Returns the parts that have not begun here since their last crash."""
@@ -262,14 +292,15 @@
         )
 
     def _drop_old(self, now_s: float) -> None:
-        oldest_s = now_s - EVIDENCE_RETENTION_S
+        oldest_s = now_s - BEGUN_RETENTION_S
+        oldest_crash_s = now_s - CRASH_RETENTION_S
         while self._begun_s and next(iter(self._begun_s.values())) < oldest_s:
             self._begun_s.popitem(last=False)
         recent = {
             part: {
                 crash: at_s
                 for crash, at_s in crashed_s.items()
-                if at_s >= oldest_s
+                if at_s >= oldest_crash_s
             }
             for part, crashed_s in self._crashed_s.items()
         }
@@ -288,6 +319,12 @@
         }
 
 
+def _is_reported(evidence: PartEvidence) -> bool:
+    """Returns whether other hosts should know the evidence."""
+    ages_s = evidence.crash_ages_s.values()
+    return len(ages_s) >= MAX_CRASHES or min(ages_s, default=0.0) <= REPORTED_S
+
+
 def most_suspected(evidence: EvidenceByPart) -> dict[PartId, PartEvidence]:
     """Returns the evidence of the parts with most crashes."""
     parts = sorted(evidence, key=lambda part: -len(evidence[part].crash_ages_s))
--- a/test/gateway/test_part_suspects.py
+++ b/test/gateway/test_part_suspects.py
@@ -3,8 +3,10 @@
 import unittest
 
 from acaciaspoke.gateway.part_suspects import (
-    EVIDENCE_RETENTION_S,
+    BEGUN_RETENTION_S,
+    CRASH_RETENTION_S,
     FIRST_BLOCK_IF_BEGUN_S,
+    FIRST_BLOCK_S,
     MAX_BEGUN_PARTS,
     MAX_CRASHES,
     MAX_CRASHES_IF_BEGUN,
@@ -74,8 +76,27 @@
     def test_block_ends_some_time_after_the_last_crash(self):
         for number in range(MAX_CRASHES):
             _crash(self.suspects, 0.0, HARMFUL, engine=f"u{number}")
-        self.assertEqual(HARMFUL, self._blocked(EVIDENCE_RETENTION_S, HARMFUL))
-        self.assertIsNone(self._blocked(EVIDENCE_RETENTION_S + 0.1, HARMFUL))
+        self.assertEqual(HARMFUL, self._blocked(FIRST_BLOCK_S - 0.1, HARMFUL))
+        self.assertIsNone(self._blocked(FIRST_BLOCK_S, HARMFUL))
+
+    def test_one_more_crash_blocks_for_twice_as_long(self):
+        # With the evidence gone after the block, three more engines crashed.
+        for number in range(MAX_CRASHES):
+            _crash(self.suspects, 0.0, HARMFUL, engine=f"u{number}")
+        self.suspects.local_evidence(FIRST_BLOCK_S)
+        _crash(self.suspects, FIRST_BLOCK_S, HARMFUL, engine="u9")
+        end_s = 3 * FIRST_BLOCK_S
+        self.assertEqual(HARMFUL, self._blocked(end_s - 0.1, HARMFUL))
+        self.assertIsNone(self._blocked(end_s, HARMFUL))
+
+    def test_crash_before_a_begun_request_stays_cleared(self):
+        # It outlasts the record of the request that has begun.
+        for number in range(MAX_CRASHES):
+            _crash(self.suspects, 0.0, FIRST, engine=f"u{number}")
+        self.suspects.record_begun([FIRST], 1.0)
+        now_s = 2.0 + BEGUN_RETENTION_S
+        self.suspects.local_evidence(now_s)
+        self.assertIsNone(self._blocked(now_s, FIRST))
 
     def test_sound_part_is_blocked_shortly_if_all_engines_crash_at_once(self):
         self.suspects.record_begun([FIRST], 0.0)
@@ -141,6 +162,35 @@
         self._share(0.3)
         self.assertFalse(any(host.blocked_part([FIRST], 0.4) for host in hosts))
 
+    def test_block_outlasts_the_hosts_that_saw_the_crashes(self):
+        hosts = list(self.hosts.values())
+        for number in range(MAX_CRASHES):
+            _crash(hosts[number], 0.0, HARMFUL, engine=f"u{number}")
+        self._share(0.1)
+        for name in list(self.hosts)[:3]:
+            self.hosts[name] = PartSuspects()
+        self._share(40.0)
+        self.assertTrue(
+            all(
+                host.blocked_part([HARMFUL], 40.1)
+                for host in self.hosts.values()
+            )
+        )
+
+    def test_crash_that_another_host_clears_stays_cleared(self):
+        hosts = list(self.hosts.values())
+        for number in range(MAX_CRASHES):
+            _crash(hosts[number], 0.0, FIRST, engine=f"u{number}")
+        self._share(0.1)
+        hosts[3].record_begun([FIRST], 0.2)
+        self._share(0.3)
+        self._share(0.4)
+        now_s = 1.0 + BEGUN_RETENTION_S
+        self._share(now_s)
+        self.assertFalse(
+            any(host.blocked_part([FIRST], now_s) for host in hosts)
+        )
+
     def test_age_of_relayed_evidence_includes_the_delay(self):
         suspects = PartSuspects()
         for number in range(MAX_CRASHES):
@@ -161,4 +211,4 @@
         self.assertIn(HARMFUL, evidence)
         suspects.record_begun(reversed(parts), 0.2)
         self.assertEqual({HARMFUL}, set(suspects.local_evidence(0.3)))
-        self.assertEqual({}, suspects.local_evidence(EVIDENCE_RETENTION_S + 1))
+        self.assertEqual({}, suspects.local_evidence(CRASH_RETENTION_S + 1))
