--- a/acaciaspoke/gateway/replicas.py
+++ b/acaciaspoke/gateway/replicas.py
@@ -51,11 +51,11 @@
 LAST_REPLICA_COST = 2.0
 
 # Cost of unloading a last replica per second of its load time, by the most
-# urgent priority of its requests. Least urgent work can bear a cold start;
-# urgent demand moves to idle models, and a load then takes longer than callers
-# wait. The first request for a model is expected to be as urgent as the others'
-# requests are, so for a model without any request the mean applies.
+# urgent priority of its requests, and for a model without any request so far.
+# Least urgent work can bear a cold start; urgent demand moves to idle models,
+# and a load then takes longer than callers wait.
 LAST_REPLICA_COSTS_PER_LOAD_S = (3.0, 2.0, 0.0)
+UNREQUESTED_LAST_REPLICA_COST_PER_LOAD_S = 1.5
 
 # A model without any request for this time is half as likely to get one soon
 # as at the start, so what it is worth to keep or to load it halves too.
@@ -102,17 +102,13 @@
         self.priority: dict[ModelId, int] = {}
         self.rate: Counter[ModelId] = Counter()
         self.prefill_rate: Counter[ModelId] = Counter()
-        # Requests a second for adapters that no engine can serve now.
-        self.missing_adapter_rate: Counter[ModelId] = Counter()
+        self.adapter_rate: Counter[ModelId] = Counter()
         self.running: Counter[ModelId] = Counter()
         self.holders: dict[ModelId, list[EngineView]] = defaultdict(list)
         # Models with a replica that is being loaded, which will serve waiting
         # requests.
         self.loading_models: set[ModelId] = set()
-        served_adapters: set[Artifact] = set()
         for engine in engines:
-            if engine.load_share < 1:
-                served_adapters |= engine.adapters
             self.running.update(engine.running)
             for model in engine.models:
                 if model not in engine.unloading_models:
@@ -129,8 +125,8 @@
             model = artifact.model
             self.rate[model] += total.rate_per_s
             self.prefill_rate[model] += total.tokens_per_s
-            if artifact.adapter is not None and artifact not in served_adapters:
-                self.missing_adapter_rate[model] += total.rate_per_s
+            if artifact.adapter is not None:
+                self.adapter_rate[model] += total.rate_per_s
             self.waiting[model] += total.waiting
             known = self.priority.get(model, total.priority)
             self.priority[model] = min(known, total.priority)
@@ -138,9 +134,6 @@
             self.oldest_s[model] = max(
                 total.oldest_s, self.oldest_s.get(model, 0.0)
             )
-        self._unrequested_last_replica_cost_per_s = _mean_cost(
-            LAST_REPLICA_COSTS_PER_LOAD_S, self.priority.values()
-        )
 
     def demand(self, model: ModelId) -> float:
         """Returns the slots that a model's requests need."""
@@ -161,7 +154,7 @@
         return self._cost_by_priority(
             model,
             LAST_REPLICA_COSTS_PER_LOAD_S,
-            self._unrequested_last_replica_cost_per_s,
+            UNREQUESTED_LAST_REPLICA_COST_PER_LOAD_S,
         )
 
     def _second_replica_cost(self, model: ModelId) -> float:
@@ -225,8 +218,6 @@
         return candidate, cost
 
     def _adapter_block_cost_per_s(self, engine: EngineView) -> float:
-        # A blocked engine still serves the adapters that it holds; only those
-        # that need an order are delayed.
         cost = 0.0
         for model in engine.models:
             other_holders = [
@@ -234,8 +225,7 @@
                 for other in self.holders[model]
                 if other is not engine and other.accepts_adapter_order
             ]
-            rate = self.missing_adapter_rate[model]
-            rate /= (1 + len(other_holders)) ** 2
+            rate = self.adapter_rate[model] / (1 + len(other_holders)) ** 2
             cost += rate * self.weight.get(model, 1.0)
         return cost
 
@@ -275,15 +265,6 @@
         return cost + weight * (missing_slots + spare)
 
 
-def _mean_cost(costs: Sequence[float], priorities: Iterable[int]) -> float:
-    """Returns the mean cost over models with requests of these priorities.
-
-    One more model of each priority stands for what is not known yet.
-    """
-    known = [costs[min(priority, len(costs) - 1)] for priority in priorities]
-    return sum([*costs, *known]) / (len(costs) + len(known))
-
-
 def weight_of(priority: int) -> float:
     """Returns the weight of a request of a priority."""
     return PRIORITY_WEIGHTS[min(priority, len(PRIORITY_WEIGHTS) - 1)]
