Bound how often the block of a prompt part doubles

After about a thousand crashes the block's time overflowed a float, and each request with a suspected part failed. Test: test_any_number_of_crashes_blocks raised OverflowError before.

--- a/acaciaspoke/gateway/part_suspects.py
+++ b/acaciaspoke/gateway/part_suspects.py
@@ -35,6 +35,9 @@
 # request is left that could clear the part.
 FIRST_BLOCK_IF_BEGUN_S = 2.0
 
+# Enough for a block to outlast the crashes.
+MAX_DOUBLINGS = 10
+
 # Parts with fewer crashes than block them are reported for this time.
 REPORTED_S = 30.0
 
@@ -158,7 +161,8 @@
     limit = MAX_CRASHES_IF_BEGUN if has_begun else MAX_CRASHES
     first_s = FIRST_BLOCK_IF_BEGUN_S if has_begun else FIRST_BLOCK_S
     excess = len(crash_ages_s) - limit
-    return excess >= 0 and min(crash_ages_s) < first_s * 2**excess
+    block_s = first_s * 2 ** min(excess, MAX_DOUBLINGS)
+    return excess >= 0 and min(crash_ages_s) < block_s
 
 
 class PartSuspects:
--- a/test/gateway/test_part_suspects.py
+++ b/test/gateway/test_part_suspects.py
@@ -89,6 +89,11 @@
         self.assertEqual(HARMFUL, self._blocked(end_s - 0.1, HARMFUL))
         self.assertIsNone(self._blocked(end_s, HARMFUL))
 
+    def test_any_number_of_crashes_blocks(self):
+        for number in range(2000):
+            _crash(self.suspects, 0.0, HARMFUL, engine=f"u{number}")
+        self.assertEqual(HARMFUL, self._blocked(1.0, HARMFUL))
+
     def test_crash_before_a_begun_request_stays_cleared(self):
         # It outlasts the record of the request that has begun.
         for number in range(MAX_CRASHES):
