--- a/review/common/deployment.py
+++ b/review/common/deployment.py
@@ -647,11 +647,20 @@
     return json.dumps(document).encode()
 
 
+def _give_up(gateways: list[Gateway]) -> None:
+    for gateway in gateways:
+        gateway.end()
+    os._exit(2)
+
+
 def play(script: str, case) -> None:
     """Runs a case; exits with 1 if it says that the rule was broken."""
     record = Record(script)
     gateways: list[Gateway] = []
     status = 2
+    for number in (signal.SIGALRM, signal.SIGTERM):
+        signal.signal(number, lambda *_: _give_up(gateways))
+    signal.alarm(116)
     with tempfile.TemporaryDirectory() as folder:
 
         def new_gateway(name: str, store: Store, **limits) -> Gateway:
@@ -662,8 +671,11 @@
             async with asyncio.timeout(110):
                 return await case(record, new_gateway)
 
+        # The tasks of the stand-ins are not awaited: they end with the process.
+        loop = asyncio.new_event_loop()
+        asyncio.set_event_loop(loop)
         try:
-            status = int(asyncio.run(run()))
+            status = int(loop.run_until_complete(run()))
         except Exception as error:
             record(f"the case could not run: {type(error).__name__}: {error}")
         finally:
