--- a/review/1/case.py
+++ b/review/1/case.py
@@ -84,6 +84,7 @@
                     continue
             request_id = f"r{next(numbers):06}"
             up_s = time.monotonic() - gateway.started_s
+            record("sent", request_id, gateway.name, "kept" if is_kept else "")
             message = await channel.request(
                 "POST", "/bookings/7", request_id, b"book it"
             )
--- a/review/common/deployment.py
+++ b/review/common/deployment.py
@@ -34,6 +34,10 @@
 CONTACT_S = 3.0
 GRACE_S = 8
 
+# Exit status of a case that broke its rule. Python's own for an uncaught error is
+# 1, so run.sh turns this one into 1 and that one into 2.
+BROKEN = 10
+
 _hosts = itertools.count(1)
 
 
@@ -654,7 +658,7 @@
 
 
 def play(script: str, case) -> None:
-    """Runs a case; exits with 1 if it says that the rule was broken."""
+    """Runs a case; exits with ``BROKEN`` if it says that the rule was broken."""
     record = Record(script)
     gateways: list[Gateway] = []
     status = 2
@@ -682,4 +686,4 @@
             for gateway in gateways:
                 gateway.end()
     record("result:", {0: "rule held", 1: "rule broken", 2: "not run"}[status])
-    os._exit(status)
+    os._exit(BROKEN if status == 1 else status)
