Reject addresses of entries that are no IP:PORT

Cause: split_address stripped a bracket on either side and took a bare "::1:9", so the entry was accepted, while the URL that HttpClient and Relay build from its text is invalid. The ValueError is none of the errors that these layers map, so it ended the task group of the leader.

Change: split_address accepts only what can stand in a URL: IPv6 in brackets, IPv4 without, and scope ids of characters that need no encoding (a scope id could also put a line break into a header). HttpClient builds URLs from the parts instead of parsing text again. An unexpected error in a report or order of one engine is logged and counted, and ends nothing else.

Related paths that use the same address: requests, orders, reports, KV backups and resumed streams (all from decode_upstream), the store and listeners (settings), upstreams of patches, the host list.

--- a/acaciaspoke/gateway/leader.py
+++ b/acaciaspoke/gateway/leader.py
@@ -4,7 +4,8 @@
 import random
 import time
 from collections import Counter
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
 
 import anyio
 from loguru import logger
@@ -32,6 +33,7 @@
 from acaciaspoke.gateway.metrics import GatewayMetrics
 from acaciaspoke.gateway.orders import (
     ORDER_TIMEOUT_S,
+    QUERY_RETRY_S,
     LoadRateLimit,
     OrderSender,
 )
@@ -293,7 +295,7 @@
                 continue
             if not tracker.is_busy and now_s >= tracker.query_due_s:
                 tracker.is_busy = True
-                tasks.start_soon(self._order_sender.query, tracker)
+                tasks.start_soon(self._query, tracker)
         if self.may_send_orders:
             for service, spec in services.items():
                 for order in self._plan(service, spec, unreachable, now_s):
@@ -345,13 +347,30 @@
         )
         return orders
 
+    async def _query(self, tracker: EngineTracker) -> None:
+        with self._contained_fault(tracker):
+            await self._order_sender.query(tracker)
+
     async def _send_order(
         self, tracker: EngineTracker, order: PlannedOrder, expected_s: float
     ) -> None:
+        with self._contained_fault(tracker):
+            try:
+                await self._order_sender.send(tracker, order, expected_s)
+            except LeaseNotHeldError as error:
+                logger.warning(
+                    "order to {} not sent: {}", order.upstream, error
+                )
+
+    @contextmanager
+    def _contained_fault(self, tracker: EngineTracker) -> Iterator[None]:
+        """Keeps an error in a call of one engine from ending the process."""
         try:
-            await self._order_sender.send(tracker, order, expected_s)
-        except LeaseNotHeldError as error:
-            logger.warning("order to {} not sent: {}", order.upstream, error)
+            yield
+        except Exception:
+            self._metrics.faults.inc()
+            tracker.query_due_s = time.monotonic() + QUERY_RETRY_S
+            logger.exception("call of engine {}", tracker.record.upstream)
 
     def _record_order(
         self,
--- a/acaciaspoke/util/http.py
+++ b/acaciaspoke/util/http.py
@@ -8,6 +8,8 @@
 import anyio
 import httpcore
 
+from acaciaspoke.util.net import split_address
+
 MAX_CONNECTIONS = 32
 
 # Larger bodies are an error. A table is read in pages of 1 MB; the largest
@@ -72,11 +74,14 @@
             timeout_s: Timeout of requests that specify none.
             reset_on_close: Whether closing a connection discards undelivered
                 data. The kernel would otherwise deliver it later.
+
+        Raises:
+            ValueError: If the address is not an IP address and a port.
         """
         options = list(DEAD_PEER_DETECTION_OPTIONS)
         if reset_on_close:
             options.append(_RESET_ON_CLOSE_OPTION)
-        self._base = f"http://{address}"
+        self._server = split_address(address)
         self._timeout_s = timeout_s
         self._pool = httpcore.AsyncConnectionPool(
             max_connections=MAX_CONNECTIONS,
@@ -120,7 +125,12 @@
             with anyio.fail_after(timeout_s):
                 async with self._pool.stream(
                     method,
-                    self._base + path,
+                    httpcore.URL(
+                        scheme=b"http",
+                        host=self._server.ip.encode(),
+                        port=self._server.port,
+                        target=path.encode(),
+                    ),
                     headers=dict(headers or {}),
                     content=body,
                     extensions={"trace": trace},
--- a/acaciaspoke/util/net.py
+++ b/acaciaspoke/util/net.py
@@ -1,8 +1,12 @@
 """Parsing of network addresses."""
 
 import ipaddress
+import re
 from typing import NamedTuple
 
+# Characters of a scope id that need no encoding in a URL (RFC 6874).
+_SCOPE_ID = re.compile(r"[A-Za-z0-9._~-]+")
+
 
 class HostPort(NamedTuple):
     """An IP address and a port."""
@@ -12,7 +16,9 @@
 
 
 def split_address(address: str) -> HostPort:
-    """Splits ``ip:port`` or ``[ipv6]:port``.
+    """Splits ``ipv4:port`` or ``[ipv6]:port``.
+
+    An address that this accepts can be the host and port of a URL as it is.
 
     Raises:
         ValueError: If the text is not an IP address and a port.
@@ -20,8 +26,14 @@
     ip, separator, port = address.rpartition(":")
     if not separator:
         raise ValueError(f"{address!r} is not ip:port")
-    ip = ip.removeprefix("[").removesuffix("]")
-    ipaddress.ip_address(ip)
+    is_bracketed = ip.startswith("[") and ip.endswith("]")
+    if is_bracketed:
+        ip = ip[1:-1]
+    if (ipaddress.ip_address(ip).version == 6) is not is_bracketed:
+        raise ValueError(f"{address!r}: only IPv6 addresses are in brackets")
+    _, has_scope, scope_id = ip.partition("%")
+    if has_scope and not _SCOPE_ID.fullmatch(scope_id):
+        raise ValueError(f"{address!r} has an invalid scope id")
     is_number = port.isascii() and port.isdigit() and len(port) <= 5
     if not is_number or not 0 < int(port) < 65536:
         raise ValueError(f"{address!r} has no valid port")
