Ignore rows of hosts whose address is no IP address

Change: HostRow checks its address where it is decoded; an invalid row is logged and ignored, as other invalid rows are.

Only this system writes that table, so that callers haven't seen it.

--- a/acaciaspoke/gateway/peers.py
+++ b/acaciaspoke/gateway/peers.py
@@ -1,5 +1,6 @@
 """Sends and receives datagrams between the gateways of a deployment."""
 
+import ipaddress
 import time
 from collections.abc import Callable, Iterable
 from typing import Annotated
@@ -27,6 +28,7 @@
     """A host's row in the store, with its address for datagrams.
 
     Attributes:
+        address: IP address.
         link_mbps: Bandwidth of its network link; 0 if unknown.
     """
 
@@ -35,6 +37,11 @@
     failure_domain: DomainId
     link_mbps: float = 0.0
 
+    def __post_init__(self) -> None:
+        # Other text would be resolved as a name, which blocks the process, or
+        # end the socket.
+        ipaddress.ip_address(self.address)
+
 
 class Peers:
     """Exchanges datagrams with other hosts; owns the socket.
--- a/test/gateway/test_unreadable_address.py
+++ b/test/gateway/test_unreadable_address.py
@@ -4,6 +4,7 @@
 from unittest import mock
 
 from acaciaspoke.platform.engine import fetch_report
+from acaciaspoke.platform.store import HOSTS_TABLE
 from standins.worker import Worker
 from test.gateway.serving import GatewayTest
 
@@ -64,3 +65,17 @@
             )
         self.assertFalse(self.tasks[-1].done())
         await self.eventually(lambda: sender.trackers["llm1"].is_confirmed)
+
+    async def test_host_entry_does_not_end_the_process(self):
+        # A datagram to an address with a null character closed the socket.
+        row = {"port": 7380, "failure_domain": "a"}
+        addresses = ("a\0b", "\xe9", "", "a.example", "[::1]", "127.0.0.1:9")
+        for number, address in enumerate(addresses):
+            document = {**row, "address": address}
+            self.store.put(HOSTS_TABLE, f"foreign{number}", document)
+        self.store.put(HOSTS_TABLE, "h2", {**row, "address": "127.0.0.9"})
+        rows = self.gateway._peers.rows
+        await self.eventually(lambda: "h2" in rows)
+        await self.ask("/stream/x", Acaciaspoke_Model="m1")
+        self.assertFalse([name for name in rows if "foreign" in name])
+        self.assertFalse(self.tasks[-1].done())
