Ask the engine with the KV backup before a silent stream is ended

Cause: the attempt was aborted first and the engine with the backup asked afterwards. Without a copy or a slot there, or with that engine leaving, the stream was lost ("attempt 2 ended: not_executed", "no upstream is free to resume at").

Change: gateway/takeover.py asks that engine while the stream stays open and holds back events of the silent one meanwhile, so that none comes twice. If it accepts, the first attempt ends; if it refuses, the stream goes on as before.

--- a/acaciaspoke/gateway/attempt.py
+++ b/acaciaspoke/gateway/attempt.py
@@ -24,7 +24,8 @@
     EventTooLargeError,
     InvalidEventError,
 )
-from acaciaspoke.gateway.types import Request, RouteKind
+from acaciaspoke.gateway.takeover import OpenedStream, Takeover
+from acaciaspoke.gateway.types import BackupEngine, Request, RouteKind
 from acaciaspoke.platform.headers import (
     SERVER_LEAVING,
     Headers,
@@ -104,6 +105,7 @@
         last_event_s: When the last event was forwarded.
         longest_gap_s: Longest pause between forwarded events.
         sent_to: Addresses to which bytes of the request were sent.
+        takeover: Moves a stalled stream to another engine.
     """
 
     def __init__(
@@ -117,6 +119,7 @@
         self.target = target
         self.body = body
         self.sent_to: set[str] = set()
+        self.takeover = Takeover()
         self._body_memory = body_memory
         self.splitter = EventSplitter()
         self.first_event_s: float | None = None
@@ -177,7 +180,13 @@
         clock: Callable[[], float],
     ) -> Attempt:
         request = assignment.request
-        response = await connection.send(self._to_httpcore(assignment, clock()))
+        opened = self.takeover.take_opened()
+        if opened is not None:
+            response = opened.response
+        else:
+            response = await connection.send(
+                self._to_httpcore(assignment, clock())
+            )
         reusable = False
         try:
             fields = decode_response(response.headers)
@@ -198,6 +207,47 @@
                 else:
                     await connection.http.aclose()
 
+    async def open_at_backup(
+        self,
+        request: Request,
+        engine: BackupEngine,
+        connection: Connection,
+        clock: Callable[[], float] = time.monotonic,
+    ) -> tuple[OpenedStream | None, str]:
+        """Asks the engine with the backup to go on after the last event.
+
+        Never raises for failures of the engine.
+
+        Returns:
+            Its response if it has accepted the request, and otherwise why not.
+        """
+        resumed = msgspec.structs.replace(
+            request, resume_at=engine, backup_engine=None
+        )
+        assignment = Assignment(resumed, engine.upstream, engine.address)
+        self.sent_to.add(engine.address)
+        try:
+            response = await connection.send(
+                self._to_httpcore(assignment, clock())
+            )
+        except (
+            httpcore.NetworkError,
+            httpcore.ProtocolError,
+            httpcore.TimeoutException,
+            h11.ProtocolError,
+        ) as error:
+            return None, f"{type(error).__name__}: {error}"
+        fields = decode_response(response.headers)
+        self._handle_notice(request, connection, response.status, fields)
+        if (
+            200 <= response.status < 300
+            and fields.attempt_id == str(request.id)
+            and fields.is_signed
+            and not fields.not_executed
+        ):
+            return OpenedStream(engine, connection, response), ""
+        return None, f"status {response.status}"
+
     def _handle_notice(
         self,
         request: Request,
@@ -285,6 +335,7 @@
     ) -> Attempt:
         self.splitter.drop_partial()
         async for data in response.aiter_stream():
+            await self.takeover.hold_events()
             events = self.splitter.feed(data)
             if events:
                 self._on_event()
--- a/acaciaspoke/gateway/dispatch.py
+++ b/acaciaspoke/gateway/dispatch.py
@@ -239,6 +239,37 @@
             return self._refuse(request, "copy lost", 0.0, now_s)
         return self._assign(request, upstream, now_s)
 
+    def upstream_of(self, request: Request) -> UpstreamId | None:
+        """Returns the upstream at which a request runs; None if it waits."""
+        running = self._running.get(request.id)
+        return running and running[1]
+
+    def may_move_to_backup(self, request: Request, now_s: float) -> bool:
+        """Returns whether the engine with the KV backup may get a request."""
+        backup = request.backup_engine
+        upstream = backup and self.fleet.upstreams.get(backup.upstream)
+        return (
+            upstream is not None
+            and not upstream.is_draining
+            and now_s >= upstream.named_pause_until_s
+            and self.budget(request.service).allows_retry(now_s)
+        )
+
+    def assign_to_backup(self, request: Request, now_s: float) -> Assignment:
+        """Assigns a stream to the engine that goes on with it.
+
+        The engine has accepted it, so that nothing else is to be decided.
+        """
+        backup = request.resume_at
+        request.sent_s = now_s
+        self._running[request.id] = (request, backup.upstream)
+        upstream = self.fleet.upstreams.get(backup.upstream)
+        started_ms = 0
+        if upstream is not None:
+            self.fleet.record_sent(upstream, request)
+            started_ms = upstream.record.started_ms
+        return Assignment(request, backup.upstream, backup.address, started_ms)
+
     def _refuse(
         self, request: Request, reason: str, wait_s: float, now_s: float
     ) -> DroppedRequest:
--- a/acaciaspoke/gateway/exchange.py
+++ b/acaciaspoke/gateway/exchange.py
@@ -9,7 +9,7 @@
 import anyio
 from loguru import logger
 
-from acaciaspoke.entry.pool import ConnectionPool
+from acaciaspoke.entry.pool import Connection, ConnectionPool
 from acaciaspoke.gateway import answers
 from acaciaspoke.gateway.attempt import Attempt, Ending, Relay
 from acaciaspoke.gateway.bodies import BodyMemory
@@ -17,6 +17,7 @@
 from acaciaspoke.gateway.dispatch import Assignment, Dispatcher, DroppedRequest
 from acaciaspoke.gateway.metrics import GatewayMetrics
 from acaciaspoke.gateway.stalls import StallDetector
+from acaciaspoke.gateway.takeover import OpenedStream
 from acaciaspoke.gateway.types import Request
 from acaciaspoke.gateway.upstream_notices import NoticeRecorder
 from acaciaspoke.ids import RequestId, UpstreamId
@@ -36,11 +37,10 @@
 
 
 class _Stream(NamedTuple):
-    """An attempt in progress, and the scope that aborts it."""
+    """An attempt in progress."""
 
     assignment: Assignment
     relay: Relay
-    scope: anyio.CancelScope
 
 
 class RequestHandler:
@@ -117,19 +117,28 @@
             if scope.cancelled_caught:
                 await answers.answer_expired(self._metrics, request, relay)
         finally:
+            opened = relay.takeover.take_opened()
+            if opened is not None:
+                await self._close(opened)
             self._pending.pop(request.id, None)
             self._dispatcher.cancel(request)
             self.dispatch()
 
     async def _serve_queued(self, request: Request, relay: Relay) -> None:
         while True:
-            decision = await self._wait_for_decision(request)
+            if relay.takeover.opened is not None:
+                now_s = time.monotonic()
+                decision = self._dispatcher.assign_to_backup(request, now_s)
+            else:
+                decision = await self._wait_for_decision(request)
             if isinstance(decision, DroppedRequest):
                 await answers.answer_dropped(
                     self._metrics, request, relay, decision.refusal
                 )
                 return
-            if self.crash_guard.is_blocked(request, time.monotonic()):
+            if relay.takeover.opened is None and self.crash_guard.is_blocked(
+                request, time.monotonic()
+            ):
                 # It was blocked while the request waited.
                 await answers.answer_blocked(self._metrics, request, relay)
                 return
@@ -142,6 +151,10 @@
                     self._metrics, request, relay, attempt, now_s
                 )
                 return
+            if relay.takeover.opened is not None:
+                request.resume_at = relay.takeover.opened.engine
+                request.backup_engine = None
+                continue
             if self._may_resume(request, relay, attempt, now_s):
                 request.resume_at, request.backup_engine = (
                     request.backup_engine,
@@ -175,28 +188,23 @@
     async def _attempt(self, assignment: Assignment, relay: Relay) -> Attempt:
         request = assignment.request
         request.starts += 1
-        address = assignment.address
-        pool = self._pools.get(address)
-        if pool is None:
-            pool = self._pools[address] = ConnectionPool(address)
-        # An upstream may repeat its response to an earlier attempt, which has
-        # the same id, on the connection of that attempt.
-        connection = await pool.acquire(new=address in relay.sent_to)
+        pool = self._pool(assignment.address)
+        if relay.takeover.opened is not None:
+            connection = relay.takeover.opened.connection
+        else:
+            # An upstream may repeat its response to an earlier attempt, which
+            # has the same id, on the connection of that attempt.
+            connection = await pool.acquire(
+                new=assignment.address in relay.sent_to
+            )
         clean = False
         try:
-            with self._abortable(assignment, relay) as scope:
-                attempt = await relay.attempt(
-                    assignment,
-                    connection,
-                    lambda: self._on_event(request),
-                    functools.partial(
-                        self._notices.record,
-                        assignment.upstream,
-                        assignment.started_ms,
-                    ),
+            if request.backup_engine is None:
+                attempt = await self._relay(assignment, relay, connection)
+            else:
+                attempt = await self._relay_backed_up(
+                    assignment, relay, connection
                 )
-            if scope.cancelled_caught:
-                attempt = Attempt(ending=Ending.BROKEN, detail="silent")
             clean = attempt.ending not in (Ending.BROKEN, Ending.MISMATCHED)
             if attempt.has_invalid_load:
                 self._record_invalid_load(assignment.upstream)
@@ -220,6 +228,94 @@
         )
         return attempt
 
+    def _pool(self, address: str) -> ConnectionPool:
+        pool = self._pools.get(address)
+        if pool is None:
+            pool = self._pools[address] = ConnectionPool(address)
+        return pool
+
+    async def _relay(
+        self, assignment: Assignment, relay: Relay, connection: Connection
+    ) -> Attempt:
+        return await relay.attempt(
+            assignment,
+            connection,
+            lambda: self._on_event(assignment.request),
+            functools.partial(
+                self._notices.record,
+                assignment.upstream,
+                assignment.started_ms,
+            ),
+        )
+
+    async def _relay_backed_up(
+        self, assignment: Assignment, relay: Relay, connection: Connection
+    ) -> Attempt:
+        """Relays a stream; asks the engine with its backup when it stalls."""
+        request, takeover = assignment.request, relay.takeover
+        attempt = Attempt(ending=Ending.BROKEN, detail="silent")
+        failure: Exception | None = None
+        with self._watched(assignment, relay):
+            async with anyio.create_task_group() as tasks:
+                stalling = anyio.CancelScope()
+                tasks.start_soon(
+                    takeover.run,
+                    functools.partial(self._open_at_backup, request, relay),
+                    stalling.cancel,
+                )
+                try:
+                    with stalling:
+                        attempt = await self._relay(
+                            assignment, relay, connection
+                        )
+                    if attempt.ending is Ending.BROKEN and takeover.is_asking:
+                        await takeover.wait_for_answer()
+                        if takeover.opened is None:
+                            request.backup_engine = None
+                except Exception as error:
+                    # Raised outside the task group, which would wrap it.
+                    failure = error
+                tasks.cancel_scope.cancel()
+        if failure is not None:
+            raise failure
+        return attempt
+
+    async def _open_at_backup(
+        self, request: Request, relay: Relay
+    ) -> OpenedStream | None:
+        now_s = time.monotonic()
+        engine = request.backup_engine
+        if not self._dispatcher.may_move_to_backup(request, now_s):
+            return None
+        self._dispatcher.budget(request.service).record_retry(now_s)
+        self._metrics.repeats.inc()
+        pool = self._pool(engine.address)
+        connection = await pool.acquire(new=engine.address in relay.sent_to)
+        opened = None
+        try:
+            opened, reason = await relay.open_at_backup(
+                request, engine, connection
+            )
+        finally:
+            if opened is None:
+                with anyio.CancelScope(shield=True):
+                    await pool.release(connection, clean=False)
+        if opened is not None:
+            self._metrics.continued.inc()
+        logger.info(
+            "{} is silent; its stream {}",
+            self._dispatcher.upstream_of(request),
+            f"goes on at {engine.upstream} from its copy"
+            if opened
+            else f"stays, as {engine.upstream} did not accept it: {reason}",
+            request_id=request.id,
+        )
+        return opened
+
+    async def _close(self, opened: OpenedStream) -> None:
+        with anyio.CancelScope(shield=True):
+            await opened.connection.http.aclose()
+
     def _record_invalid_load(self, upstream: UpstreamId) -> None:
         self._metrics.invalid_loads.inc()
         if upstream not in self._logged_invalid_loads:
@@ -233,30 +329,26 @@
             self.dispatch()
 
     @contextmanager
-    def _abortable(
-        self, assignment: Assignment, relay: Relay
-    ) -> Iterator[anyio.CancelScope]:
-        """Lets ``abort_unresponsive`` cancel an attempt."""
+    def _watched(self, assignment: Assignment, relay: Relay) -> Iterator[None]:
+        """Lets ``record_stalls`` watch an attempt."""
         request_id = assignment.request.id
-        with anyio.CancelScope() as scope:
-            self._streams[request_id] = _Stream(assignment, relay, scope)
-            try:
-                yield scope
-            finally:
-                del self._streams[request_id]
+        self._streams[request_id] = _Stream(assignment, relay)
+        try:
+            yield
+        finally:
+            del self._streams[request_id]
 
-    def abort_unresponsive(self) -> None:
-        """Aborts attempts at engines that have become unresponsive.
+    def record_stalls(self) -> None:
+        """Finds streams whose engines have become unresponsive.
 
-        Only streams that have begun and have a KV backup are aborted.
+        Only streams that have begun and have a KV backup can go on elsewhere.
         """
         now_s = time.monotonic()
         self._stalls.record_check(now_s)
         overdue = [
             stream
             for stream in self._streams.values()
-            if stream.assignment.request.backup_engine is not None
-            and stream.relay.first_event_s is not None
+            if stream.relay.first_event_s is not None
             and self._is_stalled(stream, 0.0, now_s)
         ]
         if not overdue:
@@ -268,7 +360,7 @@
             tokens_per_s = fleet.prefill_tokens_per_s(upstream)
             prefill_s = prefill_tokens[upstream] / tokens_per_s
             if self._is_stalled(stream, prefill_s, now_s):
-                stream.scope.cancel()
+                stream.relay.takeover.record_stall(now_s)
 
     def _is_stalled(
         self, stream: _Stream, prefill_s: float, now_s: float
--- a/acaciaspoke/gateway/process.py
+++ b/acaciaspoke/gateway/process.py
@@ -356,7 +356,7 @@
         while True:
             await anyio.sleep(TICK_S)
             self._registry.drop_lapsed(time.monotonic())
-            self._request_handler.abort_unresponsive()
+            self._request_handler.record_stalls()
             self._request_handler.dispatch()
             self.metrics.log_lines_dropped.set(self._log_writer.dropped)
             self.metrics.waiting.set(self._dispatcher.waiting)
