Start no request that may outlast a stopping host, and answer those that do

Callers whose requests came within 2.4 s after SIGTERM and took longer than the rest of the grace time had their connections closed without an answer, unsafe requests too; nothing in the log named them.

Cause: the limit on starts during a stop looks at the clock alone, not at how long a request may take, and nothing dealt with requests that were open at the end.

Change: the dispatcher knows when the host stops. A request whose deadline is later starts only if 1.25 times the longest recent request of its route fits (gateway/durations.py); otherwise it is refused at once, not run. At 94% of the grace time each open request is logged, and those without an answer get 502 with outcome "unknown", or 503 if they were never sent (gateway/open_requests.py).

--- a/acaciaspoke/gateway/admission.py
+++ b/acaciaspoke/gateway/admission.py
@@ -5,6 +5,7 @@
 Retry-After that follows from the backlog.
 """
 
+import math
 from typing import NamedTuple
 
 import xxhash
@@ -30,6 +31,9 @@
 MAX_RETRY_AFTER_SHARE = 1 / 3
 MIN_RETRY_AFTER_S = 0.1
 
+# A request may take longer than any recent one by this factor.
+LONGEST_DURATION_MARGIN = 1.25
+
 # Callers are told to retry this long after a replica is ready, as its notice
 # takes a moment.
 RETRY_MARGIN_S = 0.1
@@ -98,6 +102,19 @@
     return min(latest_s, request.deadline_s - SHORT_SERVICE_SHARE * service_s)
 
 
+def latest_start_before_s(end_s: float, longest_s: float | None) -> float:
+    """Returns the latest start of a request that has to end by a time.
+
+    Args:
+        end_s: When its answer must be complete, as the host stops then.
+        longest_s: The longest recent duration of such requests; None if it is
+            unknown, so that none may start.
+    """
+    if longest_s is None:
+        return -math.inf
+    return end_s - LONGEST_DURATION_MARGIN * longest_s
+
+
 class RetryPlan(NamedTuple):
     """When a caller should retry for a replica that is not ready yet.
 
--- a/acaciaspoke/gateway/answers.py
+++ b/acaciaspoke/gateway/answers.py
@@ -6,7 +6,7 @@
 
 from acaciaspoke.entry.caller import Caller
 from acaciaspoke.entry.errors import Outcome
-from acaciaspoke.gateway.admission import Refusal, refuse
+from acaciaspoke.gateway.admission import MIN_RETRY_AFTER_S, Refusal, refuse
 from acaciaspoke.gateway.attempt import Attempt, Relay
 from acaciaspoke.gateway.failures import Failure, FailureType, send_failure
 from acaciaspoke.gateway.metrics import GatewayMetrics
@@ -154,6 +154,30 @@
     await _answer_failure(metrics, request, relay.caller, failure)
 
 
+async def answer_stopped(
+    metrics: GatewayMetrics, request: Request, relay: Relay
+) -> None:
+    """Answers a request that is open when the host stops.
+
+    Raises:
+        StreamBrokenError: If the response has begun.
+    """
+    if relay.caller.started:
+        raise StreamBrokenError("the host stops")
+    failure = Failure(
+        FailureType.UPSTREAM_FAILED,
+        "the host stops before the upstream has answered",
+        Outcome.UNKNOWN,
+    )
+    if not request.starts:
+        failure = Failure(
+            FailureType.OVERLOADED,
+            "the host stops",
+            retry_after_s=MIN_RETRY_AFTER_S,
+        )
+    await _answer_failure(metrics, request, relay.caller, failure)
+
+
 async def _answer_failure(
     metrics: GatewayMetrics, request: Request, caller: Caller, failure: Failure
 ) -> None:
--- a/acaciaspoke/gateway/app.py
+++ b/acaciaspoke/gateway/app.py
@@ -9,11 +9,13 @@
 
 from acaciaspoke.entry.caller import Caller, CallerDisconnectedError
 from acaciaspoke.entry.errors import CallerError, Outcome
+from acaciaspoke.gateway import answers
 from acaciaspoke.gateway.answers import StreamBrokenError
 from acaciaspoke.gateway.attempt import Relay
 from acaciaspoke.gateway.exchange import RequestHandler
 from acaciaspoke.gateway.failures import Failure, FailureType, send_failure
 from acaciaspoke.gateway.metrics import CONTENT_TYPE, GatewayMetrics
+from acaciaspoke.gateway.open_requests import OpenRequests
 from acaciaspoke.gateway.routes import RouteTable, choose_service
 from acaciaspoke.gateway.types import Configuration, Request, Route
 from acaciaspoke.platform.headers import (
@@ -54,6 +56,7 @@
     ):
         self.configuration: Configuration | None = None
         self.open_requests = 0
+        self._requests = OpenRequests()
         self._routes = RouteTable(())
         self._request_handler = request_handler
         self._metrics = metrics
@@ -67,6 +70,10 @@
         self.configuration = configuration
         self._routes = RouteTable(configuration.routes)
 
+    def end_unanswered(self) -> None:
+        """Answers all requests that have no answer, as the host stops."""
+        self._requests.end_unanswered()
+
     async def __call__(self, scope, receive, send) -> None:
         """Serves one request."""
         port = scope["server"][1]
@@ -158,13 +165,19 @@
             tasks.start_soon(
                 _cancel_on_disconnect, relay.caller, tasks.cancel_scope
             )
-            try:
-                await self._request_handler.serve(request, relay)
-                failure = None
-            except Exception as error:
-                # Raised outside the task group, which would wrap it.
-                failure = error
+            with self._requests.entry(
+                request, relay, tasks.cancel_scope
+            ) as entry:
+                try:
+                    await self._request_handler.serve(request, relay)
+                    failure = None
+                except Exception as error:
+                    # Raised outside the task group, which would wrap it.
+                    failure = error
             tasks.cancel_scope.cancel()
+        if entry.is_ended and isinstance(failure, CallerDisconnectedError):
+            await answers.answer_stopped(self._metrics, request, relay)
+            return
         if failure is not None:
             raise failure
 
--- a/acaciaspoke/gateway/attempt.py
+++ b/acaciaspoke/gateway/attempt.py
@@ -26,6 +26,7 @@
 )
 from acaciaspoke.gateway.takeover import OpenedStream, Takeover
 from acaciaspoke.gateway.types import BackupEngine, Request, RouteKind
+from acaciaspoke.ids import UpstreamId
 from acaciaspoke.platform.headers import (
     SERVER_LEAVING,
     Headers,
@@ -104,6 +105,7 @@
         first_event_s: When the first event was forwarded.
         last_event_s: When the last event was forwarded.
         longest_gap_s: Longest pause between forwarded events.
+        upstream: The upstream of the current or last attempt.
         sent_to: Addresses to which bytes of the request were sent.
         takeover: Moves a stalled stream to another engine.
     """
@@ -118,6 +120,7 @@
         self.caller = caller
         self.target = target
         self.body = body
+        self.upstream: UpstreamId | None = None
         self.sent_to: set[str] = set()
         self.takeover = Takeover()
         self._body_memory = body_memory
@@ -146,6 +149,7 @@
                 head says about requests to come.
             clock: Returns the time.
         """
+        self.upstream = assignment.upstream
         self._on_event = on_event
         self._on_notice = on_notice
         try:
--- a/acaciaspoke/gateway/dispatch.py
+++ b/acaciaspoke/gateway/dispatch.py
@@ -1,6 +1,7 @@
 """Queues requests and assigns them to upstreams; does no I/O."""
 
 import math
+from collections import defaultdict
 from collections.abc import Callable, Iterator
 from typing import NamedTuple
 
@@ -8,6 +9,7 @@
     Backlog,
     Refusal,
     admit,
+    latest_start_before_s,
     latest_start_s,
     plan_retry,
     refuse,
@@ -20,6 +22,7 @@
     slot_limit,
     wait_reason_of,
 )
+from acaciaspoke.gateway.durations import Durations
 from acaciaspoke.gateway.fleet import Fleet, Upstream
 from acaciaspoke.gateway.local_demand import LocalDemand
 from acaciaspoke.gateway.messages import ArtifactDemand
@@ -35,9 +38,6 @@
 # Assumed mean time of a request until one is measured.
 INITIAL_SERVICE_S = 1.0
 
-# Weight of a new measurement in the moving average.
-SERVICE_SMOOTHING = 0.05
-
 # Requests with a shorter mean time get no KV backup, as backups are charged by
 # their size.
 MIN_BACKED_UP_SERVICE_S = 0.5
@@ -72,6 +72,8 @@
     Attributes:
         fleet: The upstreams and their loads.
         last_start_s: Latest start of a request; finite while the host stops.
+        stop_end_s: When the host stops; requests that may take longer are
+            refused.
     """
 
     def __init__(
@@ -79,6 +81,7 @@
     ):
         self.fleet = Fleet()
         self.last_start_s = math.inf
+        self.stop_end_s = math.inf
         self._local_domain = local_domain
         self._new_budget = budget
         self._budgets: dict[ServiceId, RetryBudget] = {}
@@ -86,8 +89,8 @@
         self._waiting: dict[RequestId, Request] = {}
         self._running: dict[RequestId, tuple[Request, UpstreamId]] = {}
         self._demand = LocalDemand()
-        # Mean times by service and by route.
-        self._service_s: dict[str, float] = {}
+        # By service and by route.
+        self._durations: defaultdict[str, Durations] = defaultdict(Durations)
 
     @property
     def waiting(self) -> int:
@@ -105,7 +108,7 @@
         self.budget(request.service).record_request(now_s)
         self._demand.record(request, now_s)
         backlog = self._backlog(request, now_s)
-        latest_s = self._latest_start_s(request)
+        latest_s = self._latest_start_s(request, now_s)
         refusal = admit(
             request, backlog, latest_s, now_s
         ) or self._refuse_without_replica(request, latest_s, now_s)
@@ -143,9 +146,7 @@
         self.fleet.record_success(upstream, now_s)
         duration_s = now_s - request.sent_s
         for key in (request.service, request.route.name):
-            mean_s = self._service_s.get(key, duration_s)
-            mean_s += SERVICE_SMOOTHING * (duration_s - mean_s)
-            self._service_s[key] = mean_s
+            self._durations[key].record(duration_s, now_s)
 
     def budget(self, service: ServiceId) -> RetryBudget:
         """Returns the retry budget of a service."""
@@ -172,7 +173,7 @@
             if request.resume_at is not None:
                 yield self._resume(request, request.resume_at, now_s)
                 continue
-            if now_s >= self._latest_start_s(request):
+            if now_s >= self._latest_start_s(request, now_s):
                 wait_s = self._retry_after_s(request, now_s)
                 yield self._refuse(request, "late", wait_s, now_s)
                 continue
@@ -209,7 +210,7 @@
         request.wait_reason = wait_reason_of(request, holders, loads, now_s)
         if holders:
             pause_end_s = named_pause_end_s(request, holders, now_s)
-            if pause_end_s > self._latest_start_s(request):
+            if pause_end_s > self._latest_start_s(request, now_s):
                 wait_s = pause_end_s - now_s
                 return self._refuse(request, "paused", wait_s, now_s)
             # Keeps shorter, less urgent prompts from overtaking it.
@@ -219,7 +220,7 @@
             )
             loads.reserve(least_loaded, request)
             return None
-        latest_s = self._latest_start_s(request)
+        latest_s = self._latest_start_s(request, now_s)
         refusal = self._refuse_without_replica(request, latest_s, now_s)
         if refusal is None:
             return None
@@ -239,11 +240,6 @@
             return self._refuse(request, "copy lost", 0.0, now_s)
         return self._assign(request, upstream, now_s)
 
-    def upstream_of(self, request: Request) -> UpstreamId | None:
-        """Returns the upstream at which a request runs; None if it waits."""
-        running = self._running.get(request.id)
-        return running and running[1]
-
     def may_move_to_backup(self, request: Request, now_s: float) -> bool:
         """Returns whether the engine with the KV backup may get a request."""
         backup = request.backup_engine
@@ -324,12 +320,16 @@
         engine = service.engine if service else None
         return engine is not None and engine.kv_backup_retention_s > 0
 
-    def _latest_start_s(self, request: Request) -> float:
+    def _latest_start_s(self, request: Request, now_s: float) -> float:
         latest_s = latest_start_s(request, self._route_service_s(request))
-        return min(latest_s, self.last_start_s)
+        latest_s = min(latest_s, self.last_start_s)
+        if request.deadline_s <= self.stop_end_s:
+            return latest_s
+        longest_s = self._durations[request.route.name].longest_s(now_s)
+        return min(latest_s, latest_start_before_s(self.stop_end_s, longest_s))
 
     def _route_service_s(self, request: Request) -> float:
-        return self._service_s.get(request.route.name, 0.0)
+        return self._durations[request.route.name].mean_s or 0.0
 
     def _assign(
         self,
@@ -347,7 +347,7 @@
         return Assignment(request, name, record.address, record.started_ms)
 
     def _backlog(self, request: Request, now_s: float) -> Backlog:
-        service_s = self._service_s.get(request.service, INITIAL_SERVICE_S)
+        service_s = self._durations[request.service].mean_s
         artifact = request.artifact
         holders = self.fleet.holders(request.service, artifact, now_s)
         cold_s = 0.0
@@ -373,7 +373,7 @@
         return Backlog(
             ahead=max(0, ahead - free_slots),
             slots=sum(upstream.record.slots for upstream in holders),
-            service_s=service_s,
+            service_s=INITIAL_SERVICE_S if service_s is None else service_s,
             cold_s=cold_s,
         )
 
--- a/acaciaspoke/gateway/exchange.py
+++ b/acaciaspoke/gateway/exchange.py
@@ -260,7 +260,7 @@
                 stalling = anyio.CancelScope()
                 tasks.start_soon(
                     takeover.run,
-                    functools.partial(self._open_at_backup, request, relay),
+                    functools.partial(self._open_at_backup, assignment, relay),
                     stalling.cancel,
                 )
                 try:
@@ -281,9 +281,10 @@
         return attempt
 
     async def _open_at_backup(
-        self, request: Request, relay: Relay
+        self, assignment: Assignment, relay: Relay
     ) -> OpenedStream | None:
         now_s = time.monotonic()
+        request = assignment.request
         engine = request.backup_engine
         if not self._dispatcher.may_move_to_backup(request, now_s):
             return None
@@ -304,7 +305,7 @@
             self._metrics.continued.inc()
         logger.info(
             "{} is silent; its stream {}",
-            self._dispatcher.upstream_of(request),
+            assignment.upstream,
             f"goes on at {engine.upstream} from its copy"
             if opened
             else f"stays, as {engine.upstream} did not accept it: {reason}",
--- /dev/null
+++ b/acaciaspoke/gateway/open_requests.py
@@ -0,0 +1,79 @@
+"""The requests of callers in progress, and their end when the host stops."""
+
+import time
+from collections.abc import Iterator
+from contextlib import contextmanager
+
+import anyio
+import msgspec
+from loguru import logger
+
+from acaciaspoke.gateway.attempt import Relay
+from acaciaspoke.gateway.types import Request
+from acaciaspoke.ids import RequestId
+
+
+class OpenRequest(msgspec.Struct, eq=False):
+    """A request in progress.
+
+    Attributes:
+        scope: Cancels its work.
+        is_ended: Whether it was cancelled because the host stops.
+    """
+
+    request: Request
+    relay: Relay
+    scope: anyio.CancelScope
+    is_ended: bool = False
+
+    @property
+    def state(self) -> str:
+        """What it is doing, for logs."""
+        if self.relay.caller.started:
+            return "streaming"
+        return "sent" if self.request.starts else "waiting"
+
+
+class OpenRequests:
+    """All requests in progress."""
+
+    def __init__(self) -> None:
+        self._requests: dict[RequestId, OpenRequest] = {}
+
+    @contextmanager
+    def entry(
+        self, request: Request, relay: Relay, scope: anyio.CancelScope
+    ) -> Iterator[OpenRequest]:
+        """Keeps a request while it is in progress."""
+        entry = OpenRequest(request, relay, scope)
+        self._requests[request.id] = entry
+        try:
+            yield entry
+        finally:
+            if self._requests.get(request.id) is entry:
+                del self._requests[request.id]
+
+    def end_unanswered(self) -> None:
+        """Ends requests whose response has not begun; logs all of them.
+
+        The process is about to be killed. A response that has begun may still
+        be finished before that.
+        """
+        now_s = time.monotonic()
+        for entry in list(self._requests.values()):
+            request, relay = entry.request, entry.relay
+            logger.warning(
+                "the host stops with the request open",
+                request_id=request.id,
+                route=request.route.name,
+                upstream=relay.upstream,
+                state=entry.state,
+                age_ms=round((now_s - request.arrived_s) * 1000),
+                sent_ms=round((now_s - request.sent_s) * 1000)
+                if request.starts
+                else None,
+                last_event_id=(relay.splitter.last_id or b"").decode("latin-1"),
+            )
+            if not relay.caller.started:
+                entry.is_ended = True
+                entry.scope.cancel()
--- a/acaciaspoke/gateway/process.py
+++ b/acaciaspoke/gateway/process.py
@@ -82,6 +82,10 @@
 # rest is left for running them.
 START_SHARE = 0.3
 
+# Share of the stop's grace time after which requests without an answer get one;
+# the rest is left for sending the answers and for ending the process.
+ANSWER_SHARE = 0.94
+
 
 class GatewayProcess:
     """Holds the parts of a gateway and routes messages and rows to them."""
@@ -192,11 +196,15 @@
             is_draining=lambda: not self.drain.serving,
         )
 
-    async def limit_starts(self) -> None:
-        """Limits how long queued requests may start after a stop request."""
+    async def limit_stop(self) -> None:
+        """Ends all requests within the grace time of a stop."""
         await self.drain.wait_for_request()
-        start_window_s = START_SHARE * self._settings.stop_grace_s
-        self._dispatcher.last_start_s = time.monotonic() + start_window_s
+        now_s = time.monotonic()
+        grace_s = self._settings.stop_grace_s
+        self._dispatcher.last_start_s = now_s + START_SHARE * grace_s
+        self._dispatcher.stop_end_s = now_s + ANSWER_SHARE * grace_s
+        await anyio.sleep(ANSWER_SHARE * grace_s)
+        self.app.end_unanswered()
 
     @property
     def is_ready(self) -> bool:
@@ -421,7 +429,7 @@
             self._digests.run,
             self._loads.run,
             self.tick,
-            self.limit_starts,
+            self.limit_stop,
             functools.partial(log_reloads, self._settings, self._settings_path),
             self._leader.run,
             self._keep_lease,
--- a/test/gateway/serving.py
+++ b/test/gateway/serving.py
@@ -61,7 +61,13 @@
 
 
 class GatewayTest(unittest.IsolatedAsyncioTestCase):
-    """Starts a store, two workers of each service and a gateway."""
+    """Starts a store, two workers of each service and a gateway.
+
+    Attributes:
+        stop_grace_s: Time between a stop request and the end of the process.
+    """
+
+    stop_grace_s = 8
 
     async def asyncSetUp(self):
         # uvicorn logs responses that a test aborts on purpose.
@@ -85,6 +91,7 @@
             internal_ports=(PEER_PORT, PEER_PORT + 1),
             store=store,
             metrics_port=PEER_PORT + 2,
+            stop_grace_s=self.stop_grace_s,
         )
         self.gateway = GatewayProcess(settings, _NoLog())
         self.tasks.append(asyncio.create_task(self.gateway.run()))
