Bound the memory of unfinished events of all streams together

A faulty upstream whose events never end could take a host's memory, and the requests of all its callers with it: each stream buffered up to 1 MiB, and all of them together had no limit.

Change: what a stream buffers beyond 64 KiB is reserved from BodyMemory, as buffered bodies are, and released when the event ends.

Evidence: test_events_of_many_streams_that_never_end failed before (8,388,608 bytes buffered, limit 3,145,728).

--- a/acaciaspoke/gateway/attempt.py
+++ b/acaciaspoke/gateway/attempt.py
@@ -338,13 +338,15 @@
         self, response: httpcore.Response, clock: Callable[[], float]
     ) -> Attempt:
         self.splitter.drop_partial()
-        async for data in response.aiter_stream():
-            await self.takeover.hold_events()
-            events = self.splitter.feed(data)
-            if events:
-                self._on_event()
-                await self._forward(response, events, clock)
-        if self.splitter.has_partial:
+        with self._body_memory.reservation() as reservation:
+            async for data in response.aiter_stream():
+                await self.takeover.hold_events()
+                events = self.splitter.feed(data)
+                reservation.resize(self.splitter.partial_bytes)
+                if events:
+                    self._on_event()
+                    await self._forward(response, events, clock)
+        if self.splitter.partial_bytes:
             # Without a length or chunks, the end of the connection may be that
             # of the upstream's process.
             return Attempt(
--- a/acaciaspoke/gateway/bodies.py
+++ b/acaciaspoke/gateway/bodies.py
@@ -1,8 +1,8 @@
 """Reads bodies of upstreams' responses within bounds on size and memory.
 
-A faulty upstream may send bytes without end. A body that is buffered until it
-is complete therefore has a limit of its own, and all of them share the memory
-that the host has for them.
+A faulty upstream may send bytes without end. A body or an event that is
+buffered until it is complete therefore has a limit of its own, and all of them
+share the memory that the host has for them.
 """
 
 from collections.abc import Iterator
@@ -23,12 +23,12 @@
 # do not make small ones fail.
 UNRESERVED_BYTES = 64 * 1024
 
-# Share of the host's memory for all buffered bodies together.
+# Share of the host's memory for all that is buffered together.
 MEMORY_SHARE = 0.25
 
 
 class BodyMemory:
-    """The memory that buffered bodies share.
+    """The memory that buffered bodies and events share.
 
     Attributes:
         limit_bytes: Maximum size of all reservations together.
@@ -41,7 +41,7 @@
 
     @contextmanager
     def reservation(self) -> Iterator["BodyReservation"]:
-        """Yields one body's reservation and releases it at the end."""
+        """Yields one response's reservation and releases it at the end."""
         reservation = BodyReservation(self)
         try:
             yield reservation
@@ -50,7 +50,7 @@
 
 
 class BodyReservation:
-    """The memory reserved for one body.
+    """The memory reserved for one body or event.
 
     Attributes:
         reserved_bytes: Its size beyond ``UNRESERVED_BYTES``.
@@ -60,17 +60,18 @@
         self.reserved_bytes = 0
         self._memory = memory
 
-    def grow_to(self, size_bytes: int) -> None:
-        """Reserves memory for a body of this size.
+    def resize(self, size_bytes: int) -> None:
+        """Reserves memory for what is buffered now, and releases the rest.
 
         Raises:
             httpcore.RemoteProtocolError: If too little memory is left.
         """
-        added_bytes = size_bytes - UNRESERVED_BYTES - self.reserved_bytes
-        if added_bytes <= 0:
+        needed_bytes = max(0, size_bytes - UNRESERVED_BYTES)
+        added_bytes = needed_bytes - self.reserved_bytes
+        if not added_bytes:
             return
         memory = self._memory
-        if memory.reserved_bytes + added_bytes > memory.limit_bytes:
+        if added_bytes > max(0, memory.limit_bytes - memory.reserved_bytes):
             raise httpcore.RemoteProtocolError(
                 "too little memory is left for the body:"
                 f" {memory.reserved_bytes} of {memory.limit_bytes} bytes in use"
@@ -97,7 +98,7 @@
                 raise httpcore.RemoteProtocolError(
                     f"the body is larger than {max_bytes} bytes"
                 )
-            reservation.grow_to(size_bytes)
+            reservation.resize(size_bytes)
             parts.append(part)
         return b"".join(parts)
 
--- a/acaciaspoke/gateway/events.py
+++ b/acaciaspoke/gateway/events.py
@@ -31,9 +31,9 @@
         self._partial = bytearray()
 
     @property
-    def has_partial(self) -> bool:
-        """Whether a partial event is buffered."""
-        return bool(self._partial)
+    def partial_bytes(self) -> int:
+        """Size of the partial event that is buffered."""
+        return len(self._partial)
 
     def feed(self, data: bytes) -> bytes:
         """Adds received data and returns the events that are complete.
--- a/test/gateway/test_events.py
+++ b/test/gateway/test_events.py
@@ -30,4 +30,4 @@
         )
         self.assertEqual(STREAM, complete)
         self.assertEqual(b"3", splitter.last_id)
-        self.assertFalse(splitter.has_partial)
+        self.assertEqual(0, splitter.partial_bytes)
--- a/test/gateway/test_faulty_upstream.py
+++ b/test/gateway/test_faulty_upstream.py
@@ -224,6 +224,49 @@
             {502}, MAX_EVENT_BYTES, "/stream/x", Acaciaspoke_Model="m1"
         )
 
+    async def test_events_of_many_streams_that_never_end(self):
+        """Each one is small enough, but all of them are not."""
+        memory = self.gateway._request_handler.body_memory
+        memory.limit_bytes = 1024 * 1024
+        held_bytes = 8 * 64 * 1024
+        most_bytes = 0
+
+        async def script(arrival):
+            chunked_head(arrival)
+            arrival.writer.write(b"%x\r\n" % (2 * held_bytes))
+            try:
+                arrival.writer.write(b"x" * held_bytes)
+                await arrival.wait_for_close()
+            except ConnectionError:
+                pass
+
+        for engine in self.engines:
+            engine.script, engine.slots = script, 16
+            self.store.put("servers", engine.name, engine.row())
+        tasks = [
+            asyncio.create_task(
+                self.ask(
+                    "/stream/x",
+                    Acaciaspoke_Model="m1",
+                    Acaciaspoke_Time_Remaining_Ms="2000",
+                )
+            )
+            for _ in range(16)
+        ]
+        while not all(task.done() for task in tasks):
+            relays = [
+                entry.relay
+                for entry in self.gateway.app._requests._requests.values()
+            ]
+            held = sum(len(relay.splitter._partial) for relay in relays)
+            most_bytes = max(most_bytes, held)
+            await asyncio.sleep(0.01)
+        # Each stream may exceed the limit by what is read at a time.
+        extra_bytes = len(tasks) * (bodies.UNRESERVED_BYTES + 64 * 1024)
+        self.assertLess(most_bytes, memory.limit_bytes + extra_bytes)
+        self.assertEqual({502, 504}, {task.result().status for task in tasks})
+        self.assertEqual(0, memory.reserved_bytes)
+
     async def test_body_of_a_refusal(self):
         """The other worker runs the request."""
 
