Limit reports and responses to orders of an engine to 1 MiB

Evidence: test_report_of_an_engine failed before (21,692,416 bytes were taken from an engine that sends a report without end, bound 12,582,912 with buffers).

--- a/acaciaspoke/gateway/orders.py
+++ b/acaciaspoke/gateway/orders.py
@@ -33,6 +33,10 @@
 # An engine responds to an order before it executes it.
 ORDER_TIMEOUT_S = 0.6
 
+# A report lists some hundred models and adapters. All engines are queried at
+# the same time, and each of them may be faulty.
+MAX_RESPONSE_BYTES = 1024 * 1024
+
 # Delay before the next query of an engine that did not respond.
 QUERY_RETRY_S = 0.5
 
@@ -217,7 +221,10 @@
             # An order that timed out must not arrive when a partition heals, as
             # another host may be the leader by then.
             client = HttpClient(
-                tracker.record.address, ORDER_TIMEOUT_S, reset_on_close=True
+                tracker.record.address,
+                ORDER_TIMEOUT_S,
+                reset_on_close=True,
+                max_response_bytes=MAX_RESPONSE_BYTES,
             )
             self._clients[name] = client
         return client
--- a/acaciaspoke/util/http.py
+++ b/acaciaspoke/util/http.py
@@ -65,7 +65,12 @@
     """An async context manager with a connection pool for one address."""
 
     def __init__(
-        self, address: str, timeout_s: float, *, reset_on_close: bool = False
+        self,
+        address: str,
+        timeout_s: float,
+        *,
+        reset_on_close: bool = False,
+        max_response_bytes: int = MAX_RESPONSE_BYTES,
     ):
         """Creates the pool without connecting.
 
@@ -74,6 +79,7 @@
             timeout_s: Timeout of requests that specify none.
             reset_on_close: Whether closing a connection discards undelivered
                 data. The kernel would otherwise deliver it later.
+            max_response_bytes: Larger bodies of responses are an error.
 
         Raises:
             ValueError: If the address is not an IP address and a port.
@@ -83,6 +89,7 @@
             options.append(_RESET_ON_CLOSE_OPTION)
         self._server = split_address(address)
         self._timeout_s = timeout_s
+        self._max_response_bytes = max_response_bytes
         self._pool = httpcore.AsyncConnectionPool(
             max_connections=MAX_CONNECTIONS,
             socket_options=options,
@@ -111,7 +118,7 @@
 
         Raises:
             HttpError: If there is no complete response within the timeout, or
-                its body exceeds ``MAX_RESPONSE_BYTES``.
+                its body is too large.
         """
         was_sent = False
         last_part = "body" if body else "headers"
@@ -135,7 +142,7 @@
                     content=body,
                     extensions={"trace": trace},
                 ) as response:
-                    return await _read(response)
+                    return await _read(response, self._max_response_bytes)
         except TimeoutError as error:
             raise HttpError(
                 f"no answer within {timeout_s} s", was_sent=was_sent
@@ -153,14 +160,14 @@
             ) from error
 
 
-async def _read(response: httpcore.Response) -> HttpResponse:
+async def _read(response: httpcore.Response, max_bytes: int) -> HttpResponse:
     parts: list[bytes] = []
     size_bytes = 0
     async for part in response.aiter_stream():
         size_bytes += len(part)
-        if size_bytes > MAX_RESPONSE_BYTES:
+        if size_bytes > max_bytes:
             raise httpcore.RemoteProtocolError(
-                f"the body is larger than {MAX_RESPONSE_BYTES} bytes"
+                f"the body is larger than {max_bytes} bytes"
             )
         parts.append(part)
     if _has_trailing_data(response):
--- a/test/gateway/test_faulty_upstream.py
+++ b/test/gateway/test_faulty_upstream.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import time
+from unittest import mock
 
 import anyio
 import httpcore
@@ -9,6 +10,7 @@
 from acaciaspoke.entry.pool import MAX_HEAD_BYTES
 from acaciaspoke.gateway import bodies
 from acaciaspoke.gateway.events import MAX_EVENT_BYTES
+from acaciaspoke.gateway.orders import MAX_RESPONSE_BYTES
 from standins.worker import ID_HEADER, SEAL_HEADER
 from test.gateway.serving import GatewayTest
 
@@ -267,6 +269,27 @@
         self.assertEqual({502, 504}, {task.result().status for task in tasks})
         self.assertEqual(0, memory.reserved_bytes)
 
+    async def test_report_of_an_engine(self):
+        sent_bytes = 0
+
+        async def flood(arrival):
+            nonlocal sent_bytes
+            arrival.writer.write(b"HTTP/1.1 200 OK\r\n\r\n")
+            sent_before_bytes = sent_bytes
+            while sent_bytes < sent_before_bytes + MAX_FLOOD_BYTES:
+                arrival.writer.write(bytes(64 * 1024))
+                sent_bytes += 64 * 1024
+                await arrival.writer.drain()
+
+        engine = self.engines[0]
+        with mock.patch.object(engine, "_answer", flood):
+            trackers = self.gateway._leader._order_sender.trackers
+            await self.eventually(lambda: "llm1" in trackers)
+            trackers["llm1"].query_due_s = 0.0
+            await self.eventually(lambda: sent_bytes)
+            await self.eventually(lambda: not trackers["llm1"].is_busy)
+        self.assertLess(sent_bytes, 4 * MAX_RESPONSE_BYTES + BUFFERS_BYTES)
+
     async def test_body_of_a_refusal(self):
         """The other worker runs the request."""
 
