Close connections that are accepted as the listener closes

A stopping process could run until it was killed, without releasing its lease, because of an idle connection: uvicorn closes the idle ones once, and one that is accepted in the same turn of the event loop appears after that.

Change: the server closes idle connections again while it waits for the last responses.

Evidence: test.util.test_server got no end of the connection within 2 s before.

--- a/acaciaspoke/util/server.py
+++ b/acaciaspoke/util/server.py
@@ -16,6 +16,8 @@
 
 START_CHECK_INTERVAL_S = 0.005
 
+LATE_CONNECTIONS_INTERVAL_S = 0.1
+
 
 class ServerError(ListenError):
     """The server cannot listen on its address."""
@@ -28,6 +30,21 @@
         """Installs no signal handlers."""
         return contextlib.nullcontext()
 
+    async def shutdown(self, sockets: list[socket.socket] | None = None):
+        """Closes the listeners; waits for responses in progress."""
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self._close_late_connections)
+            await super().shutdown(sockets)
+            tasks.cancel_scope.cancel()
+
+    async def _close_late_connections(self) -> None:
+        # A connection that was accepted just before its listener closed appears
+        # after uvicorn has closed the idle ones.
+        while True:
+            await anyio.sleep(LATE_CONNECTIONS_INTERVAL_S)
+            for connection in list(self.server_state.connections):
+                connection.shutdown()
+
 
 class HttpServer:
     """An HTTP server on one or more addresses."""
