Don't take a caller that reads nothing for a silent engine

Cause: an event that waits for the caller stops the forwarding, so that the engine seemed silent; the stream was moved to the engine with its backup, and the event that waited was lost, as the id of the last event had passed it.

Change: no takeover begins while the caller takes an event, and the silence of an engine counts from the end of that.

--- a/acaciaspoke/gateway/attempt.py
+++ b/acaciaspoke/gateway/attempt.py
@@ -104,6 +104,8 @@
         splitter: Splits the stream into events.
         first_event_s: When the first event was forwarded.
         last_event_s: When the last event was forwarded.
+        reading_since_s: Since when it waits for an event of the engine, and not
+            for the caller to take one.
         longest_gap_s: Longest pause between forwarded events.
         upstream: The upstream of the current or last attempt.
         sent_to: Addresses to which bytes of the request were sent.
@@ -128,6 +130,7 @@
         self.first_event_s: float | None = None
         self.longest_gap_s = 0.0
         self.last_event_s = 0.0
+        self.reading_since_s = 0.0
         self._on_event: Callable[[], None] = lambda: None
         self._on_notice: Callable[[int, UpstreamNotice], None] = lambda *_: None
 
@@ -368,14 +371,16 @@
             gap_s = now_s - self.last_event_s
             self.longest_gap_s = max(self.longest_gap_s, gap_s)
         self.last_event_s = now_s
-        if not self.caller.started:
-            # The head is held back until the first event, so that a request
-            # that fails before it can still get an error status.
-            self.first_event_s = now_s
-            headers = _forwarded_headers(response.headers)
-            await self.caller.start(response.status, headers)
-        if events:
-            await self.caller.send(events, more=True)
+        with self.takeover.forwarding():
+            if not self.caller.started:
+                # The head is held back until the first event, so that a request
+                # that fails before it can still get an error status.
+                self.first_event_s = now_s
+                headers = _forwarded_headers(response.headers)
+                await self.caller.start(response.status, headers)
+            if events:
+                await self.caller.send(events, more=True)
+        self.reading_since_s = clock()
 
 
 def _forwarded_headers(headers: Headers) -> Headers:
--- a/acaciaspoke/gateway/exchange.py
+++ b/acaciaspoke/gateway/exchange.py
@@ -367,7 +367,7 @@
         self, stream: _Stream, prefill_s: float, now_s: float
     ) -> bool:
         last_event_s = self._dispatcher.fleet.last_event_s(
-            stream.assignment.upstream, stream.relay.last_event_s
+            stream.assignment.upstream, stream.relay.reading_since_s
         )
         return self._stalls.is_stalled(last_event_s, prefill_s, now_s)
 
--- a/acaciaspoke/gateway/takeover.py
+++ b/acaciaspoke/gateway/takeover.py
@@ -7,7 +7,8 @@
 """
 
 import time
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterator
+from contextlib import contextmanager
 from typing import NamedTuple
 
 import anyio
@@ -49,13 +50,27 @@
         self.is_asking = False
         self.opened: OpenedStream | None = None
         self.has_held_events = False
+        self._is_forwarding = False
         self._stalled = anyio.Event()
         self._answered = anyio.Event()
         self._retry_due_s = float("-inf")
 
+    @contextmanager
+    def forwarding(self) -> Iterator[None]:
+        """Prevents a takeover while the caller takes an event.
+
+        The engine is not silent then, and the event would be lost.
+        """
+        self._is_forwarding = True
+        try:
+            yield
+        finally:
+            self._is_forwarding = False
+
     def record_stall(self, now_s: float) -> None:
         """Records that the events of the engine are overdue."""
-        if not self.is_asking and now_s >= self._retry_due_s:
+        is_due = now_s >= self._retry_due_s and not self._is_forwarding
+        if is_due and not self.is_asking:
             self._stalled.set()
 
     async def run(
@@ -72,6 +87,10 @@
         """
         while self.opened is None:
             await self._stalled.wait()
+            if self._is_forwarding:
+                # An event has come since.
+                self._stalled = anyio.Event()
+                continue
             self.is_asking = True
             self._answered = anyio.Event()
             async with anyio.create_task_group() as tasks:
--- a/test/gateway/test_silent_engine.py
+++ b/test/gateway/test_silent_engine.py
@@ -1,7 +1,9 @@
 """A stream whose engine is silent for a while is whole in the end."""
 
 import asyncio
+from unittest import mock
 
+from acaciaspoke.entry.caller import Caller
 from test.gateway.serving import GatewayTest
 
 EVENTS = tuple(b"id: %d\ndata: %d\n\n" % (n, n) for n in range(1, 6))
@@ -118,6 +120,29 @@
         self._script(hang, silence_s=0.85)
         await self._check_whole()
 
+    async def test_caller_that_does_not_read_is_no_silent_engine(self):
+        # The stream was moved, and lacked the event that waited for the caller.
+        send, has_waited = Caller.send, False
+
+        async def send_slowly(caller, data, *, more):
+            nonlocal has_waited
+            if not has_waited:
+                has_waited = True
+                await asyncio.sleep(2.0)
+            await send(caller, data, more=more)
+
+        async def script(arrival):
+            start = int(arrival.headers.get("last-event-id", 0))
+            await arrival.stream(*EVENTS[start : start + 1], end=False)
+            await send_chunks(arrival, EVENTS[start + 1 :])
+
+        for engine in self.engines:
+            engine.script = script
+        with mock.patch.object(Caller, "send", send_slowly):
+            answer = await self.ask("/stream/x", Acaciaspoke_Model="m1")
+        self.assertEqual(b"".join(EVENTS), answer.content)
+        self.assertEqual([], self._resumed())
+
     async def test_silent_engine_is_given_up_for_a_slow_one(self):
         async def go_on(arrival):
             await asyncio.sleep(0.6)
