Resume a stream after the last event that its caller has

Cause: the splitter drops all events of a read in which one is invalid, but had already moved the id of the last event past those before it.

Change: the id moves on when all events of a read are valid.

--- a/acaciaspoke/gateway/events.py
+++ b/acaciaspoke/gateway/events.py
@@ -70,12 +70,16 @@
         self._partial.clear()
 
     def _record_ids(self, complete: bytes) -> None:
+        last_id = self.last_id
         for event_id in _IDS.findall(complete):
-            if not _follows(event_id, self.last_id):
+            if not _follows(event_id, last_id):
                 raise InvalidEventError(
-                    f"event {event_id!r} follows {self.last_id!r}"
+                    f"event {event_id!r} follows {last_id!r}"
                 )
-            self.last_id = event_id
+            last_id = event_id
+        # Not before all are valid: the caller gets none of them otherwise, and
+        # a resumed stream goes on after this id.
+        self.last_id = last_id
 
 
 def _follows(event_id: bytes, last_id: bytes | None) -> bool:
--- a/test/gateway/test_events.py
+++ b/test/gateway/test_events.py
@@ -5,13 +5,22 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from acaciaspoke.gateway.events import EventSplitter
+from acaciaspoke.gateway.events import EventSplitter, InvalidEventError
 
 STREAM = b"id: 1\ndata: x\n\nid: 2\ndata: y\n\nid: 3\ndata: id: 9\n\n"
 
 
 class EventSplitterTest(unittest.TestCase):
 
+    def test_events_before_an_invalid_one_are_not_passed_over(self):
+        # A resumed stream lacked the events that came in one read with a
+        # repeated one.
+        splitter = EventSplitter()
+        splitter.feed(b"id: 1\ndata: x\n\n")
+        with self.assertRaises(InvalidEventError):
+            splitter.feed(b"id: 2\ndata: y\n\nid: 1\ndata: x\n\n")
+        self.assertEqual(b"1", splitter.last_id)
+
     def test_partial_event_is_buffered(self):
         splitter = EventSplitter()
         self.assertEqual(b"", splitter.feed(b"id: 1\ndata"))
