Match routes with the path as it was received

Cause: the route was chosen with the percent-decoded path, in which "%2F" separates segments, so that a longer, safe prefix matched; the worker gets the path as it was sent and takes it for one of the unsafe route.

Change: the gateway matches the received path.

--- a/acaciaspoke/gateway/app.py
+++ b/acaciaspoke/gateway/app.py
@@ -92,7 +92,10 @@
         caller = Caller(scope, receive, send, request_id, self._is_draining)
         self.open_requests += 1
         try:
-            await self._serve(caller, scope["target"], arrived_s)
+            # Routes match the path as it is sent on, not the decoded one, in
+            # which an encoded slash would separate segments.
+            path = scope["raw_path"].decode("latin-1")
+            await self._serve(caller, scope["target"], path, arrived_s)
         except _BadRequestError as error:
             logger.info(
                 "answered {}: {}",
@@ -120,9 +123,9 @@
             self.open_requests -= 1
 
     async def _serve(
-        self, caller: Caller, target: bytes, arrived_s: float
+        self, caller: Caller, target: bytes, path: str, arrived_s: float
     ) -> None:
-        fields, route = self._check(caller)
+        fields, route = self._check(caller, path)
         limits = self.configuration.limits
         try:
             body = await caller.read_body(limits.max_body_bytes)
@@ -131,12 +134,12 @@
                 Failure(FailureType.TOO_LARGE, str(error))
             ) from error
         # A newer configuration may have become active while the body arrived.
-        fields, route = self._check(caller)
+        fields, route = self._check(caller, path)
         request = _to_request(caller, fields, route, target, body, arrived_s)
         relay = Relay(caller, target, body, self._request_handler.body_memory)
         await self._serve_until_disconnect(request, relay)
 
-    def _check(self, caller: Caller) -> tuple[RequestFields, Route]:
+    def _check(self, caller: Caller, path: str) -> tuple[RequestFields, Route]:
         if self.configuration is None:
             raise _BadRequestError(
                 Failure(
@@ -151,7 +154,7 @@
             raise _bad_request(f"a header is not a number: {error}") from error
         if not fields.attempt_id:
             raise _bad_request("the request has no id")
-        route = self._routes.match(caller.header("host"), caller.path)
+        route = self._routes.match(caller.header("host"), path)
         if route is None:
             failure = Failure(FailureType.NOT_FOUND, "no route for this path")
             raise _BadRequestError(failure)
--- a/acaciaspoke/gateway/routes.py
+++ b/acaciaspoke/gateway/routes.py
@@ -22,7 +22,7 @@
 
         Args:
             host: The Host header; its port is ignored.
-            path: The path without the query.
+            path: The path as it was received, without the query.
         """
         name = host.rsplit(":", 1)[0] if ":" in host else host
         prefixes = self._by_host.get(name.lower())
