Read the body of a request that offers another protocol

Cause: httptools ends such a request at its head and leaves the rest to the other protocol; uvicorn ignores the offer and drops the rest.

Change: HttpProtocol goes on with a new parser that has read the framing headers only, so that the body and the next requests are read. It is the default of all servers, entry processes too.

--- a/acaciaspoke/gateway/protocol.py
+++ b/acaciaspoke/gateway/protocol.py
@@ -3,9 +3,8 @@
 import asyncio
 from collections.abc import Callable
 
-from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
-
 from acaciaspoke.gateway.types import CallerLimits
+from acaciaspoke.util.http_protocol import HttpProtocol
 
 _TOO_LARGE = b"431 Request Header Fields Too Large"
 _TIMEOUT = b"408 Request Timeout"
@@ -13,10 +12,10 @@
 
 def limited_protocol(
     limits: Callable[[], CallerLimits],
-) -> type[HttpToolsProtocol]:
+) -> type[HttpProtocol]:
     """Returns a protocol class that applies the current ``limits``."""
 
-    class LimitedProtocol(HttpToolsProtocol):
+    class LimitedProtocol(HttpProtocol):
         """Limits the size and time of headers, and idle connections."""
 
         _in_header = False
--- a/acaciaspoke/util/server.py
+++ b/acaciaspoke/util/server.py
@@ -8,6 +8,7 @@
 import uvicorn
 
 from acaciaspoke.errors import ListenError
+from acaciaspoke.util.http_protocol import HttpProtocol
 from acaciaspoke.util.net import split_address
 
 # Longer than the keep-alive timeout of clients and load balancers, so that they
@@ -53,7 +54,7 @@
         self,
         app,
         *addresses: str,
-        protocol: str | type[asyncio.Protocol] = "httptools",
+        protocol: type[asyncio.Protocol] = HttpProtocol,
     ):
         """Configures the server without listening.
 
