Credit a named pause to the engine with the backup, and close two races

Found on reading again, not seen by callers. A 503 with Retry-After (or a leaving notice) of the engine that was asked to take over was recorded for the silent one, which would then get no requests, while the other one would. An event that arrived in the same turn of the loop in which the other engine accepted could still be forwarded, and an attempt that ended while the other engine was asked left "is asking" set.

Change: the notice handler of the asked engine is passed in; held events wait for the end of their attempt once the other engine has accepted; the state is reset however the asking ends.

Evidence: test_pause_that_the_other_engine_names_is_its_own failed before. The races have no test of their own.

--- a/acaciaspoke/gateway/attempt.py
+++ b/acaciaspoke/gateway/attempt.py
@@ -198,7 +198,13 @@
         try:
             fields = decode_response(response.headers)
             _limit_idle_time(connection, response.headers)
-            self._handle_notice(request, connection, response.status, fields)
+            _handle_notice(
+                request,
+                connection,
+                response.status,
+                fields,
+                self._on_notice,
+            )
             attempt = await self._handle_response(
                 request, connection, response, fields, clock
             )
@@ -219,12 +225,20 @@
         request: Request,
         engine: BackupEngine,
         connection: Connection,
+        on_notice: Callable[[int, UpstreamNotice], None],
         clock: Callable[[], float] = time.monotonic,
     ) -> tuple[OpenedStream | None, str]:
         """Asks the engine with the backup to go on after the last event.
 
         Never raises for failures of the engine.
 
+        Args:
+            request: The request, which runs at another engine.
+            engine: The engine with the backup.
+            connection: A connection to it.
+            on_notice: As in ``attempt``, for the engine with the backup.
+            clock: Returns the time.
+
         Returns:
             Its response if it has accepted the request, and otherwise why not.
         """
@@ -245,7 +259,7 @@
         ) as error:
             return None, f"{type(error).__name__}: {error}"
         fields = decode_response(response.headers)
-        self._handle_notice(request, connection, response.status, fields)
+        _handle_notice(request, connection, response.status, fields, on_notice)
         if (
             200 <= response.status < 300
             and fields.attempt_id == str(request.id)
@@ -255,22 +269,6 @@
             return OpenedStream(engine, connection, response), ""
         return None, f"status {response.status}"
 
-    def _handle_notice(
-        self,
-        request: Request,
-        connection: Connection,
-        status: int,
-        fields: ResponseFields,
-    ) -> None:
-        notice = fields.notice
-        is_answer = fields.attempt_id == str(request.id) or (
-            not fields.attempt_id and not connection.is_reused
-        )
-        if not is_answer:
-            # An earlier refusal that is written once more names an old pause.
-            notice = UpstreamNotice(is_leaving=notice.is_leaving)
-        self._on_notice(status, notice)
-
     def _to_httpcore(
         self, assignment: Assignment, now_s: float
     ) -> httpcore.Request:
@@ -383,6 +381,23 @@
         self.reading_since_s = clock()
 
 
+def _handle_notice(
+    request: Request,
+    connection: Connection,
+    status: int,
+    fields: ResponseFields,
+    on_notice: Callable[[int, UpstreamNotice], None],
+) -> None:
+    notice = fields.notice
+    is_answer = fields.attempt_id == str(request.id) or (
+        not fields.attempt_id and not connection.is_reused
+    )
+    if not is_answer:
+        # An earlier refusal that is written once more names an old pause.
+        notice = UpstreamNotice(is_leaving=notice.is_leaving)
+    on_notice(status, notice)
+
+
 def _forwarded_headers(headers: Headers) -> Headers:
     return [
         (name, value.strip())
--- a/acaciaspoke/gateway/dispatch.py
+++ b/acaciaspoke/gateway/dispatch.py
@@ -240,16 +240,18 @@
             return self._refuse(request, "copy lost", 0.0, now_s)
         return self._assign(request, upstream, now_s)
 
-    def may_move_to_backup(self, request: Request, now_s: float) -> bool:
-        """Returns whether the engine with the KV backup may get a request."""
+    def usable_backup(self, request: Request, now_s: float) -> Upstream | None:
+        """Returns the engine with the KV backup if it may get the request."""
         backup = request.backup_engine
         upstream = backup and self.fleet.upstreams.get(backup.upstream)
-        return (
-            upstream is not None
-            and not upstream.is_draining
-            and now_s >= upstream.named_pause_until_s
-            and self.budget(request.service).allows_retry(now_s)
-        )
+        if (
+            upstream is None
+            or upstream.is_draining
+            or now_s < upstream.named_pause_until_s
+            or not self.budget(request.service).allows_retry(now_s)
+        ):
+            return None
+        return upstream
 
     def assign_to_backup(self, request: Request, now_s: float) -> Assignment:
         """Assigns a stream to the engine that goes on with it.
--- a/acaciaspoke/gateway/exchange.py
+++ b/acaciaspoke/gateway/exchange.py
@@ -119,7 +119,7 @@
         finally:
             opened = relay.takeover.take_opened()
             if opened is not None:
-                await self._close(opened)
+                await opened.aclose()
             self._pending.pop(request.id, None)
             self._dispatcher.cancel(request)
             self.dispatch()
@@ -286,7 +286,8 @@
         now_s = time.monotonic()
         request = assignment.request
         engine = request.backup_engine
-        if not self._dispatcher.may_move_to_backup(request, now_s):
+        backup = self._dispatcher.usable_backup(request, now_s)
+        if backup is None:
             return None
         self._dispatcher.budget(request.service).record_retry(now_s)
         self._metrics.repeats.inc()
@@ -295,7 +296,14 @@
         opened = None
         try:
             opened, reason = await relay.open_at_backup(
-                request, engine, connection
+                request,
+                engine,
+                connection,
+                functools.partial(
+                    self._notices.record,
+                    engine.upstream,
+                    backup.record.started_ms,
+                ),
             )
         finally:
             if opened is None:
@@ -313,10 +321,6 @@
         )
         return opened
 
-    async def _close(self, opened: OpenedStream) -> None:
-        with anyio.CancelScope(shield=True):
-            await opened.connection.http.aclose()
-
     def _record_invalid_load(self, upstream: UpstreamId) -> None:
         self._metrics.invalid_loads.inc()
         if upstream not in self._logged_invalid_loads:
--- a/acaciaspoke/gateway/takeover.py
+++ b/acaciaspoke/gateway/takeover.py
@@ -33,6 +33,11 @@
     connection: Connection
     response: httpcore.Response
 
+    async def aclose(self) -> None:
+        """Closes the connection, also when cancelled."""
+        with anyio.CancelScope(shield=True):
+            await self.connection.http.aclose()
+
 
 class Takeover:
     """One stream's state on its way to another engine.
@@ -91,18 +96,25 @@
                 # An event has come since.
                 self._stalled = anyio.Event()
                 continue
-            self.is_asking = True
-            self._answered = anyio.Event()
-            async with anyio.create_task_group() as tasks:
-                tasks.start_soon(
-                    self._give_up_one, tasks.cancel_scope, stop_stalled
-                )
-                self.opened = await ask()
-                tasks.cancel_scope.cancel()
-            if self.opened is not None:
-                stop_stalled()
+            with self._asking():
+                async with anyio.create_task_group() as tasks:
+                    tasks.start_soon(
+                        self._give_up_one, tasks.cancel_scope, stop_stalled
+                    )
+                    self.opened = await ask()
+                    tasks.cancel_scope.cancel()
+                if self.opened is not None:
+                    stop_stalled()
             self._retry_due_s = time.monotonic() + RETRY_INTERVAL_S
             self._stalled = anyio.Event()
+
+    @contextmanager
+    def _asking(self) -> Iterator[None]:
+        self.is_asking = True
+        self._answered = anyio.Event()
+        try:
+            yield
+        finally:
             self.is_asking = self.has_held_events = False
             self._answered.set()
 
@@ -125,6 +137,9 @@
         if self.is_asking:
             self.has_held_events = True
             await self._answered.wait()
+        if self.opened is not None:
+            # The attempt at the stalled engine is being cancelled.
+            await anyio.sleep_forever()
 
     def take_opened(self) -> OpenedStream | None:
         """Returns the other engine's response, once."""
--- a/test/gateway/test_silent_engine.py
+++ b/test/gateway/test_silent_engine.py
@@ -1,6 +1,7 @@
 """A stream whose engine is silent for a while is whole in the end."""
 
 import asyncio
+import time
 from unittest import mock
 
 from acaciaspoke.entry.caller import Caller
@@ -54,6 +55,10 @@
         self.assertEqual(b"".join(EVENTS), answer.content)
         await self.tasks[-1]
 
+    @staticmethod
+    def _is_resumed_at(engine):
+        return any("kv-from" in arrival.headers for arrival in engine.arrivals)
+
     def _resumed(self):
         return [
             arrival
@@ -70,6 +75,23 @@
         await self._check_whole()
         self.assertEqual(1, len(self._resumed()))
 
+    async def test_pause_that_the_other_engine_names_is_its_own(self):
+        async def refuse(arrival):
+            headers = REFUSED | {"retry-after": "9"}
+            await arrival.answer(503, b"", headers, sealed=False)
+
+        self._script(refuse, silence_s=2.0)
+        asking = asyncio.create_task(
+            self.ask("/stream/x", Acaciaspoke_Model="m1")
+        )
+        await self.eventually(self._resumed)
+        paused = self.gateway._dispatcher.fleet.in_named_pause
+        await self.eventually(lambda: paused(time.monotonic()))
+        (other,) = (e.name for e in self.engines if self._is_resumed_at(e))
+        self.assertEqual({other}, paused(time.monotonic()))
+        self.assertEqual(b"".join(EVENTS), (await asking).content)
+        self.assertEqual(1, len(self._resumed()))
+
     async def test_stream_stays_where_the_other_engine_resets(self):
         async def reset(arrival):
             arrival.reset()
