--- a/test/gateway/serving.py
+++ b/test/gateway/serving.py
@@ -93,6 +93,10 @@
             metrics_port=PEER_PORT + 2,
             stop_grace_s=self.stop_grace_s,
         )
+        await self.start_gateway(settings)
+
+    async def start_gateway(self, settings: GatewaySettings) -> None:
+        """Starts the gateway and waits until it is ready."""
         self.gateway = GatewayProcess(settings, _NoLog())
         self.tasks.append(asyncio.create_task(self.gateway.run()))
         await self.eventually(
--- /dev/null
+++ b/test/gateway/test_stopping_process.py
@@ -0,0 +1,99 @@
+"""SIGTERM to a gateway that runs as a process of its own."""
+
+import asyncio
+import signal
+import sys
+import tempfile
+import time
+from pathlib import Path
+
+import httpcore
+import msgspec
+
+from test.gateway.serving import READY_PORT, GatewayTest
+
+EVENTS = tuple(b"id: %d\ndata: %d\n\n" % (n, n) for n in range(1, 6))
+
+# Longer than the time after which an engine counts as silent.
+SILENCE_S = 1.2
+
+# The balancer sends new connections until two of its checks have failed.
+BALANCER_S = 2.0
+
+
+class StoppingProcessTest(GatewayTest):
+
+    async def start_gateway(self, settings):
+        folder = Path(self.enterContext(tempfile.TemporaryDirectory()))
+        path = folder / "gateway.json"
+        path.write_bytes(msgspec.json.encode(settings))
+        log = self.enterContext((folder / "log").open("w+"))
+        self.process = await asyncio.create_subprocess_exec(
+            *(sys.executable, "-m", "acaciaspoke", "gateway"),
+            *("--settings", str(path)),
+            stdout=log,
+            stderr=log,
+        )
+        self.addAsyncCleanup(self._end_process)
+        url = f"http://{settings.address}:{READY_PORT}/ready"
+        await self._wait_for_200("GET", url)
+
+    async def _end_process(self):
+        if self.process.returncode is None:
+            self.process.kill()
+            await self.process.wait()
+
+    async def _wait_for_200(self, method, url):
+        deadline_s = time.monotonic() + 20.0
+        status = None
+        while status != 200:
+            self.assertLess(time.monotonic(), deadline_s, "is not ready")
+            try:
+                async with httpcore.AsyncConnectionPool() as pool:
+                    status = (await pool.request(method, url)).status
+            except httpcore.ConnectError:
+                status = None
+            await asyncio.sleep(0.1)
+
+    def _stream(self):
+        return asyncio.create_task(
+            self.ask("/stream/x", Acaciaspoke_Model="m1")
+        )
+
+    async def test_streams_of_engines_that_are_silent_for_a_while(self):
+        # They were cut, as the engines with their KV backups refused them.
+        asked_for_copy = 0
+
+        async def script(arrival):
+            nonlocal asked_for_copy
+            if "kv-from" in arrival.headers:
+                asked_for_copy += 1
+                headers = {"acaciaspoke-not-executed": "1"}
+                await arrival.answer(503, b"", headers, sealed=False)
+                return
+            await arrival.stream(*EVENTS[:2], end=False)
+            await asyncio.sleep(SILENCE_S)
+            for event in (*EVENTS[2:], b""):
+                arrival.writer.write(b"%x\r\n%s\r\n" % (len(event), event))
+            await arrival.writer.drain()
+
+        for engine in self.engines:
+            engine.script = script
+        # Only streams of a route whose requests take long get a KV backup.
+        while (await self._stream()).status != 200:
+            await asyncio.sleep(0.1)
+        tasks = [self._stream() for _ in range(3)]
+        await asyncio.sleep(0.2)
+        self.process.send_signal(signal.SIGTERM)
+        stopped_s = time.monotonic()
+        while time.monotonic() < stopped_s + BALANCER_S:
+            tasks.append(self._stream())
+            await asyncio.sleep(0.3)
+        answers = await asyncio.gather(*tasks)
+        whole = [answer for answer in answers if answer.status == 200]
+        self.assertLessEqual({answer.status for answer in answers}, {200, 503})
+        self.assertGreaterEqual(len(whole), 3)
+        self.assertEqual({b"".join(EVENTS)}, {one.content for one in whole})
+        self.assertGreater(asked_for_copy, 0)
+        self.assertEqual(0, await self.process.wait())
+        self.assertLess(time.monotonic(), stopped_s + self.stop_grace_s)
