Log how long the engine with a backup was asked

The line said that a silent engine's stream stays also where it had been stopped meanwhile, and there was none if the question was cancelled.

--- a/acaciaspoke/gateway/exchange.py
+++ b/acaciaspoke/gateway/exchange.py
@@ -293,7 +293,7 @@
         self._metrics.repeats.inc()
         pool = self._pool(engine.address)
         connection = await pool.acquire(new=engine.address in relay.sent_to)
-        opened = None
+        opened, reason = None, "cancelled"
         try:
             opened, reason = await relay.open_at_backup(
                 request,
@@ -306,19 +306,20 @@
                 ),
             )
         finally:
+            logger.info(
+                "{} is silent; {} {} its stream",
+                assignment.upstream,
+                engine.upstream,
+                "goes on with" if opened else "did not accept",
+                request_id=request.id,
+                reason=reason,
+                asked_ms=round((time.monotonic() - now_s) * 1000),
+            )
             if opened is None:
                 with anyio.CancelScope(shield=True):
                     await pool.release(connection, clean=False)
         if opened is not None:
             self._metrics.continued.inc()
-        logger.info(
-            "{} is silent; its stream {}",
-            assignment.upstream,
-            f"goes on at {engine.upstream} from its copy"
-            if opened
-            else f"stays, as {engine.upstream} did not accept it: {reason}",
-            request_id=request.id,
-        )
         return opened
 
     def _record_invalid_load(self, upstream: UpstreamId) -> None:
