Keep a silent engine's stream until the other engine accepts

Callers saw streams that had begun end without the rest of their events, while the engine was sound and had only paused for about a second.

Cause: if the engine with the KV backup had not responded 0.35 s after it was asked, the attempt at the silent engine was ended, before anything was known of the other one. When that one refused afterwards (503: no copy or no room, 421), nobody had the stream any more. The limit of 0.35 s protected from two engines that work on one request, but the other engine responds when it begins, and the first one is stopped at once then.

Now the stream is ended only when the other engine has accepted. If the silent engine sends an event first, more than 0.35 s after the question, the question is withdrawn and the events are sent on.

Tests: two of test_silent_engine, which failed before with an incomplete chunked read. test_silent_engine_is_given_up_for_a_slow_one checks in addition that the silent engine is stopped.

--- a/acaciaspoke/gateway/takeover.py
+++ b/acaciaspoke/gateway/takeover.py
@@ -3,7 +3,8 @@
 A stalled engine may be sound: it may prefill other prompts, have preempted the
 request, or be slow for a while. So its stream is kept until the other engine
 has accepted the request. The other engine may refuse it, for instance because
-no backup has arrived or there is no slot; the stream then goes on as before.
+no backup has arrived or there is no slot, or be silent itself; the stream then
+goes on as before.
 """
 
 import time
@@ -17,10 +18,9 @@
 from acaciaspoke.entry.pool import Connection
 from acaciaspoke.gateway.types import BackupEngine
 
-# Two engines may work on the same request for 400 ms at most (the platform's
-# rules, "Model workers"). So one of both is given up if the one with the backup
-# has not responded after this time.
-ACCEPT_TIMEOUT_S = 0.35
+# How long events of the stalled engine are held back for the response of the
+# other one. Later ones end the request to it.
+MAX_HOLD_S = 0.35
 
 # Pause between two requests to take over the same stream.
 RETRY_INTERVAL_S = 0.7
@@ -48,15 +48,14 @@
     Attributes:
         is_asking: Whether the other engine has been asked and has not answered.
         opened: The response of the other engine, once it has accepted.
-        has_held_events: Whether the stalled engine has sent events meanwhile.
     """
 
     def __init__(self) -> None:
         self.is_asking = False
         self.opened: OpenedStream | None = None
-        self.has_held_events = False
         self._is_forwarding = False
         self._stalled = anyio.Event()
+        self._resumed = anyio.Event()
         self._answered = anyio.Event()
         self._retry_due_s = float("-inf")
 
@@ -85,6 +84,9 @@
     ) -> None:
         """Asks the other engine at each stall, until it accepts.
 
+        The stalled engine is not stopped before that. Both work on the request
+        only while the response of the other one is on its way.
+
         Args:
             ask: Returns the response of the other engine, or None if it does
                 not accept the request.
@@ -99,7 +101,7 @@
             with self._asking():
                 async with anyio.create_task_group() as tasks:
                     tasks.start_soon(
-                        self._give_up_one, tasks.cancel_scope, stop_stalled
+                        self._cancel_if_resumed, tasks.cancel_scope
                     )
                     self.opened = await ask()
                     tasks.cancel_scope.cancel()
@@ -111,21 +113,18 @@
     @contextmanager
     def _asking(self) -> Iterator[None]:
         self.is_asking = True
+        self._resumed = anyio.Event()
         self._answered = anyio.Event()
         try:
             yield
         finally:
-            self.is_asking = self.has_held_events = False
+            self.is_asking = False
             self._answered.set()
 
-    async def _give_up_one(
-        self, asking: anyio.CancelScope, stop_stalled: Callable[[], None]
-    ) -> None:
-        await anyio.sleep(ACCEPT_TIMEOUT_S)
-        if self.has_held_events:
-            asking.cancel()
-        else:
-            stop_stalled()
+    async def _cancel_if_resumed(self, asking: anyio.CancelScope) -> None:
+        await anyio.sleep(MAX_HOLD_S)
+        await self._resumed.wait()
+        asking.cancel()
 
     async def wait_for_answer(self) -> None:
         """Waits while the other engine is asked."""
@@ -135,7 +134,7 @@
     async def hold_events(self) -> None:
         """Holds back events of the stalled engine while the other is asked."""
         if self.is_asking:
-            self.has_held_events = True
+            self._resumed.set()
             await self._answered.wait()
         if self.opened is not None:
             # The attempt at the stalled engine is being cancelled.
--- a/test/gateway/test_silent_engine.py
+++ b/test/gateway/test_silent_engine.py
@@ -142,6 +142,28 @@
         self._script(hang, silence_s=0.85)
         await self._check_whole()
 
+    async def test_stream_stays_where_the_other_engine_refuses_late(self):
+        # It was stopped before the other engine had answered, and lost.
+        async def refuse(arrival):
+            await asyncio.sleep(0.6)
+            await arrival.answer(503, b"", REFUSED, sealed=False)
+
+        self._script(refuse, silence_s=1.6)
+        await self._check_whole()
+        self.assertEqual(1, len(self._resumed()))
+
+    async def test_stream_stays_while_both_engines_are_silent(self):
+        left = asyncio.Event()
+
+        async def hang(arrival):
+            await arrival.wait_for_close()
+            left.set()
+
+        self._script(hang, silence_s=1.6)
+        await self._check_whole()
+        await asyncio.wait_for(left.wait(), 1.0)
+        self.assertEqual([], self.closed)
+
     async def test_caller_that_does_not_read_is_no_silent_engine(self):
         # The stream was moved, and lacked the event that waited for the caller.
         send, has_waited = Caller.send, False
@@ -172,3 +194,4 @@
 
         self._script(go_on, silence_s=3.0)
         await self._check_whole()
+        await self.eventually(lambda: self.closed)
