Forward answers whose heads the server refuses to write

Change: headers whose values cannot be sent are left out, as the entry processes do already, with one definition of such a value for both. A status above 599 and a seal that cannot be sent make an answer one that belongs to no request: the caller gets 502, or the request is sent elsewhere if it may be.

--- a/acaciaspoke/entry/relay.py
+++ b/acaciaspoke/entry/relay.py
@@ -5,7 +5,6 @@
 cut off, timed out or was unusable; or it belongs to another request.
 """
 
-import re
 import time
 from enum import Enum
 
@@ -19,6 +18,7 @@
 from acaciaspoke.entry.pool import CONNECT_TIMEOUT_S, Connection
 from acaciaspoke.ids import RequestId
 from acaciaspoke.report.histograms import TokenGaps
+from acaciaspoke.util.http import MAX_STATUS, is_sendable_value
 
 # Limit of a response that is buffered before it is relayed.
 MAX_BUFFERED_RESPONSE_BYTES = 32 * 1024 * 1024
@@ -53,9 +53,6 @@
 )
 
 
-_CONTROL_CHARACTER = re.compile(rb"[\x00-\x08\x0a-\x1f\x7f]")
-
-
 class Ending(Enum):
     """How an attempt ended.
 
@@ -134,7 +131,7 @@
         (name, value.strip())
         for name, value in headers
         if name.lower() not in _HOP_BY_HOP_HEADERS
-        and not _CONTROL_CHARACTER.search(value.strip())
+        and is_sendable_value(value.strip())
     ]
 
 
@@ -264,7 +261,7 @@
     elif response.status in service.refusal_statuses:
         result.ending = Ending.REFUSED
         await _read_body(response, result, guard)
-    elif response.status > 599:
+    elif response.status > MAX_STATUS:
         result.ending = Ending.UNUSABLE
         result.detail = f"the answer has the status {response.status}"
     elif call.stream and _is_event_stream(response.headers):
--- a/acaciaspoke/gateway/attempt.py
+++ b/acaciaspoke/gateway/attempt.py
@@ -37,6 +37,7 @@
     encode_request,
     end_to_end_headers,
 )
+from acaciaspoke.util.http import MAX_STATUS
 
 # Upstreams are a few milliseconds away; an unreachable one never responds.
 CONNECT_TIMEOUT_S = 0.35
@@ -317,6 +318,10 @@
             if response.status == 421:
                 ending = Ending.MISDIRECTED
             return Attempt(ending=ending)
+        if response.status > MAX_STATUS:
+            return Attempt(
+                ending=Ending.MISMATCHED, detail=f"status {response.status}"
+            )
         is_success = 200 <= response.status < 300
         if is_success and not (fields.is_signed and fields.attempt_id):
             return Attempt(ending=Ending.MISMATCHED, detail="unsigned success")
--- a/acaciaspoke/platform/headers.py
+++ b/acaciaspoke/platform/headers.py
@@ -14,6 +14,7 @@
     RequestId,
     UpstreamId,
 )
+from acaciaspoke.util.http import is_sendable_value
 
 Headers = list[tuple[bytes, bytes]]
 
@@ -230,7 +231,10 @@
     headers: Iterable[tuple[bytes, bytes]],
     dropped: frozenset[bytes] = frozenset(),
 ) -> Headers:
-    """Returns the headers without hop-by-hop ones and ``dropped``."""
+    """Returns the headers without hop-by-hop ones and ``dropped``.
+
+    Headers whose values cannot be sent are left out as well.
+    """
     pairs = [(name.lower(), value) for name, value in headers]
     connection_headers = {
         token.strip().lower()
@@ -239,7 +243,11 @@
         for token in value.split(b",")
     }
     excluded = _HOP_BY_HOP_HEADERS | connection_headers | dropped
-    return [pair for pair in pairs if pair[0] not in excluded]
+    return [
+        (name, value)
+        for name, value in pairs
+        if name not in excluded and is_sendable_value(value.strip())
+    ]
 
 
 def decode_response(headers: Iterable[tuple[bytes, bytes]]) -> ResponseFields:
@@ -249,7 +257,8 @@
     load = _decode_load(found.get(SERVER_LOAD, b""))
     return ResponseFields(
         attempt_id=found.get(ATTEMPT_ID, b"").decode("latin-1").strip(),
-        is_signed=RESPONSE_SEAL in found,
+        is_signed=RESPONSE_SEAL in found
+        and is_sendable_value(found[RESPONSE_SEAL].strip()),
         not_executed=NOT_EXECUTED in found,
         is_encoded=coding not in (b"", b"identity"),
         load=load,
--- a/acaciaspoke/util/http.py
+++ b/acaciaspoke/util/http.py
@@ -1,5 +1,6 @@
 """A small HTTP client on httpcore with a total timeout per request."""
 
+import re
 import socket
 import struct
 from collections.abc import Mapping, Sequence
@@ -35,6 +36,21 @@
 )
 
 
+# The largest status that has a class (RFC 9110, section 15).
+MAX_STATUS = 599
+
+_CONTROL_CHARACTER = re.compile(rb"[\x00-\x08\x0a-\x1f\x7f]")
+
+
+def is_sendable_value(value: bytes) -> bool:
+    """Returns whether a header value may be sent.
+
+    The HTTP parsers accept control characters in values of responses, and the
+    writers refuse them.
+    """
+    return not _CONTROL_CHARACTER.search(value)
+
+
 class HttpError(Exception):
     """A request without a complete response.
 
