Measure pauses only of streams whose requests name a model

Cause: the pauses between events are kept by upstream and model, to find slow engines. A request without a model raised an AttributeError there, which ended the relay of its stream ("request failed" in the log).

Change: such streams are not measured; slow engines are those of models.

Evidence: both tests of test.gateway.test_stream_without_model failed before ("peer closed connection without sending complete message body"), none after.

--- a/acaciaspoke/gateway/fleet.py
+++ b/acaciaspoke/gateway/fleet.py
@@ -300,7 +300,7 @@
             upstream.is_on_trial = False
         last_event_s = upstream.streaming.get(request.id)
         upstream.streaming[request.id] = now_s
-        if last_event_s is not None:
+        if last_event_s is not None and request.artifact is not None:
             gap_s = now_s - last_event_s
             self.event_intervals.record(
                 upstream_id, request.artifact.model, gap_s, now_s
