Send the refusal of a request after the answers to those before it

Inside a stream the refusal was written between two events. Limits that a configuration lowers make it more likely.

Cause: a head that was late, too large or no request was refused as soon as it was seen, whatever had been read before it. A read that ended inside a head also counted as part of it: the end of a long body made the next head too large.

Change: HttpProtocol, which the servers of all processes use, keeps the refusal until the requests before it are answered, and ignores what follows. The parser stops at a head that is refused; its body was taken for that of the request before. Only reads without an earlier request count as part of a head.

--- a/acaciaspoke/gateway/protocol.py
+++ b/acaciaspoke/gateway/protocol.py
@@ -10,6 +10,10 @@
 _TIMEOUT = b"408 Request Timeout"
 
 
+class _HeadRefusedError(Exception):
+    """Stops the parser at a head that is refused."""
+
+
 def limited_protocol(
     limits: Callable[[], CallerLimits],
 ) -> type[HttpProtocol]:
@@ -18,7 +22,9 @@
     class LimitedProtocol(HttpProtocol):
         """Limits the size and time of headers, and idle connections."""
 
+        _in_message = False
         _in_header = False
+        _begun_in_read = 0
         _header_bytes = 0
         _header_timer: asyncio.TimerHandle | None = None
 
@@ -33,18 +39,24 @@
             super().connection_lost(exc)
 
         def data_received(self, data: bytes) -> None:
+            was_in_message = self._in_message
+            self._begun_in_read = 0
             super().data_received(data)
-            if self._in_header and not self.transport.is_closing():
+            if not self._in_header:
+                return
+            # A read that also has an earlier request is not counted.
+            if self._begun_in_read + was_in_message == 1:
                 self._header_bytes += len(data)
-                if self._header_bytes > limits().max_header_bytes:
-                    self._reject(_TOO_LARGE)
+            if self._header_bytes > limits().max_header_bytes:
+                self._refuse_head(_TOO_LARGE)
 
         def on_message_begin(self) -> None:
             super().on_message_begin()
-            self._in_header = True
+            self._in_message = self._in_header = True
+            self._begun_in_read += 1
             self._header_bytes = 0
             self._header_timer = self.loop.call_later(
-                limits().header_timeout_s, self._reject, _TIMEOUT
+                limits().header_timeout_s, self._refuse_head, _TIMEOUT
             )
 
         def on_headers_complete(self) -> None:
@@ -54,25 +66,24 @@
                 len(name) + len(value) + 4 for name, value in self.headers
             )
             if size_bytes > limits().max_header_bytes:
-                self._reject(_TOO_LARGE)
-                return
+                self._refuse_head(_TOO_LARGE)
+                raise _HeadRefusedError
             # The path and query as received; parsing would lose an empty query.
             self.scope["target"] = self.url
             super().on_headers_complete()
 
+        def on_message_complete(self) -> None:
+            self._in_message = False
+            super().on_message_complete()
+
         def on_response_complete(self) -> None:
             self.timeout_keep_alive = limits().idle_timeout_s
             super().on_response_complete()
 
-        def _reject(self, status: bytes) -> None:
+        def _refuse_head(self, status: bytes) -> None:
+            self._in_header = False
             self._stop_header_timer()
-            if self.transport.is_closing():
-                return
-            self.transport.write(
-                b"HTTP/1.1 " + status + b"\r\n"
-                b"content-length: 0\r\nconnection: close\r\n\r\n"
-            )
-            self.transport.close()
+            self.refuse(status)
 
         def _stop_header_timer(self) -> None:
             if self._header_timer is not None:
--- a/acaciaspoke/util/http_protocol.py
+++ b/acaciaspoke/util/http_protocol.py
@@ -6,7 +6,10 @@
 """
 
 import httptools
-from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
+from uvicorn.protocols.http.httptools_impl import (
+    HttpToolsProtocol,
+    RequestResponseCycle,
+)
 
 _FRAMING_HEADERS = (b"content-length", b"transfer-encoding")
 
@@ -94,9 +97,67 @@
 
 
 class HttpProtocol(HttpToolsProtocol):
-    """uvicorn's protocol, with bodies behind Upgrade headers."""
+    """uvicorn's protocol, with bodies behind Upgrade headers.
+
+    A request that is refused while it is read gets its answer after those of
+    all requests before it, which may have been passed on already.
+    """
+
+    # The last cycle that was started; uvicorn's ``cycle`` may wait behind it.
+    _running: RequestResponseCycle | None = None
+    _refusal: bytes | None = None
 
     def connection_made(self, transport) -> None:
         """Prepares a new connection."""
         super().connection_made(transport)
         self.parser = _Parser(self)
+
+    def data_received(self, data: bytes) -> None:
+        """Parses received data; ignores what follows a refused request."""
+        if self._refusal is None:
+            super().data_received(data)
+
+    def send_400_response(self, msg: str) -> None:
+        """Refuses a request that cannot be parsed."""
+        self.refuse(b"400 Bad Request", msg.encode())
+
+    def refuse(self, status: bytes, body: bytes = b"") -> None:
+        """Refuses the request that is being read and closes the connection.
+
+        Args:
+            status: Code and reason.
+            body: A text that says why.
+        """
+        if self._refusal is not None:
+            return
+        lines = [b"HTTP/1.1 " + status, b"content-length: %d" % len(body)]
+        if body:
+            lines.append(b"content-type: text/plain; charset=utf-8")
+        lines += [b"connection: close", b"", body]
+        self._refusal = b"\r\n".join(lines)
+        if self.pipeline and self.pipeline[0][0].more_body:
+            self.pipeline.popleft()
+        self._send_due_refusal()
+
+    def on_response_complete(self) -> None:
+        """Starts the next request, or sends the refusal of the last one."""
+        super().on_response_complete()
+        self._send_due_refusal()
+
+    def _send_due_refusal(self) -> None:
+        if self._refusal is None or self.transport.is_closing():
+            return
+        running = self._running
+        if running is not None and not running.response_complete:
+            if self.pipeline or not running.more_body:
+                return
+            # The running request itself is refused.
+            if running.response_started:
+                self.transport.close()
+                return
+        self.transport.write(self._refusal)
+        self.transport.close()
+
+    def _start_asgi_task(self, cycle: RequestResponseCycle, app) -> None:
+        self._running = cycle
+        super()._start_asgi_task(cycle, app)
