Refuse token counts that messages between hosts cannot carry

Cause: the count is part of messages, whose encoder raises an OverflowError. The request is mostly assigned in the task that checks deadlines, or counted in the task that reports the demand; an error there ends the process.

Negative counts were taken as well, and lowered the known load of an engine.

Evidence: test.gateway.test_token_count_out_of_range failed before: such requests were passed on, and the sound one that follows got 504, as the process's tasks had ended with "can't serialize ints < -2**63 or > 2**64 - 1".

--- a/acaciaspoke/gateway/app.py
+++ b/acaciaspoke/gateway/app.py
@@ -151,7 +151,7 @@
         try:
             fields = decode_request(caller.header_list)
         except ValueError as error:
-            raise _bad_request(f"a header is not a number: {error}") from error
+            raise _bad_request(f"a header is invalid: {error}") from error
         if not fields.attempt_id:
             raise _bad_request("the request has no id")
         route = self._routes.match(caller.header("host"), path)
--- a/acaciaspoke/platform/headers.py
+++ b/acaciaspoke/platform/headers.py
@@ -79,6 +79,10 @@
 
 LEAST_URGENT = 9
 
+# Tokens of one prompt or output; more are an error of the caller. Messages
+# between hosts carry integers of 64 bits, and sums of these.
+MAX_TOKENS = 2**31 - 1
+
 # Parts of a prompt that are kept; a longer list is truncated.
 MAX_SHARED_PARTS = 32
 
@@ -165,7 +169,8 @@
     """Decodes a caller's headers, whose names are in lower case.
 
     Raises:
-        ValueError: If the time or the token counts are not numbers.
+        ValueError: If the time is not a number, or the token counts are not
+            numbers from 0 to ``MAX_TOKENS``.
     """
     found = dict(headers)
     text = {
@@ -179,13 +184,20 @@
         attempt_id=text[ATTEMPT_ID],
         remaining_s=float(remaining_ms) / 1000 if remaining_ms else None,
         artifact=_decode_artifact(text[MODEL]),
-        prompt_tokens=int(prompt or 0),
-        output_tokens=int(output or 0),
+        prompt_tokens=_decode_tokens(prompt),
+        output_tokens=_decode_tokens(output),
         affinity=last_part,
         shared_parts=tuple(filter(None, shared_parts[:MAX_SHARED_PARTS])),
     )
 
 
+def _decode_tokens(text: str) -> int:
+    tokens = int(text or 0)
+    if not 0 <= tokens <= MAX_TOKENS:
+        raise ValueError(f"{tokens} is no number of tokens")
+    return tokens
+
+
 def _decode_parts(value: bytes) -> list[PartId]:
     """Returns the ids of a prompt's parts; an empty one if there are none."""
     parts = value.decode("latin-1").split(",")
