--- a/acaciaspoke/platform/headers.py
+++ b/acaciaspoke/platform/headers.py
@@ -14,6 +14,7 @@
     RequestId,
     UpstreamId,
 )
+from acaciaspoke.util.http import is_sendable_value
 
 Headers = list[tuple[bytes, bytes]]
 
@@ -78,6 +79,10 @@
 
 LEAST_URGENT = 9
 
+# Tokens of one prompt or output; more are an error of the caller. Messages
+# between hosts carry integers of 64 bits, and sums of these.
+MAX_TOKENS = 2**31 - 1
+
 # Parts of a prompt that are kept; a longer list is truncated.
 MAX_SHARED_PARTS = 32
 
@@ -164,7 +169,8 @@
     """Decodes a caller's headers, whose names are in lower case.
 
     Raises:
-        ValueError: If the time or the token counts are not numbers.
+        ValueError: If the time is not a number, or the token counts are not
+            numbers from 0 to ``MAX_TOKENS``.
     """
     found = dict(headers)
     text = {
@@ -178,13 +184,20 @@
         attempt_id=text[ATTEMPT_ID],
         remaining_s=float(remaining_ms) / 1000 if remaining_ms else None,
         artifact=_decode_artifact(text[MODEL]),
-        prompt_tokens=int(prompt or 0),
-        output_tokens=int(output or 0),
+        prompt_tokens=_decode_tokens(prompt),
+        output_tokens=_decode_tokens(output),
         affinity=last_part,
         shared_parts=tuple(filter(None, shared_parts[:MAX_SHARED_PARTS])),
     )
 
 
+def _decode_tokens(text: str) -> int:
+    tokens = int(text or 0)
+    if not 0 <= tokens <= MAX_TOKENS:
+        raise ValueError(f"{tokens} is no number of tokens")
+    return tokens
+
+
 def _decode_parts(value: bytes) -> list[PartId]:
     """Returns the ids of a prompt's parts; an empty one if there are none."""
     parts = value.decode("latin-1").split(",")
@@ -230,7 +243,10 @@
     headers: Iterable[tuple[bytes, bytes]],
     dropped: frozenset[bytes] = frozenset(),
 ) -> Headers:
-    """Returns the headers without hop-by-hop ones and ``dropped``."""
+    """Returns the headers without hop-by-hop ones and ``dropped``.
+
+    Headers whose values cannot be sent are left out as well.
+    """
     pairs = [(name.lower(), value) for name, value in headers]
     connection_headers = {
         token.strip().lower()
@@ -239,7 +255,11 @@
         for token in value.split(b",")
     }
     excluded = _HOP_BY_HOP_HEADERS | connection_headers | dropped
-    return [pair for pair in pairs if pair[0] not in excluded]
+    return [
+        (name, value)
+        for name, value in pairs
+        if name not in excluded and is_sendable_value(value.strip())
+    ]
 
 
 def decode_response(headers: Iterable[tuple[bytes, bytes]]) -> ResponseFields:
@@ -249,7 +269,8 @@
     load = _decode_load(found.get(SERVER_LOAD, b""))
     return ResponseFields(
         attempt_id=found.get(ATTEMPT_ID, b"").decode("latin-1").strip(),
-        is_signed=RESPONSE_SEAL in found,
+        is_signed=RESPONSE_SEAL in found
+        and is_sendable_value(found[RESPONSE_SEAL].strip()),
         not_executed=NOT_EXECUTED in found,
         is_encoded=coding not in (b"", b"identity"),
         load=load,
