Soak: slow bodies, changing limits, series of versions, queues, cut streams

A stream that ends early is no longer excused in any case, but only if the connections of a worker were broken meanwhile, or its deadline had come.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -54,7 +54,10 @@
             line async for line in _check_recovery(deployment, callers)
         ]
         violations += find_violations(
-            callers.outcomes, deployment.runs(), deployment.outages
+            callers.outcomes,
+            deployment.runs(),
+            deployment.outages,
+            deployment.broken_s,
         )
         answered = sum(one.status == 200 for one in callers.outcomes)
         print(
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -19,6 +19,10 @@
 # Between two requests of a caller.
 MAX_PAUSE_S = 0.05
 
+# Share of the requests whose body is sent in pieces, and how long it takes.
+SLOW_BODY_SHARE = 0.3
+MAX_BODY_S = 1.5
+
 
 class Kind(Enum):
     """The kind of a route; the value is the path prefix."""
@@ -98,7 +102,7 @@
                     "POST",
                     f"http://{self._deployment.gateway_addresses[gateway]}{path}",
                     headers=headers,
-                    content=request_id.encode(),
+                    content=self._body(request_id.encode(), headers),
                 )
             status, body = answer.status, answer.content
         except httpcore.ConnectError:
@@ -112,6 +116,21 @@
             request_id, kind, gateway, sent_s, status, body, problem
         )
 
+    def _body(self, body: bytes, headers: dict[str, str]):
+        """Returns a body, or an iterator that sends it slowly."""
+        if self._rng.random() >= SLOW_BODY_SHARE:
+            return body
+        if self._rng.random() < 0.5:
+            headers["Content-Length"] = str(len(body))
+        piece_s = self._rng.uniform(0.0, MAX_BODY_S) / len(body)
+
+        async def pieces():
+            for number in range(len(body)):
+                await asyncio.sleep(piece_s)
+                yield body[number : number + 1]
+
+        return pieces()
+
     def _record(self, request_id, kind, gateway, sent_s, *result) -> Outcome:
         outcome = Outcome(
             request_id, kind, gateway, sent_s, time.monotonic(), *result
--- a/soak/deployment.py
+++ b/soak/deployment.py
@@ -4,6 +4,7 @@
 import itertools
 import json
 import os
+import random
 import signal
 import subprocess
 import sys
@@ -28,7 +29,11 @@
 
 STOP_GRACE_S = 8
 
-SLOTS = 4
+# So few that requests wait.
+SLOTS = 2
+
+# Every third change of the configuration is a series of this many versions.
+SERIES = 4
 
 _hosts = itertools.count(1)
 
@@ -39,18 +44,39 @@
 
 
 def configuration(version: int) -> dict:
-    """Returns a version of the configuration, with a route of its own."""
+    """Returns a version of the configuration, with a route of its own.
+
+    Later versions draw the limits of connections, the timeouts and the number
+    of routes.
+    """
+    rng = random.Random(version)
     engine = engine_spec(("m1", "m2"), slots=SLOTS)
-    version_route = f"/version-{version}/"
+    is_first = version == 1
+
+    def route(prefix: str, kind: str, service: str) -> dict:
+        timeout_ms = 5000 if is_first else rng.choice([2500, 5000, 8000])
+        timeout = {"timeout-ms": timeout_ms}
+        return gateway_route(prefix, kind, service, **timeout)
+
+    routes = [
+        route("/stream/", "streaming", "llm"),
+        route("/safe/", "safe", "app"),
+        route("/unsafe/", "unsafe", "app"),
+        route(f"/version-{version}/", "safe", "app"),
+    ]
+    limits = {}
+    if not is_first:
+        limits["idle-timeout-ms"] = rng.choice([500, 2000, 15000])
+        limits["header-timeout-ms"] = rng.choice([1000, 5000])
+        routes += [
+            route(f"/more-{number}/", "safe", "app")
+            for number in range(rng.choice([0, 0, 2000]))
+        ]
     return {
         "version": version,
-        "routes": [
-            gateway_route("/stream/", "streaming", "llm"),
-            gateway_route("/safe/", "safe", "app"),
-            gateway_route("/unsafe/", "unsafe", "app"),
-            gateway_route(version_route, "safe", "app"),
-        ],
+        "routes": routes,
         "services": [{"name": "app"}, {"name": "llm", "engine": engine}],
+        "limits": limits,
     }
 
 
@@ -74,6 +100,7 @@
     Attributes:
         gateway_addresses: Addresses of the gateways.
         outages: Outages of the gateways.
+        broken_s: When connections to workers were broken.
         version: Current version of the configuration.
     """
 
@@ -83,6 +110,7 @@
             f"{_next_ip()}:{LISTEN_PORT}" for _ in self._gateways
         ]
         self.outages: list[Outage] = []
+        self.broken_s: list[float] = []
         self.version = 1
         self._folder = folder
         self._processes: dict[str, subprocess.Popen] = {}
@@ -283,6 +311,7 @@
         if lock.locked():
             return
         async with lock:
+            self.broken_s.append(time.monotonic())
             self._signal(name, signal.SIGKILL)
             await asyncio.to_thread(self._processes[name].wait)
             await asyncio.sleep(fault.duration_s)
@@ -316,6 +345,7 @@
         await self._delay(self._worker_proxies[fault.target], fault.duration_s)
 
     async def _reset_worker(self, fault: Fault) -> None:
+        self.broken_s.append(time.monotonic())
         self._worker_proxies[fault.target].reset()
 
     async def _cut_worker(self, fault: Fault) -> None:
@@ -346,8 +376,12 @@
         )
 
     async def _change_configuration(self, fault: Fault) -> None:
-        self.version += 1
-        await self._write_row("op", "config", configuration(self.version))
+        count = 1 if self.version % 3 else SERIES
+        for _ in range(count):
+            self.version += 1
+            document = configuration(self.version)
+            await self._write_row("op", "config", document)
+            await asyncio.sleep(fault.duration_s / count)
 
 
 _FAULTS: dict[FaultKind, Callable[[Deployment, Fault], Awaitable[None]]] = {
--- a/soak/promises.py
+++ b/soak/promises.py
@@ -1,7 +1,7 @@
 """Checks the outcomes of a run against the guarantees of the gateway."""
 
 from collections import Counter
-from collections.abc import Iterable, Iterator
+from collections.abc import Collection, Iterable, Iterator
 
 from soak.callers import Kind, Outcome
 from soak.deployment import Outage
@@ -10,12 +10,19 @@
 # With these the gateway guarantees that the request has not run and never will.
 NOT_RUN_STATUSES = frozenset([408, 421, 429, 503])
 
+# The shortest timeout of a route (soak/deployment.py), without the margin for
+# requests that are counted from their head.
+MIN_DEADLINE_S = 2.4
+
 # Statuses that a caller may get while faults are injected.
 ALLOWED_STATUSES = NOT_RUN_STATUSES | {200, 500, 502, 504}
 
 
 def find_violations(
-    outcomes: Iterable[Outcome], runs: Iterable[str], outages: Iterable[Outage]
+    outcomes: Iterable[Outcome],
+    runs: Iterable[str],
+    outages: Iterable[Outage],
+    broken_s: Collection[float] = (),
 ) -> Iterator[str]:
     """Yields a line for each violated guarantee.
 
@@ -23,6 +30,8 @@
         outcomes: The outcomes that callers saw.
         runs: The ids of the requests that workers ran, one per run.
         outages: Outages of gateways, in which requests may get no answer.
+        broken_s: When connections to workers were broken, so that streams may
+            end early.
     """
     counts = Counter(runs)
     outages = list(outages)
@@ -37,7 +46,11 @@
             yield f"{one.id} got {one.body[:200]!r}"
         if one.status == 200 and not counts[one.id]:
             yield f"{one.id} was answered, but not run"
-        if one.problem and not _is_excused(one, counts[one.id] > 0, outages):
+        if (
+            one.problem
+            and not _is_excused(one, counts[one.id] > 0, outages)
+            and not _may_be_cut(one, broken_s)
+        ):
             yield f"{one.id} through gateway{one.gateway}: {one.problem}"
 
 
@@ -51,10 +64,6 @@
 
 
 def _is_excused(one: Outcome, has_run: bool, outages: Iterable[Outage]) -> bool:
-    if one.kind is Kind.STREAM:
-        # A stream that its worker cuts off must not look complete, so its
-        # caller rightly gets an error.
-        return True
     return any(
         outage.gateway == one.gateway
         and not (outage.is_stop and has_run)
@@ -62,3 +71,12 @@
         and one.sent_s <= outage.end_s
         for outage in outages
     )
+
+
+def _may_be_cut(one: Outcome, broken_s: Collection[float]) -> bool:
+    # A stream that its worker cuts off, or that has reached its deadline, must
+    # not look complete.
+    return one.kind is Kind.STREAM and (
+        one.ended_s - one.sent_s >= MIN_DEADLINE_S
+        or any(one.sent_s <= at_s <= one.ended_s for at_s in broken_s)
+    )
--- a/test/soak/test_soak.py
+++ b/test/soak/test_soak.py
@@ -46,8 +46,10 @@
 class PromiseTest(unittest.TestCase):
     """Guards against violations that are missed or reported wrongly."""
 
-    def _count_violations(self, outcome: Outcome, runs, outages=()) -> int:
-        return len(list(find_violations([outcome], runs, outages)))
+    def _count_violations(
+        self, outcome: Outcome, runs, outages=(), broken_s=()
+    ) -> int:
+        return len(list(find_violations([outcome], runs, outages, broken_s)))
 
     def test_no_violation(self):
         self.assertEqual(0, self._count_violations(_outcome(), ["q1"]))
@@ -87,6 +89,14 @@
         self.assertEqual(0, self._count_violations(lost, [], [during]))
         self.assertEqual(1, self._count_violations(lost, [], [after, other]))
 
+    def test_stream_that_is_cut(self):
+        cut = _outcome(kind=Kind.STREAM, status=0, problem="ReadError: ")
+        self.assertEqual(1, self._count_violations(cut, ["q1"]))
+        self.assertEqual(1, self._count_violations(cut, ["q1"], (), [0.5, 2.5]))
+        self.assertEqual(0, self._count_violations(cut, ["q1"], (), [1.5]))
+        at_deadline = cut._replace(ended_s=cut.sent_s + 5.0)
+        self.assertEqual(0, self._count_violations(at_deadline, ["q1"]))
+
     def test_stopping_gateway_answers_what_it_has_accepted(self):
         lost = _outcome(status=0, problem="ReadError: ")
         stop = Outage(0, 1.5, 1.7, is_stop=True)
