Ignore load reports whose figures have thousands of digits

A caller got 502 "internal error" in place of an answer, and the request had run, if the answer came with a load report of more than 4300 digits.

Cause: Python refuses to convert so many digits; the ValueError was raised while the head was decoded.

Evidence: the new test of test.platform.test_headers failed before ("Exceeds the limit (4300 digits) for integer string conversion").

--- a/acaciaspoke/platform/headers.py
+++ b/acaciaspoke/platform/headers.py
@@ -89,6 +89,9 @@
 # Figures of a load report that each upstream states.
 _LOAD_COUNTS = 3
 
+# A longer figure of a load report is an error of the upstream.
+_MAX_LOAD_DIGITS = 9
+
 
 class RequestFields(NamedTuple):
     """Properties of a request, from a caller's headers.
@@ -325,10 +328,14 @@
     """
     texts = [text.strip() for text in value.split(b",")]
     counts = texts[:_LOAD_COUNTS]
-    if len(counts) < _LOAD_COUNTS or not all(map(bytes.isdigit, counts)):
+    if len(counts) < _LOAD_COUNTS or not all(map(_is_load_figure, counts)):
         return None
     load = LoadReport(*map(int, counts))
     work_time = texts[_LOAD_COUNTS : _LOAD_COUNTS + 1]
-    if work_time and work_time[0].isdigit() and int(work_time[0]):
+    if work_time and _is_load_figure(work_time[0]) and int(work_time[0]):
         return load._replace(work_time_percent=int(work_time[0]))
     return load
+
+
+def _is_load_figure(text: bytes) -> bool:
+    return text.isdigit() and len(text) <= _MAX_LOAD_DIGITS
--- a/test/platform/test_headers.py
+++ b/test/platform/test_headers.py
@@ -33,5 +33,12 @@
                 self.assertIsNone(fields.load)
                 self.assertTrue(fields.has_invalid_load)
 
+    def test_figures_of_thousands_of_digits(self):
+        """The caller got 502 in place of the answer."""
+        digits = b"9" * 5000
+        self.assertTrue(decode(digits + b",1,8").has_invalid_load)
+        load = decode(b"3,1,8," + digits).load
+        self.assertEqual(LoadReport(3, 1, 8, 100), load)
+
     def test_missing_load_is_not_invalid(self):
         self.assertFalse(decode_response([]).has_invalid_load)
