Keep a silent stream while the engine with its backup does not answer

Cause: the engine with the backup is asked after 0.7 s of silence, and if it had not answered after 0.35 s the silent stream was given up for it. If it then refused, nothing was left. For an unreachable one this was certain, as connecting has the same time limit, which begins a moment later.

Change: the first request that goes unanswered is given up, not the stream. Only if the next one goes unanswered too, about 1.6 s after the last event, is the stream given up: a sound engine is back by then, and the caller leaves after 2 s. A stream whose engine breaks off meanwhile still waits for the answer. Since a request that is given up is logged, the log tells which of both was ended.

--- a/acaciaspoke/gateway/exchange.py
+++ b/acaciaspoke/gateway/exchange.py
@@ -305,6 +305,14 @@
                     backup.record.started_ms,
                 ),
             )
+        except anyio.get_cancelled_exc_class():
+            logger.info(
+                "{} is silent; its stream stays, as {} has not answered",
+                assignment.upstream,
+                engine.upstream,
+                request_id=request.id,
+            )
+            raise
         finally:
             if opened is None:
                 with anyio.CancelScope(shield=True):
--- a/acaciaspoke/gateway/takeover.py
+++ b/acaciaspoke/gateway/takeover.py
@@ -19,11 +19,14 @@
 
 # Two engines may work on the same request for 400 ms at most (the platform's
 # rules, "Model workers"). So one of both is given up if the one with the backup
-# has not responded after this time.
+# has not responded after this time: the latter one at first, as sound engines
+# are silent for a second or so, and the stalled one if it stays silent.
 ACCEPT_TIMEOUT_S = 0.35
 
-# Pause between two requests to take over the same stream.
+# Pause between two requests to take over the same stream, after a refusal and
+# after none. Callers leave after 2 s without an event.
 RETRY_INTERVAL_S = 0.7
+UNANSWERED_RETRY_INTERVAL_S = 0.2
 
 
 class OpenedStream(NamedTuple):
@@ -56,6 +59,9 @@
         self.opened: OpenedStream | None = None
         self.has_held_events = False
         self._is_forwarding = False
+        # Whether a request has gone unanswered since the last event.
+        self._is_unanswered = False
+        self._is_stalled_one_gone = False
         self._stalled = anyio.Event()
         self._answered = anyio.Event()
         self._retry_due_s = float("-inf")
@@ -67,6 +73,7 @@
         The engine is not silent then, and the event would be lost.
         """
         self._is_forwarding = True
+        self._is_unanswered = False
         try:
             yield
         finally:
@@ -96,16 +103,19 @@
                 # An event has come since.
                 self._stalled = anyio.Event()
                 continue
+            retry_s = UNANSWERED_RETRY_INTERVAL_S
             with self._asking():
                 async with anyio.create_task_group() as tasks:
                     tasks.start_soon(
                         self._give_up_one, tasks.cancel_scope, stop_stalled
                     )
                     self.opened = await ask()
+                    retry_s = RETRY_INTERVAL_S
+                    self._is_unanswered = False
                     tasks.cancel_scope.cancel()
                 if self.opened is not None:
                     stop_stalled()
-            self._retry_due_s = time.monotonic() + RETRY_INTERVAL_S
+            self._retry_due_s = time.monotonic() + retry_s
             self._stalled = anyio.Event()
 
     @contextmanager
@@ -122,14 +132,18 @@
         self, asking: anyio.CancelScope, stop_stalled: Callable[[], None]
     ) -> None:
         await anyio.sleep(ACCEPT_TIMEOUT_S)
-        if self.has_held_events:
+        if self._is_stalled_one_gone:
+            return
+        if self.has_held_events or not self._is_unanswered:
+            self._is_unanswered = True
             asking.cancel()
         else:
             stop_stalled()
 
     async def wait_for_answer(self) -> None:
-        """Waits while the other engine is asked."""
+        """Waits while the other engine is asked; the stalled one is gone."""
         if self.is_asking:
+            self._is_stalled_one_gone = True
             await self._answered.wait()
 
     async def hold_events(self) -> None:
--- a/test/gateway/test_silent_engine.py
+++ b/test/gateway/test_silent_engine.py
@@ -142,6 +142,38 @@
         self._script(hang, silence_s=0.85)
         await self._check_whole()
 
+    async def test_silent_engine_and_other_one_that_does_not_answer(self):
+        # The stream was cut after 0.35 s without an answer of the other engine.
+        async def hang(arrival):
+            await arrival.wait_for_close()
+
+        self._script(hang)
+        await self._check_whole()
+        await self.eventually(lambda: self._resumed()[0].is_closed)
+
+    async def test_silent_engine_and_other_one_that_refuses_late(self):
+        async def refuse(arrival):
+            await asyncio.sleep(0.45)
+            await arrival.answer(503, b"", REFUSED, sealed=False)
+
+        self._script(refuse)
+        await self._check_whole()
+
+    async def test_silent_engine_that_ends_while_the_other_one_is_asked(self):
+        async def script(arrival):
+            if "kv-from" in arrival.headers:
+                await asyncio.sleep(0.5)
+                await arrival.stream(*EVENTS[2:])
+                return
+            await arrival.stream(*EVENTS[:2], end=False)
+            await self.eventually(self._resumed)
+            arrival.reset()
+
+        for engine in self.engines:
+            engine.script = script
+        await self._check_whole()
+        self.assertEqual(1, len(self._resumed()))
+
     async def test_caller_that_does_not_read_is_no_silent_engine(self):
         # The stream was moved, and lacked the event that waited for the caller.
         send, has_waited = Caller.send, False
