Don't take the end of a response for a caller that left

Streams with a KV backup that their callers had whole were logged as "caller closed the connection" and counted as callers that left. Their durations and successes were not recorded, so that the mean and the longest duration of long routes stood still, failures of engines were not forgotten, and the connection to the engine was closed.

Cause: ASGI reports `http.disconnect` also once a response is complete. The watcher of the caller then cancelled the rest of the request, which has a point of cancellation left since: the end of the task group that asks the engine with the backup. No caller lost anything by it.

Caller.wait_for_disconnect now returns only for a response that isn't complete.

--- a/acaciaspoke/entry/caller.py
+++ b/acaciaspoke/entry/caller.py
@@ -122,11 +122,15 @@
                 return b"".join(parts)
 
     async def wait_for_disconnect(self) -> None:
-        """Returns when the caller has closed its connection."""
-        while True:
-            message = await self._receive()
-            if message["type"] == "http.disconnect":
-                return
+        """Returns when the caller has closed its connection.
+
+        Never returns after a complete response, whose end ASGI reports in the
+        same way.
+        """
+        while (await self._receive())["type"] != "http.disconnect":
+            pass
+        if self._is_finished:
+            await anyio.sleep_forever()
 
     async def start(self, status: int, headers: Headers) -> None:
         """Sends the status and the headers."""
