Reject configurations whose integers messages cannot carry

A configuration whose version exceeds 64 bits ended every gateway, and all their requests without an answer.

Cause: the JSON decoder takes integers of any size; both values are part of the messages between hosts, whose encoder raises an OverflowError in the task that sends loads. An error there ends the process.

Change: such a document is invalid, and the one before stays in force.

Evidence: test_version and test_priority_of_a_route of test.gateway.test_configuration_out_of_range failed before, as the process had ended; test_largest_values passed before and passes now.

--- a/acaciaspoke/platform/documents.py
+++ b/acaciaspoke/platform/documents.py
@@ -34,6 +34,11 @@
 # Slots of an upstream; a number beyond this is an error of its writer.
 MAX_SLOTS = 1_000_000
 
+# Messages between hosts carry integers of 64 bits.
+MAX_INTEGER = 2**63 - 1
+MIN_INTEGER = -(2**63)
+
+Integer = Annotated[int, msgspec.Meta(ge=MIN_INTEGER, le=MAX_INTEGER)]
 Count = Annotated[int, msgspec.Meta(ge=0)]
 Slots = Annotated[int, msgspec.Meta(ge=0, le=MAX_SLOTS)]
 
@@ -62,7 +67,7 @@
     timeout_ms: float
     target_latency_ms: float = 1000.0
     target_gap_ms: float = 0.0
-    priority: int = 0
+    priority: Integer = 0
     max_attempts: int = 1
     resumable: bool = False
 
@@ -104,7 +109,7 @@
 
 
 class _Configuration(_Document, kw_only=True):
-    version: int
+    version: Integer
     routes: tuple[_Route, ...] = ()
     services: tuple[_Service, ...] = ()
     limits: _Limits = _Limits()
