Accept upstreams' numbers with any number of digits

Callers got 502 instead of an answer, after the request had run, if its load report or the idle time of its connection had more digits than Python converts (4300 for an integer, 308 for a float).

Cause: the ValueError or OverflowError is none of the errors of an attempt or a question that are handled, and ended the request.

Change: longer numbers count as invalid, with one definition for both headers. Event ids are compared without converting them.

--- a/acaciaspoke/gateway/attempt.py
+++ b/acaciaspoke/gateway/attempt.py
@@ -36,6 +36,7 @@
     decode_response,
     encode_request,
     end_to_end_headers,
+    is_count,
 )
 from acaciaspoke.util.http import MAX_STATUS
 
@@ -416,7 +417,7 @@
         if name.lower() == b"keep-alive":
             _, has_timeout, seconds = value.lower().partition(b"timeout=")
             digits = seconds.split(b",")[0].strip()
-            if has_timeout and digits.isdigit():
+            if has_timeout and is_count(digits):
                 # This side closes first, so that no request is sent on a
                 # connection that the upstream is closing.
                 connection.limit_idle(max(0.0, int(digits) * 0.7 - 0.1))
--- a/acaciaspoke/gateway/events.py
+++ b/acaciaspoke/gateway/events.py
@@ -86,4 +86,10 @@
     """Returns whether an id may follow another; numeric ids increase."""
     if not last_id or not (event_id.isdigit() and last_id.isdigit()):
         return True
-    return int(event_id) > int(last_id)
+    return _magnitude(event_id) > _magnitude(last_id)
+
+
+def _magnitude(digits: bytes) -> tuple[int, bytes]:
+    """Returns a key that orders numbers, also those too long to convert."""
+    significant = digits.lstrip(b"0")
+    return len(significant), significant
--- a/acaciaspoke/platform/headers.py
+++ b/acaciaspoke/platform/headers.py
@@ -89,6 +89,9 @@
 # Figures of a load report that each upstream states.
 _LOAD_COUNTS = 3
 
+# Python converts longer texts to integers slowly, or not at all.
+_MAX_DIGITS = 18
+
 
 class RequestFields(NamedTuple):
     """Properties of a request, from a caller's headers.
@@ -318,6 +321,11 @@
     return delay_s if math.isfinite(delay_s) and delay_s >= 0 else None
 
 
+def is_count(text: bytes) -> bool:
+    """Returns whether a text is a number that counts something."""
+    return text.isdigit() and len(text) <= _MAX_DIGITS
+
+
 def _decode_load(value: bytes) -> LoadReport | None:
     """Decodes a load; ignores figures after the known ones.
 
@@ -325,10 +333,10 @@
     """
     texts = [text.strip() for text in value.split(b",")]
     counts = texts[:_LOAD_COUNTS]
-    if len(counts) < _LOAD_COUNTS or not all(map(bytes.isdigit, counts)):
+    if len(counts) < _LOAD_COUNTS or not all(map(is_count, counts)):
         return None
     load = LoadReport(*map(int, counts))
     work_time = texts[_LOAD_COUNTS : _LOAD_COUNTS + 1]
-    if work_time and work_time[0].isdigit() and int(work_time[0]):
+    if work_time and is_count(work_time[0]) and int(work_time[0]):
         return load._replace(work_time_percent=int(work_time[0]))
     return load
--- a/test/gateway/test_events.py
+++ b/test/gateway/test_events.py
@@ -21,6 +21,26 @@
             splitter.feed(b"id: 2\ndata: y\n\nid: 1\ndata: x\n\n")
         self.assertEqual(b"1", splitter.last_id)
 
+    def test_ids_that_are_too_long_to_convert(self):
+        # The stream was cut by an exception.
+        splitter = EventSplitter()
+        first, second = b"8" * 5000, b"9" * 5000
+        splitter.feed(b"id: %s\n\nid: %s\n\n" % (first, second))
+        self.assertEqual(second, splitter.last_id)
+        with self.assertRaises(InvalidEventError):
+            splitter.feed(b"id: %s\n\n" % first)
+
+    @given(st.integers(0), st.integers(0), st.integers(0, 3))
+    def test_numeric_ids_increase(self, first, second, zeros):
+        splitter = EventSplitter()
+        splitter.feed(b"id: %s%d\n\n" % (b"0" * zeros, first))
+        try:
+            splitter.feed(b"id: %d\n\n" % second)
+            is_accepted = True
+        except InvalidEventError:
+            is_accepted = False
+        self.assertEqual(second > first, is_accepted)
+
     def test_partial_event_is_buffered(self):
         splitter = EventSplitter()
         self.assertEqual(b"", splitter.feed(b"id: 1\ndata"))
