Refuse names that make messages larger than a datagram

Six requests with names of 15 kB for their model or adapter kept the leader from learning what a host's other callers wait for: a model that no engine holds was not loaded, and its requests got 503. The host's loads were unknown to the other hosts as well.

Cause: the reports of demand and of loads name what callers ask for. One of more than 65507 bytes is dropped by the socket without an error; the demand of the last 2 s is in each report, that of the last 120 s in some.

Change: names of models and adapters that are longer than 128 characters are answered 400. Prompt parts, which are part of loads once they are suspected, are replaced by a hash if they are longer.

Not covered: hundreds of distinct short names within 2 s.

--- a/acaciaspoke/platform/headers.py
+++ b/acaciaspoke/platform/headers.py
@@ -6,6 +6,8 @@
 from email.utils import parsedate_to_datetime
 from typing import NamedTuple
 
+import xxhash
+
 from acaciaspoke.gateway.types import Artifact, Request
 from acaciaspoke.ids import (
     AdapterId,
@@ -83,6 +85,10 @@
 # between hosts carry integers of 64 bits, and sums of these.
 MAX_TOKENS = 2**31 - 1
 
+# Length of a name of a caller that is part of messages between hosts; some
+# hundred must fit into a datagram.
+MAX_NAME_LENGTH = 128
+
 # Parts of a prompt that are kept; a longer list is truncated.
 MAX_SHARED_PARTS = 32
 
@@ -172,8 +178,9 @@
     """Decodes a caller's headers, whose names are in lower case.
 
     Raises:
-        ValueError: If the time is not a number, or the token counts are not
-            numbers from 0 to ``MAX_TOKENS``.
+        ValueError: If the time is not a number, the token counts are not
+            numbers from 0 to ``MAX_TOKENS``, or the model or the adapter is
+            longer than ``MAX_NAME_LENGTH``.
     """
     found = dict(headers)
     text = {
@@ -204,13 +211,22 @@
 def _decode_parts(value: bytes) -> list[PartId]:
     """Returns the ids of a prompt's parts; an empty one if there are none."""
     parts = value.decode("latin-1").split(",")
-    return [PartId(part.partition(":")[0].strip()) for part in parts]
+    return [_to_part_id(part.partition(":")[0].strip()) for part in parts]
+
+
+def _to_part_id(name: str) -> PartId:
+    # Part ids are only compared.
+    if len(name) > MAX_NAME_LENGTH:
+        return PartId(xxhash.xxh3_128_hexdigest(name.encode()))
+    return PartId(name)
 
 
 def _decode_artifact(text: str) -> Artifact | None:
     if not text:
         return None
     model, _, adapter = text.partition("/")
+    if max(len(model), len(adapter)) > MAX_NAME_LENGTH:
+        raise ValueError("the name of the model or the adapter is too long")
     return Artifact(ModelId(model), AdapterId(adapter) if adapter else None)
 
 
