Report running requests beside one without a model

While a request without a model ran at an engine, the leader knew of no request there. So a model or an adapter in use could be unloaded as an idle one, and its requests refused.

Cause: the report of running requests leaves out each upstream that has a request without a model, in order to leave out services without models.

Change: it leaves out only the requests without a model.

Evidence: test_request_without_a_model_does_not_hide_running_ones of test.gateway.test_dispatch failed before, as the report was empty.

--- a/acaciaspoke/gateway/dispatch.py
+++ b/acaciaspoke/gateway/dispatch.py
@@ -432,9 +432,15 @@
     ) -> dict[UpstreamId, tuple[tuple[Artifact, int], ...]]:
         """Returns this host's requests at each engine, by artifact."""
         return {
-            name: tuple(upstream.in_flight.items())
+            name: counts
             for name, upstream in self.fleet.upstreams.items()
-            if upstream.in_flight and None not in upstream.in_flight
+            if (
+                counts := tuple(
+                    (artifact, count)
+                    for artifact, count in upstream.in_flight.items()
+                    if artifact is not None
+                )
+            )
         }
 
     def lacks_replica(self, request: Request, now_s: float) -> bool:
--- a/test/gateway/test_dispatch.py
+++ b/test/gateway/test_dispatch.py
@@ -41,6 +41,18 @@
             )
         self.assertEqual("urgent", _names(dispatcher.decide(0.0))[0])
 
+    def test_request_without_a_model_does_not_hide_running_ones(self):
+        # The leader unloaded models and adapters that were in use.
+        dispatcher = new_dispatcher(record("u1", "m1", slots=4))
+        dispatcher.submit(request("plain", artifact=None), 0.0)
+        self.assertEqual(["plain"], _names(dispatcher.decide(0.0)))
+        self.assertEqual({}, dispatcher.running_by_artifact())
+        dispatcher.submit(request("named"), 0.0)
+        self.assertEqual(["named"], _names(dispatcher.decide(0.0)))
+        self.assertEqual(
+            {"u1": ((artifact("m1"), 1),)}, dispatcher.running_by_artifact()
+        )
+
     def test_retry_of_a_caller_goes_first(self):
         dispatcher = new_dispatcher(record("u1", "m1", slots=1))
         dispatcher.submit(request("new", 1.0), 1.0)
