Don't close idle connections on which a request has arrived

Cause: a connection is closed when its timer is due, or all idle ones at a stop, whether or not its socket has data that the event loop has not read yet. Timers that were due before the loop was busy run before it reads again.

Change: before an idle connection is closed, its socket is checked for unread data, as is done already before a connection to an upstream is reused.

--- a/acaciaspoke/entry/transport.py
+++ b/acaciaspoke/entry/transport.py
@@ -7,7 +7,6 @@
 
 import asyncio
 import os
-import select
 import socket
 import ssl
 from collections.abc import Awaitable, Callable, Iterable
@@ -17,6 +16,7 @@
 import httpcore
 
 from acaciaspoke.util.http import DEAD_PEER_DETECTION_OPTIONS
+from acaciaspoke.util.net import has_unread_data
 
 # Reading pauses while this much is buffered, so that an upstream that is faster
 # than its caller does not exhaust the memory.
@@ -232,12 +232,7 @@
         # still in the socket.
         if self._protocol.is_readable or self._transport.is_closing():
             return True
-        raw = self._transport.get_extra_info("socket")
-        if raw is None or raw.fileno() < 0:
-            return True
-        poll = select.poll()
-        poll.register(raw.fileno(), select.POLLIN)
-        return bool(poll.poll(0))
+        return has_unread_data(self._transport)
 
 
 def _error_text(error: Exception | None) -> str:
--- a/acaciaspoke/gateway/protocol.py
+++ b/acaciaspoke/gateway/protocol.py
@@ -5,10 +5,14 @@
 
 from acaciaspoke.gateway.types import CallerLimits
 from acaciaspoke.util.http_protocol import HttpProtocol
+from acaciaspoke.util.net import has_unread_data
 
 _TOO_LARGE = b"431 Request Header Fields Too Large"
 _TIMEOUT = b"408 Request Timeout"
 
+# Pause until an idle connection with unread data is checked again.
+UNREAD_DATA_WAIT_S = 0.05
+
 
 class _HeadRefusedError(Exception):
     """Stops the parser at a head that is refused."""
@@ -30,9 +34,7 @@
 
         def connection_made(self, transport) -> None:
             super().connection_made(transport)
-            self.timeout_keep_alive_task = self.loop.call_later(
-                limits().idle_timeout_s, self.timeout_keep_alive_handler
-            )
+            self._close_when_idle_for(limits().idle_timeout_s)
 
         def connection_lost(self, exc) -> None:
             self._stop_header_timer()
@@ -81,6 +83,18 @@
             self.timeout_keep_alive = limits().idle_timeout_s
             super().on_response_complete()
 
+        def timeout_keep_alive_handler(self) -> None:
+            if has_unread_data(self.transport):
+                # A request has arrived; it is read in the next iteration.
+                self._close_when_idle_for(UNREAD_DATA_WAIT_S)
+            else:
+                super().timeout_keep_alive_handler()
+
+        def _close_when_idle_for(self, wait_s: float) -> None:
+            self.timeout_keep_alive_task = self.loop.call_later(
+                wait_s, self.timeout_keep_alive_handler
+            )
+
         def _refuse_head(self, status: bytes) -> None:
             self._in_header = False
             self._stop_header_timer()
--- a/acaciaspoke/util/http_protocol.py
+++ b/acaciaspoke/util/http_protocol.py
@@ -11,6 +11,8 @@
     RequestResponseCycle,
 )
 
+from acaciaspoke.util.net import has_unread_data
+
 _FRAMING_HEADERS = (b"content-length", b"transfer-encoding")
 
 
@@ -112,6 +114,16 @@
         super().connection_made(transport)
         self.parser = _Parser(self)
 
+    def shutdown(self) -> None:
+        """Closes an idle connection, or has it closed after its response.
+
+        A connection with a request that has not been read yet stays open; the
+        server calls this again.
+        """
+        is_idle = self.cycle is None or self.cycle.response_complete
+        if not (is_idle and has_unread_data(self.transport)):
+            super().shutdown()
+
     def data_received(self, data: bytes) -> None:
         """Parses received data; ignores what follows a refused request."""
         if self._refusal is None:
--- a/acaciaspoke/util/net.py
+++ b/acaciaspoke/util/net.py
@@ -1,7 +1,9 @@
-"""Parsing of network addresses."""
+"""Network addresses and the state of sockets."""
 
+import asyncio
 import ipaddress
 import re
+import select
 from typing import NamedTuple
 
 # Characters of a scope id that need no encoding in a URL (RFC 6874).
@@ -38,3 +40,13 @@
     if not is_number or not 0 < int(port) < 65536:
         raise ValueError(f"{address!r} has no valid port")
     return HostPort(ip, int(port))
+
+
+def has_unread_data(transport: asyncio.BaseTransport) -> bool:
+    """Returns whether data or the end of the stream waits in the socket."""
+    raw = transport.get_extra_info("socket")
+    if raw is None or raw.fileno() < 0:
+        return True
+    poll = select.poll()
+    poll.register(raw.fileno(), select.POLLIN)
+    return bool(poll.poll(0))
--- /dev/null
+++ b/test/gateway/test_request_at_idle_limit.py
@@ -0,0 +1,73 @@
+"""Requests on connections that have been idle for as long as they may be."""
+
+import asyncio
+import socket
+import time
+
+from test.gateway.serving import GatewayTest, configuration
+
+IDLE_S = 0.4
+
+
+class RequestAtIdleLimitTest(GatewayTest):
+    """The connection was closed without an answer."""
+
+    async def asyncSetUp(self):
+        await super().asyncSetUp()
+        await self._set_idle_limit(2, IDLE_S)
+        self.raw = socket.socket()
+        self.addCleanup(self.raw.close)
+        self.raw.setblocking(False)
+        host, port = self.address.split(":")
+        loop = asyncio.get_running_loop()
+        await loop.sock_connect(self.raw, (host, int(port)))
+
+    async def _set_idle_limit(self, version, idle_s):
+        limits = {"idle-timeout-ms": idle_s * 1000}
+        row = configuration(version, limits=limits)
+        self.store.put("op", "config", row)
+        await self.eventually(
+            lambda: self.gateway.app.configuration.version == version
+        )
+
+    def _send(self):
+        headers = [f"{name}: {text}" for name, text in self.headers().items()]
+        lines = ["GET /safe/x HTTP/1.1", *headers, "", ""]
+        self.raw.send("\r\n".join(lines).encode())
+
+    async def _check_answer(self):
+        received = await asyncio.get_running_loop().sock_recv(self.raw, 9999)
+        self.assertIn(b" 200 ", received)
+
+    async def test_request_that_arrives_while_the_process_is_busy(self):
+        self._send()
+        await self._check_answer()
+        await self.eventually(lambda: self._protocol().timeout_keep_alive_task)
+        end_s = self._protocol().timeout_keep_alive_task.when()
+        loop = asyncio.get_running_loop()
+        # Both are due after this, so that nothing is read between them.
+        loop.call_at(end_s - 0.1, time.sleep, 0.2)
+        loop.call_at(end_s - 0.05, self._send)
+        await self._check_answer()
+
+    async def test_request_that_arrives_as_the_process_stops(self):
+        self._send()
+        await self._check_answer()
+        self._send()
+        self._protocol().shutdown()
+        await self._check_answer()
+
+    def _protocol(self):
+        peer = self.raw.getsockname()
+        (transport,) = (
+            transport
+            for transport in asyncio.get_running_loop()._transports.values()
+            if transport.get_extra_info("peername") == peer
+        )
+        return transport.get_protocol()
+
+    async def test_connection_is_closed_after_the_limit(self):
+        self._send()
+        await self._check_answer()
+        loop = asyncio.get_running_loop()
+        self.assertEqual(b"", await loop.sock_recv(self.raw, 9999))
