Apply a raised idle limit to connections that are idle already

Cause: the limit was read when a response was complete. Now it is read when the timer is due as well, and the rest of the time is waited for.

A limit that is lowered still applies from the next response on.

Evidence: test_limit_that_was_raised_while_the_connection_was_idle failed before (the connection was closed at 0.4 s in place of 8 s).

--- a/acaciaspoke/gateway/protocol.py
+++ b/acaciaspoke/gateway/protocol.py
@@ -26,6 +26,7 @@
     class LimitedProtocol(HttpProtocol):
         """Limits the size and time of headers, and idle connections."""
 
+        _idle_since_s = 0.0
         _in_message = False
         _in_header = False
         _begun_in_read = 0
@@ -34,6 +35,7 @@
 
         def connection_made(self, transport) -> None:
             super().connection_made(transport)
+            self._idle_since_s = self.loop.time()
             self._close_when_idle_for(limits().idle_timeout_s)
 
         def connection_lost(self, exc) -> None:
@@ -81,12 +83,18 @@
 
         def on_response_complete(self) -> None:
             self.timeout_keep_alive = limits().idle_timeout_s
+            self._idle_since_s = self.loop.time()
             super().on_response_complete()
 
         def timeout_keep_alive_handler(self) -> None:
-            if has_unread_data(self.transport):
+            # A newer configuration may allow more time, of which callers know.
+            end_s = self._idle_since_s + limits().idle_timeout_s
+            wait_s = end_s - self.loop.time()
+            if wait_s <= 0 and has_unread_data(self.transport):
                 # A request has arrived; it is read in the next iteration.
-                self._close_when_idle_for(UNREAD_DATA_WAIT_S)
+                wait_s = UNREAD_DATA_WAIT_S
+            if wait_s > 0:
+                self._close_when_idle_for(wait_s)
             else:
                 super().timeout_keep_alive_handler()
 
--- a/test/gateway/test_request_at_idle_limit.py
+++ b/test/gateway/test_request_at_idle_limit.py
@@ -39,6 +39,14 @@
         received = await asyncio.get_running_loop().sock_recv(self.raw, 9999)
         self.assertIn(b" 200 ", received)
 
+    async def test_limit_that_was_raised_while_the_connection_was_idle(self):
+        self._send()
+        await self._check_answer()
+        await self._set_idle_limit(3, 20 * IDLE_S)
+        await asyncio.sleep(2 * IDLE_S)
+        self._send()
+        await self._check_answer()
+
     async def test_request_that_arrives_while_the_process_is_busy(self):
         self._send()
         await self._check_answer()
