--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -34,7 +34,9 @@
     204: "as 102",
     303: "a connection that was already closed was reset",
     406: "as 1",
-    3036: "a request crossed the close after the idle limit",
+    3036: "a request arrived as its idle connection was closed",
+    4020: "as 3036",
+    4031: "as 3036",
 }
 
 
