Order no load for requests that are refused before it ends

Cause: the gain of a model without a replica grows with the wait of its oldest request until that request is refused, and the planner did not know when that is. So loads were ordered when nobody could wait for them any more.

Change: hosts report how long a waiting request can still wait, and how long new requests of its route wait. An engine whose load would end later is left out, unless the route never waits for a load. New obstacle `late`.

Test: LateLoadTest.test_load_is_ordered_only_while_the_request_can_wait_for_it; failed before, as the load was ordered after 12 s of waiting.

--- a/acaciaspoke/gateway/admission.py
+++ b/acaciaspoke/gateway/admission.py
@@ -10,7 +10,7 @@
 
 import xxhash
 
-from acaciaspoke.gateway.types import Request, RouteKind
+from acaciaspoke.gateway.types import Request, Route, RouteKind
 
 # Callers give up on a stream that has not begun after the longest of these:
 # a time, multiples of the latency objective and of the gap objective (the
@@ -73,18 +73,24 @@
         return self.cold_s + self.ahead * self.service_s / self.slots
 
 
-def max_wait_s(request: Request) -> float:
-    """Returns how long a caller waits for the first byte."""
-    route = request.route
-    total_s = request.deadline_s - request.arrived_s
+def patience_s(route: Route) -> float:
+    """Returns how long the caller of a new request waits for the first byte."""
     if route.kind is not RouteKind.STREAMING:
-        return total_s
+        return route.timeout_s
     longest_s = max(
         MIN_FIRST_BYTE_WAIT_S,
         FIRST_BYTE_WAIT_OBJECTIVES * route.objective_s,
         FIRST_BYTE_WAIT_GAPS * route.gap_objective_s,
     )
-    return min(longest_s, total_s)
+    return min(longest_s, route.timeout_s)
+
+
+def max_wait_s(request: Request) -> float:
+    """Returns how long the caller of a request waits for the first byte."""
+    total_s = request.deadline_s - request.arrived_s
+    if request.route.kind is not RouteKind.STREAMING:
+        return total_s
+    return min(patience_s(request.route), total_s)
 
 
 def latest_start_s(request: Request, service_s: float) -> float:
--- a/acaciaspoke/gateway/demand.py
+++ b/acaciaspoke/gateway/demand.py
@@ -153,12 +153,20 @@
         """Returns the demand for each artifact."""
         waiting: Counter[Artifact] = Counter()
         oldest: dict[Artifact, float] = {}
+        remaining: dict[Artifact, float] = {}
+        patience: dict[Artifact, float] = {}
         for digest in self._fresh(now_s):
             for item in digest.demand:
                 if item.waiting:
                     name = item.artifact
                     waiting[name] += item.waiting
                     oldest[name] = max(oldest.get(name, 0.0), item.oldest_s)
+                    remaining[name] = max(
+                        remaining.get(name, 0.0), item.remaining_s
+                    )
+                    patience[name] = min(
+                        patience.get(name, math.inf), item.patience_s
+                    )
         return {
             artifact: TotalDemand(
                 service=rates.service,
@@ -170,6 +178,8 @@
                 rate_per_s=rates.requests.at(now_s),
                 tokens_per_s=rates.tokens.at(now_s),
                 last_s=rates.last_s,
+                remaining_s=remaining.get(artifact, 0.0),
+                patience_s=patience.get(artifact, math.inf),
             )
             for artifact, rates in self._rates.items()
         }
--- a/acaciaspoke/gateway/dispatch.py
+++ b/acaciaspoke/gateway/dispatch.py
@@ -425,7 +425,12 @@
             full: Whether to include artifacts without recent requests.
         """
         waiting = sorted(self._waiting.values(), key=_priority_key)
-        return self._demand.report(waiting, now_s, full)
+        return self._demand.report(
+            waiting,
+            now_s,
+            full,
+            lambda request: self._latest_start_s(request, now_s),
+        )
 
     def running_by_artifact(
         self,
--- a/acaciaspoke/gateway/local_demand.py
+++ b/acaciaspoke/gateway/local_demand.py
@@ -1,8 +1,10 @@
 """Counts the demand of this host's callers for each artifact."""
 
+import math
 from collections import Counter
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 
+from acaciaspoke.gateway.admission import patience_s
 from acaciaspoke.gateway.demand import LEAST_URGENT
 from acaciaspoke.gateway.messages import ArtifactDemand
 from acaciaspoke.gateway.types import Artifact, Request
@@ -46,7 +48,11 @@
         demand.last_s = now_s
 
     def report(
-        self, waiting: Iterable[Request], now_s: float, full: bool
+        self,
+        waiting: Iterable[Request],
+        now_s: float,
+        full: bool,
+        latest_start_s: Callable[[Request], float],
     ) -> tuple[ArtifactDemand, ...]:
         """Returns the demand; removes artifacts without recent requests.
 
@@ -54,13 +60,25 @@
             waiting: The waiting requests, the most urgent first.
             now_s: The current time.
             full: Whether to include artifacts without recent requests.
+            latest_start_s: Returns the latest time at which a request may be
+                sent to an upstream.
         """
         counts: Counter[Artifact] = Counter()
         first: dict[Artifact, Request] = {}
+        remaining_s: dict[Artifact, float] = {}
+        patience: dict[Artifact, float] = {}
         for request in waiting:
-            if request.artifact is not None:
-                counts[request.artifact] += 1
-                first.setdefault(request.artifact, request)
+            artifact = request.artifact
+            if artifact is not None:
+                counts[artifact] += 1
+                first.setdefault(artifact, request)
+                remaining_s[artifact] = max(
+                    remaining_s.get(artifact, 0.0),
+                    latest_start_s(request) - now_s,
+                )
+                patience[artifact] = min(
+                    patience.get(artifact, math.inf), patience_s(request.route)
+                )
         self._demand = {
             artifact: demand
             for artifact, demand in self._demand.items()
@@ -77,6 +95,8 @@
                 if artifact in first
                 else 0.0,
                 prompt_tokens=demand.prompt_tokens,
+                remaining_s=remaining_s.get(artifact, 0.0),
+                patience_s=patience.get(artifact, math.inf),
             )
             for artifact, demand in self._demand.items()
             if full
--- a/acaciaspoke/gateway/messages.py
+++ b/acaciaspoke/gateway/messages.py
@@ -3,6 +3,7 @@
 They are sent as datagrams, which may be lost, duplicated or delayed.
 """
 
+import math
 from typing import NamedTuple
 
 import msgspec
@@ -170,6 +171,10 @@
         priority: Priority of the most urgent waiting request.
         oldest_s: How long the oldest request has waited.
         prompt_tokens: Prompt tokens of all arrivals.
+        remaining_s: The longest time for which a waiting request can go on
+            waiting until it is sent to an upstream.
+        patience_s: The shortest time for which new requests of the routes of
+            the waiting ones wait.
     """
 
     service: ServiceId
@@ -179,6 +184,8 @@
     priority: int
     oldest_s: float
     prompt_tokens: int = 0
+    remaining_s: float = math.inf
+    patience_s: float = math.inf
 
 
 class DemandDigest(_Message, kw_only=True):
--- a/acaciaspoke/gateway/placement.py
+++ b/acaciaspoke/gateway/placement.py
@@ -44,6 +44,9 @@
 # waited, by weight; keeps busier models from starving it.
 WAITING_GAIN_PER_S = 0.7
 
+# Time from planning a load until it begins: the order, and an unload before it.
+ORDER_DELAY_S = 0.5
+
 # Cost of a replica in a failure domain that already has one.
 SAME_DOMAIN_COST = 0.2
 
@@ -52,12 +55,14 @@
     """Why no engine gets an order for a model.
 
     ``ENGINE``: all engines that lack it execute or await other orders.
-    ``LOAD_LIMIT``: the weight store allows no load now. ``COST``: at each
-    engine, the load costs more than the model gains.
+    ``LOAD_LIMIT``: the weight store allows no load now. ``LATE``: the waiting
+    requests will be refused before any load ends. ``COST``: at each engine, the
+    load costs more than the model gains.
     """
 
     ENGINE = "engine"
     LOAD_LIMIT = "load_limit"
+    LATE = "late"
     COST = "cost"
 
 
@@ -217,6 +222,14 @@
             if obstacle is Obstacle.ENGINE:
                 obstacle = Obstacle.LOAD_LIMIT
             continue
+        load_s = _load_s(model, engine, spec)
+        is_needed_now = not replicas.holders[model] and replicas.waiting[model]
+        if is_needed_now and replicas.is_too_late(
+            model, ORDER_DELAY_S + load_s
+        ):
+            if obstacle is not Obstacle.COST:
+                obstacle = Obstacle.LATE
+            continue
         obstacle = Obstacle.COST
         victim, eviction_cost = _victim(model, engine, replicas, spec)
         if model not in replicas.priority and replicas.is_urgent(victim):
@@ -226,7 +239,7 @@
             engine,
             engine.failure_domain in domains,
             eviction_cost,
-            _load_s(model, engine, spec),
+            load_s,
             replicas,
         )
         cost = sum(costs)
--- a/acaciaspoke/gateway/replicas.py
+++ b/acaciaspoke/gateway/replicas.py
@@ -121,6 +121,8 @@
         self.waiting: Counter[ModelId] = Counter()
         self.weight: dict[ModelId, float] = {}
         self.oldest_s: dict[ModelId, float] = {}
+        self._remaining_s: Counter[ModelId] = Counter()
+        self._patience_s: dict[ModelId, float] = {}
         for artifact, total in demands.items():
             model = artifact.model
             self.rate[model] += total.rate_per_s
@@ -134,6 +136,28 @@
             self.oldest_s[model] = max(
                 total.oldest_s, self.oldest_s.get(model, 0.0)
             )
+            if total.waiting:
+                self._remaining_s[model] = max(
+                    total.remaining_s, self._remaining_s[model]
+                )
+                self._patience_s[model] = min(
+                    total.patience_s, self._patience_s.get(model, math.inf)
+                )
+
+    def is_too_late(self, model: ModelId, ready_s: float) -> bool:
+        """Returns whether no waiting request can wait for a replica any more.
+
+        Requests of routes that never wait for a load from the weight store show
+        demand to come, so that a replica is useful in any case.
+
+        Args:
+            model: A model for which requests wait.
+            ready_s: In how many seconds the replica would be ready.
+        """
+        load_s = self._spec.models[model].load_s
+        if self._patience_s[model] < load_s:
+            return False
+        return self._remaining_s[model] < ready_s
 
     def demand(self, model: ModelId) -> float:
         """Returns the slots that a model's requests need."""
--- a/test/gateway/test_demand.py
+++ b/test/gateway/test_demand.py
@@ -5,7 +5,13 @@
 from acaciaspoke.gateway.demand import DemandTracker
 from acaciaspoke.gateway.messages import ArtifactDemand, DemandDigest
 from acaciaspoke.ids import BootId, HostId
-from test.gateway.builders import SERVICE, artifact
+from test.gateway.builders import (
+    SERVICE,
+    artifact,
+    new_dispatcher,
+    request,
+    route,
+)
 
 
 class RateTest(unittest.TestCase):
@@ -61,3 +67,43 @@
         self._update(2, 0.2, priority=1)
         self._update(3, 0.3, priority=2)
         self.assertEqual(1, self._demand(0.4).priority)
+
+
+class PatienceTest(unittest.TestCase):
+    """Hosts report how long their waiting requests can wait for a replica."""
+
+    def _report(self, *requests, now_s):
+        dispatcher = new_dispatcher()
+        for each in requests:
+            dispatcher.submit(each, each.arrived_s)
+        (item,) = dispatcher.demand(now_s, full=True)
+        return item
+
+    def test_request_with_most_time_left_counts(self):
+        calm = route(objective_s=8.0, timeout_s=15.0, priority=2)
+        item = self._report(
+            request("q1", 0.0, route=calm),
+            request("q2", 3.0, route=calm),
+            now_s=10.0,
+        )
+        self.assertEqual(15.0, item.patience_s)
+        self.assertAlmostEqual(8.0 - 0.25, item.remaining_s)
+
+    def test_shortest_patience_counts(self):
+        # The next requests of an urgent route need the replica in any case.
+        calm = route(objective_s=8.0, timeout_s=15.0, priority=2)
+        urgent = route(objective_s=0.5, timeout_s=3.0)
+        item = self._report(
+            request("q1", 0.0, route=calm),
+            request("q2", 1.0, route=urgent),
+            now_s=1.0,
+        )
+        self.assertEqual(2.0, item.patience_s)
+
+    def test_repeat_does_not_shorten_the_patience_of_its_route(self):
+        # Callers repeat a request with the time that they have left.
+        calm = route(objective_s=8.0, timeout_s=15.0, priority=2)
+        repeat = request("q1", 0.0, route=calm, deadline_s=4.0)
+        item = self._report(repeat, now_s=1.0)
+        self.assertEqual(15.0, item.patience_s)
+        self.assertLess(item.remaining_s, 3.0)
--- a/test/gateway/test_placement.py
+++ b/test/gateway/test_placement.py
@@ -4,9 +4,11 @@
 from collections import Counter
 
 from acaciaspoke.gateway.adapter_placement import plan_adapters
+from acaciaspoke.gateway.demand import DemandTracker
+from acaciaspoke.gateway.messages import DemandDigest
 from acaciaspoke.gateway.placement import Obstacle, plan_models
 from acaciaspoke.gateway.replicas import MIN_RESIDENCE_S
-from acaciaspoke.ids import ModelId
+from acaciaspoke.ids import BootId, HostId, ModelId
 from acaciaspoke.platform.engine import OrderAction
 from test.gateway.builders import (
     artifact,
@@ -14,6 +16,9 @@
     demands,
     engine,
     engine_spec,
+    new_dispatcher,
+    request,
+    route,
 )
 
 MODELS = ("m1", "m2", "m3", "m4", "m5")
@@ -139,6 +144,90 @@
         self.assertGreater(sum(costs), unplaced.gain)
 
 
+class LateLoadTest(unittest.TestCase):
+    """Requests wait for a model, but not until a load has ended."""
+
+    SLOW = engine_spec(*MODELS, load_s=4.0)
+
+    def _plan(self, *engines, **demand):
+        found = []
+        orders = plan_models(
+            list(engines),
+            demands(
+                *(demand_for(artifact(model), priority=2) for model in MODELS),
+                demand_for(
+                    artifact("m5"), priority=2, **{"waiting": 1, **demand}
+                ),
+            ),
+            self.SLOW,
+            5,
+            0.0,
+            on_unplaced=found.append,
+        )
+        return orders, [each.obstacle for each in found]
+
+    def test_request_that_is_refused_before_the_load_ends_starts_none(self):
+        # Loads were ordered 12 s after a request arrived; it was refused as
+        # they began, and nobody was served.
+        late = {"oldest_s": 12.0, "remaining_s": 2.0, "patience_s": 14.0}
+        orders, obstacles = self._plan(engine("u1", "m1"), **late)
+        self.assertEqual([], orders)
+        self.assertEqual([Obstacle.LATE], obstacles)
+
+    def _orders_after(self, wait_s):
+        """Returns the orders once a host's only request has waited so long."""
+        calm = route(objective_s=8.0, timeout_s=15.0, priority=2)
+        dispatcher = new_dispatcher()
+        dispatcher.submit(request(route=calm, artifact=artifact("m5")), 0.0)
+        tracker = DemandTracker()
+        tracker.apply(
+            DemandDigest(
+                host=HostId("h1"),
+                boot=BootId("b"),
+                sequence=1,
+                demand=dispatcher.demand(wait_s, full=True),
+            ),
+            wait_s,
+        )
+        known = demands(
+            *(demand_for(artifact(model), priority=2) for model in MODELS)
+        )
+        return plan_models(
+            [engine("u1", "m1")],
+            known | tracker.totals(wait_s),
+            self.SLOW,
+            5,
+            wait_s,
+        )
+
+    def test_load_is_ordered_only_while_the_request_can_wait_for_it(self):
+        (order,) = self._orders_after(9.0)
+        self.assertEqual(artifact("m5"), order.artifact)
+        self.assertEqual([], self._orders_after(12.0))
+
+    def test_request_that_can_wait_starts_a_load(self):
+        early = {"oldest_s": 9.0, "remaining_s": 5.0, "patience_s": 14.0}
+        (order,), _ = self._plan(engine("u1", "m1"), **early)
+        self.assertEqual(artifact("m5"), order.artifact)
+
+    def test_engine_with_cached_weights_loads_in_time(self):
+        late = {"oldest_s": 12.0, "remaining_s": 2.0, "patience_s": 14.0}
+        cached = engine("u2", "m1", cached_models=frozenset([ModelId("m5")]))
+        (order,), _ = self._plan(engine("u1", "m1"), cached, **late)
+        self.assertEqual("u2", order.upstream)
+
+    def test_route_that_never_waits_for_a_load_starts_one(self):
+        # Its next requests find the replica.
+        short = {"oldest_s": 1.0, "remaining_s": 1.0, "patience_s": 2.0}
+        cold = engine("u1", "m1")
+        (order,), _ = self._plan(cold, waiting=9, **short)
+        self.assertEqual(artifact("m5"), order.artifact)
+        short["remaining_s"] = 0.1
+        cached = engine("u2", "m1", cached_models=frozenset([ModelId("m5")]))
+        (order,), _ = self._plan(cold, cached, waiting=9, **short)
+        self.assertEqual("u2", order.upstream)
+
+
 class ReplicaTest(unittest.TestCase):
     """One model gets more requests than its engine has slots."""
 
