Count the wait for a model on when its requests are refused

Cause: the gain of a model without a replica grew with the wait of its oldest request and began anew when that request was refused. With loads that cost 25 to 30 and gains of 10 to 12 at the time of the refusal, such a model never outbid the busy ones.

Change: the gain grows with the time for which requests for the model have waited since one has run (gateway/unserved.py). A refusal does not reset it, a running request does.

Urgent work may pay for it on small overloaded fleets.

--- a/acaciaspoke/gateway/demand.py
+++ b/acaciaspoke/gateway/demand.py
@@ -10,7 +10,14 @@
     is_superseded,
 )
 from acaciaspoke.gateway.types import Artifact
-from acaciaspoke.ids import BootId, HostId, ServiceId, UpstreamId
+from acaciaspoke.gateway.unserved import UnservedTimes
+from acaciaspoke.ids import (
+    BootId,
+    HostId,
+    ModelId,
+    ServiceId,
+    UpstreamId,
+)
 
 # Time constant of the exponential decay of a rate. Demand moves between models
 # within a few seconds, and a load takes about one.
@@ -36,11 +43,14 @@
         rate_per_s: Requests a second.
         tokens_per_s: Prompt tokens of these requests a second.
         last_s: When the last request arrived.
+        unserved_s: For how long requests for its model have waited since one
+            has run.
     """
 
     rate_per_s: float = 0.0
     tokens_per_s: float = 0.0
     last_s: float = 0.0
+    unserved_s: float = 0.0
 
 
 class _Rate:
@@ -120,6 +130,7 @@
         ] = {}
         self._rates: dict[Artifact, _ArtifactRates] = {}
         self._first_s: float | None = None
+        self._unserved = UnservedTimes()
 
     def observed_s(self, now_s: float) -> float:
         """Returns for how long demand has been reported."""
@@ -167,6 +178,7 @@
                     patience[name] = min(
                         patience.get(name, math.inf), item.patience_s
                     )
+        self._update_unserved(oldest, now_s)
         return {
             artifact: TotalDemand(
                 service=rates.service,
@@ -178,12 +190,29 @@
                 rate_per_s=rates.requests.at(now_s),
                 tokens_per_s=rates.tokens.at(now_s),
                 last_s=rates.last_s,
+                unserved_s=self._unserved.of(artifact.model),
                 remaining_s=remaining.get(artifact, 0.0),
                 patience_s=patience.get(artifact, math.inf),
             )
             for artifact, rates in self._rates.items()
         }
 
+    def _update_unserved(
+        self, oldest_s: dict[Artifact, float], now_s: float
+    ) -> None:
+        oldest_by_model_s: dict[ModelId, float] = {}
+        for artifact, wait_s in oldest_s.items():
+            model = artifact.model
+            known_s = oldest_by_model_s.get(model, 0.0)
+            oldest_by_model_s[model] = max(wait_s, known_s)
+        running = {
+            artifact.model
+            for digest in self._fresh(now_s)
+            for counts in digest.running.values()
+            for artifact, _ in counts
+        }
+        self._unserved.update(oldest_by_model_s, running, now_s)
+
     def running(self, now_s: float) -> dict[UpstreamId, Counter[Artifact]]:
         """Returns the requests at each engine, by artifact."""
         running: dict[UpstreamId, Counter[Artifact]] = {}
--- a/acaciaspoke/gateway/replicas.py
+++ b/acaciaspoke/gateway/replicas.py
@@ -120,7 +120,7 @@
                 self.loading_models.add(engine.loading)
         self.waiting: Counter[ModelId] = Counter()
         self.weight: dict[ModelId, float] = {}
-        self.oldest_s: dict[ModelId, float] = {}
+        self.unserved_s: Counter[ModelId] = Counter()
         self._remaining_s: Counter[ModelId] = Counter()
         self._patience_s: dict[ModelId, float] = {}
         for artifact, total in demands.items():
@@ -133,8 +133,8 @@
             known = self.priority.get(model, total.priority)
             self.priority[model] = min(known, total.priority)
             self.weight[model] = weight_of(self.priority[model])
-            self.oldest_s[model] = max(
-                total.oldest_s, self.oldest_s.get(model, 0.0)
+            self.unserved_s[model] = max(
+                total.oldest_s, total.unserved_s, self.unserved_s[model]
             )
             if total.waiting:
                 self._remaining_s[model] = max(
