--- a/standins/faults.py
+++ b/standins/faults.py
@@ -12,6 +12,7 @@
     Attributes:
         delay_s: Extra delay before each response.
         refuse: Answer 429 to everything, without applying it.
+        away: Close the connection of each request without applying it.
         drop_requests: Number of requests to drop without applying them.
         drop_answers: Number of requests to apply without a response.
         writes_only: Whether only writes are dropped.
@@ -23,6 +24,7 @@
 
     delay_s: float = 0.0
     refuse: bool = False
+    away: bool = False
     drop_requests: int = 0
     drop_answers: int = 0
     writes_only: bool = True
@@ -38,6 +40,7 @@
 
     async def handle(self, call: Call) -> None:
         """Handles one request, with the injected faults."""
+        call.default_headers = self.response_headers
         if call.path == "/standin/faults":
             self.set_faults(msgspec.convert(await call.json(), Faults))
             await call.answer({})
@@ -50,6 +53,10 @@
         """Replaces the faults."""
         self.faults = faults
 
+    def response_headers(self) -> dict[str, str]:
+        """Returns headers that each response gets."""
+        return {}
+
     def is_droppable(self, call: Call, body: bytes) -> bool:
         """Returns whether the drop faults apply to a request."""
         return call.method != "GET" or not self.faults.writes_only
@@ -62,6 +69,8 @@
         body = await call.body()
         faults = self.faults
         await anyio.sleep(faults.delay_s)
+        if self.faults.away:
+            raise ConnectionAbortedError("injected fault: away")
         if faults.refuse:
             await call.answer({"message": "too many requests", "code": 8}, 429)
             return
--- a/standins/http.py
+++ b/standins/http.py
@@ -13,7 +13,11 @@
 
 
 class Call:
-    """One request, with methods to answer it."""
+    """One request, with methods to answer it.
+
+    Attributes:
+        default_headers: Returns headers that each response gets.
+    """
 
     def __init__(self, scope, receive, send):
         self.method: str = scope["method"]
@@ -26,6 +30,7 @@
         self.receive = receive
         self.send = send
         self.started = False
+        self.default_headers: Callable[[], dict[str, str]] = dict
 
     async def body(self) -> bytes:
         """Reads the whole request body."""
@@ -49,7 +54,9 @@
                 "status": status,
                 "headers": [
                     (name.lower().encode(), value.encode())
-                    for name, value in headers.items()
+                    for name, value in (
+                        self.default_headers() | headers
+                    ).items()
                 ],
             }
         )
@@ -96,6 +103,8 @@
                 await call.start(200, {"content-length": "1"})
         except Exception:
             traceback.print_exc()
+            if not call.started:
+                await call.answer({}, 500)
             raise
 
     return app
--- a/test/platform/test_store.py
+++ b/test/platform/test_store.py
@@ -21,8 +21,8 @@
 
 @asynccontextmanager
 async def store_service(timeout_s: float = 5.0):
-    """Yields a stand-in of the store and its client."""
-    standin = MetaStore()
+    """Yields a stand-in of a store without eras, and its client."""
+    standin = MetaStore(has_eras=False)
     address = next_address()
     ip, port = address.split(":")
     async with serving(standin.handle, ip, int(port)):
