Log why a table of the store stays lost

A follower logged only the first failure of an outage. It now logs the reason every 2 s, so that an unanswered feed, a refused response and a configuration that is not newer can be told apart.

--- a/acaciaspoke/gateway/table_follower.py
+++ b/acaciaspoke/gateway/table_follower.py
@@ -24,6 +24,10 @@
 FEED_WAIT_S = 3.0
 RETRY_S = 0.25
 
+# Interval of the log lines about a table that stays lost; the reason may have
+# changed.
+LOST_LOG_INTERVAL_S = 2.0
+
 # Calls are billed, so they wait longer in a large deployment; there a host
 # learns of a change that it missed from others.
 MAX_FEED_WAIT_S = 20.0
@@ -178,6 +182,7 @@
         self._is_delegated = is_delegated
         self._version: int | None = None
         self._lost_since_s: float | None = None
+        self._lost_logged_s = float("-inf")
         self._call = anyio.CancelScope()
 
     @property
@@ -270,6 +275,17 @@
     def _record_failure(self, error: TableUnavailable) -> None:
         self._metrics.store_failures.inc()
         self._on_failure()
+        now_s = time.monotonic()
         if self._lost_since_s is None:
-            self._lost_since_s = time.monotonic()
+            self._lost_since_s = now_s
             logger.warning("store: table {} is lost: {}", self._table, error)
+        elif now_s - self._lost_logged_s >= LOST_LOG_INTERVAL_S:
+            logger.warning(
+                "store: table {} is still lost: {}",
+                self._table,
+                error,
+                lost_ms=round((now_s - self._lost_since_s) * 1000),
+            )
+        else:
+            return
+        self._lost_logged_s = now_s
