Order the store's versions over its restores

Cause: the client refuses responses whose version is lower than one that it has seen, as repetitions of earlier ones. A restored store counts on from the copy's version, so that all of its responses were refused. Feeds and conditions whose version is given out again would have been taken for those of before.

Change: the adapter puts the store's era, which each response names, into the upper bits of every version that leaves it. Versions are thereby ordered over restores, in the process and in messages between hosts. A host that learns of a new era, from its own call or from another host, reads all tables again.

--- a/acaciaspoke/gateway/messages.py
+++ b/acaciaspoke/gateway/messages.py
@@ -251,6 +251,7 @@
         is_committed: Whether the row was written; otherwise the answer has the
             current row.
         revision: The row's version; 0 if there is no row.
+        era: The highest era of the store that the sender knows.
     """
 
     asked_by: HostId
@@ -259,6 +260,7 @@
     is_committed: bool = False
     revision: int = 0
     value: bytes = b""
+    era: int = 0
 
 
 def is_superseded(message: _Message, known: _Message) -> bool:
--- a/acaciaspoke/gateway/metrics.py
+++ b/acaciaspoke/gateway/metrics.py
@@ -57,6 +57,9 @@
             ["table"],
             registry=self.registry,
         )
+        self.store_era = self._gauge(
+            "store_era", "Highest known era of the store"
+        )
         self.store_failures = self._counter(
             "store_failures", "Calls to the store without an answer"
         )
--- a/acaciaspoke/gateway/peer_lease_table.py
+++ b/acaciaspoke/gateway/peer_lease_table.py
@@ -11,6 +11,7 @@
 from typing import NamedTuple
 
 import anyio
+import msgspec
 from loguru import logger
 
 from acaciaspoke.clients.table import (
@@ -67,6 +68,8 @@
         local_host: HostId,
         post: Post,
         choose_peers: Callable[[int], list[HostId]],
+        store_era: Callable[[], int] = lambda: 0,
+        record_store_era: Callable[[int], None] = lambda era: None,
     ):
         """Creates the table without calling the store.
 
@@ -75,11 +78,15 @@
             local_host: This host.
             post: Sends a message, which may be lost, to hosts.
             choose_peers: Returns up to the given number of responsive hosts.
+            store_era: Returns the highest known era of the store.
+            record_store_era: Records an era that another host knows.
         """
         self._store = store
         self._local_host = local_host
         self._post = post
         self._choose_peers = choose_peers
+        self._store_era = store_era
+        self._record_store_era = record_store_era
         self._calls: dict[int, _Call] = {}
         self._numbers = itertools.count(1)
         self._inbox, self._queue = anyio.create_memory_object_stream[_Queued](
@@ -166,6 +173,9 @@
         call = self._calls.get(answer.number)
         if call is None or answer.asked_by != self._local_host:
             return  # The call has completed already.
+        self._record_store_era(answer.era)
+        if answer.era < self._store_era():
+            return  # The store was restored since.
         if answer.is_committed:
             call.answer(Committed(answer.revision))
             return
@@ -201,6 +211,7 @@
                 "call to the store for {} failed: {}", queued.asked_by, error
             )
             return
+        answer = msgspec.structs.replace(answer, era=self._store_era())
         self._post(answer, [queued.asked_by])
 
     async def _answer(self, request: RowRequest) -> RowAnswer:
--- a/acaciaspoke/gateway/process.py
+++ b/acaciaspoke/gateway/process.py
@@ -26,6 +26,7 @@
     LoadDigest,
     Message,
     PlacementNotice,
+    ReadProgress,
     RowAnswer,
     RowChanges,
     RowRequest,
@@ -58,6 +59,7 @@
     FeedRow,
     StoreClient,
 )
+from acaciaspoke.platform.versions import era_of, number_of
 from acaciaspoke.util.drain import Drain, stop_on_signals
 from acaciaspoke.util.log import LogWriter
 from acaciaspoke.util.net import split_address
@@ -104,7 +106,9 @@
         self._boot = BootId(uuid.uuid4().hex[:12])
         self._sequence = 0
         self._started_s = time.monotonic()
-        self._store = StoreClient(settings.store, STORE_TIMEOUT_S)
+        self._store = StoreClient(
+            settings.store, STORE_TIMEOUT_S, self._on_store_restored
+        )
         self._registration = Registration(settings, self._store)
         self._peers = Peers(
             settings.host_id,
@@ -114,7 +118,8 @@
         )
         self._dispatcher = Dispatcher(settings.domain_id, self._new_budget)
         self._registry = UpstreamRegistry(
-            self._dispatcher.fleet, settings.drain_ms / 1000
+            self._dispatcher.fleet,
+            settings.drain_ms / 1000,
         )
         memory_bytes = settings.memory_mb * 1024 * 1024
         self._request_handler = RequestHandler(
@@ -129,7 +134,12 @@
         self._leader_epoch = 0
         self._leader_last_seen_s = float("-inf")
         self._peer_lease_table = PeerLeaseTable(
-            self._store, settings.host_id, self._post, self._choose_peers
+            self._store,
+            settings.host_id,
+            self._post,
+            self._choose_peers,
+            lambda: self._store.era,
+            self._store.record_era,
         )
         self._leader = Leader(
             settings,
@@ -149,9 +159,7 @@
             self._dispatcher.fleet.peer_loads.apply_send,
             prefill_tokens_per_s=self._dispatcher.fleet.prefill_tokens_per_s,
             get_read_progress=lambda: self._row_relay.progress(),
-            record_read_progress=lambda read: self._row_relay.record_peer_read(
-                read
-            ),
+            record_read_progress=self._record_read_progress,
         )
         self._row_relay = RowRelay(
             settings.drain_ms / 1000,
@@ -250,7 +258,8 @@
             logger.info(
                 "configuration {} is in force",
                 configuration.version,
-                row_version=row.version,
+                row_version=number_of(row.version),
+                store_era=era_of(row.version),
                 routes=len(configuration.routes),
             )
 
@@ -311,7 +320,12 @@
             self._followers[OPERATOR_TABLE].reread()
         self._request_handler.dispatch()
 
+    def _record_read_progress(self, progress: ReadProgress) -> None:
+        self._store.record_era(era_of(progress.newest_version))
+        self._row_relay.record_peer_read(progress)
+
     def _apply_notice(self, notice: PlacementNotice, now_s: float) -> None:
+        self._store.record_era(era_of(notice.lease_revision))
         if notice.epoch < self._leader_epoch:
             return
         if notice.host != self._leader_host:
@@ -393,6 +407,13 @@
         links_mbps[local_host] = self._settings.link_mbps
         return should_compete(local_host, self._leader.lease.holder, links_mbps)
 
+    def _on_store_restored(self) -> None:
+        """Discards what depends on versions of the store before the restore."""
+        self.metrics.store_era.set(self._store.era)
+        self._registry.record_store_failure(time.monotonic())
+        for follower in self._followers.values():
+            follower.reread()
+
     def _on_store_failure(self) -> None:
         self._registry.record_store_failure(time.monotonic())
 
