Begin new epochs of the lease after a restore of the store

Cause: the restored row of the lease is gone or names an earlier holder, and the epoch was the row's plus one. A holder took its own earlier write for a renewal. The handover delay was reduced by what the row says of the former holder.

Change: a process that learns of a restore gives up the lease and forgets the row. The epochs of an era begin above those of earlier eras. The row states the era in which it was written; a holder whose predecessor's row is of an earlier one waits the whole handover delay and the time for which a renewal counts.

--- a/acaciaspoke/control/lease.py
+++ b/acaciaspoke/control/lease.py
@@ -60,6 +60,11 @@
 # stay below 2**53, which every JSON reader handles as an integer.
 EPOCH_SHIFT = 32
 
+# Epochs that are left to each era of the table. The holder that a restored
+# table shows may not be the last one, so the epochs of an era begin above those
+# of earlier eras.
+EPOCHS_PER_ERA = 1024
+
 MAX_REMEMBERED_WRITES = 32
 
 
@@ -87,6 +92,7 @@
         renewals: Incremented at each renewal, so that observers see a change.
         write_id: Identifies the write, so that a writer that got no response
             recognizes its own row.
+        era: The table's era when the row was written.
     """
 
     holder: HostId
@@ -94,6 +100,7 @@
     epoch: int
     renewals: int = 0
     write_id: str = ""
+    era: int = 0
 
 
 class Read(NamedTuple):
@@ -138,13 +145,27 @@
         lease_s: float,
         rng: random.Random,
         timing: LeaseTiming = LeaseTiming(),  # noqa: B008 - immutable
+        table_era: Callable[[], int] = lambda: 0,
     ):
+        """Creates the lease without having read its row.
+
+        Args:
+            domain: What the lease is for; names the row.
+            host: This host.
+            boot: The boot of this process.
+            lease_s: How long a write is valid.
+            rng: Draws write ids and delays.
+            timing: Intervals of reads and writes.
+            table_era: Returns the highest known era of the table, which rises
+                each time the table is restored from a copy.
+        """
         self.key = f"lease/{domain}"
         self._host = host
         self._boot = boot
         self._lease_s = lease_s
         self._rng = rng
         self._timing = timing
+        self._table_era = table_era
         self._machine: StateMachine[LeaseState] = StateMachine(
             "lease", LeaseState
         )
@@ -185,6 +206,16 @@
         """How often the holder in the last observed row has renewed it."""
         return self._row.renewals if self._row else 0
 
+    @property
+    def is_row_outdated(self) -> bool:
+        """Whether processes may have held the lease after the last row.
+
+        This is so if the table was restored from a copy, and the row was not
+        written since. A table that was never restored is in era 0 or 1.
+        """
+        era = self._table_era()
+        return era > 1 and (self._row is None or self._row.era < era)
+
     @property
     def epoch(self) -> int:
         """The epoch in which this process last held the lease."""
@@ -264,7 +295,8 @@
         if not self._released and self._is_free(now_s, candidate):
             if now_s < self._write_due_s:
                 return None
-            epoch = self._highest_epoch + 1
+            first_epoch = (self._table_era() - 1) * EPOCHS_PER_ERA + 1
+            epoch = max(self._highest_epoch + 1, first_epoch)
             row = LeaseRow(holder=self._host, boot=self._boot, epoch=epoch)
             return self._write(row, now_s)
         interval_s = (
@@ -310,7 +342,9 @@
         self._sent_writes[write_id] = now_s
         while len(self._sent_writes) > MAX_REMEMBERED_WRITES:
             del self._sent_writes[next(iter(self._sent_writes))]
-        row = msgspec.structs.replace(row, write_id=write_id)
+        row = msgspec.structs.replace(
+            row, write_id=write_id, era=self._table_era()
+        )
         return Write(self.key, row, self._revision or 0)
 
     # Results.
@@ -352,6 +386,18 @@
         """
         self._table_was_unreachable = True
 
+    def on_table_restored(self) -> None:
+        """Handles a table that has lost its latest writes.
+
+        What was known of the row is void, also the writes of this process.
+        """
+        self._row, self._revision = None, None
+        self._sent_writes.clear()
+        self._read_due_s = float("-inf")
+        if self.state is LeaseState.HOLDER:
+            logger.warning("{} lost; the table was restored", self.key)
+            self._machine.send("lapsed")
+
     def _observe_row(
         self, content: LeaseRow | None, revision: int, now_s: float
     ) -> None:
--- a/acaciaspoke/gateway/handover.py
+++ b/acaciaspoke/gateway/handover.py
@@ -32,6 +32,7 @@
     host: HostId,
     former_holder: HostId | None,
     former_renewals: int,
+    is_row_outdated: bool = False,
 ) -> float:
     """Returns how long a new holder of the lease must send no orders.
 
@@ -41,8 +42,13 @@
         host: The new holder.
         former_holder: The holder before; None if it released the lease.
         former_renewals: How often that holder had renewed the lease.
+        is_row_outdated: Whether the store was restored from a copy since the
+            row of the lease was written, so that another host may have held it.
     """
     delay_s = silence_s + HANDOVER_MARGIN_S
+    if is_row_outdated:
+        # A renewal just before the restore may be unknown, and counts on.
+        return delay_s + ORDER_PERIOD_S
     if former_holder is None:
         # It may have sent its last order just before.
         return delay_s
--- a/acaciaspoke/gateway/leader.py
+++ b/acaciaspoke/gateway/leader.py
@@ -94,6 +94,7 @@
         metrics: GatewayMetrics,
         announce,
         repeats_changes: Callable[[], bool],
+        store_era: Callable[[], int] = lambda: 0,
     ):
         """Creates a leader that does not hold the lease yet.
 
@@ -106,6 +107,7 @@
             announce: Sends a placement notice to all hosts.
             repeats_changes: Returns whether the hosts are so few that each
                 notice can repeat recent changes.
+            store_era: Returns the highest known era of the store.
         """
         self.lease = Lease(
             LEASE_SCOPE,
@@ -114,6 +116,7 @@
             LEASE_S,
             random.Random(),
             LEASE_TIMING,
+            store_era,
         )
         self.demand = DemandTracker()
         self._settings = settings
@@ -128,6 +131,7 @@
         self._led_epoch = 0
         self._former_holder: HostId | None = None
         self._former_renewals = 0
+        self._is_former_row_outdated = False
         self._no_orders_until_s = 0.0
         self._notice_due_s = 0.0
         self._last_notice_s = 0.0
@@ -189,6 +193,7 @@
             if not self.holds_lease:
                 self._former_holder = self.lease.holder
                 self._former_renewals = self.lease.renewals
+                self._is_former_row_outdated = self.lease.is_row_outdated
             if self.holds_lease or is_candidate():
                 action = self.lease.step(boot_time_s(), True)
                 await execute_action(
@@ -240,11 +245,15 @@
                 self._settings.host_id,
                 self._former_holder,
                 self._former_renewals,
+                self._is_former_row_outdated,
             )
             self._no_orders_until_s = max(
                 self._no_orders_until_s, boot_time_s() + delay_s
             )
-        if self._led_epoch > 1 and self._former_holder != self._settings.host:
+        if self._led_epoch > 1 and (
+            self._is_former_row_outdated
+            or self._former_holder != self._settings.host
+        ):
             for service, spec in self._engine_services():
                 limit = self._load_limit(service)
                 limit.exhaust(spec.loads_per_s, time.monotonic())
--- a/acaciaspoke/gateway/process.py
+++ b/acaciaspoke/gateway/process.py
@@ -149,6 +149,7 @@
             self.metrics,
             self._broadcast_notice,
             repeats_changes=lambda: self._loads.is_direct,
+            store_era=lambda: self._store.era,
         )
         self._loads = LoadExchange(
             settings.host_id,
@@ -411,6 +412,7 @@
         """Discards what depends on versions of the store before the restore."""
         self.metrics.store_era.set(self._store.era)
         self._registry.record_store_failure(time.monotonic())
+        self._leader.lease.on_table_restored()
         for follower in self._followers.values():
             follower.reread()
 
--- a/test/gateway/test_handover.py
+++ b/test/gateway/test_handover.py
@@ -150,10 +150,7 @@
             store="10.0.0.9:90",
             lease_silence_ms=SILENCE_S * 1000,
         )
-        table = SimpleNamespace(
-            read=lambda key: self._read(host),
-            commit=lambda transaction: self._commit(host, transaction),
-        )
+        table = self._connect(host)
         new_leader = Leader(
             host_settings,
             BootId(f"{host}-{boot}"),
@@ -162,6 +159,7 @@
             GatewayMetrics(),
             lambda notice: None,
             lambda: True,
+            store_era=lambda: table.era,
         )
         new_leader.lease._rng = random.Random(self._rng.random())
         new_leader.set_configuration(
@@ -219,6 +217,14 @@
 
     # The store.
 
+    def _connect(self, host):
+        """Returns a host's client of the store."""
+        return SimpleNamespace(
+            read=lambda key: self._read(host),
+            commit=lambda transaction: self._commit(host, transaction),
+            era=0,
+        )
+
     async def _read(self, host):
         await _Delay(self._rng.uniform(0.001, 0.02))
         if self._active("cut", host):
@@ -255,9 +261,9 @@
         return Committed(revision + 1)
 
 
-def simulate(faults, seed) -> Simulation:
+def simulate(faults, seed, kind=Simulation) -> Simulation:
     """Runs a simulation with the leader on its clock."""
-    simulation = Simulation(faults, seed)
+    simulation = kind(faults, seed)
     with ExitStack() as stack:
         for name, replacement in (
             ("boot_time_s", lambda: simulation.now_s),
@@ -277,21 +283,25 @@
     return simulation
 
 
-FAULTS = st.lists(
-    st.builds(
-        Fault,
-        kind=st.sampled_from(
-            ["suspend", "cut", "lose", "late", "restart", "stop"]
+def faults_of(*kinds):
+    """Returns a strategy of lists of faults."""
+    return st.lists(
+        st.builds(
+            Fault,
+            kind=st.sampled_from(kinds),
+            host=st.sampled_from(HOSTS),
+            at_s=st.floats(0.0, 30.0),
+            for_s=st.floats(0.05, 8.0),
         ),
-        host=st.sampled_from(HOSTS),
-        at_s=st.floats(0.0, 30.0),
-        for_s=st.floats(0.05, 8.0),
-    ),
-    max_size=8,
-)
+        max_size=8,
+    )
+
 
+FAULTS = faults_of("suspend", "cut", "lose", "late", "restart", "stop")
 
-class HandoverTest(unittest.TestCase):
+
+class OrdersByTurns:
+    """Checks of the orders of a simulation."""
 
     def check(self, simulation):
         """Checks that no two hosts' orders are close or out of order."""
@@ -301,6 +311,9 @@
                 self.assertGreaterEqual(second.at_s - first.at_s, SILENCE_S)
                 self.assertGreater(second.token, first.token)
 
+
+class HandoverTest(OrdersByTurns, unittest.TestCase):
+
     def test_orders_are_sent_without_faults(self):
         simulation = simulate([], 1)
         self.assertGreater(len(simulation.arrivals), 100)
