Write a host's row again if a restored store has lost it

Change: a host that finds its row missing writes it again. A host that has sent messages lately is kept while its row is missing.

--- a/acaciaspoke/gateway/peers.py
+++ b/acaciaspoke/gateway/peers.py
@@ -17,6 +17,10 @@
 # A host that has sent nothing for this time counts as unresponsive.
 PEER_MAX_AGE_S = 1.0
 
+# A host without a row in the store is forgotten if it has sent nothing for this
+# time.
+UNREGISTERED_MAX_AGE_S = 10.0
+
 MAX_PORT = 65535
 
 # Datagrams that wait to be sent. In a longer queue, messages would be outdated
@@ -56,12 +60,25 @@
         address: str,
         port: int,
         handle: Callable[[Message], None],
+        on_local_row_missing: Callable[[], None] = lambda: None,
     ):
+        """Creates the parts without opening the socket.
+
+        Args:
+            local_host: This host.
+            address: Its IP address.
+            port: Its port for datagrams.
+            handle: Handles a received message.
+            on_local_row_missing: Called when the store lacks this host's row.
+        """
         self.rows: dict[HostId, HostRow] = {}
         self._local_host = local_host
         self._address = address
         self._port = port
         self._handle = handle
+        self._on_local_row_missing = on_local_row_missing
+        # Live hosts whose rows the store lacks.
+        self._unregistered: set[HostId] = set()
         self._last_seen_s: dict[HostId, float] = {}
         self._outbox, self._queue = anyio.create_memory_object_stream[
             tuple[bytes, str, int]
@@ -106,12 +123,28 @@
                 logger.debug("queue is full; datagram to {} dropped", host)
 
     def apply_rows(self, rows: list[FeedRow], is_snapshot: bool) -> None:
-        """Applies changes of the hosts' rows."""
+        """Applies changes of the hosts' rows.
+
+        A host that has sent messages lately is kept if its row is missing from
+        the whole table: a store that was restored from a copy has lost it until
+        the host writes it again.
+        """
         if is_snapshot:
-            self.rows.clear()
+            present = {HostId(row.key) for row in rows}
+            heard_of = self._heard_of(time.monotonic(), UNREGISTERED_MAX_AGE_S)
+            self._unregistered = (self.rows.keys() & heard_of) - present
+            self.rows = {
+                host: self.rows[host] for host in sorted(self._unregistered)
+            }
+            if self._local_host not in present:
+                self._on_local_row_missing()
         for row in rows:
+            host = HostId(row.key)
+            self._unregistered.discard(host)
             if row.value is None:
-                self.rows.pop(HostId(row.key), None)
+                self.rows.pop(host, None)
+                if host == self._local_host:
+                    self._on_local_row_missing()
                 continue
             try:
                 decoded = decode_json(row.value, HostRow)
@@ -120,12 +153,24 @@
                     "invalid row of host {} ignored: {}", row.key, error
                 )
                 continue
-            self.rows[HostId(row.key)] = decoded
+            self.rows[host] = decoded
 
     def live(self, now_s: float) -> list[HostId]:
         """Returns the other hosts that have sent a message lately."""
+        return self._heard_of(now_s, PEER_MAX_AGE_S)
+
+    def _heard_of(self, now_s: float, max_age_s: float) -> list[HostId]:
         return [
             host
             for host, last_seen_s in self._last_seen_s.items()
-            if now_s - last_seen_s <= PEER_MAX_AGE_S
+            if now_s - last_seen_s <= max_age_s
         ]
+
+    def drop_unregistered(self, now_s: float) -> None:
+        """Drops hosts without a row in the store that send nothing any more."""
+        if not self._unregistered:
+            return
+        heard_of = self._heard_of(now_s, UNREGISTERED_MAX_AGE_S)
+        for host in self._unregistered.difference(heard_of):
+            self._unregistered.discard(host)
+            self.rows.pop(host, None)
--- a/acaciaspoke/gateway/process.py
+++ b/acaciaspoke/gateway/process.py
@@ -115,6 +115,7 @@
             settings.address,
             settings.peer_port,
             self._handle,
+            self._registration.record_missing,
         )
         self._dispatcher = Dispatcher(settings.domain_id, self._new_budget)
         self._registry = UpstreamRegistry(
@@ -379,6 +380,7 @@
         while True:
             await anyio.sleep(TICK_S)
             self._registry.drop_lapsed(time.monotonic())
+            self._peers.drop_unregistered(time.monotonic())
             self._request_handler.record_stalls()
             self._request_handler.dispatch()
             self.metrics.log_lines_dropped.set(self._log_writer.dropped)
@@ -446,7 +448,7 @@
     def _background(self) -> list[Callable[[], Awaitable[None]]]:
         return [
             *(follower.run for follower in self._followers.values()),
-            self._registration.write,
+            self._registration.run,
             self._peers.run,
             self._peer_lease_table.run,
             self._digests.run,
--- a/acaciaspoke/gateway/registration.py
+++ b/acaciaspoke/gateway/registration.py
@@ -18,7 +18,7 @@
 
 
 class Registration:
-    """Writes and removes the row of one host."""
+    """Writes the row of one host, also again if it is lost, and removes it."""
 
     def __init__(self, settings: GatewaySettings, store: StoreClient):
         self._store = store
@@ -29,8 +29,26 @@
             failure_domain=settings.domain_id,
             link_mbps=settings.link_mbps,
         )
+        self._is_registered = False
+        self._is_ended = False
+        self._row_missing = anyio.Event()
 
-    async def write(self) -> None:
+    def record_missing(self) -> None:
+        """Records that the store has no row of this host."""
+        if self._is_registered and not self._is_ended:
+            self._row_missing.set()
+
+    async def run(self) -> None:
+        """Writes the row, and again each time it is missing."""
+        while True:
+            await self._write()
+            self._is_registered = True
+            await self._row_missing.wait()
+            self._row_missing = anyio.Event()
+            self._is_registered = False
+            logger.warning("the row of this host is missing; writing it again")
+
+    async def _write(self) -> None:
         """Writes the row; retries until the write is confirmed."""
         put = Put(self._key, msgspec.json.encode(self._row))
         is_first = True
@@ -49,6 +67,7 @@
 
     async def remove(self) -> None:
         """Removes the row when the gateway stops; makes one attempt."""
+        self._is_ended = True
         try:
             await self._store.commit(Transaction((), (Delete(self._key),)))
         except (TableUnavailable, OutcomeUnknown) as error:
