Ignore records of upstreams that are older than what is known

Change: a record of an earlier heartbeat of the same process is ignored. A process that has said that it drains, in its record or in a response, does not become ready again. A record of an earlier process, or of an upstream that was removed, that comes with the whole table is used only when it has outlived the time after which the store removes the records of silent upstreams: a clock may have stepped back, or the record may have returned with the upstream. New setting heartbeat_ms.

Evidence: three tests of test.gateway.test_restored_store failed before.

--- a/acaciaspoke/gateway/fleet.py
+++ b/acaciaspoke/gateway/fleet.py
@@ -163,8 +163,9 @@
         self.event_intervals = EventIntervals()
         # When the models that are being loaded will be ready.
         self.ready_at_s: dict[ModelId, float] = {}
-        # Upstreams that have said that they leave, with the start of the
-        # process that said so.
+        # Upstreams that have said that they leave, in a response or in their
+        # record, with the start of the process that said so. A record that a
+        # restored store brings back may not show it.
         self._leaving: OrderedDict[UpstreamId, int] = OrderedDict()
         self.speed = EngineSpeed()
         self.peer_loads = PeerLoads(self.prefill_tokens_per_s)
@@ -184,10 +185,9 @@
             upstream.update_record(record)
         if self._leaving.get(record.upstream) != record.started_ms:
             self._leaving.pop(record.upstream, None)
-        upstream.is_draining = (
-            record.state is UpstreamState.DRAINING
-            or record.upstream in self._leaving
-        )
+        if record.state is UpstreamState.DRAINING:
+            self._remember_leaving(record.upstream, record.started_ms)
+        upstream.is_draining = record.upstream in self._leaving
 
     def remove(self, upstream: UpstreamId) -> None:
         """Removes an upstream."""
@@ -210,11 +210,16 @@
         if upstream is None or upstream.record.started_ms != started_ms:
             return False
         is_new = upstream_id not in self._leaving
+        self._remember_leaving(upstream_id, started_ms)
+        upstream.is_draining = True
+        return is_new
+
+    def _remember_leaving(
+        self, upstream_id: UpstreamId, started_ms: int
+    ) -> None:
         self._leaving[upstream_id] = started_ms
         if len(self._leaving) > MAX_LEAVING_UPSTREAMS:
             self._leaving.popitem(last=False)
-        upstream.is_draining = True
-        return is_new
 
     def record_named_pause(
         self,
--- a/acaciaspoke/gateway/process.py
+++ b/acaciaspoke/gateway/process.py
@@ -121,6 +121,7 @@
         self._registry = UpstreamRegistry(
             self._dispatcher.fleet,
             settings.drain_ms / 1000,
+            settings.heartbeat_ms / 1000,
         )
         memory_bytes = settings.memory_mb * 1024 * 1024
         self._request_handler = RequestHandler(
@@ -276,7 +277,8 @@
                 self._registry.remove(name, now_s)
                 continue
             try:
-                self._registry.put(decode_upstream(name, row.value))
+                record = decode_upstream(name, row.value)
+                self._registry.put(record, is_snapshot)
             except DocumentError as error:
                 logger.warning("invalid upstream record ignored: {}", error)
         if is_snapshot:
--- a/acaciaspoke/gateway/registry.py
+++ b/acaciaspoke/gateway/registry.py
@@ -1,8 +1,10 @@
 """Applies the records that upstreams register in the store to the fleet."""
 
+from collections import OrderedDict
+
 from loguru import logger
 
-from acaciaspoke.gateway.fleet import Fleet
+from acaciaspoke.gateway.fleet import MAX_LEAVING_UPSTREAMS, Fleet
 from acaciaspoke.gateway.types import UpstreamRecord, UpstreamState
 from acaciaspoke.ids import UpstreamId
 
@@ -16,19 +18,34 @@
 LAPSE_GRACE_SHARE = 0.7
 STORE_FAILURE_WINDOW_S = 3.0
 
+# The store removes a record after this many heartbeat intervals without a
+# heartbeat (the platform's protocol, "Service discovery").
+MAX_MISSED_HEARTBEATS = 3
+
 
 class UpstreamRegistry:
-    """Applies records and removals to a fleet."""
+    """Applies records and removals to a fleet.
+
+    A store that was restored from a copy brings back older records, and records
+    of upstreams that are gone, until the upstreams have written again.
+    """
 
-    def __init__(self, fleet: Fleet, drain_s: float):
+    def __init__(self, fleet: Fleet, drain_s: float, heartbeat_s: float = 1.2):
         """Creates a registry without any records.
 
         Args:
             fleet: The upstreams to update.
             drain_s: Time for which a draining upstream may still get work.
+            heartbeat_s: Interval at which an upstream writes its record.
         """
         self._fleet = fleet
         self._lapse_grace_s = LAPSE_GRACE_SHARE * drain_s
+        self._confirmation_s = (MAX_MISSED_HEARTBEATS + 1) * heartbeat_s
+        self._removed: OrderedDict[UpstreamId, UpstreamRecord] = OrderedDict()
+        # Records that may belong to upstreams that are gone, and when each was
+        # first seen; None until the next check.
+        self._unconfirmed: dict[UpstreamId, UpstreamRecord] = {}
+        self._unconfirmed_since_s: dict[UpstreamId, float] = {}
         self._missing_since_s: dict[UpstreamId, float] = {}
         self._store_failed_s = float("-inf")
 
@@ -36,10 +53,33 @@
         """Records that a call to the store failed."""
         self._store_failed_s = now_s
 
-    def put(self, record: UpstreamRecord) -> None:
-        """Applies a new or changed record."""
+    def put(self, record: UpstreamRecord, is_snapshot: bool = False) -> None:
+        """Applies a new or changed record.
+
+        Args:
+            record: The record.
+            is_snapshot: Whether it was read with the whole table, so that it
+                may have been written before it was removed.
+        """
         known = self._fleet.upstreams.get(record.upstream)
         self._missing_since_s.pop(record.upstream, None)
+        self._discard_unconfirmed(record.upstream)
+        removed = self._removed.get(record.upstream)
+        if known and _is_older(record, known.record):
+            logger.info("an older record of {} is ignored", record.upstream)
+        elif is_snapshot and (
+            _is_of_earlier_process(record, known.record)
+            if known
+            else removed and not _is_newer(record, removed)
+        ):
+            logger.info("a record of {} may be outdated", record.upstream)
+            self._unconfirmed[record.upstream] = record
+        else:
+            self._apply(record)
+
+    def _apply(self, record: UpstreamRecord) -> None:
+        known = self._fleet.upstreams.get(record.upstream)
+        self._removed.pop(record.upstream, None)
         self._fleet.put(record)
         known_state = known.record.state if known else None
         if known is None or known_state is not record.state:
@@ -53,6 +93,7 @@
 
     def remove(self, upstream: UpstreamId, now_s: float) -> None:
         """Applies the removal of a record."""
+        self._discard_unconfirmed(upstream)
         known = self._fleet.upstreams.get(upstream)
         if known is None:
             return
@@ -63,11 +104,16 @@
 
     def retain(self, present: set[UpstreamId], now_s: float) -> None:
         """Removes all upstreams but those that have records."""
-        for upstream in set(self._fleet.upstreams) - present:
+        for upstream in {*self._fleet.upstreams, *self._unconfirmed} - present:
             self.remove(upstream, now_s)
 
     def drop_lapsed(self, now_s: float) -> None:
-        """Drops upstreams whose missing records are not expected to return."""
+        """Drops upstreams whose missing records are not expected to return.
+
+        Also uses those whose records the store would have removed by now if
+        the upstreams were gone.
+        """
+        self._use_confirmed(now_s)
         if not self._missing_since_s:
             return
         is_mass_lapse = len(self._missing_since_s) > max(
@@ -81,7 +127,42 @@
             if not may_return or now_s - since_s >= self._lapse_grace_s:
                 self._drop(upstream, "gone")
 
+    def _use_confirmed(self, now_s: float) -> None:
+        for upstream, record in list(self._unconfirmed.items()):
+            since_s = self._unconfirmed_since_s.setdefault(upstream, now_s)
+            if now_s - since_s >= self._confirmation_s:
+                self._discard_unconfirmed(upstream)
+                self._apply(record)
+
+    def _discard_unconfirmed(self, upstream: UpstreamId) -> None:
+        self._unconfirmed.pop(upstream, None)
+        self._unconfirmed_since_s.pop(upstream, None)
+
     def _drop(self, upstream: UpstreamId, state: str) -> None:
         self._missing_since_s.pop(upstream, None)
+        self._removed[upstream] = self._fleet.upstreams[upstream].record
+        if len(self._removed) > MAX_LEAVING_UPSTREAMS:
+            self._removed.popitem(last=False)
         self._fleet.remove(upstream)
         logger.info("upstream {} is {}", upstream, state)
+
+
+def _is_older(record: UpstreamRecord, known: UpstreamRecord) -> bool:
+    """Returns whether a record was written before another of its process."""
+    if record.started_ms != known.started_ms:
+        return False
+    return 0 < record.heartbeat < known.heartbeat
+
+
+def _is_of_earlier_process(
+    record: UpstreamRecord, known: UpstreamRecord
+) -> bool:
+    return record.started_ms < known.started_ms
+
+
+def _is_newer(record: UpstreamRecord, known: UpstreamRecord) -> bool:
+    """Returns whether a record is of a later heartbeat or a later process."""
+    return (record.started_ms, record.heartbeat) > (
+        known.started_ms,
+        known.heartbeat,
+    )
--- a/acaciaspoke/gateway/settings.py
+++ b/acaciaspoke/gateway/settings.py
@@ -33,6 +33,7 @@
         lease_silence_ms: Handover delay: time without orders between two
             leaders.
         drain_ms: Time for which a draining upstream may still get work.
+        heartbeat_ms: Interval at which an upstream writes its record.
         stop_grace_s: Time between SIGTERM and the end of the process.
         retry_ratio: Retries allowed for each request of a service.
         retry_slack: Additional retries in a window, for all hosts together.
@@ -54,6 +55,7 @@
     is_first_start: bool = False
     lease_silence_ms: Milliseconds = 3000
     drain_ms: Milliseconds = 2000
+    heartbeat_ms: Milliseconds = 1200
     stop_grace_s: Seconds = 8
     retry_ratio: Annotated[float, Meta(ge=0, le=10)] = 0.2
     retry_slack: Annotated[float, Meta(ge=0)] = 20
--- a/acaciaspoke/gateway/types.py
+++ b/acaciaspoke/gateway/types.py
@@ -151,6 +151,7 @@
 
     Attributes:
         started_ms: Start of the process; distinguishes two boots under one id.
+        heartbeat: Number of the heartbeat that wrote the record; 0 if unknown.
         artifacts: Models and adapters that it holds.
         cached_models: Models whose weights are in host memory or on disk.
     """
@@ -162,6 +163,7 @@
     state: UpstreamState
     slots: int
     started_ms: int = 0
+    heartbeat: int = 0
     artifacts: frozenset[Artifact] = frozenset()
     cached_models: frozenset[ModelId] = frozenset()
 
--- a/acaciaspoke/platform/documents.py
+++ b/acaciaspoke/platform/documents.py
@@ -138,6 +138,7 @@
     state: str
     # Unix time of the process's start, in milliseconds.
     born: int = 0
+    seq: Count = 0
     models: tuple[_LoadedModel, ...] = ()
     at_hand: _CachedModels = _CachedModels()
 
@@ -249,6 +250,7 @@
         state=state,
         slots=document.slots,
         started_ms=document.born,
+        heartbeat=document.seq,
         artifacts=_to_artifacts(document.models),
         cached_models=document.at_hand.models(),
     )
