Tests of gateways skip addresses on which an earlier gateway still listens

Cause: next_ip() comes back to the same address after 250 calls in one process, and the server of a cancelled gateway still listens. With the tests of a restored store the whole run needs more addresses: in it, test_error of LeavingTest and test_pause_told_amid_concurrent_requests of PauseTest (module test.gateway.test_upstream_notices) failed, and the log has "cannot listen on it: [Errno 98] Address already in use" twice.

Change: next_ip() skips an address whose port for callers is in use.

That the two failures are those of the two log entries is inferred from their number.

--- a/test/gateway/serving.py
+++ b/test/gateway/serving.py
@@ -4,6 +4,7 @@
 import itertools
 import logging
 import os
+import socket
 import time
 import unittest
 from collections.abc import Callable
@@ -33,7 +34,21 @@
 def next_ip() -> str:
     """Returns a loopback address that no other test or test run uses."""
     high, low = divmod(os.getpid() % 62_500, 250)
-    return f"127.{high + 1}.{low + 1}.{next(_hosts) % 250 + 1}"
+    while True:
+        ip = f"127.{high + 1}.{low + 1}.{next(_hosts) % 250 + 1}"
+        if _is_free(ip):
+            return ip
+
+
+def _is_free(ip: str) -> bool:
+    # The server of a cancelled gateway of an earlier test may still listen.
+    with socket.socket() as probe:
+        probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        try:
+            probe.bind((ip, LISTEN_PORT))
+        except OSError:
+            return False
+    return True
 
 
 _request_ids = map("q{}".format, itertools.count())
