Follow a table on if it is read again at the end of a check

In a deployment that relays the upstreams table, a member could end with a TypeError as it learned of a restore of the store. reread() sets the version to None and cancels the follower's call. A task whose sleep has ended in the same iteration of the event loop is not cancelled before it goes on; it compared the version None, outside the errors that run() handles, so that the whole process ended. Before restores only the configuration was read again, which is never delegated.

The follower returns from the check if the version is gone, and run() reads the table. test_reread_at_the_end_of_a_delegation_check_reads_again failed before with: '>=' not supported between instances of 'NoneType' and 'int'.

--- a/acaciaspoke/gateway/table_follower.py
+++ b/acaciaspoke/gateway/table_follower.py
@@ -242,6 +242,9 @@
             self._apply_page(None, page)
         while self._is_delegated(self._version):
             await anyio.sleep(DELEGATION_CHECK_S)
+            if self._version is None:
+                # A sleep that has ended is not cancelled by ``reread``.
+                return
         after = self._version
         self._metrics.feed_calls.labels(self._table).inc()
         page = await self._store.follow(self._table, after, self._wait_s())
--- a/test/gateway/test_rowrelay.py
+++ b/test/gateway/test_rowrelay.py
@@ -1,5 +1,7 @@
 """Tests of the relay of rows through aggregators."""
 
+import asyncio
+import time
 import unittest
 
 import anyio
@@ -130,9 +132,12 @@
             metrics=GatewayMetrics(),
             pause_s=lambda: 0.0,
             wait_s=lambda: 1.0,
-            is_delegated=lambda version: self.is_delegated,
+            is_delegated=self._is_delegated,
         )
 
+    def _is_delegated(self, version: int) -> bool:
+        return version >= 0 and self.is_delegated
+
     async def _run(self, *offers: tuple[int, FeedPage]) -> list[bool]:
         follower = self._follower()
         async with anyio.create_task_group() as tasks:
@@ -165,6 +170,21 @@
         await self._run()
         self.assertEqual(["read", "follow"], self.store.calls)
 
+    async def test_reread_at_the_end_of_a_delegation_check_reads_again(self):
+        """A task whose sleep has ended is not cancelled before it goes on."""
+        follower = self._follower()
+        loop = asyncio.get_running_loop()
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(follower.run)
+            await anyio.wait_all_tasks_blocked()
+            loop.call_later(DELEGATION_CHECK_S + 0.01, follower.reread)
+            # Both timers are due in one iteration of the event loop.
+            time.sleep(DELEGATION_CHECK_S + 0.05)  # noqa: ASYNC251
+            await anyio.sleep(0.01)
+            await anyio.wait_all_tasks_blocked()
+            tasks.cancel_scope.cancel()
+        self.assertEqual(["read", "read"], self.store.calls)
+
 
 class _Follower:
     """Accepts what it is offered, if allowed."""
