Don't rely on an aggregator that reads an earlier era of the store

In a large deployment, a member could serve with an outdated table of upstreams for as long as its aggregator ran a release that knows no eras. Such an aggregator reports versions without an era: they are lower than all that the member knows, so the member took itself for up to date, read nothing, and refused the changes that it was sent. The same holds, for half the time to drain, for an aggregator that has not noticed a restore.

The relay ignores how current a table of an earlier era is. test_aggregator_that_reads_an_earlier_era_is_not_relied_on failed before.

--- a/acaciaspoke/gateway/rowrelay.py
+++ b/acaciaspoke/gateway/rowrelay.py
@@ -17,6 +17,7 @@
 from acaciaspoke.gateway.table_follower import TableFollower
 from acaciaspoke.ids import HostId
 from acaciaspoke.platform.store import FeedPage, FeedRow
+from acaciaspoke.platform.versions import era_of
 from acaciaspoke.util.clock import boot_time_s
 
 # Shares of the time for which a draining upstream may still get work: the age
@@ -142,6 +143,10 @@
     def record_peer_read(self, progress: ReadProgress) -> None:
         """Records how current another host's table is."""
         version = self._follower().version
+        if era_of(progress.newest_version) < era_of(version):
+            # Changes that follow a version of an earlier era, or of none, are
+            # not applied here, so this host must not wait for them.
+            return
         self._tracker.record_peer_read(progress, version, self._clock())
 
     def is_delegated(self, local_version: int) -> bool:
--- a/test/gateway/test_rowrelay.py
+++ b/test/gateway/test_rowrelay.py
@@ -23,6 +23,7 @@
 )
 from acaciaspoke.ids import HostId
 from acaciaspoke.platform.store import UPSTREAMS_TABLE, FeedPage, FeedRow
+from acaciaspoke.platform.versions import to_version
 
 DRAIN_S = 3.0
 HOSTS = 64
@@ -254,6 +255,18 @@
         self.is_reader = False
         self.assertTrue(self.relay.is_delegated(5))
 
+    def test_aggregator_that_reads_an_earlier_era_is_not_relied_on(self):
+        """Also one of a release that knows no eras."""
+        self.is_reader = False
+        self.follower.version = to_version(2, 4)
+        for era in (0, 1):
+            self.relay.record_peer_read(
+                ReadProgress(to_version(era, 90), 0.0)
+            )
+            self.assertFalse(self.relay.is_delegated(self.follower.version))
+        self.relay.record_peer_read(ReadProgress(to_version(2, 4), 0.0))
+        self.assertTrue(self.relay.is_delegated(self.follower.version))
+
     def test_suspension_of_the_host_counts(self):
         # The clock includes suspensions, so what was read before is old.
         self.is_reader = False
