Begin epochs above the lost ones also after many changes of the holder

After a restore of the store, two holders of the lease could get the same epoch, and with it the same fencing tokens, once the holder had changed more often than an era has epochs (1024). The first epoch of an era depended on the era only. Beyond it, a host that had not seen the lost epochs took the one after the copy's, which a former holder may have had: with epoch 5120 in the copy, 5121.

A holder whose predecessor's row is of an earlier era leaves room for the lost epochs above the one in the row. test_epoch_is_above_those_that_a_restore_lost failed before (5121 not greater than 5130).

--- a/acaciaspoke/control/lease.py
+++ b/acaciaspoke/control/lease.py
@@ -60,9 +60,9 @@
 # stay below 2**53, which every JSON reader handles as an integer.
 EPOCH_SHIFT = 32
 
-# Epochs that are left to each era of the table. The holder that a restored
-# table shows may not be the last one, so the epochs of an era begin above those
-# of earlier eras.
+# Most epochs that a restore of the table may lose. The holder that a restored
+# table shows may not be the last one, so the first epoch of an era is that much
+# higher; a table without the row shows no epoch, so it depends on the era too.
 EPOCHS_PER_ERA = 1024
 
 MAX_REMEMBERED_WRITES = 32
@@ -295,15 +295,20 @@
         if not self._released and self._is_free(now_s, candidate):
             if now_s < self._write_due_s:
                 return None
-            first_epoch = (self._table_era() - 1) * EPOCHS_PER_ERA + 1
-            epoch = max(self._highest_epoch + 1, first_epoch)
-            row = LeaseRow(holder=self._host, boot=self._boot, epoch=epoch)
+            row = LeaseRow(
+                holder=self._host, boot=self._boot, epoch=self._next_epoch()
+            )
             return self._write(row, now_s)
         interval_s = (
             self._timing.read_s if candidate else self._timing.slow_read_s
         )
         return self._read(now_s, interval_s)
 
+    def _next_epoch(self) -> int:
+        lost_epochs = EPOCHS_PER_ERA if self.is_row_outdated else 0
+        first_epoch = (self._table_era() - 1) * EPOCHS_PER_ERA + 1
+        return max(self._highest_epoch + lost_epochs + 1, first_epoch)
+
     def release(self, now_s: float) -> Write | None:
         """Releases the lease permanently; call it when no order is pending.
 
--- a/test/control/test_lease.py
+++ b/test/control/test_lease.py
@@ -5,12 +5,15 @@
 import unittest
 
 import anyio
+import msgspec
 
-from acaciaspoke.clients.table import Conflict, Put, Transaction
+from acaciaspoke.clients.table import Conflict, Put, Row, Transaction
 from acaciaspoke.control.lease import (
     EPOCH_SHIFT,
+    EPOCHS_PER_ERA,
     Lease,
     LeaseNotHeldError,
+    LeaseRow,
     LeaseState,
     Write,
     execute_action,
@@ -90,6 +93,32 @@
     return holder
 
 
+class RestoredTableTest(unittest.TestCase):
+
+    def test_epoch_is_above_those_that_a_restore_lost(self):
+        """Also after more changes of the holder than an era has epochs."""
+        for known_epoch in (3, 5 * EPOCHS_PER_ERA):
+            lease = Lease(
+                DomainId("a"),
+                HostId("h1"),
+                BootId("b1"),
+                LEASE_S,
+                random.Random(1),
+                table_era=lambda: 2,
+            )
+            copied = LeaseRow(
+                holder=HostId("h2"),
+                boot=BootId("b2"),
+                epoch=known_epoch,
+                era=1,
+            )
+            value = msgspec.json.encode(copied)
+            lease.on_row(Row(lease.key, value, 7, 7), 0.0)
+            write = lease.step(3 * LEASE_S, candidate=True)
+            lost_epoch = known_epoch + 10
+            self.assertGreater(write.row.epoch, lost_epoch)
+
+
 class LeaseTest(unittest.TestCase):
 
     @with_hosts_running(3)
