Send the store's own numbers of the lease's row to other hosts

While a deployment is upgraded, or rolled back, hosts of the earlier release could stop competing for the lease for good. They take the version in a notice of the leader, which has the era in its upper bits, for a revision of the store; all rows that they read are older than it, so that they ignore them, and their writes fail on a condition that never holds. If all candidates are such hosts, engines get no orders.

Notices and relayed calls now carry the store's number and, in a field of its own, the era. Out of range, they are invalid datagrams. test_hosts_of_earlier_releases_get_the_numbers_of_the_store failed before. No deployment with two releases was run.

--- a/acaciaspoke/gateway/leader.py
+++ b/acaciaspoke/gateway/leader.py
@@ -213,8 +213,8 @@
         row = Row(
             self.lease.key,
             notice.lease_value,
-            notice.lease_revision,
-            notice.lease_revision,
+            notice.lease_version,
+            notice.lease_version,
         )
         try:
             self.lease.on_row(row, boot_time_s())
--- a/acaciaspoke/gateway/messages.py
+++ b/acaciaspoke/gateway/messages.py
@@ -1,10 +1,13 @@
 """Messages between gateways.
 
 They are sent as datagrams, which may be lost, duplicated or delayed.
+
+The version of a lease's row is sent as the store's number and its era, since
+hosts of earlier releases compare the number with those that they read.
 """
 
 import math
-from typing import NamedTuple
+from typing import Annotated, NamedTuple
 
 import msgspec
 
@@ -19,6 +22,10 @@
     ServiceId,
     UpstreamId,
 )
+from acaciaspoke.platform.versions import MAX_ERA, NUMBER_BITS, to_version
+
+_Number = Annotated[int, msgspec.Meta(ge=0, lt=1 << NUMBER_BITS)]
+_Era = Annotated[int, msgspec.Meta(ge=0, le=MAX_ERA)]
 
 
 class _Message(
@@ -206,7 +213,9 @@
     Attributes:
         epoch: The epoch of the lease under which the orders were given.
         lease_value: The lease's row as the sender last wrote it.
-        lease_revision: The version of that row.
+        lease_revision: The store's number of the version of that row; 0 if it
+            is not known.
+        lease_era: The era of that version.
         loaded: Artifacts that were loaded lately.
         withdrawn: Artifacts that are being unloaded or were lately.
         coming_s: Time until each model that is being loaded is ready.
@@ -214,11 +223,17 @@
 
     epoch: int
     lease_value: bytes = b""
-    lease_revision: int = 0
+    lease_revision: _Number = 0
+    lease_era: _Era = 0
     loaded: dict[UpstreamId, tuple[Artifact, ...]] = {}
     withdrawn: dict[UpstreamId, tuple[Artifact, ...]] = {}
     coming_s: dict[ModelId, float] = {}
 
+    @property
+    def lease_version(self) -> int:
+        """The version of the lease's row."""
+        return to_version(self.lease_era, self.lease_revision)
+
 
 class RowRequest(_Message, kw_only=True):
     """Asks another host to read or write the row of a lease in the store.
@@ -226,18 +241,24 @@
     Attributes:
         number: Identifies the call at the sender.
         value: The value to write; None to read.
-        expected_revision: Version that the row must have for the write.
+        expected_revision: The store's number of the version that the row must
+            have for the write; 0 if there must be none.
+        expected_era: The era of that version.
     """
 
     number: int
     key: str
     value: bytes | None = None
-    expected_revision: int = 0
+    expected_revision: _Number = 0
+    expected_era: _Era = 0
 
     def to_transaction(self) -> Transaction:
         """Returns the compare-and-put."""
+        expected = self.expected_revision and to_version(
+            self.expected_era, self.expected_revision
+        )
         return Transaction(
-            (Condition(self.key, self.expected_revision),),
+            (Condition(self.key, expected),),
             (Put(self.key, self.value or b""),),
         )
 
@@ -250,17 +271,24 @@
         number: The number of the request.
         is_committed: Whether the row was written; otherwise the answer has the
             current row.
-        revision: The row's version; 0 if there is no row.
-        era: The highest era of the store that the sender knows.
+        revision: The store's number of the row's version; 0 if there is no
+            row.
+        era: The highest era of the store that the sender knows, and that of the
+            version.
     """
 
     asked_by: HostId
     number: int
     key: str
     is_committed: bool = False
-    revision: int = 0
+    revision: _Number = 0
     value: bytes = b""
-    era: int = 0
+    era: _Era = 0
+
+    @property
+    def version(self) -> int:
+        """The row's version."""
+        return to_version(self.era, self.revision)
 
 
 def is_superseded(message: _Message, known: _Message) -> bool:
--- a/acaciaspoke/gateway/peer_lease_table.py
+++ b/acaciaspoke/gateway/peer_lease_table.py
@@ -25,6 +25,7 @@
 from acaciaspoke.control.lease import LeaseTable
 from acaciaspoke.gateway.messages import RowAnswer, RowRequest
 from acaciaspoke.ids import HostId
+from acaciaspoke.platform.versions import era_of, number_of
 
 # The store usually responds within 10 ms; the rest is for a slow one.
 DIRECT_TIMEOUT_S = 0.3
@@ -125,7 +126,8 @@
             key=put.key,
             number=next(self._numbers),
             value=put.value,
-            expected_revision=condition.mod_revision,
+            expected_revision=number_of(condition.mod_revision),
+            expected_era=era_of(condition.mod_revision),
         )
         result = await self._call(
             lambda: self._store.commit(transaction), request
@@ -177,13 +179,12 @@
         if answer.era < self._store_era():
             return  # The store was restored since.
         if answer.is_committed:
-            call.answer(Committed(answer.revision))
+            call.answer(Committed(answer.version))
             return
         row = None
         if answer.revision:
-            row = Row(
-                answer.key, answer.value, answer.revision, answer.revision
-            )
+            version = answer.version
+            row = Row(answer.key, answer.value, version, version)
         call.answer(Conflict({answer.key: row}))
 
     # Calls for other hosts.
@@ -211,6 +212,8 @@
                 "call to the store for {} failed: {}", queued.asked_by, error
             )
             return
+        if answer.revision and answer.era != self._store_era():
+            return  # The store was restored since.
         answer = msgspec.structs.replace(answer, era=self._store_era())
         self._post(answer, [queued.asked_by])
 
@@ -224,16 +227,19 @@
                 number=request.number,
                 key=request.key,
                 is_committed=True,
-                revision=result.revision,
+                revision=number_of(result.revision),
+                era=era_of(result.revision),
             )
         return _to_answer(request, result.rows.get(request.key))
 
 
 def _to_answer(request: RowRequest, row: Row | None) -> RowAnswer:
+    version = row.mod_revision if row else 0
     return RowAnswer(
         asked_by=request.host,
         number=request.number,
         key=request.key,
-        revision=row.mod_revision if row else 0,
+        revision=number_of(version),
+        era=era_of(version),
         value=row.value if row else b"",
     )
--- a/acaciaspoke/gateway/placement_notice.py
+++ b/acaciaspoke/gateway/placement_notice.py
@@ -7,6 +7,7 @@
 from acaciaspoke.gateway.messages import PlacementNotice
 from acaciaspoke.gateway.types import Artifact, EngineSpec
 from acaciaspoke.ids import ModelId, ServiceId, UpstreamId
+from acaciaspoke.platform.versions import era_of, number_of
 
 
 def build_notice(
@@ -41,10 +42,12 @@
         if next_ready is not None:
             model, remaining_s = next_ready
             coming_s[model] = min(remaining_s, coming_s.get(model, remaining_s))
+    lease_version = lease_row.mod_revision if lease_row else 0
     return PlacementNotice(
         epoch=epoch,
         lease_value=lease_row.value if lease_row else b"",
-        lease_revision=lease_row.mod_revision if lease_row else 0,
+        lease_revision=number_of(lease_version),
+        lease_era=era_of(lease_version),
         loaded=loaded,
         withdrawn=withdrawn,
         coming_s=coming_s,
--- a/acaciaspoke/gateway/process.py
+++ b/acaciaspoke/gateway/process.py
@@ -329,7 +329,7 @@
         self._row_relay.record_peer_read(progress)
 
     def _apply_notice(self, notice: PlacementNotice, now_s: float) -> None:
-        self._store.record_era(era_of(notice.lease_revision))
+        self._store.record_era(notice.lease_era)
         if notice.epoch < self._leader_epoch:
             return
         if notice.host != self._leader_host:
--- a/test/gateway/test_peer_lease_table.py
+++ b/test/gateway/test_peer_lease_table.py
@@ -18,7 +18,9 @@
 )
 from acaciaspoke.gateway.messages import RowAnswer, RowRequest, decode, encode
 from acaciaspoke.gateway.peer_lease_table import PeerLeaseTable
+from acaciaspoke.gateway.placement_notice import build_notice
 from acaciaspoke.ids import HostId
+from acaciaspoke.platform.versions import to_version
 from test.virtualtime import run
 
 KEY = "lease/engines"
@@ -69,12 +71,15 @@
         self.store = Store()
         self.tables = {}
         self.asked = []
+        self.sent = []
+        self.era = 0
 
     def _add(self, name, fault=None):
         host = HostId(name)
 
         def post(message, hosts):
             sent = decode(encode(replace(message, host=host)))
+            self.sent.append(sent)
             for to in hosts:
                 self.asked.append((name, to))
                 if isinstance(sent, RowRequest):
@@ -87,7 +92,11 @@
             return [other for other in self.tables if other != host][:count]
 
         self.tables[host] = PeerLeaseTable(
-            self.store.client(fault), host, post, choose_peers
+            self.store.client(fault),
+            host,
+            post,
+            choose_peers,
+            lambda: self.era,
         )
         return self.tables[host]
 
@@ -131,6 +140,23 @@
                 self.assertEqual(Committed(2), self._write(table))
                 self.assertEqual(b"renewed", self.store.value)
 
+    def test_hosts_of_earlier_releases_get_the_numbers_of_the_store(self):
+        """With other versions they would never acquire the lease again."""
+        self.era = 2
+        self.store.revision = to_version(2, 7)
+        table = self._add("h1", "hangs")
+        self._add("h2")
+        self.assertEqual(
+            Committed(to_version(2, 8)), self._write(table, to_version(2, 7))
+        )
+        request, answer = self.sent
+        self.assertEqual(7, request.expected_revision)
+        self.assertEqual(8, answer.revision)
+        row = Row(KEY, b"renewed", self.store.revision, self.store.revision)
+        notice = build_notice([], {}, 0.0, 0.0, 3, row)
+        self.assertEqual(8, notice.lease_revision)
+        self.assertEqual(to_version(2, 8), notice.lease_version)
+
     def test_conflict_returns_the_row(self):
         table = self._add("h1", "hangs")
         self._add("h2")
