--- a/test/gateway/test_rowrelay.py
+++ b/test/gateway/test_rowrelay.py
@@ -180,7 +180,7 @@
             await anyio.wait_all_tasks_blocked()
             loop.call_later(DELEGATION_CHECK_S + 0.01, follower.reread)
             # Both timers are due in one iteration of the event loop.
-            time.sleep(DELEGATION_CHECK_S + 0.05)  # noqa: ASYNC251
+            time.sleep(DELEGATION_CHECK_S + 0.05)
             await anyio.sleep(0.01)
             await anyio.wait_all_tasks_blocked()
             tasks.cancel_scope.cancel()
