Don't use rows of an era that ended during the call

A read whose response came from before a restore, after another host had sent the new era, returned rows of the earlier era: docs/platform.md says that such a response is an error, and for commits it is one. The response was compared with the newest version at the start of the call. Followers and the lease corrected themselves with their next call, so that callers saw nothing.

test_rows_of_an_era_that_ended_during_the_call_are_not_used failed before.

--- a/acaciaspoke/platform/store.py
+++ b/acaciaspoke/platform/store.py
@@ -306,6 +306,11 @@
             found = decode_json(response.body, _WireRows).in_era(era)
         except (msgspec.MsgspecError, ValueError) as error:
             raise TableUnavailable(f"{path}: {error}") from error
+        if era < self.era:
+            # The new era may have become known during the call.
+            raise TableUnavailable(
+                f"{path}: a response of era {era}, but {self.era} is known"
+            )
         if found.ver < oldest_version:
             # The server has repeated its response to an earlier request.
             raise TableUnavailable(
--- a/test/platform/test_restored_store.py
+++ b/test/platform/test_restored_store.py
@@ -214,6 +214,21 @@
             with self.assertRaises(TableUnavailable):
                 await store.read_table("hosts")
 
+    async def test_rows_of_an_era_that_ended_during_the_call_are_not_used(self):
+        """Another host has sent the new era meanwhile."""
+        async with scripted_store(Scripted(1, 5), Scripted(1, 5)) as store:
+            send = store._http.request
+
+            async def request(*args, **options):
+                response = await send(*args, **options)
+                store.record_era(2)
+                return response
+
+            await store.read("lease/engines")
+            store._http.request = request
+            with self.assertRaises(TableUnavailable):
+                await store.read("lease/engines")
+
     async def test_feed_of_an_earlier_era_is_not_used(self):
         async with scripted_store(Scripted(2, 3), Scripted(1, 9)) as store:
             page = await store.read_table("hosts")
