--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -37,6 +37,8 @@
     3036: "a request arrived as its idle connection was closed",
     4020: "as 3036",
     4031: "as 3036",
+    4081: "open: a gateway refused streams 15 s after the last fault",
+    5031: "open: as 3036, after connections with unread data stayed open",
 }
 
 
