Write a host's row again also if a restored store has an earlier one

A host that had started with another address or port within the seconds that a restore loses was not reached by other hosts any more: they sent datagrams to the address in the copy. A host looked only for a missing row; an earlier one counted as its own.

Each time the whole table is read, a host compares its row with the one that it has written. Changes in the feed are not compared, so that two processes of one name don't write by turns. test_outdated_row_of_a_host_is_written_again failed before: the row stayed as in the copy for 10 s.

--- a/acaciaspoke/gateway/peers.py
+++ b/acaciaspoke/gateway/peers.py
@@ -60,7 +60,7 @@
         address: str,
         port: int,
         handle: Callable[[Message], None],
-        on_local_row_missing: Callable[[], None] = lambda: None,
+        on_local_row: Callable[[HostRow | None], None] = lambda row: None,
     ):
         """Creates the parts without opening the socket.
 
@@ -69,14 +69,15 @@
             address: Its IP address.
             port: Its port for datagrams.
             handle: Handles a received message.
-            on_local_row_missing: Called when the store lacks this host's row.
+            on_local_row: Called with this host's row each time the whole table
+                is read, and with None if the store lacks a valid one.
         """
         self.rows: dict[HostId, HostRow] = {}
         self._local_host = local_host
         self._address = address
         self._port = port
         self._handle = handle
-        self._on_local_row_missing = on_local_row_missing
+        self._on_local_row = on_local_row
         # Live hosts whose rows the store lacks.
         self._unregistered: set[HostId] = set()
         self._last_seen_s: dict[HostId, float] = {}
@@ -136,15 +137,13 @@
             self.rows = {
                 host: self.rows[host] for host in sorted(self._unregistered)
             }
-            if self._local_host not in present:
-                self._on_local_row_missing()
         for row in rows:
             host = HostId(row.key)
             self._unregistered.discard(host)
             if row.value is None:
                 self.rows.pop(host, None)
-                if host == self._local_host:
-                    self._on_local_row_missing()
+                if host == self._local_host and not is_snapshot:
+                    self._on_local_row(None)
                 continue
             try:
                 decoded = decode_json(row.value, HostRow)
@@ -154,6 +153,8 @@
                 )
                 continue
             self.rows[host] = decoded
+        if is_snapshot:
+            self._on_local_row(self.rows.get(self._local_host))
 
     def live(self, now_s: float) -> list[HostId]:
         """Returns the other hosts that have sent a message lately."""
--- a/acaciaspoke/gateway/process.py
+++ b/acaciaspoke/gateway/process.py
@@ -115,7 +115,7 @@
             settings.address,
             settings.peer_port,
             self._handle,
-            self._registration.record_missing,
+            self._registration.record_row,
         )
         self._dispatcher = Dispatcher(settings.domain_id, self._new_budget)
         self._registry = UpstreamRegistry(
--- a/acaciaspoke/gateway/registration.py
+++ b/acaciaspoke/gateway/registration.py
@@ -31,22 +31,25 @@
         )
         self._is_registered = False
         self._is_ended = False
-        self._row_missing = anyio.Event()
+        self._row_lost = anyio.Event()
 
-    def record_missing(self) -> None:
-        """Records that the store has no row of this host."""
-        if self._is_registered and not self._is_ended:
-            self._row_missing.set()
+    def record_row(self, row: HostRow | None) -> None:
+        """Records the row that the store has for this host, None if none.
+
+        A restored store may have that of an earlier process.
+        """
+        if self._is_registered and not self._is_ended and row != self._row:
+            self._row_lost.set()
 
     async def run(self) -> None:
-        """Writes the row, and again each time it is missing."""
+        """Writes the row, and again each time it is lost."""
         while True:
             await self._write()
             self._is_registered = True
-            await self._row_missing.wait()
-            self._row_missing = anyio.Event()
+            await self._row_lost.wait()
+            self._row_lost = anyio.Event()
             self._is_registered = False
-            logger.warning("the row of this host is missing; writing it again")
+            logger.warning("the row of this host is lost; writing it again")
 
     async def _write(self) -> None:
         """Writes the row; retries until the write is confirmed."""
--- a/test/gateway/test_restored_store.py
+++ b/test/gateway/test_restored_store.py
@@ -3,6 +3,7 @@
 import time
 
 import anyio
+import msgspec
 
 from acaciaspoke.gateway.peers import PEER_MAX_AGE_S
 from standins.faults import Faults
@@ -13,7 +14,7 @@
     changed_routes,
     host_row,
 )
-from test.gateway.serving import configuration
+from test.gateway.serving import configuration, next_ip
 
 # A host counts as unresponsive after one second without messages.
 OBSERVED_S = 1.5
@@ -198,6 +199,15 @@
         await self.eventually(lambda: host_row("h2") in self.store.rows)
         self.assertEqual(row, self.store.rows[host_row("h2")][0])
 
+    async def test_outdated_row_of_a_host_is_written_again(self):
+        """The copy has the row that an earlier process of the host wrote."""
+        row, version = self.store.rows[host_row("h2")]
+        outdated = msgspec.json.decode(row) | {"address": next_ip()}
+        value = msgspec.json.encode(outdated)
+        self.copy.rows[host_row("h2")] = (value, version)
+        await self.restore(self.copy)
+        await self.eventually(lambda: self.store.rows[host_row("h2")][0] == row)
+
     async def test_hosts_exchange_messages_while_a_row_is_missing(self):
         await self.restore(self.copy)
         # The row cannot be written yet.
