--- a/acaciaspoke/gateway/registry.py
+++ b/acaciaspoke/gateway/registry.py
@@ -42,8 +42,8 @@
         self._lapse_grace_s = LAPSE_GRACE_SHARE * drain_s
         self._confirmation_s = (MAX_MISSED_HEARTBEATS + 1) * heartbeat_s
         self._removed: OrderedDict[UpstreamId, UpstreamRecord] = OrderedDict()
-        # Records that may belong to upstreams that are gone, and when each was
-        # first seen; None until the next check.
+        # Records that may belong to upstreams that are gone, and since when
+        # each has been known.
         self._unconfirmed: dict[UpstreamId, UpstreamRecord] = {}
         self._unconfirmed_since_s: dict[UpstreamId, float] = {}
         self._missing_since_s: dict[UpstreamId, float] = {}
