--- a/test/gateway/test_rowrelay.py
+++ b/test/gateway/test_rowrelay.py
@@ -260,9 +260,7 @@
         self.is_reader = False
         self.follower.version = to_version(2, 4)
         for era in (0, 1):
-            self.relay.record_peer_read(
-                ReadProgress(to_version(era, 90), 0.0)
-            )
+            self.relay.record_peer_read(ReadProgress(to_version(era, 90), 0.0))
             self.assertFalse(self.relay.is_delegated(self.follower.version))
         self.relay.record_peer_read(ReadProgress(to_version(2, 4), 0.0))
         self.assertTrue(self.relay.is_delegated(self.follower.version))
