Split the lease: its row, its calls, its epochs and tokens

The row and its reads and writes are in lease_row.py, the calls to the table, which are I/O, in lease_calls.py, epochs and fencing tokens in fencing.py, errors in lease_errors.py; the decisions stay.

--- a/acaciaspoke/control/lease.py
+++ b/acaciaspoke/control/lease.py
@@ -10,22 +10,15 @@
 import random
 from collections.abc import Callable
 from enum import Enum
-from typing import NamedTuple, Protocol
+from typing import NamedTuple
 
 import msgspec
 from loguru import logger
 
-from acaciaspoke.clients.table import (
-    Committed,
-    Condition,
-    Conflict,
-    OutcomeUnknown,
-    Put,
-    Row,
-    TableUnavailable,
-    Transaction,
-)
-from acaciaspoke.errors import AcaciaspokeError
+from acaciaspoke.clients.table import Condition, Row
+from acaciaspoke.control.fencing import FencingTokens, next_epoch
+from acaciaspoke.control.lease_errors import LeaseError, LeaseNotHeldError
+from acaciaspoke.control.lease_row import LeaseRow, Read, Write
 from acaciaspoke.ids import BootId, DomainId, FencingToken, HostId
 from acaciaspoke.util.chart import StateMachine
 
@@ -55,27 +48,9 @@
 # lease, far more than any clock in use drifts.
 MAX_CLOCK_DRIFT_SHARE = 0.1
 
-# The epoch forms the upper bits of a fencing token, so that every token of a
-# new holder exceeds all tokens of earlier holders. Up to epoch 2**21 tokens
-# stay below 2**53, which every JSON reader handles as an integer.
-EPOCH_SHIFT = 32
-
-# Most epochs that a restore of the table may lose. The holder that a restored
-# table shows may not be the last one, so the first epoch of an era is that much
-# higher; a table without the row shows no epoch, so it depends on the era too.
-EPOCHS_PER_ERA = 1024
-
 MAX_REMEMBERED_WRITES = 32
 
 
-class LeaseError(AcaciaspokeError):
-    """Base class of lease errors."""
-
-
-class LeaseNotHeldError(LeaseError):
-    """This process does not hold the lease, or the lease has expired."""
-
-
 class LeaseState(Enum):
     """States of ``charts/lease.yaml``."""
 
@@ -83,57 +58,6 @@
     HOLDER = "holder"
 
 
-class LeaseRow(msgspec.Struct, frozen=True, kw_only=True):
-    """The content of ``lease/DOMAIN``.
-
-    Attributes:
-        holder: Empty after the lease was released.
-        epoch: Incremented at each takeover.
-        renewals: Incremented at each renewal, so that observers see a change.
-        write_id: Identifies the write, so that a writer that got no response
-            recognizes its own row.
-        era: The table's era when the row was written.
-    """
-
-    holder: HostId
-    boot: BootId
-    epoch: int
-    renewals: int = 0
-    write_id: str = ""
-    era: int = 0
-
-
-class Read(NamedTuple):
-    """A linearizable read of the lease row."""
-
-    key: str
-
-
-class Write(NamedTuple):
-    """A conditional write of the lease row."""
-
-    key: str
-    row: LeaseRow
-    expected_revision: int
-
-    def transaction(self) -> Transaction:
-        """Returns the write as a compare-and-put."""
-        return Transaction(
-            (Condition(self.key, self.expected_revision),),
-            (Put(self.key, msgspec.json.encode(self.row)),),
-        )
-
-
-class LeaseTable(Protocol):
-    """The part of the table client that the lease uses."""
-
-    async def read(self, key: str) -> Row | None:
-        """Returns the row by a linearizable read."""
-
-    async def commit(self, transaction: Transaction) -> Committed | Conflict:
-        """Applies the transaction once, if all its conditions hold."""
-
-
 class Lease:
     """The lease as one process sees it, and its decisions about it."""
 
@@ -170,8 +94,7 @@
             "lease", LeaseState
         )
         self._released = False
-        self._epoch = 0
-        self._token_counter = 0
+        self._tokens = FencingTokens()
         self._valid_until_s = float("-inf")
         # The last observed row; the revision is None before the first read.
         self._row: LeaseRow | None = None
@@ -219,7 +142,7 @@
     @property
     def epoch(self) -> int:
         """The epoch in which this process last held the lease."""
-        return self._epoch
+        return self._tokens.epoch
 
     @property
     def highest_known_epoch(self) -> int:
@@ -263,10 +186,7 @@
             LeaseError: If the epoch has no tokens left.
         """
         self._require_held(now_s)
-        if self._token_counter + 1 >> EPOCH_SHIFT:
-            raise LeaseError(f"epoch {self._epoch} has no tokens left")
-        self._token_counter += 1
-        return FencingToken(self._epoch << EPOCH_SHIFT | self._token_counter)
+        return self._tokens.next()
 
     def _require_held(self, now_s: float) -> None:
         if not self.is_held(now_s):
@@ -295,20 +215,16 @@
         if not self._released and self._is_free(now_s, candidate):
             if now_s < self._write_due_s:
                 return None
-            row = LeaseRow(
-                holder=self._host, boot=self._boot, epoch=self._next_epoch()
+            epoch = next_epoch(
+                self._highest_epoch, self._table_era(), self.is_row_outdated
             )
+            row = LeaseRow(holder=self._host, boot=self._boot, epoch=epoch)
             return self._write(row, now_s)
         interval_s = (
             self._timing.read_s if candidate else self._timing.slow_read_s
         )
         return self._read(now_s, interval_s)
 
-    def _next_epoch(self) -> int:
-        lost_epochs = EPOCHS_PER_ERA if self.is_row_outdated else 0
-        first_epoch = (self._table_era() - 1) * EPOCHS_PER_ERA + 1
-        return max(self._highest_epoch + lost_epochs + 1, first_epoch)
-
     def release(self, now_s: float) -> Write | None:
         """Releases the lease permanently; call it when no order is pending.
 
@@ -432,37 +348,8 @@
             self._machine.send("renewed")
         else:
             self._machine.send("acquired")
-            if row.epoch != self._epoch:
-                # A late renewal can restore an epoch that had lapsed; the
-                # token counter of that epoch then continues.
-                self._epoch, self._token_counter = row.epoch, 0
+            self._tokens.begin(row.epoch)
             logger.info("{} acquired in epoch {}", self.key, row.epoch)
         self._valid_until_s = max(self._valid_until_s, valid_until_s)
         renew_due_s = sent_s + self._timing.renew_s
         self._write_due_s = max(self._write_due_s, renew_due_s)
-
-
-async def execute_action(
-    action: Read | Write | None,
-    lease: Lease,
-    table: LeaseTable,
-    clock: Callable[[], float],
-) -> None:
-    """Executes an action that ``step`` or ``release`` returned."""
-    try:
-        if isinstance(action, Read):
-            lease.on_row(await table.read(action.key), clock())
-        elif isinstance(action, Write):
-            result = await table.commit(action.transaction())
-            if isinstance(result, Committed):
-                lease.on_committed(action, result.revision, clock())
-            else:
-                lease.on_row(result.rows.get(action.key), clock())
-    except OutcomeUnknown:
-        lease.on_outcome_unknown()
-    except TableUnavailable as error:
-        # Nothing was written; ``step`` retries after ``retry_s``.
-        lease.on_table_unavailable()
-        logger.warning("{}: {}", lease.key, error)
-    except LeaseError as error:
-        logger.error("{}", error)
--- a/acaciaspoke/control/leasetask.py
+++ b/acaciaspoke/control/leasetask.py
@@ -6,7 +6,8 @@
 import anyio
 
 from acaciaspoke.clients.table import TableClient
-from acaciaspoke.control.lease import Lease, execute_action
+from acaciaspoke.control.lease import Lease
+from acaciaspoke.control.lease_calls import execute_action
 from acaciaspoke.control.membership import Membership
 from acaciaspoke.util.rendezvous import choose
 
--- a/acaciaspoke/control/orders.py
+++ b/acaciaspoke/control/orders.py
@@ -17,7 +17,7 @@
 
 from acaciaspoke.config.schema import Artifact, Upstream
 from acaciaspoke.control.engine_link import EngineLink, open_link
-from acaciaspoke.control.lease import EPOCH_SHIFT
+from acaciaspoke.control.fencing import EPOCH_SHIFT
 from acaciaspoke.control.reservation_rows import (
     HeldLease,
     LeaseLostError,
--- a/acaciaspoke/control/planning.py
+++ b/acaciaspoke/control/planning.py
@@ -24,7 +24,8 @@
 from acaciaspoke.control.demand import LONG_HALF_LIFE_S, DemandRates
 from acaciaspoke.control.engine_link import LinkError
 from acaciaspoke.control.fleet import DomainSnapshot
-from acaciaspoke.control.lease import Lease, LeaseNotHeldError
+from acaciaspoke.control.lease import Lease
+from acaciaspoke.control.lease_errors import LeaseNotHeldError
 from acaciaspoke.control.order_runner import OrderRunner
 from acaciaspoke.control.orders import OrderSender, Target
 from acaciaspoke.control.pacing import Pacer, domain_share
--- a/acaciaspoke/gateway/leader.py
+++ b/acaciaspoke/gateway/leader.py
@@ -11,13 +11,9 @@
 from loguru import logger
 
 from acaciaspoke.clients.table import Row
-from acaciaspoke.control.lease import (
-    Lease,
-    LeaseError,
-    LeaseNotHeldError,
-    LeaseTable,
-    execute_action,
-)
+from acaciaspoke.control.lease import Lease
+from acaciaspoke.control.lease_calls import LeaseTable, execute_action
+from acaciaspoke.control.lease_errors import LeaseError, LeaseNotHeldError
 from acaciaspoke.gateway.adapter_placement import plan_adapters
 from acaciaspoke.gateway.demand import DemandTracker
 from acaciaspoke.gateway.engine_tracker import EngineTracker
--- a/acaciaspoke/gateway/peer_lease_table.py
+++ b/acaciaspoke/gateway/peer_lease_table.py
@@ -22,7 +22,7 @@
     TableUnavailable,
     Transaction,
 )
-from acaciaspoke.control.lease import LeaseTable
+from acaciaspoke.control.lease_calls import LeaseTable
 from acaciaspoke.gateway.messages import RowAnswer, RowRequest
 from acaciaspoke.ids import HostId
 from acaciaspoke.platform.versions import era_of, number_of
--- a/test/control/test_lease.py
+++ b/test/control/test_lease.py
@@ -8,16 +8,11 @@
 import msgspec
 
 from acaciaspoke.clients.table import Conflict, Put, Row, Transaction
-from acaciaspoke.control.lease import (
-    EPOCH_SHIFT,
-    EPOCHS_PER_ERA,
-    Lease,
-    LeaseNotHeldError,
-    LeaseRow,
-    LeaseState,
-    Write,
-    execute_action,
-)
+from acaciaspoke.control.fencing import EPOCH_SHIFT, EPOCHS_PER_ERA
+from acaciaspoke.control.lease import Lease, LeaseState
+from acaciaspoke.control.lease_calls import execute_action
+from acaciaspoke.control.lease_errors import LeaseNotHeldError
+from acaciaspoke.control.lease_row import LeaseRow, Write
 from acaciaspoke.ids import BootId, DomainId, HostId
 from test.fakes_table import FakeTable, Fault
 from test.virtualtime import run
--- a/test/control/test_orders.py
+++ b/test/control/test_orders.py
@@ -9,7 +9,7 @@
 from loguru import logger
 
 from acaciaspoke.config.schema import Artifact, Upstream
-from acaciaspoke.control.lease import EPOCH_SHIFT
+from acaciaspoke.control.fencing import EPOCH_SHIFT
 from acaciaspoke.control.orders import Outcome, Target, Verb
 from acaciaspoke.control.reservation_rows import (
     LeaseLostError,
--- a/test/gateway/test_handover.py
+++ b/test/gateway/test_handover.py
@@ -24,7 +24,7 @@
     Row,
     TableUnavailable,
 )
-from acaciaspoke.control.lease import LeaseNotHeldError
+from acaciaspoke.control.lease_errors import LeaseNotHeldError
 from acaciaspoke.gateway import leader as leader_module
 from acaciaspoke.gateway.fleet import Fleet
 from acaciaspoke.gateway.leader import Leader
--- a/test/gateway/test_process.py
+++ b/test/gateway/test_process.py
@@ -9,7 +9,7 @@
 import httpcore
 import msgspec
 
-from acaciaspoke.control.lease import LeaseNotHeldError
+from acaciaspoke.control.lease_errors import LeaseNotHeldError
 from acaciaspoke.gateway.handover import (
     LEASE_S,
     NO_ORDERS_S,
@@ -454,7 +454,7 @@
         leader = self.gateway._leader
         leader._led_epoch = 0
         leader._former_holder = former
-        leader.lease._epoch = 2
+        leader.lease._tokens.epoch = 2
         started_s = boot_time_s()
         leader._update_epoch()
         return leader._no_orders_until_s - started_s
