Split the dispatcher: estimates, and reports to other hosts

gateway/dispatch.py held three jobs in 460 lines. When a request can run and must have started is in estimates.py, what a host reports of its requests in load_reports.py; the queue and the choice of upstreams stay. No change of behaviour; tests only name the moved attributes and functions.

--- a/acaciaspoke/gateway/digests.py
+++ b/acaciaspoke/gateway/digests.py
@@ -7,6 +7,11 @@
 
 from acaciaspoke.gateway.dispatch import Dispatcher
 from acaciaspoke.gateway.leader import Leader
+from acaciaspoke.gateway.load_reports import (
+    local_loads,
+    running_by_artifact,
+    waiting_by_model,
+)
 from acaciaspoke.gateway.loadexchange import LoadExchange
 from acaciaspoke.gateway.messages import DemandDigest, LoadDigest
 from acaciaspoke.gateway.part_suspects import PartSuspects
@@ -110,9 +115,9 @@
         configuration = self._configuration()
         now_s = time.monotonic()
         digest = LoadDigest(
-            in_flight=self._dispatcher.local_loads(),
+            in_flight=local_loads(self._dispatcher.fleet),
             reading=self._dispatcher.fleet.local_prefill_tokens(now_s),
-            waiting=self._dispatcher.waiting_by_model(),
+            waiting=waiting_by_model(self._dispatcher.waiting_requests),
             unreachable=self._dispatcher.fleet.local_unreachable(now_s),
             slow=tuple(self._dispatcher.fleet.event_intervals.slow(now_s)),
             configuration=configuration.version if configuration else 0,
@@ -130,7 +135,7 @@
             boot=self._boot,
             sequence=self._next_sequence(),
             demand=self._dispatcher.demand(now_s, full),
-            running=self._dispatcher.running_by_artifact(),
+            running=running_by_artifact(self._dispatcher.fleet),
         )
         leader = self._leader_host()
         if self._leader.holds_lease:
--- a/acaciaspoke/gateway/dispatch.py
+++ b/acaciaspoke/gateway/dispatch.py
@@ -1,16 +1,12 @@
 """Queues requests and assigns them to upstreams; does no I/O."""
 
-import math
-from collections import defaultdict
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Collection, Iterator
 from typing import NamedTuple
 
 from acaciaspoke.gateway.admission import (
     Backlog,
     Refusal,
     admit,
-    latest_start_before_s,
-    latest_start_s,
     plan_retry,
     refuse,
 )
@@ -19,10 +15,9 @@
     choose_backup_engine,
     choose_upstream,
     named_pause_end_s,
-    slot_limit,
     wait_reason_of,
 )
-from acaciaspoke.gateway.durations import Durations
+from acaciaspoke.gateway.estimates import Estimates, priority_key
 from acaciaspoke.gateway.fleet import Fleet, Upstream
 from acaciaspoke.gateway.local_demand import LocalDemand
 from acaciaspoke.gateway.messages import ArtifactDemand
@@ -33,18 +28,12 @@
     Configuration,
     Request,
 )
-from acaciaspoke.ids import DomainId, ModelId, RequestId, ServiceId, UpstreamId
-
-# Assumed mean time of a request until one is measured.
-INITIAL_SERVICE_S = 1.0
+from acaciaspoke.ids import DomainId, RequestId, ServiceId, UpstreamId
 
 # Requests with a shorter mean time get no KV backup, as backups are charged by
 # their size.
 MIN_BACKED_UP_SERVICE_S = 0.5
 
-# Estimated time until an engine holds a model: order, load and notice.
-COLD_START_S = 1.6
-
 
 class Assignment(NamedTuple):
     """A request and the upstream chosen for it.
@@ -71,17 +60,14 @@
 
     Attributes:
         fleet: The upstreams and their loads.
-        last_start_s: Latest start of a request; finite while the host stops.
-        stop_end_s: When the host stops; requests that may take longer are
-            refused.
+        estimates: When requests can run and must have started.
     """
 
     def __init__(
         self, local_domain: DomainId, budget: Callable[[], RetryBudget]
     ):
         self.fleet = Fleet()
-        self.last_start_s = math.inf
-        self.stop_end_s = math.inf
+        self.estimates = Estimates(self.fleet)
         self._local_domain = local_domain
         self._new_budget = budget
         self._budgets: dict[ServiceId, RetryBudget] = {}
@@ -89,14 +75,17 @@
         self._waiting: dict[RequestId, Request] = {}
         self._running: dict[RequestId, tuple[Request, UpstreamId]] = {}
         self._demand = LocalDemand()
-        # By service and by route.
-        self._durations: defaultdict[str, Durations] = defaultdict(Durations)
 
     @property
     def waiting(self) -> int:
         """Requests that wait for an upstream."""
         return len(self._waiting)
 
+    @property
+    def waiting_requests(self) -> Collection[Request]:
+        """The requests that wait for an upstream."""
+        return self._waiting.values()
+
     # Request lifecycle.
 
     def set_configuration(self, configuration: Configuration) -> None:
@@ -108,7 +97,7 @@
         self.budget(request.service).record_request(now_s)
         self._demand.record(request, now_s)
         backlog = self._backlog(request, now_s)
-        latest_s = self._latest_start_s(request, now_s)
+        latest_s = self.estimates.latest_start_s(request, now_s)
         refusal = admit(
             request, backlog, latest_s, now_s
         ) or self._refuse_without_replica(request, latest_s, now_s)
@@ -144,9 +133,7 @@
     ) -> None:
         """Records a complete response."""
         self.fleet.record_success(upstream, now_s)
-        duration_s = now_s - request.sent_s
-        for key in (request.service, request.route.name):
-            self._durations[key].record(duration_s, now_s)
+        self.estimates.record_success(request, now_s)
 
     def budget(self, service: ServiceId) -> RetryBudget:
         """Returns the retry budget of a service."""
@@ -169,11 +156,11 @@
         )
         unreachable = self.fleet.unreachable(now_s)
         holders: dict[tuple[ServiceId, Artifact | None], list[Upstream]] = {}
-        for request in sorted(self._waiting.values(), key=_priority_key):
+        for request in sorted(self._waiting.values(), key=priority_key):
             if request.resume_at is not None:
                 yield self._resume(request, request.resume_at, now_s)
                 continue
-            if now_s >= self._latest_start_s(request, now_s):
+            if now_s >= self.estimates.latest_start_s(request, now_s):
                 wait_s = self._retry_after_s(request, now_s)
                 yield self._refuse(request, "late", wait_s, now_s)
                 continue
@@ -210,7 +197,7 @@
         request.wait_reason = wait_reason_of(request, holders, loads, now_s)
         if holders:
             pause_end_s = named_pause_end_s(request, holders, now_s)
-            if pause_end_s > self._latest_start_s(request, now_s):
+            if pause_end_s > self.estimates.latest_start_s(request, now_s):
                 wait_s = pause_end_s - now_s
                 return self._refuse(request, "paused", wait_s, now_s)
             # Keeps shorter, less urgent prompts from overtaking it.
@@ -220,7 +207,7 @@
             )
             loads.reserve(least_loaded, request)
             return None
-        latest_s = self._latest_start_s(request, now_s)
+        latest_s = self.estimates.latest_start_s(request, now_s)
         refusal = self._refuse_without_replica(request, latest_s, now_s)
         if refusal is None:
             return None
@@ -282,11 +269,11 @@
         The request stays queued if its retry would time out too before the
         replica is ready, unless there would be no time left to run it.
         """
-        ready_s = self._replica_ready_s(request, now_s)
+        ready_s = self.estimates.replica_ready_s(request, now_s)
         if ready_s is None or ready_s <= latest_s:
             return None
         retry = plan_retry(request, ready_s, now_s)
-        too_late_s = request.deadline_s - self._route_service_s(request)
+        too_late_s = request.deadline_s - self.estimates.service_s(request)
         if retry.is_in_time or ready_s >= too_late_s:
             wait_s = retry.retry_after_s
             return refuse(request, "copy is late", wait_s, now_s)
@@ -294,19 +281,13 @@
 
     def _retry_after_s(self, request: Request, now_s: float) -> float:
         """Returns after how many seconds the caller should retry."""
-        ready_s = self._replica_ready_s(request, now_s)
+        ready_s = self.estimates.replica_ready_s(request, now_s)
         if ready_s is not None:
             return plan_retry(request, ready_s, now_s).retry_after_s
         return self._backlog(request, now_s).wait_s
 
-    def _replica_ready_s(self, request: Request, now_s: float) -> float | None:
-        """Returns when a replica will be ready; None if one is or unknown."""
-        artifact = request.artifact
-        if artifact is None or self.fleet.holders(
-            request.service, artifact.base, now_s
-        ):
-            return None
-        return self.fleet.ready_at_s.get(artifact.model)
+    def _backlog(self, request: Request, now_s: float) -> Backlog:
+        return self.estimates.backlog(request, self._waiting.values(), now_s)
 
     def _needs_backup(self, request: Request) -> bool:
         # Idempotent requests can be sent again, and short ones are seldom
@@ -315,24 +296,13 @@
             self._configuration is None
             or request.artifact is None
             or request.route.idempotent
-            or self._route_service_s(request) < MIN_BACKED_UP_SERVICE_S
+            or self.estimates.service_s(request) < MIN_BACKED_UP_SERVICE_S
         ):
             return False
         service = self._configuration.services.get(request.service)
         engine = service.engine if service else None
         return engine is not None and engine.kv_backup_retention_s > 0
 
-    def _latest_start_s(self, request: Request, now_s: float) -> float:
-        latest_s = latest_start_s(request, self._route_service_s(request))
-        latest_s = min(latest_s, self.last_start_s)
-        if request.deadline_s <= self.stop_end_s:
-            return latest_s
-        longest_s = self._durations[request.route.name].longest_s(now_s)
-        return min(latest_s, latest_start_before_s(self.stop_end_s, longest_s))
-
-    def _route_service_s(self, request: Request) -> float:
-        return self._durations[request.route.name].mean_s or 0.0
-
     def _assign(
         self,
         request: Request,
@@ -348,75 +318,6 @@
         record = upstream.record
         return Assignment(request, name, record.address, record.started_ms)
 
-    def _backlog(self, request: Request, now_s: float) -> Backlog:
-        service_s = self._durations[request.service].mean_s
-        artifact = request.artifact
-        holders = self.fleet.holders(request.service, artifact, now_s)
-        cold_s = 0.0
-        if not holders and artifact is not None:
-            if artifact.adapter is not None:
-                holders = self.fleet.holders(
-                    request.service, artifact.base, now_s
-                )
-            if not holders:
-                cold_s = COLD_START_S
-        loads = self.fleet.loads(now_s)
-        free_slots = sum(
-            max(
-                0,
-                int(
-                    slot_limit(upstream, request)
-                    - loads[upstream.record.upstream]
-                ),
-            )
-            for upstream in holders
-        )
-        ahead = self._ahead_of(request, now_s)
-        return Backlog(
-            ahead=max(0, ahead - free_slots),
-            slots=sum(upstream.record.slots for upstream in holders),
-            service_s=INITIAL_SERVICE_S if service_s is None else service_s,
-            cold_s=cold_s,
-        )
-
-    def _ahead_of(self, request: Request, now_s: float) -> int:
-        own_key = _priority_key(request)
-        model = request.artifact.model if request.artifact else None
-        ahead = sum(
-            other.service == request.service
-            and (other.artifact.model if other.artifact else None) == model
-            and _priority_key(other) < own_key
-            for other in self._waiting.values()
-        )
-        if model is None:
-            return ahead
-        return ahead + sum(
-            count
-            for digest in self.fleet.peer_loads.fresh(now_s)
-            for priority, count in digest.waiting.get(model, {}).items()
-            if priority <= request.route.priority
-        )
-
-    # Reports to other hosts.
-
-    def waiting_by_model(self) -> dict[ModelId, dict[int, int]]:
-        """Returns the waiting requests, by model and priority."""
-        waiting: dict[ModelId, dict[int, int]] = {}
-        for request in self._waiting.values():
-            if request.artifact is not None:
-                counts = waiting.setdefault(request.artifact.model, {})
-                priority = request.route.priority
-                counts[priority] = counts.get(priority, 0) + 1
-        return waiting
-
-    def local_loads(self) -> dict[UpstreamId, int]:
-        """Returns this host's requests at each upstream."""
-        return {
-            name: upstream.local_load
-            for name, upstream in self.fleet.upstreams.items()
-            if upstream.in_flight
-        }
-
     def demand(self, now_s: float, full: bool) -> tuple[ArtifactDemand, ...]:
         """Returns the demand of this host's callers for each artifact.
 
@@ -424,37 +325,16 @@
             now_s: The current time.
             full: Whether to include artifacts without recent requests.
         """
-        waiting = sorted(self._waiting.values(), key=_priority_key)
+        waiting = sorted(self._waiting.values(), key=priority_key)
         return self._demand.report(
             waiting,
             now_s,
             full,
-            lambda request: self._latest_start_s(request, now_s),
+            lambda request: self.estimates.latest_start_s(request, now_s),
         )
 
-    def running_by_artifact(
-        self,
-    ) -> dict[UpstreamId, tuple[tuple[Artifact, int], ...]]:
-        """Returns this host's requests at each engine, by artifact."""
-        return {
-            name: counts
-            for name, upstream in self.fleet.upstreams.items()
-            if (
-                counts := tuple(
-                    (artifact, count)
-                    for artifact, count in upstream.in_flight.items()
-                    if artifact is not None
-                )
-            )
-        }
-
     def lacks_replica(self, request: Request, now_s: float) -> bool:
         """Returns whether no upstream holds the artifact of a request."""
         return request.artifact is not None and not self.fleet.holders(
             request.service, request.artifact, now_s
         )
-
-
-def _priority_key(request: Request) -> tuple[int, float]:
-    # Callers that retry have less time left, so they go first.
-    return (request.route.priority, request.deadline_s)
--- /dev/null
+++ b/acaciaspoke/gateway/estimates.py
@@ -0,0 +1,144 @@
+"""Estimates when requests can run, and when they must have started.
+
+All of them follow from the loads of upstreams and from how long earlier
+requests took.
+"""
+
+import math
+from collections import defaultdict
+from collections.abc import Iterable
+
+from acaciaspoke.gateway.admission import (
+    Backlog,
+    latest_start_before_s,
+    latest_start_s,
+)
+from acaciaspoke.gateway.balance import slot_limit
+from acaciaspoke.gateway.durations import Durations
+from acaciaspoke.gateway.fleet import Fleet, Upstream
+from acaciaspoke.gateway.types import Request
+
+# Assumed mean time of a request until one is measured.
+INITIAL_SERVICE_S = 1.0
+
+# Estimated time until an engine holds a model: order, load and notice.
+COLD_START_S = 1.6
+
+
+class Estimates:
+    """Estimates of one host.
+
+    Attributes:
+        durations: How long requests took, by service and by route.
+        last_start_s: Latest start of a request; finite while the host stops.
+        stop_end_s: When the host stops; requests that may take longer are
+            refused.
+    """
+
+    def __init__(self, fleet: Fleet):
+        """Creates estimates without any measured duration.
+
+        Args:
+            fleet: The upstreams and their loads.
+        """
+        self.durations: defaultdict[str, Durations] = defaultdict(Durations)
+        self.last_start_s = math.inf
+        self.stop_end_s = math.inf
+        self._fleet = fleet
+
+    def record_success(self, request: Request, now_s: float) -> None:
+        """Records how long a complete response took."""
+        duration_s = now_s - request.sent_s
+        for key in (request.service, request.route.name):
+            self.durations[key].record(duration_s, now_s)
+
+    def service_s(self, request: Request) -> float:
+        """Returns the mean time of the route's requests; 0 if unknown."""
+        return self.durations[request.route.name].mean_s or 0.0
+
+    def latest_start_s(self, request: Request, now_s: float) -> float:
+        """Returns the latest time at which a request may start."""
+        latest_s = latest_start_s(request, self.service_s(request))
+        latest_s = min(latest_s, self.last_start_s)
+        if request.deadline_s <= self.stop_end_s:
+            return latest_s
+        longest_s = self.durations[request.route.name].longest_s(now_s)
+        return min(latest_s, latest_start_before_s(self.stop_end_s, longest_s))
+
+    def replica_ready_s(self, request: Request, now_s: float) -> float | None:
+        """Returns when a replica will be ready; None if one is or unknown."""
+        artifact = request.artifact
+        if artifact is None or self._fleet.holders(
+            request.service, artifact.base, now_s
+        ):
+            return None
+        return self._fleet.ready_at_s.get(artifact.model)
+
+    def backlog(
+        self, request: Request, waiting: Iterable[Request], now_s: float
+    ) -> Backlog:
+        """Returns what a request has to wait for.
+
+        Args:
+            request: The request.
+            waiting: The requests that wait at this host.
+            now_s: The current time.
+        """
+        service_s = self.durations[request.service].mean_s
+        holders, cold_s = self._holders_or_cold_start(request, now_s)
+        loads = self._fleet.loads(now_s)
+        free_slots = sum(
+            max(
+                0,
+                int(
+                    slot_limit(upstream, request)
+                    - loads[upstream.record.upstream]
+                ),
+            )
+            for upstream in holders
+        )
+        ahead = self._ahead_of(request, waiting, now_s)
+        return Backlog(
+            ahead=max(0, ahead - free_slots),
+            slots=sum(upstream.record.slots for upstream in holders),
+            service_s=INITIAL_SERVICE_S if service_s is None else service_s,
+            cold_s=cold_s,
+        )
+
+    def _holders_or_cold_start(
+        self, request: Request, now_s: float
+    ) -> tuple[list[Upstream], float]:
+        artifact = request.artifact
+        holders = self._fleet.holders(request.service, artifact, now_s)
+        if holders or artifact is None:
+            return holders, 0.0
+        if artifact.adapter is not None:
+            # An adapter is loaded within milliseconds.
+            holders = self._fleet.holders(request.service, artifact.base, now_s)
+        return holders, 0.0 if holders else COLD_START_S
+
+    def _ahead_of(
+        self, request: Request, waiting: Iterable[Request], now_s: float
+    ) -> int:
+        own_key = priority_key(request)
+        model = request.artifact.model if request.artifact else None
+        ahead = sum(
+            other.service == request.service
+            and (other.artifact.model if other.artifact else None) == model
+            and priority_key(other) < own_key
+            for other in waiting
+        )
+        if model is None:
+            return ahead
+        return ahead + sum(
+            count
+            for digest in self._fleet.peer_loads.fresh(now_s)
+            for priority, count in digest.waiting.get(model, {}).items()
+            if priority <= request.route.priority
+        )
+
+
+def priority_key(request: Request) -> tuple[int, float]:
+    """Returns the key by which waiting requests are served."""
+    # Callers that retry have less time left, so they go first.
+    return (request.route.priority, request.deadline_s)
--- a/acaciaspoke/gateway/process.py
+++ b/acaciaspoke/gateway/process.py
@@ -212,8 +212,8 @@
         await self.drain.wait_for_request()
         now_s = time.monotonic()
         grace_s = self._settings.stop_grace_s
-        self._dispatcher.last_start_s = now_s + START_SHARE * grace_s
-        self._dispatcher.stop_end_s = now_s + ANSWER_SHARE * grace_s
+        self._dispatcher.estimates.last_start_s = now_s + START_SHARE * grace_s
+        self._dispatcher.estimates.stop_end_s = now_s + ANSWER_SHARE * grace_s
         await anyio.sleep(ANSWER_SHARE * grace_s)
         self.app.end_unanswered()
 
--- a/test/gateway/test_dispatch.py
+++ b/test/gateway/test_dispatch.py
@@ -10,6 +10,7 @@
     plan_retry,
 )
 from acaciaspoke.gateway.dispatch import Assignment, DroppedRequest
+from acaciaspoke.gateway.load_reports import running_by_artifact
 from acaciaspoke.gateway.messages import LoadDigest
 from acaciaspoke.gateway.retry_budget import RetryBudget
 from acaciaspoke.gateway.types import RouteKind, UpstreamState
@@ -46,11 +47,12 @@
         dispatcher = new_dispatcher(record("u1", "m1", slots=4))
         dispatcher.submit(request("plain", artifact=None), 0.0)
         self.assertEqual(["plain"], _names(dispatcher.decide(0.0)))
-        self.assertEqual({}, dispatcher.running_by_artifact())
+        self.assertEqual({}, running_by_artifact(dispatcher.fleet))
         dispatcher.submit(request("named"), 0.0)
         self.assertEqual(["named"], _names(dispatcher.decide(0.0)))
         self.assertEqual(
-            {"u1": ((artifact("m1"), 1),)}, dispatcher.running_by_artifact()
+            {"u1": ((artifact("m1"), 1),)},
+            running_by_artifact(dispatcher.fleet),
         )
 
     def test_retry_of_a_caller_goes_first(self):
@@ -211,7 +213,7 @@
         self.assertIsNone(
             dispatcher.submit(request("q1", route=slow_route), 0.0)
         )
-        dispatcher.last_start_s = 2.4
+        dispatcher.estimates.last_start_s = 2.4
         self.assertEqual([], list(dispatcher.decide(2.3)))
         self.assertEqual(["q1"], _names(dispatcher.decide(2.5), DroppedRequest))
         late = dispatcher.submit(request("q2", 2.5, route=slow_route), 2.5)
--- a/test/gateway/test_finished_stream.py
+++ b/test/gateway/test_finished_stream.py
@@ -9,7 +9,7 @@
 
     async def test_stream_with_a_backup_is_no_caller_that_left(self):
         # The end of the response was taken for the end of the connection.
-        durations = self.gateway._dispatcher._durations["stream"]
+        durations = self.gateway._dispatcher.estimates.durations["stream"]
         durations.mean_s = 2.0  # Only long runs get a KV backup.
 
         async def stream(arrival):
--- a/test/gateway/test_many_digits.py
+++ b/test/gateway/test_many_digits.py
@@ -35,7 +35,7 @@
 
     async def test_load_of_an_engine_that_is_asked_for_a_stream(self):
         # Only long runs get a KV backup.
-        self.gateway._dispatcher._durations["stream"].mean_s = 2.0
+        self.gateway._dispatcher.estimates.durations["stream"].mean_s = 2.0
 
         async def script(arrival):
             if "kv-from" in arrival.headers:
--- a/test/gateway/test_process.py
+++ b/test/gateway/test_process.py
@@ -346,7 +346,7 @@
     async def asyncSetUp(self):
         await super().asyncSetUp()
         # Only long runs get a KV backup.
-        self.gateway._dispatcher._durations["stream"].mean_s = 2.0
+        self.gateway._dispatcher.estimates.durations["stream"].mean_s = 2.0
 
     def _script(self, first, then):
         """Sets what the first run and the run from its backup answer."""
--- a/test/gateway/test_silent_engine.py
+++ b/test/gateway/test_silent_engine.py
@@ -25,7 +25,7 @@
     async def asyncSetUp(self):
         await super().asyncSetUp()
         # Only long runs get a KV backup.
-        self.gateway._dispatcher._durations["stream"].mean_s = 2.0
+        self.gateway._dispatcher.estimates.durations["stream"].mean_s = 2.0
         self.closed = []
 
     def _script(self, at_backup, silence_s=SILENCE_S):
--- a/test/gateway/test_takeover_ends.py
+++ b/test/gateway/test_takeover_ends.py
@@ -4,6 +4,7 @@
 
 import httpcore
 
+from acaciaspoke.gateway.load_reports import local_loads
 from test.gateway.serving import GatewayTest
 
 EVENTS = tuple(b"id: %d\ndata: %d\n\n" % (n, n) for n in range(1, 6))
@@ -14,7 +15,7 @@
 
     async def asyncSetUp(self):
         await super().asyncSetUp()
-        self.gateway._dispatcher._durations["stream"].mean_s = 2.0
+        self.gateway._dispatcher.estimates.durations["stream"].mean_s = 2.0
         self.left = []
 
         async def script(arrival):
@@ -36,7 +37,7 @@
     async def _check_both_left(self):
         await self.eventually(lambda: sorted(self.left) == [False, True])
         self.assertFalse(self.gateway._request_handler._streams)
-        self.assertEqual({}, self.gateway._dispatcher.local_loads())
+        self.assertEqual({}, local_loads(self.gateway._dispatcher.fleet))
 
     async def test_caller_leaves(self):
         asking = asyncio.create_task(
