Order loads for routes that wait hardly longer than one

Cause: a load that would end later than the waiting requests can wait is left out, unless the route never waits for a load. A route was taken for one that does if it waits for longer than the load alone; but a request has to be sent 0.25 s before its caller gives up, and the planner adds 0.5 s for the order. In between no request is ever in time.

Evidence: the new test finds no order 0.2 s after the request arrived, for loads of 1.2 and 4.2 s and callers that wait for 2 and 4.5 s.

Change: a route counts as one that never waits unless its requests wait for 1.5 s beyond the load.

--- a/acaciaspoke/gateway/replicas.py
+++ b/acaciaspoke/gateway/replicas.py
@@ -76,6 +76,12 @@
 SPARE_REPLICA_MIN_DEMAND = 4.0
 
 
+# Routes whose requests wait for less than this beyond a load from the weight
+# store count as never waiting for one: the order, the reports of demand and
+# busy engines take up the rest of the wait.
+MIN_ORDER_WINDOW_S = 1.5
+
+
 class Replicas:
     """The demand for each model, and the engines that hold it."""
 
@@ -147,15 +153,15 @@
     def is_too_late(self, model: ModelId, ready_s: float) -> bool:
         """Returns whether no waiting request can wait for a replica any more.
 
-        Requests of routes that never wait for a load from the weight store show
-        demand to come, so that a replica is useful in any case.
+        Requests of routes that never or hardly wait for a load from the weight
+        store show demand to come, so that a replica is useful in any case.
 
         Args:
             model: A model for which requests wait.
             ready_s: In how many seconds the replica would be ready.
         """
         load_s = self._spec.models[model].load_s
-        if self._patience_s[model] < load_s:
+        if self._patience_s[model] < load_s + MIN_ORDER_WINDOW_S:
             return False
         return self._remaining_s[model] < ready_s
 
--- a/test/gateway/test_placement.py
+++ b/test/gateway/test_placement.py
@@ -174,11 +174,13 @@
         self.assertEqual([], orders)
         self.assertEqual([Obstacle.LATE], obstacles)
 
-    def _orders_after(self, wait_s):
+    CALM = route(objective_s=8.0, timeout_s=15.0, priority=2)
+
+    def _orders_after(self, wait_s, request_route=CALM, spec=SLOW):
         """Returns the orders once a host's only request has waited so long."""
-        calm = route(objective_s=8.0, timeout_s=15.0, priority=2)
         dispatcher = new_dispatcher()
-        dispatcher.submit(request(route=calm, artifact=artifact("m5")), 0.0)
+        waiting = request(route=request_route, artifact=artifact("m5"))
+        dispatcher.submit(waiting, 0.0)
         tracker = DemandTracker()
         tracker.apply(
             DemandDigest(
@@ -195,7 +197,7 @@
         return plan_models(
             [engine("u1", "m1")],
             known | tracker.totals(wait_s),
-            self.SLOW,
+            spec,
             5,
             wait_s,
         )
@@ -205,6 +207,16 @@
         self.assertEqual(artifact("m5"), order.artifact)
         self.assertEqual([], self._orders_after(12.0))
 
+    def test_model_of_a_route_that_hardly_waits_for_a_load_gets_one(self):
+        # A load of 1.2 s was left out 0.1 s after the request arrived, and one
+        # of 4.2 s always if callers wait for 4.5 s, so that neither model was
+        # ever loaded.
+        for load_s, patience_s in ((1.2, 2.0), (4.2, 4.5), (4.2, 5.5)):
+            with self.subTest(load_s=load_s, patience_s=patience_s):
+                short = route(objective_s=patience_s / 4, timeout_s=10.0)
+                spec = engine_spec(*MODELS, load_s=load_s)
+                self.assertNotEqual([], self._orders_after(0.2, short, spec))
+
     def test_request_that_can_wait_starts_a_load(self):
         early = {"oldest_s": 9.0, "remaining_s": 5.0, "patience_s": 14.0}
         (order,), _ = self._plan(engine("u1", "m1"), **early)
