Report the wait of the oldest request, also beside a repeat

A repeat has an earlier deadline than older requests of its route, so it comes first by priority, and its wait was reported as that of the oldest request: 1 s instead of 6 s in the new test, which failed before. The gain of a model without a replica and the order of adapter loads follow from it.

Change: the longest wait is reported; the requests need no order any more.

--- a/acaciaspoke/gateway/dispatch.py
+++ b/acaciaspoke/gateway/dispatch.py
@@ -325,9 +325,8 @@
             now_s: The current time.
             full: Whether to include artifacts without recent requests.
         """
-        waiting = sorted(self._waiting.values(), key=priority_key)
         return self._demand.report(
-            waiting,
+            self._waiting.values(),
             now_s,
             full,
             lambda request: self.estimates.latest_start_s(request, now_s),
--- a/acaciaspoke/gateway/local_demand.py
+++ b/acaciaspoke/gateway/local_demand.py
@@ -57,21 +57,23 @@
         """Returns the demand; removes artifacts without recent requests.
 
         Args:
-            waiting: The waiting requests, the most urgent first.
+            waiting: The waiting requests.
             now_s: The current time.
             full: Whether to include artifacts without recent requests.
             latest_start_s: Returns the latest time at which a request may be
                 sent to an upstream.
         """
         counts: Counter[Artifact] = Counter()
-        first: dict[Artifact, Request] = {}
+        oldest_s: dict[Artifact, float] = {}
         remaining_s: dict[Artifact, float] = {}
         patience: dict[Artifact, float] = {}
         for request in waiting:
             artifact = request.artifact
             if artifact is not None:
                 counts[artifact] += 1
-                first.setdefault(artifact, request)
+                oldest_s[artifact] = max(
+                    oldest_s.get(artifact, 0.0), now_s - request.arrived_s
+                )
                 remaining_s[artifact] = max(
                     remaining_s.get(artifact, 0.0),
                     latest_start_s(request) - now_s,
@@ -91,9 +93,7 @@
                 arrivals=demand.arrivals,
                 waiting=counts[artifact],
                 priority=demand.priority,
-                oldest_s=now_s - first[artifact].arrived_s
-                if artifact in first
-                else 0.0,
+                oldest_s=oldest_s.get(artifact, 0.0),
                 prompt_tokens=demand.prompt_tokens,
                 remaining_s=remaining_s.get(artifact, 0.0),
                 patience_s=patience.get(artifact, math.inf),
--- a/test/gateway/test_demand.py
+++ b/test/gateway/test_demand.py
@@ -107,3 +107,13 @@
         item = self._report(repeat, now_s=1.0)
         self.assertEqual(15.0, item.patience_s)
         self.assertLess(item.remaining_s, 3.0)
+
+    def test_repeat_does_not_hide_the_wait_of_an_older_request(self):
+        # Its deadline is earlier, so that it goes first.
+        calm = route(objective_s=8.0, timeout_s=15.0, priority=2)
+        item = self._report(
+            request("q1", 0.0, route=calm),
+            request("q2", 5.0, route=calm, deadline_s=11.0),
+            now_s=6.0,
+        )
+        self.assertEqual(6.0, item.oldest_s)
