Count refused waits only for routes that can wait for a load

A least urgent model, asked for every 13 s by callers that wait for 2 s, with loads of 4 s, displaced an urgent replica 28 times in 600 s and served nobody: its load ended after the request was refused, the urgent model took the engine back, and as no request had run, the time without service went on and outbid any replica at the next request.

Change: refused waits count only for routes whose requests can wait for a load, the same distinction that the planner makes for late loads. For all others the gain follows the oldest waiting request, as before.

Tests: test.gateway.test_rare_model_churn failed before (28 displacements, 0 served) and passes now; those of test_rare_models and test_placement pass as before.

--- a/acaciaspoke/gateway/placement.py
+++ b/acaciaspoke/gateway/placement.py
@@ -41,7 +41,7 @@
 DELAY_COST_PER_S = 0.5
 
 # Gain of a model without replica for each second that requests for it have
-# waited since one has run, by weight; keeps busier models from starving it.
+# waited, by weight; keeps busier models from starving it.
 WAITING_GAIN_PER_S = 0.7
 
 # Time from planning a load until it begins: the order, and an unload before it.
@@ -176,7 +176,7 @@
         if not holders:
             if replicas.waiting[model]:
                 gain = weight * (demand + replicas.waiting[model])
-                gain += weight * WAITING_GAIN_PER_S * replicas.unserved_s[model]
+                gain += weight * WAITING_GAIN_PER_S * replicas.unserved_s(model)
                 additions.append((model, gain, "no copy"))
             elif model not in replicas.priority:
                 gain = PRELOAD_GAIN_PER_LOAD_S * spec.models[model].load_s
--- a/acaciaspoke/gateway/replicas.py
+++ b/acaciaspoke/gateway/replicas.py
@@ -75,7 +75,6 @@
 SPARE_REPLICA_SHARE = 0.1
 SPARE_REPLICA_MIN_DEMAND = 4.0
 
-
 # Routes whose requests wait for less than this beyond a load from the weight
 # store count as never waiting for one: the order, the reports of demand and
 # busy engines take up the rest of the wait.
@@ -126,7 +125,8 @@
                 self.loading_models.add(engine.loading)
         self.waiting: Counter[ModelId] = Counter()
         self.weight: dict[ModelId, float] = {}
-        self.unserved_s: Counter[ModelId] = Counter()
+        self._oldest_s: Counter[ModelId] = Counter()
+        self._unserved_s: Counter[ModelId] = Counter()
         self._remaining_s: Counter[ModelId] = Counter()
         self._patience_s: dict[ModelId, float] = {}
         for artifact, total in demands.items():
@@ -139,8 +139,9 @@
             known = self.priority.get(model, total.priority)
             self.priority[model] = min(known, total.priority)
             self.weight[model] = weight_of(self.priority[model])
-            self.unserved_s[model] = max(
-                total.oldest_s, total.unserved_s, self.unserved_s[model]
+            self._oldest_s[model] = max(total.oldest_s, self._oldest_s[model])
+            self._unserved_s[model] = max(
+                total.unserved_s, self._unserved_s[model]
             )
             if total.waiting:
                 self._remaining_s[model] = max(
@@ -160,10 +161,26 @@
             model: A model for which requests wait.
             ready_s: In how many seconds the replica would be ready.
         """
+        return (
+            self._waits_for_load(model) and self._remaining_s[model] < ready_s
+        )
+
+    def unserved_s(self, model: ModelId) -> float:
+        """Returns for how long requests have waited for a first replica.
+
+        The waits of refused requests count if the next request can wait for the
+        replica. Otherwise it would serve nobody, however long they have waited.
+
+        Args:
+            model: A model for which requests wait.
+        """
+        if self._waits_for_load(model):
+            return max(self._oldest_s[model], self._unserved_s[model])
+        return self._oldest_s[model]
+
+    def _waits_for_load(self, model: ModelId) -> bool:
         load_s = self._spec.models[model].load_s
-        if self._patience_s[model] < load_s + MIN_ORDER_WINDOW_S:
-            return False
-        return self._remaining_s[model] < ready_s
+        return self._patience_s[model] >= load_s + MIN_ORDER_WINDOW_S
 
     def demand(self, model: ModelId) -> float:
         """Returns the slots that a model's requests need."""
