Forget the times without service when a host begins to plan

It now begins anew, as each new leader does; that the time is lost at each change of the holder remains.

--- a/acaciaspoke/gateway/demand.py
+++ b/acaciaspoke/gateway/demand.py
@@ -197,6 +197,14 @@
             for artifact, rates in self._rates.items()
         }
 
+    def forget_unserved_times(self) -> None:
+        """Forgets for how long models were not served.
+
+        Call it when planning begins: requests may have run since these times
+        were last updated.
+        """
+        self._unserved.clear()
+
     def _update_unserved(
         self, oldest_s: dict[Artifact, float], now_s: float
     ) -> None:
--- a/acaciaspoke/gateway/leader.py
+++ b/acaciaspoke/gateway/leader.py
@@ -235,6 +235,7 @@
             return
         self._led_epoch = self.lease.epoch
         self._order_sender.clear()
+        self.demand.forget_unserved_times()
         if self._led_epoch > 1:
             delay_s = handover_delay_s(
                 self._settings.lease_silence_ms / 1000,
--- a/acaciaspoke/gateway/unserved.py
+++ b/acaciaspoke/gateway/unserved.py
@@ -47,6 +47,11 @@
                 oldest_s[model],
             )
 
+    def clear(self) -> None:
+        """Forgets all times, as demand was not followed meanwhile."""
+        self._unserved_s.clear()
+        self._updated_s = None
+
     def of(self, model: ModelId) -> float:
         """Returns the time of a model; 0 if requests for it run."""
         return self._unserved_s[model]
--- a/test/gateway/test_rare_models.py
+++ b/test/gateway/test_rare_models.py
@@ -114,6 +114,12 @@
         self.assertEqual(0, self._unserved_s(12.0, ((artifact("m5"), 1),)))
         self.assertLess(self._unserved_s(INTERVAL_S + 1.0), 2.5)
 
+    def test_leader_that_regains_the_lease_begins_anew(self):
+        # It kept the time of before, though a request had run meanwhile.
+        before_s = self._unserved_s(11.9)
+        self.host.tracker.forget_unserved_times()
+        self.assertLess(self._unserved_s(INTERVAL_S + 1.0), before_s - 8.0)
+
     def test_time_without_reports_does_not_count(self):
         before_s = self._unserved_s(1.0)
         later_s = 20 * INTERVAL_S + 0.5
