Test that a model whose requests are refused on arrival gets a replica

A request for a model without a replica is refused on arrival if its caller waits for less than 1.85 s, as the estimate for a cold start is 1.6 s whatever the model takes. The planner orders a first replica only for a model with waiting requests, so 40 requests in 10 s for a model that loads in 1.2 s start no load at an engine that is empty.

--- a/test/gateway/test_placement.py
+++ b/test/gateway/test_placement.py
@@ -217,6 +217,32 @@
                 spec = engine_spec(*MODELS, load_s=load_s)
                 self.assertNotEqual([], self._orders_after(0.2, short, spec))
 
+    def test_model_whose_requests_are_refused_on_arrival_gets_one(self):
+        # They never wait, so that the planner saw no need for a replica.
+        dispatcher, tracker = new_dispatcher(), DemandTracker()
+        hasty = route(timeout_s=1.8)
+        spec = engine_spec(*MODELS, load_s=1.2)
+        known = demands(
+            *(demand_for(artifact(model), priority=2) for model in MODELS)
+        )
+        orders = []
+        for number in range(1, 41):
+            now_s = number / 4
+            hasty_request = request(
+                f"q{number}", now_s, route=hasty, artifact=artifact("m5")
+            )
+            self.assertIsNotNone(dispatcher.submit(hasty_request, now_s))
+            digest = DemandDigest(
+                host=HostId("h1"),
+                boot=BootId("b"),
+                sequence=number,
+                demand=dispatcher.demand(now_s, full=True),
+            )
+            tracker.apply(digest, now_s)
+            totals = known | tracker.totals(now_s)
+            orders += plan_models([engine("u1")], totals, spec, 5, now_s)
+        self.assertNotEqual([], orders)
+
     def test_request_that_can_wait_starts_a_load(self):
         early = {"oldest_s": 9.0, "remaining_s": 5.0, "patience_s": 14.0}
         (order,), _ = self._plan(engine("u1", "m1"), **early)
