Don't take a copy's record for the return of a removed upstream

Cause: the record counted as a return, though it was no newer than the removed one. Records of every whole table were treated alike, so that upstreams which had lapsed and came back unchanged without any restore were unused for 4.8 s as well.

Change: only the first whole table after a restore is taken for a copy. Its records of removed upstreams have to be newer, or to outlive the time after which the store removes silent ones; until then the removal takes its course.

Tests: three in test.gateway.test_registry. test_record_that_returns_without_a_restore failed before; the other two need the new method, and the script of the review had shown the restore case.

--- a/acaciaspoke/gateway/process.py
+++ b/acaciaspoke/gateway/process.py
@@ -347,6 +347,7 @@
         """Discards what depends on versions of the store before the restore."""
         self.metrics.store_era.set(self._store.era)
         self._registry.record_store_failure(time.monotonic())
+        self._registry.record_restore()
         self._leader.lease.on_table_restored()
         for follower in self._followers.values():
             follower.reread()
--- a/acaciaspoke/gateway/registry.py
+++ b/acaciaspoke/gateway/registry.py
@@ -48,35 +48,50 @@
         self._unconfirmed_since_s: dict[UpstreamId, float] = {}
         self._missing_since_s: dict[UpstreamId, float] = {}
         self._store_failed_s = float("-inf")
+        self._is_copy_due = False
 
     def record_store_failure(self, now_s: float) -> None:
         """Records that a call to the store failed."""
         self._store_failed_s = now_s
 
+    def record_restore(self) -> None:
+        """Records that the store was restored from a copy.
+
+        The records of the next whole table are those of the copy.
+        """
+        self._is_copy_due = True
+
     def put(self, record: UpstreamRecord, is_snapshot: bool = False) -> None:
         """Applies a new or changed record.
 
         Args:
             record: The record.
-            is_snapshot: Whether it was read with the whole table, so that it
-                may have been written before it was removed.
+            is_snapshot: Whether it was read with the whole table.
         """
         known = self._fleet.upstreams.get(record.upstream)
-        self._missing_since_s.pop(record.upstream, None)
         self._discard_unconfirmed(record.upstream)
-        removed = self._removed.get(record.upstream)
-        if known and _is_older(record, known.record):
-            logger.info("an older record of {} is ignored", record.upstream)
-        elif is_snapshot and (
-            _is_of_earlier_process(record, known.record)
-            if known
-            else removed and not _is_newer(record, removed)
-        ):
+        if is_snapshot and self._is_copy_due and self._may_be_outdated(record):
             logger.info("a record of {} may be outdated", record.upstream)
             self._unconfirmed[record.upstream] = record
+            return
+        self._missing_since_s.pop(record.upstream, None)
+        if known and _is_older(record, known.record):
+            logger.info("an older record of {} is ignored", record.upstream)
         else:
             self._apply(record)
 
+    def _may_be_outdated(self, record: UpstreamRecord) -> bool:
+        """Returns whether a copy's record may be that of a removed upstream.
+
+        So may be that of an earlier process, and one that is no newer than the
+        record whose removal is known.
+        """
+        known = self._fleet.upstreams.get(record.upstream)
+        if known and record.upstream not in self._missing_since_s:
+            return record.started_ms < known.record.started_ms
+        removed = known.record if known else self._removed.get(record.upstream)
+        return removed is not None and not _is_newer(record, removed)
+
     def _apply(self, record: UpstreamRecord) -> None:
         known = self._fleet.upstreams.get(record.upstream)
         self._removed.pop(record.upstream, None)
@@ -104,6 +119,7 @@
 
     def retain(self, present: set[UpstreamId], now_s: float) -> None:
         """Removes all upstreams but those that have records."""
+        self._is_copy_due = False
         for upstream in {*self._fleet.upstreams, *self._unconfirmed} - present:
             self.remove(upstream, now_s)
 
@@ -154,12 +170,6 @@
     return 0 < record.heartbeat < known.heartbeat
 
 
-def _is_of_earlier_process(
-    record: UpstreamRecord, known: UpstreamRecord
-) -> bool:
-    return record.started_ms < known.started_ms
-
-
 def _is_newer(record: UpstreamRecord, known: UpstreamRecord) -> bool:
     """Returns whether a record is of a later heartbeat or a later process."""
     return (record.started_ms, record.heartbeat) > (
--- a/test/gateway/test_registry.py
+++ b/test/gateway/test_registry.py
@@ -32,6 +32,42 @@
         self.assertIn("u1", self.fleet.upstreams)
         self.assertNotIn("u2", self.fleet.upstreams)
 
+    def test_upstream_that_a_copy_brings_back_is_not_kept(self):
+        # Its removal was recorded after a failed call, so that it could return;
+        # the copy's record, which is as old, was taken for its return.
+        self.registry.record_store_failure(-0.5)
+        self.registry.remove(UpstreamId("u1"), 0.0)
+        self.registry.drop_lapsed(0.0)
+        self.registry.record_restore()
+        self._read_table("u1", "u2", "u3", "u4", "u5", "u6")
+        self.registry.drop_lapsed(1.5)
+        self.assertNotIn("u1", self.fleet.upstreams)
+        self.assertIn("u2", self.fleet.upstreams)
+        # The store would have removed it by now.
+        self.registry.drop_lapsed(6.5)
+        self.assertIn("u1", self.fleet.upstreams)
+
+    def test_later_heartbeat_after_a_restore_is_a_return(self):
+        self.registry.record_store_failure(-0.5)
+        self.registry.remove(UpstreamId("u1"), 0.0)
+        self.registry.record_restore()
+        self._read_table("u1", "u2", "u3", "u4", "u5", "u6")
+        self.registry.put(record("u1", "m1", heartbeat=9))
+        self.registry.drop_lapsed(1.5)
+        self.assertIn("u1", self.fleet.upstreams)
+
+    def test_record_that_returns_without_a_restore_is_used_at_once(self):
+        self.registry.remove(UpstreamId("u1"), 0.0)
+        self.registry.drop_lapsed(0.0)
+        self.assertNotIn("u1", self.fleet.upstreams)
+        self._read_table("u1", "u2", "u3", "u4", "u5", "u6")
+        self.assertIn("u1", self.fleet.upstreams)
+
+    def _read_table(self, *names):
+        for name in names:
+            self.registry.put(record(name, "m1"), is_snapshot=True)
+        self.registry.retain(set(map(UpstreamId, names)), 1.0)
+
     def test_removed_draining_upstream_is_dropped_at_once(self):
         self.registry.put(record("u1", state=UpstreamState.DRAINING))
         for number in range(1, 5):
