Wait for restarted engines between two waves of crashes in a test

Cause: test_sent_repeatedly_through_all_hosts sets faults of all engines for its second wave while one that crashed in the first wave may not have started again; a crash that comes just before the end of restarting_crashed was never mended, so that tearDown failed as well.

Change: the second wave begins when all engines answer, and restarting_crashed ends after a last look for crashed ones. What the test asks stays as it was; a crash of the first wave is no longer counted for the second.

--- a/test/processes/deployments.py
+++ b/test/processes/deployments.py
@@ -117,6 +117,10 @@
     def restart_upstream(self, name: str) -> None:
         """Starts a killed or crashed upstream and waits for its report."""
         self.deployment.start_upstream(name)
+        self.wait_for_report(name)
+
+    def wait_for_report(self, name: str) -> None:
+        """Waits until an upstream answers."""
         address = self.deployment.upstreams[name]["address"]
         self.deployment.wait_for(address, "/v2/report", name)
 
@@ -190,16 +194,19 @@
     crashes: list[str] = []
     ended = threading.Event()
 
+    def restart_crashed() -> None:
+        for name in names:
+            status = test.deployment.processes[name].poll()
+            if status is None:
+                continue
+            if status != CRASH_EXIT_STATUS:
+                raise AssertionError(f"{name} ended with {status}")
+            crashes.append(name)
+            test.restart_upstream(name)
+
     def watch() -> None:
         while not ended.wait(0.05):
-            for name in names:
-                status = test.deployment.processes[name].poll()
-                if status is None:
-                    continue
-                if status != CRASH_EXIT_STATUS:
-                    raise AssertionError(f"{name} ended with {status}")
-                crashes.append(name)
-                test.restart_upstream(name)
+            restart_crashed()
 
     with ThreadPoolExecutor(1) as pool:
         watching = pool.submit(watch)
@@ -208,6 +215,7 @@
         finally:
             ended.set()
             watching.result()
+            restart_crashed()
 
 
 def eventually(
--- a/test/processes/test_crashing_request.py
+++ b/test/processes/test_crashing_request.py
@@ -28,6 +28,9 @@
         engines = self.upstreams("drafting")
         with deployments.restarting_crashed(self, engines) as crashes:
             for wave in range(2):
+                # An engine that crashed in the first wave may still start.
+                for name in engines:
+                    self.wait_for_report(name)
                 before = len(crashes)
                 poison = f"deadly {wave}"
                 self._poison("deadly")
