--- a/test/gateway/test_pipelined_refusal.py
+++ b/test/gateway/test_pipelined_refusal.py
@@ -2,16 +2,18 @@
 
 import asyncio
 
-from test.gateway.serving import GatewayTest, configuration
+from test.gateway.raw_connection import RawConnectionTest
+from test.gateway.serving import configuration
 
-WORK_S = 0.5
 HEADER_TIMEOUT_MS = 200
 MAX_HEADER_BYTES = 2000
 
 
-class PipelinedRefusalTest(GatewayTest):
+class PipelinedRefusalTest(RawConnectionTest):
     """A refusal of the later request was sent as the answer of the first."""
 
+    work_s = 0.5
+
     async def asyncSetUp(self):
         await super().asyncSetUp()
         limits = {
@@ -23,40 +25,20 @@
             lambda: self.gateway.app.configuration.version == 2
         )
 
-        async def echo(arrival):
-            await asyncio.sleep(WORK_S)
-            await arrival.answer(body=arrival.body)
-
-        for app in self.apps:
-            app.script = echo
-        host, port = self.address.split(":")
-        self.reader, self.writer = await asyncio.open_connection(
-            host, int(port)
-        )
-
-    async def asyncTearDown(self):
-        self.writer.close()
-        await super().asyncTearDown()
-
     def _request(self, body, *lines, is_chunked=False):
-        headers = [f"{name}: {text}" for name, text in self.headers().items()]
         framing = f"content-length: {len(body)}"
         if is_chunked:
             framing = "transfer-encoding: chunked"
-        first = "POST /unsafe/x HTTP/1.1"
-        text = "\r\n".join([first, *headers, framing, *lines, "", ""])
-        return text.encode() + body
+        return self.head("/unsafe/x", framing, *lines) + body
 
-    async def _answer(self):
-        head = await self.reader.readuntil(b"\r\n\r\n")
-        length = head.lower().split(b"content-length: ")[1].split(b"\r\n")[0]
-        body = await self.reader.readexactly(int(length))
-        return int(head.split(b" ")[1]), body
+    async def _check_answered(self, body):
+        answer = await self.answer()
+        self.assertEqual((200, body), (answer.status, answer.body))
 
     async def _check_refused(self, status):
         """Checks the answers of two requests, and that nothing follows."""
-        self.assertEqual((200, b"book"), await self._answer())
-        self.assertEqual(status, (await self._answer())[0])
+        await self._check_answered(b"book")
+        self.assertEqual(status, (await self.answer()).status)
         self.assertEqual(b"", await self.reader.read())
 
     async def test_head_that_does_not_arrive_in_time(self):
@@ -85,7 +67,7 @@
 
     async def test_only_body_that_cannot_be_parsed(self):
         self.writer.write(self._request(b"no length\r\n", is_chunked=True))
-        self.assertEqual(400, (await self._answer())[0])
+        self.assertEqual(400, (await self.answer()).status)
         self.assertEqual(b"", await self.reader.read())
 
     async def test_body_does_not_count_as_part_of_the_next_head(self):
@@ -94,5 +76,5 @@
         self.writer.write(self._request(body) + later[:9])
         await asyncio.sleep(0.05)
         self.writer.write(later[9:])
-        self.assertEqual((200, body), await self._answer())
-        self.assertEqual((200, b"book"), await self._answer())
+        await self._check_answered(body)
+        await self._check_answered(b"book")
