Answer requests that are read while the last response of a stop runs

Cause: from the end of the notice period the server marks the request that runs as the last one of its connection, every 0.1 s. A request that is read after that is queued behind it and lost when the connection is closed.

Change: the mark is taken back if another request is read before the response has begun. A response that has begun, such as a stream, cannot announce the end any more, so it does not end the connection; the server closes it within 0.1 s once it is idle, and answers what is read before that.

Evidence: two tests of test.gateway.test_pipelined_stop failed before, with "connection: close" in the first of two answers and with the end of the connection after the stream. 59 tests of the protocol and of stops passed after it (test.util, test_process, test_planned_stop, test_end_of_grace, test_stopping_process, test_pipelined_refusal, test_request_at_idle_limit), and 24 of test.entry.test_app, test_upgrade_header, test_server, test_graceful_stop and test_not_run.

--- a/acaciaspoke/util/http_protocol.py
+++ b/acaciaspoke/util/http_protocol.py
@@ -108,6 +108,9 @@
     # The last cycle that was started; uvicorn's ``cycle`` may wait behind it.
     _running: RequestResponseCycle | None = None
     _refusal: bytes | None = None
+    # The cycle whose response announces the end of the connection, as the
+    # server stops.
+    _last_due_to_stop: RequestResponseCycle | None = None
 
     def connection_made(self, transport) -> None:
         """Prepares a new connection."""
@@ -115,15 +118,27 @@
         self.parser = _Parser(self)
 
     def shutdown(self) -> None:
-        """Closes an idle connection, or has it closed after its response.
+        """Closes an idle connection, or announces its end in the next response.
 
-        A connection with a request that has not been read yet stays open; the
-        server calls this again.
+        A connection with a request that has not been read yet, or with a
+        response that has begun, stays open; the server calls this again.
         """
-        is_idle = self.cycle is None or self.cycle.response_complete
-        if not (is_idle and has_unread_data(self.transport)):
+        cycle = self.cycle
+        if cycle is None or cycle.response_complete:
+            if not has_unread_data(self.transport):
+                super().shutdown()
+        elif cycle.keep_alive and not cycle.response_started:
+            self._last_due_to_stop = cycle
             super().shutdown()
 
+    def on_headers_complete(self) -> None:
+        """Starts or queues a request; the one before it is not the last."""
+        earlier = self.cycle
+        super().on_headers_complete()
+        is_last = earlier is not None and earlier is self._last_due_to_stop
+        if is_last and not earlier.response_started:
+            earlier.keep_alive = True
+
     def data_received(self, data: bytes) -> None:
         """Parses received data; ignores what follows a refused request."""
         if self._refusal is None:
