Don't trust a copy's record because the table is read twice

Change: a record that waits to be confirmed goes on waiting if a whole table has it unchanged. A later heartbeat or a change that is read as such is used at once, as before.

Evidence: test_copy_that_is_read_twice_is_still_a_copy failed before. 31 tests of test_registry and test_restored_store passed after it.

--- a/acaciaspoke/gateway/registry.py
+++ b/acaciaspoke/gateway/registry.py
@@ -69,6 +69,9 @@
             is_snapshot: Whether it was read with the whole table.
         """
         known = self._fleet.upstreams.get(record.upstream)
+        is_unconfirmed = record == self._unconfirmed.get(record.upstream)
+        if is_snapshot and is_unconfirmed and not self._is_copy_due:
+            return
         self._discard_unconfirmed(record.upstream)
         if is_snapshot and self._is_copy_due and self._may_be_outdated(record):
             logger.info("a record of {} may be outdated", record.upstream)
--- a/test/gateway/test_registry.py
+++ b/test/gateway/test_registry.py
@@ -56,6 +56,17 @@
         self.registry.drop_lapsed(1.5)
         self.assertIn("u1", self.fleet.upstreams)
 
+    def test_copy_that_is_read_twice_is_still_a_copy(self):
+        # With the history gone, the whole table was read again, and the record
+        # of the upstream that was gone was taken for its return.
+        self.registry.remove(UpstreamId("u1"), 0.0)
+        self.registry.drop_lapsed(0.0)
+        self.registry.record_restore()
+        for now_s in (1.0, 2.0):
+            self._read_table("u1", "u2", "u3", "u4", "u5", "u6")
+            self.registry.drop_lapsed(now_s)
+            self.assertNotIn("u1", self.fleet.upstreams)
+
     def test_record_that_returns_without_a_restore_is_used_at_once(self):
         self.registry.remove(UpstreamId("u1"), 0.0)
         self.registry.drop_lapsed(0.0)
