Don't confirm a copy's record while the store cannot be reached

Cause: a record that the copy brings back is used once it has outlived the time after which the store removes silent upstreams, 4.8 s. That time also ran while calls failed, so that the host could not see the removal.

Change: the time counts from the last failed call. An upstream that lives is used at its next change of the record that the host reads, as before.

Evidence: test_copy_is_not_confirmed_by_a_store_that_is_away failed before; the eight tests of test_registry pass.

--- a/acaciaspoke/gateway/registry.py
+++ b/acaciaspoke/gateway/registry.py
@@ -149,6 +149,8 @@
     def _use_confirmed(self, now_s: float) -> None:
         for upstream, record in list(self._unconfirmed.items()):
             since_s = self._unconfirmed_since_s.setdefault(upstream, now_s)
+            # A removal cannot be seen while calls to the store fail.
+            since_s = max(since_s, self._store_failed_s)
             if now_s - since_s >= self._confirmation_s:
                 self._discard_unconfirmed(upstream)
                 self._apply(record)
--- a/test/gateway/test_registry.py
+++ b/test/gateway/test_registry.py
@@ -67,6 +67,20 @@
             self.registry.drop_lapsed(now_s)
             self.assertNotIn("u1", self.fleet.upstreams)
 
+    def test_copy_is_not_confirmed_by_a_store_that_is_away(self):
+        # The removal of its record could not be seen meanwhile.
+        self.registry.remove(UpstreamId("u1"), 0.0)
+        self.registry.drop_lapsed(0.0)
+        self.registry.record_restore()
+        self._read_table("u1", "u2", "u3", "u4", "u5", "u6")
+        self.registry.drop_lapsed(1.0)
+        for now_s in (2.0, 4.0, 6.0):
+            self.registry.record_store_failure(now_s)
+        self.registry.drop_lapsed(7.0)
+        self.assertNotIn("u1", self.fleet.upstreams)
+        self.registry.drop_lapsed(11.0)
+        self.assertIn("u1", self.fleet.upstreams)
+
     def test_record_that_returns_without_a_restore_is_used_at_once(self):
         self.registry.remove(UpstreamId("u1"), 0.0)
         self.registry.drop_lapsed(0.0)
