Don't close a connection as idle while a head is being read

The rest of the request may arrive at that moment. Likelier with an idle limit that a configuration has lowered below the limit of a head.

Cause: the idle timer is started at the end of a response and stopped by the next data, which here had come before.

Change: the timer does nothing while a head is being read, whose own limit then applies; it answers 408.

Evidence: test_request_that_had_begun_before_the_last_answer failed before; the other tests of test_request_at_idle_limit and test_pipelined_refusal pass.

--- a/acaciaspoke/gateway/protocol.py
+++ b/acaciaspoke/gateway/protocol.py
@@ -87,6 +87,9 @@
             super().on_response_complete()
 
         def timeout_keep_alive_handler(self) -> None:
+            if self._in_header:
+                # A request has begun; the time of its head is limited.
+                return
             # A newer configuration may allow more time, of which callers know.
             end_s = self._idle_since_s + limits().idle_timeout_s
             wait_s = end_s - self.loop.time()
--- a/test/gateway/test_request_at_idle_limit.py
+++ b/test/gateway/test_request_at_idle_limit.py
@@ -30,10 +30,13 @@
             lambda: self.gateway.app.configuration.version == version
         )
 
-    def _send(self):
+    def _request(self):
         headers = [f"{name}: {text}" for name, text in self.headers().items()]
         lines = ["GET /safe/x HTTP/1.1", *headers, "", ""]
-        self.raw.send("\r\n".join(lines).encode())
+        return "\r\n".join(lines).encode()
+
+    def _send(self):
+        self.raw.send(self._request())
 
     async def _check_answer(self):
         received = await asyncio.get_running_loop().sock_recv(self.raw, 9999)
@@ -47,6 +50,15 @@
         self._send()
         await self._check_answer()
 
+    async def test_request_that_had_begun_before_the_last_answer(self):
+        # Only the limit of a head applies to it.
+        later = self._request()
+        self.raw.send(self._request() + later[:30])
+        await self._check_answer()
+        await asyncio.sleep(2 * IDLE_S)
+        self.raw.send(later[30:])
+        await self._check_answer()
+
     async def test_request_that_arrives_while_the_process_is_busy(self):
         self._send()
         await self._check_answer()
