--- a/acaciaspoke/gateway/registry.py
+++ b/acaciaspoke/gateway/registry.py
@@ -69,6 +69,9 @@
             is_snapshot: Whether it was read with the whole table.
         """
         known = self._fleet.upstreams.get(record.upstream)
+        is_unconfirmed = record == self._unconfirmed.get(record.upstream)
+        if is_snapshot and is_unconfirmed and not self._is_copy_due:
+            return
         self._discard_unconfirmed(record.upstream)
         if is_snapshot and self._is_copy_due and self._may_be_outdated(record):
             logger.info("a record of {} may be outdated", record.upstream)
@@ -146,6 +149,8 @@
     def _use_confirmed(self, now_s: float) -> None:
         for upstream, record in list(self._unconfirmed.items()):
             since_s = self._unconfirmed_since_s.setdefault(upstream, now_s)
+            # A removal cannot be seen while calls to the store fail.
+            since_s = max(since_s, self._store_failed_s)
             if now_s - since_s >= self._confirmation_s:
                 self._discard_unconfirmed(upstream)
                 self._apply(record)
