Soak: a worker that comes back after leaving is a new process

Cause: the stand-in's worker went from draining back to ready in the same process. A gateway never uses a process again that has said that it leaves; the platform's workers exit. Both engines had left once, so none was left.

Change: a worker that is ready again has a later start and counts its heartbeats anew.

Test: test.standins.test_worker_process failed before.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -39,6 +39,7 @@
     4031: "as 3036",
     4081: "open: a gateway refused streams 15 s after the last fault",
     5031: "open: as 3036, after connections with unread data stayed open",
+    7003: "workers that had left came back as the same process",
 }
 
 
--- a/soak/deployment.py
+++ b/soak/deployment.py
@@ -119,7 +119,8 @@
         self._processes: dict[str, subprocess.Popen] = {}
         self._locks: dict[str, asyncio.Lock] = {}
         self._stopping: set[str] = set()
-        self._boot_numbers = itertools.count(1)
+        # The numbers between count how often a worker leaves and comes back.
+        self._boot_numbers = itertools.count(1000, 1000)
         self._store = f"{_next_ip()}:{STANDIN_PORT}"
         self._worker_proxies = [
             Proxy(f"{ip}:{PROXY_PORT}", f"{ip}:{STANDIN_PORT}")
--- a/standins/worker_process.py
+++ b/standins/worker_process.py
@@ -1,7 +1,8 @@
 """Runs one worker as a process; the arguments are those of ``_main``.
 
 It echoes requests, prints a line for each run and renews its row in a metadata
-store. SIGUSR1 toggles between the states draining and ready.
+store. SIGUSR1 toggles between the states draining and ready; a worker that is
+ready again counts as started anew.
 """
 
 import asyncio
@@ -48,24 +49,32 @@
         self._address = address
         self._store = store
         self._state = "ready"
-        self._sequence = itertools.count(worker.born * 1000)
+        self._sequence = itertools.count(1)
         self._changed = asyncio.Event()
 
     def toggle(self) -> None:
-        """Toggles between the states draining and ready."""
-        self._state = "ready" if self._state == "draining" else "draining"
+        """Leaves, or comes back as the platform's workers do: started anew."""
+        if self._state == "ready":
+            self._state = "draining"
+        else:
+            self._state = "ready"
+            self._worker.born += 1
+            self._sequence = itertools.count(1)
         self._changed.set()
 
+    def row(self) -> dict:
+        """Returns the next row to write."""
+        return self._worker.row(
+            address=self._address,
+            state=self._state,
+            seq=next(self._sequence),
+        )
+
     async def renew(self) -> None:
         """Writes the row at each interval and each change until cancelled."""
         while True:
             self._changed.clear()
-            row = self._worker.row(
-                address=self._address,
-                state=self._state,
-                seq=next(self._sequence),
-            )
-            body = client.encode_row("servers", self._worker.name, row)
+            body = client.encode_row("servers", self._worker.name, self.row())
             await asyncio.to_thread(
                 client.request, self._store, "POST", "/rows-tx", body
             )
