Use a service that lapsed as a whole at once after a restore

Cause: a copy's record of a removed upstream is unconfirmed until the upstream has written again or the store would have removed it. A service that lapsed was treated like upstreams that had left. A record need not change for as long as only its heartbeat does.

Change: if a copy brings back several upstreams of a service that has no other, they have lapsed rather than left and are used at once. Beside others they stay unconfirmed, as an upstream that has left must get nothing; so does the only upstream of a service.

Tests: test_service_that_lapsed_as_a_whole_is_used_after_a_restore failed before; two more hold what must not change. Shown by tests on the registry only.

--- a/acaciaspoke/gateway/registry.py
+++ b/acaciaspoke/gateway/registry.py
@@ -1,6 +1,6 @@
 """Applies the records that upstreams register in the store to the fleet."""
 
-from collections import OrderedDict
+from collections import Counter, OrderedDict
 
 from loguru import logger
 
@@ -9,12 +9,14 @@
 from acaciaspoke.ids import UpstreamId
 
 # Records may have expired in an outage of the store if they are missing for
-# more than MASS_LAPSE_SHARE of the known upstreams (at least two), or if a call
-# to the store failed within STORE_FAILURE_WINDOW_S. They are back within 2 s of
-# its recovery (the platform's protocol, "Service discovery"). Until then the
-# upstreams are kept, but only for LAPSE_GRACE_SHARE of the time for which a
-# draining upstream may still get work.
+# more than MASS_LAPSE_SHARE of the known upstreams and for at least
+# MIN_MASS_LAPSE, or if a call to the store failed within
+# STORE_FAILURE_WINDOW_S. They are back within 2 s of its recovery (the
+# platform's protocol, "Service discovery"). Until then the upstreams are kept,
+# but only for LAPSE_GRACE_SHARE of the time for which a draining upstream may
+# still get work.
 MASS_LAPSE_SHARE = 0.3
+MIN_MASS_LAPSE = 2
 LAPSE_GRACE_SHARE = 0.7
 STORE_FAILURE_WINDOW_S = 3.0
 
@@ -119,9 +121,11 @@
 
     def retain(self, present: set[UpstreamId], now_s: float) -> None:
         """Removes all upstreams but those that have records."""
-        self._is_copy_due = False
+        is_copy, self._is_copy_due = self._is_copy_due, False
         for upstream in {*self._fleet.upstreams, *self._unconfirmed} - present:
             self.remove(upstream, now_s)
+        if is_copy:
+            self._use_lapsed_services()
 
     def drop_lapsed(self, now_s: float) -> None:
         """Drops upstreams whose missing records are not expected to return.
@@ -133,7 +137,7 @@
         if not self._missing_since_s:
             return
         is_mass_lapse = len(self._missing_since_s) > max(
-            1, MASS_LAPSE_SHARE * len(self._fleet.upstreams)
+            MIN_MASS_LAPSE - 1, MASS_LAPSE_SHARE * len(self._fleet.upstreams)
         )
         may_return = (
             is_mass_lapse
@@ -143,6 +147,27 @@
             if not may_return or now_s - since_s >= self._lapse_grace_s:
                 self._drop(upstream, "gone")
 
+    def _use_lapsed_services(self) -> None:
+        """Uses the copy's records of services without any other upstream.
+
+        A whole service that was removed has lapsed rather than left, and
+        nothing else could run its requests until the records are confirmed.
+        """
+        served = {
+            upstream.record.service
+            for name, upstream in self._fleet.upstreams.items()
+            if name not in self._missing_since_s
+        }
+        unconfirmed = Counter(
+            record.service for record in self._unconfirmed.values()
+        )
+        for upstream, record in list(self._unconfirmed.items()):
+            is_lapse = unconfirmed[record.service] >= MIN_MASS_LAPSE
+            if is_lapse and record.service not in served:
+                self._discard_unconfirmed(upstream)
+                self._missing_since_s.pop(upstream, None)
+                self._apply(record)
+
     def _use_confirmed(self, now_s: float) -> None:
         for upstream, record in list(self._unconfirmed.items()):
             since_s = self._unconfirmed_since_s.setdefault(upstream, now_s)
--- a/test/gateway/test_registry.py
+++ b/test/gateway/test_registry.py
@@ -4,9 +4,15 @@
 
 from acaciaspoke.gateway.fleet import Fleet
 from acaciaspoke.gateway.registry import UpstreamRegistry
-from acaciaspoke.gateway.types import UpstreamState
+from acaciaspoke.gateway.types import UpstreamRecord, UpstreamState
 from acaciaspoke.ids import UpstreamId
-from test.gateway.builders import record
+from test.gateway.builders import SERVICE, record
+
+
+def _record(name: str) -> UpstreamRecord:
+    """Returns a record of a service of six upstreams, or of one with one."""
+    service = "other" if name == "u9" else SERVICE
+    return record(name, "m1", service=service)
 
 
 class RegistryTest(unittest.TestCase):
@@ -56,6 +62,40 @@
         self.registry.drop_lapsed(1.5)
         self.assertIn("u1", self.fleet.upstreams)
 
+    def _lapse(self, *names):
+        for name in names:
+            self.registry.remove(UpstreamId(name), 0.0)
+        self.registry.drop_lapsed(0.1)
+
+    def test_service_that_lapsed_as_a_whole_is_used_after_a_restore(self):
+        # All requests waited for four heartbeat intervals.
+        names = [f"u{number}" for number in range(1, 7)]
+        self.registry.put(_record("u9"))
+        for dropped_s in (0.2, 1.5):
+            self._lapse(*names)
+            self.registry.drop_lapsed(dropped_s)
+            self.registry.record_restore()
+            self._read_table(*names, "u9")
+            self.registry.drop_lapsed(2.5)
+            self.assertEqual({*names, "u9"}, set(self.fleet.upstreams))
+
+    def test_part_of_a_service_that_lapsed_is_not_used_after_a_restore(self):
+        # They may have left; others serve.
+        self._lapse("u1", "u2", "u3", "u4", "u5")
+        self.registry.record_restore()
+        self._read_table("u1", "u2", "u3", "u4", "u5", "u6")
+        self.registry.drop_lapsed(2.5)
+        self.assertEqual({"u6"}, set(self.fleet.upstreams))
+
+    def test_only_upstream_that_was_removed_is_not_used_after_a_restore(self):
+        self.registry.put(_record("u9"))
+        self.registry.record_store_failure(-0.5)
+        self._lapse("u9")
+        self.registry.record_restore()
+        self._read_table("u1", "u2", "u3", "u4", "u5", "u6", "u9")
+        self.registry.drop_lapsed(2.5)
+        self.assertNotIn("u9", self.fleet.upstreams)
+
     def test_record_that_returns_without_a_restore_is_used_at_once(self):
         self.registry.remove(UpstreamId("u1"), 0.0)
         self.registry.drop_lapsed(0.0)
@@ -65,7 +105,7 @@
 
     def _read_table(self, *names):
         for name in names:
-            self.registry.put(record(name, "m1"), is_snapshot=True)
+            self.registry.put(_record(name), is_snapshot=True)
         self.registry.retain(set(map(UpstreamId, names)), 1.0)
 
     def test_removed_draining_upstream_is_dropped_at_once(self):
