Pass the newest configuration to a host that starts with an older one

Cause: a host takes configurations from the store only. It learned from others' digests that it lagged, and read the store again, which had none newer.

Change: it also asks the host whose digest it was for the row, with the messages by which hosts read the lease's row for each other, and applies it if it is newer.

--- a/acaciaspoke/gateway/process.py
+++ b/acaciaspoke/gateway/process.py
@@ -15,6 +15,7 @@
 from acaciaspoke.gateway.app import GatewayApp
 from acaciaspoke.gateway.bodies import MEMORY_SHARE, BodyMemory
 from acaciaspoke.gateway.candidacy import should_compete
+from acaciaspoke.gateway.configuration_relay import ConfigurationRelay
 from acaciaspoke.gateway.digests import DigestSender
 from acaciaspoke.gateway.dispatch import Assignment, Dispatcher
 from acaciaspoke.gateway.exchange import RequestHandler
@@ -117,6 +118,12 @@
             self._on_sent,
         )
         self._configuration_lag = ConfigurationLag()
+        apply_configuration = configuration_applier(
+            lambda: self.app.configuration, self._activate
+        )
+        self._configuration_relay = ConfigurationRelay(
+            settings.host_id, apply_configuration, self._post
+        )
         self._known_leader = KnownLeader()
         self._peer_lease_table = PeerLeaseTable(
             self._store,
@@ -170,9 +177,7 @@
         self._followers = make_followers(
             self._store,
             {
-                OPERATOR_TABLE: configuration_applier(
-                    lambda: self.app.configuration, self._activate
-                ),
+                OPERATOR_TABLE: apply_configuration,
                 UPSTREAMS_TABLE: upstream_applier(
                     self._registry, self._on_upstreams_changed
                 ),
@@ -213,7 +218,8 @@
             lambda: max(len(self._peers.rows), 1),
         )
 
-    def _activate(self, configuration: Configuration) -> None:
+    def _activate(self, configuration: Configuration, value: bytes) -> None:
+        self._configuration_relay.record(value)
         self._dispatcher.set_configuration(configuration)
         self._leader.set_configuration(configuration)
         self.app.set_configuration(configuration)
@@ -239,9 +245,11 @@
                 self._loads.forward(message)
                 self._apply_notice(message, now_s)
             case RowRequest():
-                self._peer_lease_table.enqueue_request(message)
+                if not self._configuration_relay.handle_request(message):
+                    self._peer_lease_table.enqueue_request(message)
             case RowAnswer():
-                self._peer_lease_table.handle_answer(message)
+                if not self._configuration_relay.handle_answer(message):
+                    self._peer_lease_table.handle_answer(message)
 
     def _apply_digest(self, digest: LoadDigest, now_s: float) -> None:
         self._dispatcher.fleet.peer_loads.apply_digest(digest, now_s)
@@ -258,6 +266,7 @@
                 digest.configuration,
             )
             self._followers[OPERATOR_TABLE].reread()
+            self._configuration_relay.request(digest.host)
         self._request_handler.dispatch()
 
     def _record_read_progress(self, progress: ReadProgress) -> None:
--- a/acaciaspoke/gateway/rows.py
+++ b/acaciaspoke/gateway/rows.py
@@ -19,13 +19,13 @@
 
 def configuration_applier(
     current: Callable[[], Configuration | None],
-    activate: Callable[[Configuration], None],
+    activate: Callable[[Configuration, bytes], None],
 ) -> Callable[[list[FeedRow], bool], None]:
     """Returns a function that applies rows of the operator's table.
 
     Args:
         current: Returns the configuration in force.
-        activate: Puts a newer one into force.
+        activate: Puts a newer one into force, given also its row's value.
     """
 
     def apply(rows: list[FeedRow], is_snapshot: bool) -> None:
@@ -40,7 +40,7 @@
             known = current()
             if known and configuration.version <= known.version:
                 continue
-            activate(configuration)
+            activate(configuration, row.value)
             logger.info(
                 "configuration {} is in force",
                 configuration.version,
--- a/test/gateway/test_restored_store.py
+++ b/test/gateway/test_restored_store.py
@@ -60,6 +60,14 @@
         del copy.rows[CONFIGURATION_ROW]
         await self._check_newest_stays(copy)
 
+    async def test_host_that_starts_with_the_copy_gets_the_newest(self):
+        copy = self.store.copy()
+        await self.put_configuration(changed_routes(5))
+        await self.restore(copy)
+        await self.start_host("h2")
+        await self.eventually(lambda: self.version_in_force() == 5)
+        self.assertEqual([200, 404], await self.statuses("/added/", "/short/"))
+
 
 class UpstreamTest(RestoredStoreTest):
 
