Ask other hosts for the configuration only after a restore

While the store keeps what it has acknowledged, a host that lags gets the configuration by reading it again; answers of up to 64 kB from other hosts would only load the links of large deployments during a series of changes (found by reading the code, not by a run).

Change: a host asks only if the store was ever restored, which its first response tells. Test: test_any_restore_is_known_after_the_first_response.

--- a/acaciaspoke/gateway/process.py
+++ b/acaciaspoke/gateway/process.py
@@ -266,7 +266,8 @@
                 digest.configuration,
             )
             self._followers[OPERATOR_TABLE].reread()
-            self._configuration_relay.request(digest.host)
+            if self._store.was_restored:
+                self._configuration_relay.request(digest.host)
         self._request_handler.dispatch()
 
     def _record_read_progress(self, progress: ReadProgress) -> None:
--- a/acaciaspoke/platform/store.py
+++ b/acaciaspoke/platform/store.py
@@ -135,6 +135,11 @@
         """The highest known era; 0 if the store has none."""
         return self._era or 0
 
+    @property
+    def was_restored(self) -> bool:
+        """Whether the store was ever restored; it begins in era 0 or 1."""
+        return self.era > 1
+
     def record_era(self, era: int) -> None:
         """Records an era that another host knows; 0 if it knows none."""
         if era:
--- a/test/platform/test_restored_store.py
+++ b/test/platform/test_restored_store.py
@@ -61,6 +61,15 @@
             self.assertGreater(row.mod_revision, before.version)
             self.assertEqual(row.mod_revision, after.rows[0].version)
 
+    async def test_any_restore_is_known_after_the_first_response(self):
+        async with store_with_eras() as (standin, store):
+            await store.read_table("hosts")
+            self.assertFalse(store.was_restored)
+        async with store_with_eras() as (standin, store):
+            standin.restore(standin.copy())
+            await store.read_table("hosts")
+            self.assertTrue(store.was_restored)
+
     async def test_feed_after_a_version_that_exists_again_misses_no_row(self):
         for knows_era in (False, True):
             with self.subTest(knows_era=knows_era):
