Soak: have drained workers come back as another process

Cause: the plan has both engines drain and come back. The stand-in then was ready again as the same process, which the platform's workers never are: a process that has drained ends.

Change: the worker comes back with another start time, its first models and no orders, as after a restart.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -38,7 +38,8 @@
     4020: "as 3036",
     4031: "as 3036",
     4081: "open: a gateway refused streams 15 s after the last fault",
-    5031: "open: as 3036, after connections with unread data stayed open",
+    5031: "open: as 3036, after connections with unread data stayed open;"
+    " later, stand-in workers that had drained came back as the same process",
 }
 
 
--- a/soak/deployment.py
+++ b/soak/deployment.py
@@ -32,6 +32,9 @@
 # So few that requests wait.
 SLOTS = 2
 
+# More than the times that a worker drains and comes back in a run.
+BOOTS_STEP = 1000
+
 # The shortest idle limit of a configuration.
 MIN_IDLE_MS = 500
 
@@ -119,7 +122,8 @@
         self._processes: dict[str, subprocess.Popen] = {}
         self._locks: dict[str, asyncio.Lock] = {}
         self._stopping: set[str] = set()
-        self._boot_numbers = itertools.count(1)
+        # A worker that comes back after it has drained counts up from its own.
+        self._boot_numbers = itertools.count(BOOTS_STEP, BOOTS_STEP)
         self._store = f"{_next_ip()}:{STANDIN_PORT}"
         self._worker_proxies = [
             Proxy(f"{ip}:{PROXY_PORT}", f"{ip}:{STANDIN_PORT}")
--- a/standins/worker_process.py
+++ b/standins/worker_process.py
@@ -1,11 +1,13 @@
 """Runs one worker as a process; the arguments are those of ``_main``.
 
 It echoes requests, prints a line for each run and renews its row in a metadata
-store. SIGUSR1 toggles between the states draining and ready.
+store. At SIGUSR1 it reports that it drains; at the next one it is ready, and
+says that its process has started again, as a process that has drained ends.
 """
 
 import asyncio
 import contextlib
+import copy
 import itertools
 import signal
 import sys
@@ -48,12 +50,19 @@
         self._address = address
         self._store = store
         self._state = "ready"
+        self._models_at_start = copy.deepcopy(worker.models)
         self._sequence = itertools.count(worker.born * 1000)
         self._changed = asyncio.Event()
 
     def toggle(self) -> None:
-        """Toggles between the states draining and ready."""
-        self._state = "ready" if self._state == "draining" else "draining"
+        """Drains, or begins again as another process."""
+        if self._state == "ready":
+            self._state = "draining"
+        else:
+            self._state = "ready"
+            self._worker.born += 1
+            self._worker.orders.clear()
+            self._worker.models = copy.deepcopy(self._models_at_start)
         self._changed.set()
 
     async def renew(self) -> None:
--- a/test/soak/test_soak.py
+++ b/test/soak/test_soak.py
@@ -10,7 +10,8 @@
 from soak.plan import FaultKind, make_plan
 from soak.promises import find_violations
 from soak.proxy import Proxy
-from standins.worker_process import EVENTS
+from standins.worker import Worker
+from standins.worker_process import EVENTS, Registration
 
 LENGTH_S = 5.0
 
@@ -148,6 +149,21 @@
             await self.reader.read(1)
 
 
+class DrainedWorkerTest(unittest.TestCase):
+
+    def test_worker_that_drained_comes_back_as_another_process(self):
+        # Gateways send nothing more to a process that has drained.
+        worker = Worker("w1", "llm", "127.0.0.1:1", {"m1": []}, born=1000)
+        registration = Registration(worker, worker.address, "127.0.0.1:2")
+        worker.models["m2"] = []
+        worker.orders.append({"model": "m2"})
+        registration.toggle()
+        self.assertEqual(1000, worker.born)
+        registration.toggle()
+        self.assertEqual(1001, worker.born)
+        self.assertEqual(({"m1": []}, []), (worker.models, worker.orders))
+
+
 class ShortRunTest(unittest.TestCase):
 
     def test_no_guarantee_is_violated(self):
