Don't reset the connection of a refused request that is still arriving

What callers saw: a request whose body was sent in pieces got a reset in place of its refusal, where the gateway closed the connection with the refusal: a head that is too large (431), any early refusal (404, 413) while the host stops, or of a caller that wants its connection closed, and a stop after an early refusal.

Cause: the socket was closed at once. The next piece of the body then resets the connection, and the caller's next write fails before it has read the refusal.

Change: a connection that is closed in the middle of a request is shut down for sending only. What still arrives is discarded until the caller closes, for 5 s at most. Nothing that follows is run.

--- a/acaciaspoke/gateway/protocol.py
+++ b/acaciaspoke/gateway/protocol.py
@@ -27,7 +27,6 @@
         """Limits the size and time of headers, and idle connections."""
 
         _idle_since_s = 0.0
-        _in_message = False
         _in_header = False
         _begun_in_read = 0
         _header_bytes = 0
@@ -56,7 +55,7 @@
 
         def on_message_begin(self) -> None:
             super().on_message_begin()
-            self._in_message = self._in_header = True
+            self._in_header = True
             self._begun_in_read += 1
             self._header_bytes = 0
             self._header_timer = self.loop.call_later(
@@ -77,10 +76,6 @@
             self.scope["is_followed"] = self.is_followed
             super().on_headers_complete()
 
-        def on_message_complete(self) -> None:
-            self._in_message = False
-            super().on_message_complete()
-
         def on_response_complete(self) -> None:
             self.timeout_keep_alive = limits().idle_timeout_s
             self._idle_since_s = self.loop.time()
--- a/acaciaspoke/util/http_protocol.py
+++ b/acaciaspoke/util/http_protocol.py
@@ -1,10 +1,13 @@
-"""An HTTP protocol for uvicorn that ignores offers to change the protocol.
+"""An HTTP protocol for uvicorn: no changes of the protocol, no early resets.
 
 httptools ends a request with an Upgrade header at its head, and leaves the rest
 to the other protocol. A server that ignores the offer (RFC 9110, section 7.8)
 has to read the body as that of any other request.
 """
 
+import asyncio
+from collections.abc import Callable
+
 import httptools
 from uvicorn.protocols.http.httptools_impl import (
     HttpToolsProtocol,
@@ -15,6 +18,64 @@
 
 _FRAMING_HEADERS = (b"content-length", b"transfer-encoding")
 
+# How long a caller may go on sending a request after the response that ends its
+# connection.
+LINGER_S = 5.0
+
+
+class _LingeringTransport:
+    """A transport that is closed without a reset while its peer sends.
+
+    Data that reaches a closed socket resets the connection (RFC 9112, section
+    9.6), and the peer may lose a response that it has not read.
+    """
+
+    def __init__(
+        self, transport: asyncio.Transport, is_receiving: Callable[[], bool]
+    ):
+        """Wraps a transport.
+
+        Args:
+            transport: The transport.
+            is_receiving: Whether the peer is in the middle of a request.
+        """
+        self._transport = transport
+        self._is_receiving = is_receiving
+        self._close_timer: asyncio.TimerHandle | None = None
+
+    def __getattr__(self, name: str):
+        return getattr(self._transport, name)
+
+    def is_closing(self) -> bool:
+        """Returns whether nothing more can be sent."""
+        return self._close_timer is not None or self._transport.is_closing()
+
+    def close(self) -> None:
+        """Sends what is buffered and the end; waits until the peer closes.
+
+        The protocol has to discard what it still receives.
+        """
+        if self.is_closing():
+            return
+        if not self._is_receiving():
+            self._transport.close()
+            return
+        try:
+            self._transport.write_eof()
+        except OSError:
+            # The peer has reset the connection, which was not noticed yet.
+            self._transport.close()
+            return
+        self._transport.resume_reading()
+        self._close_timer = asyncio.get_running_loop().call_later(
+            LINGER_S, self._transport.close
+        )
+
+    def stop_timer(self) -> None:
+        """Stops the timer, as the connection is lost."""
+        if self._close_timer is not None:
+            self._close_timer.cancel()
+
 
 class _Parser:
     """A request parser that reads the body behind an Upgrade header, too."""
@@ -99,7 +160,7 @@
 
 
 class HttpProtocol(HttpToolsProtocol):
-    """uvicorn's protocol, with bodies behind Upgrade headers.
+    """uvicorn's protocol, with bodies behind Upgrade headers and no resets.
 
     A request that is refused while it is read gets its answer after those of
     all requests before it, which may have been passed on already.
@@ -108,12 +169,30 @@
     # The last cycle that was started; uvicorn's ``cycle`` may wait behind it.
     _running: RequestResponseCycle | None = None
     _refusal: bytes | None = None
+    _in_message = False
 
     def connection_made(self, transport) -> None:
         """Prepares a new connection."""
-        super().connection_made(transport)
+        super().connection_made(
+            _LingeringTransport(transport, lambda: self._in_message)
+        )
         self.parser = _Parser(self)
 
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Ends what waits for the connection."""
+        self.transport.stop_timer()
+        super().connection_lost(exc)
+
+    def on_message_begin(self) -> None:
+        """Begins a request."""
+        self._in_message = True
+        super().on_message_begin()
+
+    def on_message_complete(self) -> None:
+        """Ends the body of a request."""
+        self._in_message = False
+        super().on_message_complete()
+
     def shutdown(self) -> None:
         """Closes an idle connection, or has it closed after its response.
 
@@ -125,8 +204,8 @@
             super().shutdown()
 
     def data_received(self, data: bytes) -> None:
-        """Parses received data; ignores what follows a refused request."""
-        if self._refusal is None:
+        """Parses received data; ignores it once the connection is closing."""
+        if self._refusal is None and not self.transport.is_closing():
             super().data_received(data)
 
     def send_400_response(self, msg: str) -> None:
