Don't count a connection as idle while a refused request still arrives

What callers saw: a request that was refused before its whole body had arrived (413, 404) lost its connection at the idle limit, in the middle of the upload or just after it, without "Connection: close". The next request on it found it closed.

Cause: the idle time began with the refusal. It was stopped only by the next piece of the body, and did not begin again at the end of the body.

Change: while a refused request arrives, the limit is that of bodies, counted from the last piece; the idle time counts from the end of the body.

--- a/acaciaspoke/gateway/protocol.py
+++ b/acaciaspoke/gateway/protocol.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Callable
 
+from acaciaspoke.entry.caller import BODY_TIMEOUT_S
 from acaciaspoke.gateway.types import CallerLimits
 from acaciaspoke.util.http_protocol import HttpProtocol
 from acaciaspoke.util.net import has_unread_data
@@ -46,6 +47,7 @@
             self._begun_in_read = 0
             super().data_received(data)
             if not self._in_header:
+                self._watch_rest()
                 return
             # A read that also has an earlier request is not counted.
             if self._begun_in_read + was_in_message == 1:
@@ -77,13 +79,13 @@
             super().on_headers_complete()
 
         def on_response_complete(self) -> None:
-            self.timeout_keep_alive = limits().idle_timeout_s
+            self.timeout_keep_alive = self._max_idle_s()
             self._idle_since_s = self.loop.time()
             super().on_response_complete()
 
         def timeout_keep_alive_handler(self) -> None:
             # A newer configuration may allow more time, of which callers know.
-            end_s = self._idle_since_s + limits().idle_timeout_s
+            end_s = self._idle_since_s + self._max_idle_s()
             wait_s = end_s - self.loop.time()
             if wait_s <= 0 and has_unread_data(self.transport):
                 # A request has arrived; it is read in the next iteration.
@@ -93,6 +95,20 @@
             else:
                 super().timeout_keep_alive_handler()
 
+        def _watch_rest(self) -> None:
+            """Restarts the idle time of a request that was answered early."""
+            is_answered = (
+                self.cycle is not None and self.cycle.response_complete
+            )
+            if is_answered and not self.transport.is_closing():
+                self._idle_since_s = self.loop.time()
+                self._close_when_idle_for(self._max_idle_s())
+
+        def _max_idle_s(self) -> float:
+            # A body may pause for longer than a connection may be idle.
+            idle_s = limits().idle_timeout_s
+            return max(idle_s, BODY_TIMEOUT_S) if self._in_message else idle_s
+
         def _close_when_idle_for(self, wait_s: float) -> None:
             self.timeout_keep_alive_task = self.loop.call_later(
                 wait_s, self.timeout_keep_alive_handler
--- a/test/gateway/test_refused_upload.py
+++ b/test/gateway/test_refused_upload.py
@@ -51,6 +51,30 @@
         await self.reader.readexactly(int(length))
         return int(head.split(b" ")[1]), head
 
+    async def _check_next_request(self):
+        self._send_head("/safe/x", "content-length: 1")
+        self.writer.write(b"x")
+        self.assertEqual(200, (await self._answer())[0])
+
+    async def test_body_that_is_too_large(self):
+        self._send_head("/safe/x", f"content-length: {2 * MAX_BODY_BYTES}")
+        await self._send_slowly(*[b"x" * (MAX_BODY_BYTES // 2)] * 4)
+        self.assertEqual(413, (await self._answer())[0])
+        await self._check_next_request()
+
+    async def test_request_without_a_route(self):
+        self._send_head("/none/x", "transfer-encoding: chunked")
+        await self._send_slowly(b"1\r\nx\r\n", b"1\r\nx\r\n", b"0\r\n\r\n")
+        self.assertEqual(404, (await self._answer())[0])
+        await self._check_next_request()
+
+    async def test_idle_time_counts_from_the_end_of_the_body(self):
+        self._send_head("/none/x", "content-length: 2")
+        await self._send_slowly(b"x", b"x")
+        self.assertEqual(404, (await self._answer())[0])
+        async with asyncio.timeout(10 * IDLE_S):
+            self.assertEqual(b"", await self.reader.read())
+
     async def test_request_without_a_route_while_the_host_stops(self):
         self.gateway.drain.request_stop()
         self._send_head("/none/x", "content-length: 3")
