Soak: tell requests that crossed a close from lost ones

Now callers record the connection of each request, when it had become idle, when it was chosen and when the request was sent, and a violation prints them. The gateway logs at level debug when it closes a connection without a request, with its peer and idle time; the soak runs gateways at this level. No check changes.

--- a/acaciaspoke/gateway/protocol.py
+++ b/acaciaspoke/gateway/protocol.py
@@ -3,6 +3,8 @@
 import asyncio
 from collections.abc import Callable
 
+from loguru import logger
+
 from acaciaspoke.entry.caller import BODY_TIMEOUT_S
 from acaciaspoke.gateway.types import CallerLimits
 from acaciaspoke.util.http_protocol import HttpProtocol
@@ -93,8 +95,23 @@
             if wait_s > 0:
                 self._close_when_idle_for(wait_s)
             else:
+                self._log_close("idle")
                 super().timeout_keep_alive_handler()
 
+        def shutdown(self) -> None:
+            was_closing = self.transport.is_closing()
+            super().shutdown()
+            if self.transport.is_closing() and not was_closing:
+                self._log_close("stop")
+
+        def _log_close(self, reason: str) -> None:
+            logger.debug(
+                "closing a connection without a request: {}",
+                reason,
+                peer=":".join(map(str, self.client or ())),
+                idle_ms=round((self.loop.time() - self._idle_since_s) * 1000),
+            )
+
         def _watch_rest(self) -> None:
             """Restarts the idle time of a request that was answered early."""
             is_answered = (
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -4,6 +4,7 @@
 import itertools
 import random
 import time
+from datetime import UTC, datetime
 from enum import Enum
 from typing import NamedTuple
 
@@ -36,6 +37,24 @@
     UNSAFE = "/unsafe/"
 
 
+class ConnectionUse(NamedTuple):
+    """How a request used its connection; times as in logs.
+
+    The gateway's log names the address as peer when it closes the connection.
+
+    Attributes:
+        address: The caller's end.
+        idle_since: When the last answer had been read; empty if it was new.
+        chosen: When the request was begun.
+        sent: When sending it was begun.
+    """
+
+    address: str = ""
+    idle_since: str = ""
+    chosen: str = ""
+    sent: str = ""
+
+
 class Outcome(NamedTuple):
     """A request and its answer.
 
@@ -53,6 +72,37 @@
     status: int
     body: bytes = b""
     problem: str = ""
+    connection: ConnectionUse = ConnectionUse()
+
+
+class _ConnectionTrace:
+    """Follows which connection a request uses.
+
+    Attributes:
+        use: How it was used.
+    """
+
+    def __init__(self, last: ConnectionUse):
+        self.use = last._replace(chosen=_log_time(), sent="")
+
+    async def __call__(self, name: str, info: dict) -> None:
+        """Receives httpcore's events."""
+        if name == "connection.connect_tcp.complete":
+            address = _address(info["return_value"])
+            self.use = self.use._replace(address=address, idle_since="")
+        elif name == "http11.send_request_headers.started":
+            self.use = self.use._replace(sent=_log_time())
+
+
+def _address(stream: httpcore.AsyncNetworkStream) -> str:
+    return "{}:{}".format(*stream.get_extra_info("client_addr"))
+
+
+def _log_time() -> str:
+    return datetime.now(UTC).isoformat(timespec="milliseconds")
+
+
+_Pooled = tuple[httpcore.AsyncConnectionPool, int]
 
 
 class Callers:
@@ -68,6 +118,8 @@
         self._rng = random.Random(seed)
         self._ids = map("q{}".format, itertools.count())
         self._is_stopped = False
+        # The connection of each caller's pool to a gateway.
+        self._uses: dict[_Pooled, ConnectionUse] = {}
 
     def stop(self) -> None:
         """Makes callers stop after their current request."""
@@ -101,6 +153,8 @@
         }
         if kind is Kind.STREAM:
             headers["Acaciaspoke-Model"] = self._rng.choice(["m1", "m2"])
+        last = self._uses.get((pool, gateway), ConnectionUse())
+        trace = _ConnectionTrace(last)
         try:
             async with asyncio.timeout(ANSWER_TIMEOUT_S):
                 answer = await pool.request(
@@ -108,7 +162,11 @@
                     f"http://{self._deployment.gateway_addresses[gateway]}{path}",
                     headers=headers,
                     content=self._body(request_id.encode(), headers),
+                    extensions={"trace": trace},
                 )
+            self._uses[pool, gateway] = trace.use._replace(
+                idle_since=_log_time()
+            )
             status, body = answer.status, answer.content
         except httpcore.ConnectError:
             # The process is down or stopping; nothing was sent.
@@ -118,7 +176,8 @@
         except TimeoutError:
             problem = f"no answer within {ANSWER_TIMEOUT_S} s"
         return self._record(
-            request_id, kind, gateway, sent_s, status, body, problem
+            *(request_id, kind, gateway, sent_s, status, body, problem),
+            trace.use,
         )
 
     def _body(self, body: bytes, headers: dict[str, str]):
--- a/soak/deployment.py
+++ b/soak/deployment.py
@@ -209,6 +209,7 @@
             "store": self._store_proxies[number].address,
             "metrics_port": PEER_PORT + 2,
             "stop_grace_s": STOP_GRACE_S,
+            "log_level": "debug",
         }
         path = self._folder / f"gateway{number}.json"
         path.write_text(json.dumps(settings))
--- a/soak/promises.py
+++ b/soak/promises.py
@@ -51,7 +51,10 @@
             and not _is_excused(one, counts[one.id] > 0, outages)
             and not _may_be_cut(one, broken_s)
         ):
-            yield f"{one.id} through gateway{one.gateway}: {one.problem}"
+            yield (
+                f"{one.id} through gateway{one.gateway}: {one.problem};"
+                f" {one.connection}"
+            )
 
 
 def _expected(one: Outcome) -> bytes:
