--- a/acaciaspoke/gateway/protocol.py
+++ b/acaciaspoke/gateway/protocol.py
@@ -3,6 +3,9 @@
 import asyncio
 from collections.abc import Callable
 
+from loguru import logger
+
+from acaciaspoke.entry.caller import BODY_TIMEOUT_S
 from acaciaspoke.gateway.types import CallerLimits
 from acaciaspoke.util.http_protocol import HttpProtocol
 from acaciaspoke.util.net import has_unread_data
@@ -27,7 +30,6 @@
         """Limits the size and time of headers, and idle connections."""
 
         _idle_since_s = 0.0
-        _in_message = False
         _in_header = False
         _begun_in_read = 0
         _header_bytes = 0
@@ -47,6 +49,7 @@
             self._begun_in_read = 0
             super().data_received(data)
             if not self._in_header:
+                self._watch_rest()
                 return
             # A read that also has an earlier request is not counted.
             if self._begun_in_read + was_in_message == 1:
@@ -56,7 +59,7 @@
 
         def on_message_begin(self) -> None:
             super().on_message_begin()
-            self._in_message = self._in_header = True
+            self._in_header = True
             self._begun_in_read += 1
             self._header_bytes = 0
             self._header_timer = self.loop.call_later(
@@ -77,12 +80,8 @@
             self.scope["is_followed"] = self.is_followed
             super().on_headers_complete()
 
-        def on_message_complete(self) -> None:
-            self._in_message = False
-            super().on_message_complete()
-
         def on_response_complete(self) -> None:
-            self.timeout_keep_alive = limits().idle_timeout_s
+            self.timeout_keep_alive = self._max_idle_s()
             self._idle_since_s = self.loop.time()
             super().on_response_complete()
 
@@ -91,7 +90,7 @@
                 # A request has begun; the time of its head is limited.
                 return
             # A newer configuration may allow more time, of which callers know.
-            end_s = self._idle_since_s + limits().idle_timeout_s
+            end_s = self._idle_since_s + self._max_idle_s()
             wait_s = end_s - self.loop.time()
             if wait_s <= 0 and has_unread_data(self.transport):
                 # A request has arrived; it is read in the next iteration.
@@ -99,8 +98,37 @@
             if wait_s > 0:
                 self._close_when_idle_for(wait_s)
             else:
+                self._log_close("idle")
                 super().timeout_keep_alive_handler()
 
+        def shutdown(self) -> None:
+            was_closing = self.transport.is_closing()
+            super().shutdown()
+            if self.transport.is_closing() and not was_closing:
+                self._log_close("stop")
+
+        def _log_close(self, reason: str) -> None:
+            logger.debug(
+                "closing a connection without a request: {}",
+                reason,
+                peer=":".join(map(str, self.client or ())),
+                idle_ms=round((self.loop.time() - self._idle_since_s) * 1000),
+            )
+
+        def _watch_rest(self) -> None:
+            """Restarts the idle time of a request that was answered early."""
+            is_answered = (
+                self.cycle is not None and self.cycle.response_complete
+            )
+            if is_answered and not self.transport.is_closing():
+                self._idle_since_s = self.loop.time()
+                self._close_when_idle_for(self._max_idle_s())
+
+        def _max_idle_s(self) -> float:
+            # A body may pause for longer than a connection may be idle.
+            idle_s = limits().idle_timeout_s
+            return max(idle_s, BODY_TIMEOUT_S) if self._in_message else idle_s
+
         def _close_when_idle_for(self, wait_s: float) -> None:
             self.timeout_keep_alive_task = self.loop.call_later(
                 wait_s, self.timeout_keep_alive_handler
--- a/soak/deployment.py
+++ b/soak/deployment.py
@@ -32,6 +32,9 @@
 # So few that requests wait.
 SLOTS = 2
 
+# More than the times that a worker drains and comes back in a run.
+BOOTS_STEP = 1000
+
 # The shortest idle limit of a configuration.
 MIN_IDLE_MS = 500
 
@@ -120,8 +123,8 @@
         self._locks: dict[str, asyncio.Lock] = {}
         self._operator_lock = asyncio.Lock()
         self._stopping: set[str] = set()
-        # The numbers between count how often a worker leaves and comes back.
-        self._boot_numbers = itertools.count(1000, 1000)
+        # A worker that comes back after it has drained counts up from its own.
+        self._boot_numbers = itertools.count(BOOTS_STEP, BOOTS_STEP)
         self._store = f"{_next_ip()}:{STANDIN_PORT}"
         self._worker_proxies = [
             Proxy(f"{ip}:{PROXY_PORT}", f"{ip}:{STANDIN_PORT}")
@@ -207,6 +210,7 @@
             "store": self._store_proxies[number].address,
             "metrics_port": PEER_PORT + 2,
             "stop_grace_s": STOP_GRACE_S,
+            "log_level": "debug",
         }
         path = self._folder / f"gateway{number}.json"
         path.write_text(json.dumps(settings))
--- a/standins/worker_process.py
+++ b/standins/worker_process.py
@@ -1,12 +1,13 @@
 """Runs one worker as a process; the arguments are those of ``_main``.
 
 It echoes requests, prints a line for each run and renews its row in a metadata
-store. SIGUSR1 toggles between the states draining and ready; a worker that is
-ready again counts as started anew.
+store. At SIGUSR1 it reports that it drains; at the next one it is ready, and
+says that its process has started again, as a process that has drained ends.
 """
 
 import asyncio
 import contextlib
+import copy
 import itertools
 import signal
 import sys
@@ -49,17 +50,20 @@
         self._address = address
         self._store = store
         self._state = "ready"
+        self._models_at_start = copy.deepcopy(worker.models)
         self._sequence = itertools.count(1)
         self._changed = asyncio.Event()
 
     def toggle(self) -> None:
-        """Leaves, or comes back as the platform's workers do: started anew."""
+        """Drains, or begins again as another process."""
         if self._state == "ready":
             self._state = "draining"
         else:
             self._state = "ready"
             self._worker.born += 1
             self._sequence = itertools.count(1)
+            self._worker.orders.clear()
+            self._worker.models = copy.deepcopy(self._models_at_start)
         self._changed.set()
 
     def row(self) -> dict:
