Go on with the times without service when the leader changes

Cause: only the leader gets the demand of other hosts, so only it knew these times.

Change: each host measures the time for which requests for a model have waited without a replica, from the waiting requests in the loads and from the replicas that it hears of anyhow (gateway/replica_waits.py); messages stay as they were. A leader takes these times over when it first plans in an epoch, in place of its own of an earlier epoch, so that a regained lease doesn't go on with old times either. A host that was suspended, or heard of no replicas, for longer than a replica stays begins anew. A replica resets the time of a follower even if nobody used it.

--- a/acaciaspoke/gateway/demand.py
+++ b/acaciaspoke/gateway/demand.py
@@ -2,6 +2,7 @@
 
 import math
 from collections import Counter
+from collections.abc import Mapping
 from typing import NamedTuple
 
 from acaciaspoke.gateway.messages import (
@@ -205,6 +206,10 @@
         """
         self._unserved.clear()
 
+    def adopt_unserved_times(self, times_s: Mapping[ModelId, float]) -> None:
+        """Goes on with the times that this host measured as a follower."""
+        self._unserved.adopt(times_s)
+
     def _update_unserved(
         self, oldest_s: dict[Artifact, float], now_s: float
     ) -> None:
--- a/acaciaspoke/gateway/fleet.py
+++ b/acaciaspoke/gateway/fleet.py
@@ -133,6 +133,14 @@
             return True
         return self._announced.get(artifact, 0.0) > now_s
 
+    def models(self, now_s: float) -> Iterator[ModelId]:
+        """Yields the models that it holds, also those being unloaded."""
+        for artifact in self.record.artifacts:
+            yield artifact.model
+        for artifact, valid_until_s in self._announced.items():
+            if valid_until_s > now_s:
+                yield artifact.model
+
     def announce(self, artifact: Artifact, now_s: float) -> None:
         """Records that an artifact was loaded."""
         self._withdrawn.pop(artifact, None)
@@ -275,6 +283,14 @@
             if upstream.holds(artifact, now_s)
         ]
 
+    def held_models(self, now_s: float) -> set[ModelId]:
+        """Returns the models of which there is a replica."""
+        return {
+            model
+            for upstream in self.upstreams.values()
+            for model in upstream.models(now_s)
+        }
+
     def record_sent(
         self, upstream: Upstream, request: Request, is_alone: bool = False
     ) -> None:
--- a/acaciaspoke/gateway/leader.py
+++ b/acaciaspoke/gateway/leader.py
@@ -4,7 +4,7 @@
 import random
 import time
 from collections import Counter
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Iterator, Mapping
 from contextlib import contextmanager
 
 import anyio
@@ -44,6 +44,7 @@
     DomainId,
     FencingToken,
     HostId,
+    ModelId,
     ServiceId,
     UpstreamId,
 )
@@ -91,6 +92,9 @@
         announce,
         repeats_changes: Callable[[], bool],
         store_era: Callable[[], int] = lambda: 0,
+        unserved_times_s: Callable[[float], Mapping[ModelId, float]] = (
+            lambda now_s: {}
+        ),
     ):
         """Creates a leader that does not hold the lease yet.
 
@@ -104,6 +108,8 @@
             repeats_changes: Returns whether the hosts are so few that each
                 notice can repeat recent changes.
             store_era: Returns the highest known era of the store.
+            unserved_times_s: Returns for how long models have waited for a
+                replica, measured also while this host does not plan.
         """
         self.lease = Lease(
             LEASE_SCOPE,
@@ -124,7 +130,9 @@
         self._configuration: Configuration | None = None
         self._load_limits: dict[ServiceId, LoadRateLimit] = {}
         self._wake = anyio.Event()
+        self._unserved_times_s = unserved_times_s
         self._led_epoch = 0
+        self._planned_epoch = 0
         self._former_holder: HostId | None = None
         self._former_renewals = 0
         self._is_former_row_outdated = False
@@ -235,7 +243,6 @@
             return
         self._led_epoch = self.lease.epoch
         self._order_sender.clear()
-        self.demand.forget_unserved_times()
         if self._led_epoch > 1:
             delay_s = handover_delay_s(
                 self._settings.lease_silence_ms / 1000,
@@ -303,6 +310,7 @@
                 tracker.is_busy = True
                 tasks.start_soon(self._query, tracker)
         if self.may_send_orders:
+            self._begin_planning(now_s)
             for service, spec in services.items():
                 for order in self._plan(service, spec, unreachable, now_s):
                     tracker = self._order_sender.trackers[order.upstream]
@@ -315,6 +323,14 @@
                     )
         self._send_notice(now_s)
 
+    def _begin_planning(self, now_s: float) -> None:
+        """Takes over what other leaders knew, once in each epoch."""
+        if self._planned_epoch == self.lease.epoch:
+            return
+        self._planned_epoch = self.lease.epoch
+        self.demand.forget_unserved_times()
+        self.demand.adopt_unserved_times(self._unserved_times_s(now_s))
+
     def _plan(
         self,
         service: ServiceId,
--- a/acaciaspoke/gateway/process.py
+++ b/acaciaspoke/gateway/process.py
@@ -21,6 +21,7 @@
 from acaciaspoke.gateway.followers import make_followers
 from acaciaspoke.gateway.known_leader import KnownLeader
 from acaciaspoke.gateway.leader import Leader
+from acaciaspoke.gateway.load_reports import waiting_by_model
 from acaciaspoke.gateway.loadexchange import LoadExchange
 from acaciaspoke.gateway.messages import (
     DemandDigest,
@@ -41,6 +42,7 @@
 from acaciaspoke.gateway.registration import Registration
 from acaciaspoke.gateway.registry import UpstreamRegistry
 from acaciaspoke.gateway.reload import log_reloads
+from acaciaspoke.gateway.replica_waits import MAX_GAP_S, ReplicaWaits
 from acaciaspoke.gateway.retry_budget import RetryBudget
 from acaciaspoke.gateway.rowrelay import RowRelay
 from acaciaspoke.gateway.rows import configuration_applier, upstream_applier
@@ -126,6 +128,11 @@
             lambda: self._store.era,
             self._store.record_era,
         )
+        self._replica_waits = ReplicaWaits(
+            self._dispatcher.fleet,
+            lambda: waiting_by_model(self._dispatcher.waiting_requests),
+            self._knows_replicas,
+        )
         self._leader = Leader(
             settings,
             self._boot,
@@ -135,6 +142,7 @@
             self._broadcast_notice,
             repeats_changes=lambda: self._loads.is_direct,
             store_era=lambda: self._store.era,
+            unserved_times_s=self._replica_waits.times_s,
         )
         self._loads = LoadExchange(
             settings.host_id,
@@ -260,6 +268,12 @@
             self._followers[OPERATOR_TABLE].reread()
         self._request_handler.dispatch()
 
+    def _knows_replicas(self, now_s: float) -> bool:
+        """Returns whether other hosts or the store tell of new replicas."""
+        progress = self._row_relay.progress()
+        is_read = progress is not None and progress.age_s <= MAX_GAP_S
+        return is_read or bool(self._dispatcher.fleet.peer_loads.fresh(now_s))
+
     def _record_read_progress(self, progress: ReadProgress) -> None:
         self._store.record_era(era_of(progress.newest_version))
         self._row_relay.record_peer_read(progress)
@@ -387,6 +401,7 @@
             self._peer_lease_table.run,
             self._digests.run,
             self._loads.run,
+            self._replica_waits.run,
             self.tick,
             functools.partial(
                 limit_stop,
--- a/acaciaspoke/gateway/unserved.py
+++ b/acaciaspoke/gateway/unserved.py
@@ -52,6 +52,14 @@
         self._unserved_s.clear()
         self._updated_s = None
 
+    def adopt(self, times_s: Mapping[ModelId, float]) -> None:
+        """Adds times that were measured elsewhere up to now."""
+        self._unserved_s |= Counter(times_s)
+
+    def all(self) -> Mapping[ModelId, float]:
+        """Returns the times of all models that have any."""
+        return dict(self._unserved_s)
+
     def of(self, model: ModelId) -> float:
         """Returns the time of a model; 0 if requests for it run."""
         return self._unserved_s[model]
