Forget demand that no host reports any more

The leader's process kept each name of a model or adapter that callers had ever sent, each former host and each former boot for as long as it ran: 5,000 names in 500 s made 5,000 entries in the rates, the last counts and the times without service.

Change: entries that no report has named for two minutes are removed, which is as long as hosts report an artifact after its last request. A new leader knows no more either.

test.gateway.test_unbounded_names: 5,000 entries where at most 1,201 and 1,220 are allowed, in three tests that failed before and pass now.

--- a/acaciaspoke/gateway/demand.py
+++ b/acaciaspoke/gateway/demand.py
@@ -36,6 +36,13 @@
 # Older digests of a host are ignored.
 DIGEST_MAX_AGE_S = 1.0
 
+# A host, or an artifact, that no digest has named for this time is forgotten.
+# Hosts name an artifact as long after its last request.
+DEMAND_RETENTION_S = 120.0
+
+# Interval of looking for what is to be forgotten.
+FORGET_INTERVAL_S = 1.0
+
 
 class TotalDemand(ArtifactDemand, frozen=True, array_like=True):
     """Demand of all hosts for an artifact: the fields of one host, and rates.
@@ -90,6 +97,7 @@
     def __init__(self, service: ServiceId, now_s: float):
         self.service = service
         self.last_s = now_s
+        self.named_s = now_s
         # Of the most urgent request that hosts have reported.
         self.priority = LEAST_URGENT
         self.requests = _Rate(now_s)
@@ -97,6 +105,7 @@
 
     def add(self, arrivals: int, tokens: int, now_s: float) -> None:
         """Adds requests that arrived up to now."""
+        self.named_s = now_s
         self.requests.add(arrivals, now_s)
         self.tokens.add(tokens, now_s)
         if arrivals:
@@ -108,15 +117,16 @@
 
     arrivals: int
     prompt_tokens: int
+    received_s: float
 
 
-def _baseline(item: ArtifactDemand) -> _ReportedCounts:
+def _baseline(item: ArtifactDemand, now_s: float) -> _ReportedCounts:
     # In the first digest of a host, only the waiting requests are known to be
     # new.
     new = max(1, item.waiting)
     share = new / max(1, item.arrivals)
     return _ReportedCounts(
-        item.arrivals - new, round(item.prompt_tokens * (1 - share))
+        item.arrivals - new, round(item.prompt_tokens * (1 - share)), now_s
     )
 
 
@@ -132,6 +142,7 @@
         self._rates: dict[Artifact, _ArtifactRates] = {}
         self._first_s: float | None = None
         self._unserved = UnservedTimes()
+        self._forget_due_s = float("-inf")
 
     def observed_s(self, now_s: float) -> float:
         """Returns for how long demand has been reported."""
@@ -142,13 +153,14 @@
         known = self._digests.get(digest.host)
         if known and is_superseded(digest, known[0]):
             return
+        self._forget_old(now_s)
         self._digests[digest.host] = (digest, now_s)
         if digest.demand and self._first_s is None:
             self._first_s = now_s
         for item in digest.demand:
             key = (digest.host, digest.boot, item.artifact)
-            latest = _ReportedCounts(item.arrivals, item.prompt_tokens)
-            previous = self._last_counts.get(key) or _baseline(item)
+            latest = _ReportedCounts(item.arrivals, item.prompt_tokens, now_s)
+            previous = self._last_counts.get(key) or _baseline(item, now_s)
             self._last_counts[key] = latest
             rates = self._rates.get(item.artifact)
             if rates is None:
@@ -161,6 +173,27 @@
                 now_s,
             )
 
+    def _forget_old(self, now_s: float) -> None:
+        if now_s < self._forget_due_s:
+            return
+        self._forget_due_s = now_s + FORGET_INTERVAL_S
+        oldest_s = now_s - DEMAND_RETENTION_S
+        self._digests = {
+            host: entry
+            for host, entry in self._digests.items()
+            if entry[1] >= oldest_s
+        }
+        self._last_counts = {
+            key: counts
+            for key, counts in self._last_counts.items()
+            if counts.received_s >= oldest_s
+        }
+        self._rates = {
+            artifact: rates
+            for artifact, rates in self._rates.items()
+            if rates.named_s >= oldest_s
+        }
+
     def totals(self, now_s: float) -> dict[Artifact, TotalDemand]:
         """Returns the demand for each artifact."""
         waiting: Counter[Artifact] = Counter()
@@ -206,9 +239,11 @@
         """
         self._unserved.clear()
 
-    def adopt_unserved_times(self, times_s: Mapping[ModelId, float]) -> None:
+    def adopt_unserved_times(
+        self, times_s: Mapping[ModelId, float], now_s: float
+    ) -> None:
         """Goes on with the times that this host measured as a follower."""
-        self._unserved.adopt(times_s)
+        self._unserved.adopt(times_s, now_s)
 
     def _update_unserved(
         self, oldest_s: dict[Artifact, float], now_s: float
--- a/acaciaspoke/gateway/leader.py
+++ b/acaciaspoke/gateway/leader.py
@@ -329,7 +329,7 @@
             return
         self._planned_epoch = self.lease.epoch
         self.demand.forget_unserved_times()
-        self.demand.adopt_unserved_times(self._unserved_times_s(now_s))
+        self.demand.adopt_unserved_times(self._unserved_times_s(now_s), now_s)
 
     def _plan(
         self,
--- a/acaciaspoke/gateway/local_demand.py
+++ b/acaciaspoke/gateway/local_demand.py
@@ -5,14 +5,11 @@
 from collections.abc import Callable, Iterable
 
 from acaciaspoke.gateway.admission import patience_s
-from acaciaspoke.gateway.demand import LEAST_URGENT
+from acaciaspoke.gateway.demand import DEMAND_RETENTION_S, LEAST_URGENT
 from acaciaspoke.gateway.messages import ArtifactDemand
 from acaciaspoke.gateway.types import Artifact, Request
 from acaciaspoke.ids import ServiceId
 
-# Demand for an artifact is kept for this time after its last request.
-DEMAND_RETENTION_S = 120.0
-
 # Every report includes an artifact for this time after its last request; later
 # only full reports do, which keeps the others small.
 DEMAND_REPORTED_S = 2.0
--- /dev/null
+++ b/test/gateway/test_unbounded_names.py
@@ -0,0 +1,73 @@
+"""Names that are not used any more don't stay for as long as a process runs."""
+
+import unittest
+
+from acaciaspoke.gateway.demand import DEMAND_RETENTION_S, DemandTracker
+from acaciaspoke.gateway.messages import ArtifactDemand, DemandDigest
+from acaciaspoke.gateway.unserved import RETENTION_S, UnservedTimes
+from acaciaspoke.ids import BootId, HostId, ModelId
+from test.gateway.builders import SERVICE, artifact
+
+NAMES = 5000
+
+# Names that are known in the time for which an unused one is kept.
+PER_S = 10
+
+
+class UnboundedNamesTest(unittest.TestCase):
+    """5000 names in 500 s led to 5000 entries that nothing removed."""
+
+    def test_models_that_have_not_waited_lately_are_forgotten(self):
+        times = UnservedTimes()
+        for number in range(NAMES):
+            waiting = {ModelId(f"m{number}"): 0.1}
+            times.update(waiting, (), number / PER_S)
+        self.assertLessEqual(len(times.all()), PER_S * RETENTION_S + 1)
+
+    def test_artifacts_that_hosts_do_not_name_any_more_are_forgotten(self):
+        tracker = DemandTracker()
+        for number in range(NAMES):
+            item = ArtifactDemand(SERVICE, artifact(f"m{number}"), 1, 1, 2, 0.0)
+            digest = DemandDigest(
+                host=HostId("h1"),
+                boot=BootId("b"),
+                sequence=number + 1,
+                demand=(item,),
+            )
+            tracker.apply(digest, number / PER_S)
+        bound = PER_S * (DEMAND_RETENTION_S + 2)
+        self.assertLessEqual(len(tracker.totals(NAMES / PER_S)), bound)
+        self.assertLessEqual(len(tracker._last_counts), bound)
+
+    def test_former_hosts_and_boots_are_forgotten(self):
+        tracker = DemandTracker()
+        item = ArtifactDemand(SERVICE, artifact("m1"), 1, 1, 2, 0.0)
+        for number in range(NAMES):
+            digest = DemandDigest(
+                host=HostId(f"h{number // 2}"),
+                boot=BootId(f"b{number}"),
+                sequence=1,
+                demand=(item,),
+            )
+            tracker.apply(digest, number / PER_S)
+        bound = PER_S * (DEMAND_RETENTION_S + 2)
+        self.assertLessEqual(len(tracker._last_counts), bound)
+        self.assertLessEqual(len(tracker._digests), bound)
+
+    def test_artifact_that_is_named_stays(self):
+        tracker = DemandTracker()
+        for sequence, now_s in enumerate(range(0, 600, 60), 1):
+            item = ArtifactDemand(SERVICE, artifact("m1"), sequence, 0, 0, 0.0)
+            digest = DemandDigest(
+                host=HostId("h1"),
+                boot=BootId("b"),
+                sequence=sequence,
+                demand=(item,),
+            )
+            tracker.apply(digest, float(now_s))
+        totals = tracker.totals(541.0)
+        self.assertEqual(0, totals[artifact("m1")].priority)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/test/gateway/test_unserved_after_handover.py
+++ b/test/gateway/test_unserved_after_handover.py
@@ -63,7 +63,7 @@
         tracker = DemandTracker()
         tracker.apply(_demand(1), self.now_s)
         tracker.forget_unserved_times()
-        tracker.adopt_unserved_times(self.waits.times_s(self.now_s))
+        tracker.adopt_unserved_times(self.waits.times_s(self.now_s), self.now_s)
         return tracker.totals(self.now_s)[artifact(RARE)].unserved_s
 
     def test_refused_requests_of_another_host_count(self):
