Leave models that no service has out of the reports of demand

A caller may name any model. Each name stayed in its host's full report of demand for two minutes: the report of 1,000 names has 53,944 bytes, that of 5,000 has 273,944 bytes, more than a datagram can carry (65,507). The leader then gets none of that host's demand, so that the models its callers wait for are not loaded (read in the code, not played).

Change: a report has only models of the service in the host's configuration. The leader never used the others. Names of adapters are still not checked.

test_models_that_no_service_has_are_not_reported failed before: 5,001 entries, not one.

--- a/acaciaspoke/gateway/dispatch.py
+++ b/acaciaspoke/gateway/dispatch.py
@@ -330,8 +330,16 @@
             now_s,
             full,
             lambda request: self.estimates.latest_start_s(request, now_s),
+            self._has_model,
         )
 
+    def _has_model(self, service_id: ServiceId, artifact: Artifact) -> bool:
+        if self._configuration is None:
+            return True
+        service = self._configuration.services.get(service_id)
+        engine = service.engine if service else None
+        return engine is not None and artifact.model in engine.models
+
     def lacks_replica(self, request: Request, now_s: float) -> bool:
         """Returns whether no upstream holds the artifact of a request."""
         return request.artifact is not None and not self.fleet.holders(
--- a/acaciaspoke/gateway/local_demand.py
+++ b/acaciaspoke/gateway/local_demand.py
@@ -50,6 +50,7 @@
         now_s: float,
         full: bool,
         latest_start_s: Callable[[Request], float],
+        has_model: Callable[[ServiceId, Artifact], bool] = lambda *_: True,
     ) -> tuple[ArtifactDemand, ...]:
         """Returns the demand; removes artifacts without recent requests.
 
@@ -59,6 +60,8 @@
             full: Whether to include artifacts without recent requests.
             latest_start_s: Returns the latest time at which a request may be
                 sent to an upstream.
+            has_model: Returns whether a service has an artifact's model. Others
+                are left out, as callers may name any.
         """
         counts: Counter[Artifact] = Counter()
         oldest_s: dict[Artifact, float] = {}
@@ -96,7 +99,10 @@
                 patience_s=patience.get(artifact, math.inf),
             )
             for artifact, demand in self._demand.items()
-            if full
-            or counts[artifact]
-            or now_s - demand.last_s <= DEMAND_REPORTED_S
+            if (
+                full
+                or counts[artifact]
+                or now_s - demand.last_s <= DEMAND_REPORTED_S
+            )
+            and has_model(demand.service, artifact)
         )
--- a/test/gateway/test_unbounded_names.py
+++ b/test/gateway/test_unbounded_names.py
@@ -1,12 +1,20 @@
 """Names that are not used any more don't stay for as long as a process runs."""
 
+import itertools
 import unittest
 
 from acaciaspoke.gateway.demand import DEMAND_RETENTION_S, DemandTracker
 from acaciaspoke.gateway.messages import ArtifactDemand, DemandDigest
+from acaciaspoke.gateway.types import CallerLimits, Configuration, Service
 from acaciaspoke.gateway.unserved import RETENTION_S, UnservedTimes
 from acaciaspoke.ids import BootId, HostId, ModelId
-from test.gateway.builders import SERVICE, artifact
+from test.gateway.builders import (
+    SERVICE,
+    artifact,
+    engine_spec,
+    new_dispatcher,
+    request,
+)
 
 NAMES = 5000
 
@@ -68,6 +76,26 @@
         totals = tracker.totals(541.0)
         self.assertEqual(0, totals[artifact("m1")].priority)
 
+    def test_models_that_no_service_has_are_not_reported(self):
+        # A report of thousands of them did not fit into a datagram.
+        dispatcher = new_dispatcher()
+        spec = Service(name=SERVICE, engine=engine_spec("m1"))
+        dispatcher.set_configuration(
+            Configuration(
+                version=1,
+                routes=(),
+                services={SERVICE: spec},
+                limits=CallerLimits(),
+            )
+        )
+        names = ("m1", *(f"unknown{number}" for number in range(NAMES)))
+        for name, number in zip(names, itertools.count()):
+            dispatcher.submit(
+                request(f"q{number}", 0.0, artifact=artifact(name)), 0.0
+            )
+        items = dispatcher.demand(0.1, full=True)
+        self.assertEqual([artifact("m1")], [item.artifact for item in items])
+
 
 if __name__ == "__main__":
     unittest.main()
