Drop announcements of loads and unloads that have expired

Each host kept the name of every artifact that was ever announced as loaded or unloaded at an upstream until the upstream restarted, though an announcement counts for 3 s.

test_former_announcements_are_forgotten failed before: 5,000 entries instead of fewer than 100.

--- a/acaciaspoke/gateway/fleet.py
+++ b/acaciaspoke/gateway/fleet.py
@@ -55,6 +55,16 @@
     is_alone: bool = False
 
 
+def _valid(
+    valid_until_s: dict[Artifact, float], now_s: float
+) -> dict[Artifact, float]:
+    return {
+        artifact: end_s
+        for artifact, end_s in valid_until_s.items()
+        if end_s > now_s
+    }
+
+
 class Upstream:
     """One upstream, as one gateway knows it.
 
@@ -144,11 +154,13 @@
     def announce(self, artifact: Artifact, now_s: float) -> None:
         """Records that an artifact was loaded."""
         self._withdrawn.pop(artifact, None)
+        self._announced = _valid(self._announced, now_s)
         self._announced[artifact] = now_s + ANNOUNCEMENT_VALID_S
 
     def withdraw(self, artifact: Artifact, now_s: float) -> None:
         """Records that an artifact is being unloaded or is missing."""
         self._announced.pop(artifact, None)
+        self._withdrawn = _valid(self._withdrawn, now_s)
         self._withdrawn[artifact] = now_s + ANNOUNCEMENT_VALID_S
 
     def update_record(self, record: UpstreamRecord) -> None:
--- a/test/gateway/test_unbounded_names.py
+++ b/test/gateway/test_unbounded_names.py
@@ -12,7 +12,9 @@
     SERVICE,
     artifact,
     engine_spec,
+    fleet,
     new_dispatcher,
+    record,
     request,
 )
 
@@ -96,6 +98,17 @@
         items = dispatcher.demand(0.1, full=True)
         self.assertEqual([artifact("m1")], [item.artifact for item in items])
 
+    def test_former_announcements_are_forgotten(self):
+        upstreams = fleet(record("u1", "m1"))
+        (upstream,) = upstreams.upstreams.values()
+        for number in range(NAMES):
+            name = artifact("m1", f"a{number}")
+            upstream.announce(name, number / PER_S)
+            upstream.withdraw(name, number / PER_S)
+            upstream.announce(artifact("m1", f"b{number}"), number / PER_S)
+        self.assertLess(len(upstream._announced), 100)
+        self.assertLess(len(upstream._withdrawn), 100)
+
 
 if __name__ == "__main__":
     unittest.main()
