Load a model whose requests are all refused on arrival

A request for a model without a replica is refused on arrival if its caller waits for less than a cold start is taken to last (1.6 s). As no request ever waited, the planner saw no need for a replica, and all requests were refused, also at an empty engine.

Cause: the planner loads a first replica only for waiting requests, or for a model that had no request yet.

Change: requests that fill a slot on average count as demand for a first replica though none waits. Such a replica displaces none of a model that has had urgent requests, like a preload: the waits of its requests can't be known.

--- a/acaciaspoke/gateway/placement.py
+++ b/acaciaspoke/gateway/placement.py
@@ -178,6 +178,10 @@
                 gain = weight * (demand + replicas.waiting[model])
                 gain += weight * WAITING_GAIN_PER_S * replicas.unserved_s(model)
                 additions.append((model, gain, "no copy"))
+            elif demand >= 1:
+                # Its requests are refused on arrival, as they can't wait for a
+                # load; the next ones find the replica.
+                additions.append((model, weight * demand, "refused"))
             elif model not in replicas.priority:
                 gain = PRELOAD_GAIN_PER_LOAD_S * spec.models[model].load_s
                 gain *= replicas.unrequested_share
@@ -232,7 +236,10 @@
             continue
         obstacle = Obstacle.COST
         victim, eviction_cost = _victim(model, engine, replicas, spec)
-        if model not in replicas.priority and replicas.is_urgent(victim):
+        is_waited_for = model in replicas.priority and (
+            replicas.waiting[model] or replicas.holders[model]
+        )
+        if not is_waited_for and replicas.is_urgent(victim):
             continue
         costs = _replica_cost(
             gain,
--- a/test/gateway/test_placement.py
+++ b/test/gateway/test_placement.py
@@ -243,6 +243,31 @@
             orders += plan_models([engine("u1")], totals, spec, 5, now_s)
         self.assertNotEqual([], orders)
 
+    def _orders_for_refused(self, *engines, rate_per_s=20.0):
+        refused = demand_for(
+            artifact("m5"), priority=2, rate_per_s=rate_per_s, last_s=0.0
+        )
+        urgent = (
+            demand_for(artifact(model), priority=1) for model in MODELS[:3]
+        )
+        idle = demand_for(artifact("m4"), priority=2)
+        spec = engine_spec(*MODELS, load_s=1.2)
+        totals = demands(*urgent, idle, refused)
+        return plan_models(list(engines), totals, spec, 5, 0.0)
+
+    def test_model_whose_requests_are_refused_displaces_no_urgent_one(self):
+        full = engine("u1", "m1", "m2", "m3")
+        self.assertEqual([], self._orders_for_refused(full))
+
+    def test_model_whose_requests_are_refused_displaces_an_idle_one(self):
+        engines = engine("u1", "m1", "m2", "m3"), engine("u2", "m1", "m2", "m4")
+        (order,) = self._orders_for_refused(*engines)
+        self.assertEqual(artifact("m4"), order.artifact)
+
+    def test_model_whose_requests_are_seldom_refused_gets_none(self):
+        empty = engine("u1")
+        self.assertEqual([], self._orders_for_refused(empty, rate_per_s=0.5))
+
     def test_request_that_can_wait_starts_a_load(self):
         early = {"oldest_s": 9.0, "remaining_s": 5.0, "patience_s": 14.0}
         (order,), _ = self._plan(engine("u1", "m1"), **early)
