Don't count requests of another leader's time as a burst

A host gets the demand of others only while it is the leader.

Cause: the counts of a host's last report are the base of the next one, however old.

Change: after longer than the time constant of a rate, only the waiting requests, or one, count as new, as in the first report of a host, and none if the count has not changed.

test_arrivals_while_another_host_was_the_leader_are_no_burst failed before (189 instead of less than 20); test_report_that_comes_late_counts_whole passed before and after.

--- a/acaciaspoke/gateway/demand.py
+++ b/acaciaspoke/gateway/demand.py
@@ -130,6 +130,23 @@
     )
 
 
+def _counts_before(
+    item: ArtifactDemand, known: _ReportedCounts | None, now_s: float
+) -> _ReportedCounts:
+    """Returns the counts above which requests count as new."""
+    baseline = _baseline(item, now_s)
+    if known is None:
+        return baseline
+    if now_s - known.received_s <= RATE_DECAY_S:
+        return known
+    # This host was not the leader meanwhile; most of the requests are old.
+    return _ReportedCounts(
+        max(known.arrivals, baseline.arrivals),
+        max(known.prompt_tokens, baseline.prompt_tokens),
+        now_s,
+    )
+
+
 class DemandTracker:
     """Sums the demand of all hosts for the leader."""
 
@@ -160,7 +177,7 @@
         for item in digest.demand:
             key = (digest.host, digest.boot, item.artifact)
             latest = _ReportedCounts(item.arrivals, item.prompt_tokens, now_s)
-            previous = self._last_counts.get(key) or _baseline(item, now_s)
+            previous = _counts_before(item, self._last_counts.get(key), now_s)
             self._last_counts[key] = latest
             rates = self._rates.get(item.artifact)
             if rates is None:
--- a/test/gateway/test_demand.py
+++ b/test/gateway/test_demand.py
@@ -59,6 +59,20 @@
             self._update(30 + tenth, 30 + tenth / 10)
         self.assertAlmostEqual(10.0, self._demand(31.5).rate_per_s, delta=2.0)
 
+    def test_arrivals_while_another_host_was_the_leader_are_no_burst(self):
+        # A host that regained the lease after 20 s took the 200 requests of
+        # that time for new ones: 189 instead of 10 requests a second.
+        for tenth in range(1, 31):
+            self._update(tenth, tenth / 10)
+        for tenth in range(231, 240):
+            self._update(tenth, tenth / 10)
+        self.assertLess(self._demand(23.9).rate_per_s, 20.0)
+
+    def test_report_that_comes_late_counts_whole(self):
+        for tenth in (*range(1, 31), 45):
+            self._update(tenth, tenth / 10)
+        self.assertAlmostEqual(10.0, self._demand(4.5).rate_per_s, delta=2.0)
+
     def test_priority_is_known_while_nothing_waits(self):
         # Otherwise models of the least urgent work count as most urgent
         # whenever none of their requests waits, and keep their replicas.
