Forget hosts that have sent nothing for long

Loads, notices, lost attempts, reports of prompt parts and the time of the last message were kept for each host that had ever sent one, for as long as the process ran; hosts are replaced by others with new names. Notices of a host whose digests are lost were kept until its next digest.

Change: when a host is heard of for the first time, those are removed that have sent nothing for longer than their entries count.

--- a/acaciaspoke/gateway/aggregate.py
+++ b/acaciaspoke/gateway/aggregate.py
@@ -137,6 +137,9 @@
     def apply_digest(self, digest: LoadDigest, now_s: float) -> None:
         """Applies the digest of a member."""
         self._members.apply_digest(digest, now_s)
+        if digest.host not in self._last_seen_s:
+            self._last_seen_s = _recently_seen(self._last_seen_s, now_s)
+            self._member_parts = _recent_parts(self._member_parts, now_s)
         self._last_seen_s[digest.host] = now_s
         self._member_crashes.apply_counts(digest.host, digest.crashes, now_s)
         self._member_parts[digest.host] = (digest.suspected_parts, now_s)
@@ -149,6 +152,11 @@
     def apply_domain_loads(self, loads: DomainLoads, now_s: float) -> None:
         """Applies the sum of another aggregator's members."""
         self._domains.apply_digest(loads, now_s)
+        if loads.host not in self.aggregators_seen_s:
+            self.aggregators_seen_s = _recently_seen(
+                self.aggregators_seen_s, now_s
+            )
+            self._domain_parts = _recent_parts(self._domain_parts, now_s)
         self.aggregators_seen_s[loads.host] = now_s
         self._domain_crashes.apply_counts(loads.host, loads.crashes, now_s)
         self._domain_parts[loads.host] = (loads.suspected_parts, now_s)
@@ -260,6 +268,26 @@
         return tuple(sorted(set(hosts) - responsive))
 
 
+def _recently_seen(
+    last_seen_s: Mapping[HostId, float], now_s: float
+) -> dict[HostId, float]:
+    return {
+        host: seen_s
+        for host, seen_s in last_seen_s.items()
+        if now_s - seen_s <= MEMBER_MAX_AGE_S
+    }
+
+
+def _recent_parts(
+    reports: Mapping[HostId, tuple[EvidenceByPart, float]], now_s: float
+) -> dict[HostId, tuple[EvidenceByPart, float]]:
+    return {
+        host: report
+        for host, report in reports.items()
+        if now_s - report[1] <= BEGUN_RETENTION_S
+    }
+
+
 def _merge_parts(
     reports: Iterable[tuple[EvidenceByPart, float]], now_s: float
 ) -> dict[PartId, PartEvidence]:
--- a/acaciaspoke/gateway/peerloads.py
+++ b/acaciaspoke/gateway/peerloads.py
@@ -16,6 +16,10 @@
 # send theirs ten times a second.
 LOAD_MAX_AGE_S = 0.7
 
+# A host that has sent nothing for this time is forgotten; no datagram of it is
+# delayed for as long.
+HOST_RETENTION_S = 60.0
+
 # A prompt counts at least this long after it was sent, even if its prefill is
 # over.
 MIN_PREFILL_S = 0.1
@@ -44,6 +48,8 @@
         known = self._digests.get(digest.host)
         if known and is_superseded(digest, known[0]):
             return
+        if known is None:
+            self._forget_former_hosts(now_s)
         self._digests[digest.host] = (digest, now_s)
         notices = self._notices.get(digest.host)
         if notices:
@@ -58,8 +64,26 @@
         known = self._digests.get(notice.host)
         if known and not is_superseded(notice, known[0]):
             notices = self._notices.setdefault(notice.host, [])
+            if notices and now_s - notices[0][1] > LOAD_MAX_AGE_S:
+                notices[:] = [
+                    entry
+                    for entry in notices
+                    if now_s - entry[1] <= LOAD_MAX_AGE_S
+                ]
             notices.append((notice, now_s))
 
+    def _forget_former_hosts(self, now_s: float) -> None:
+        self._digests = {
+            host: entry
+            for host, entry in self._digests.items()
+            if now_s - entry[1] <= HOST_RETENTION_S
+        }
+        self._notices = {
+            host: notices
+            for host, notices in self._notices.items()
+            if host in self._digests
+        }
+
     def fresh(self, now_s: float) -> list[LoadDigest]:
         """Returns the digests that are recent enough to count."""
         return [
--- a/acaciaspoke/gateway/peers.py
+++ b/acaciaspoke/gateway/peers.py
@@ -108,7 +108,13 @@
         except msgspec.MsgspecError as error:
             logger.warning("invalid datagram ignored: {}", error)
             return
-        self._last_seen_s[message.host] = time.monotonic()
+        now_s = time.monotonic()
+        if message.host not in self._last_seen_s:
+            self._last_seen_s = {
+                host: self._last_seen_s[host]
+                for host in self._heard_of(now_s, UNREGISTERED_MAX_AGE_S)
+            }
+        self._last_seen_s[message.host] = now_s
         self._handle(message)
 
     def post(self, message: Message, hosts: Iterable[HostId]) -> None:
--- a/acaciaspoke/gateway/suspects.py
+++ b/acaciaspoke/gateway/suspects.py
@@ -37,6 +37,12 @@
         self, host: HostId, counts: dict[int, int], now_s: float
     ) -> None:
         """Updates the lost attempts of another host."""
+        if host not in self._remote:
+            self._remote = {
+                known: entry
+                for known, entry in self._remote.items()
+                if now_s - entry[1] <= LOST_ATTEMPT_RETENTION_S
+            }
         self._remote[host] = (counts, now_s)
 
     def is_blocked(self, fingerprint: int, now_s: float) -> bool:
--- a/test/gateway/test_unbounded_names.py
+++ b/test/gateway/test_unbounded_names.py
@@ -1,13 +1,32 @@
 """Names that are not used any more don't stay for as long as a process runs."""
 
 import itertools
+import time
 import unittest
+from unittest import mock
 
+import msgspec
+
+from acaciaspoke.gateway.aggregate import LoadAggregator
 from acaciaspoke.gateway.demand import DEMAND_RETENTION_S, DemandTracker
-from acaciaspoke.gateway.messages import ArtifactDemand, DemandDigest
+from acaciaspoke.gateway.messages import (
+    ArtifactDemand,
+    DemandDigest,
+    DomainLoads,
+    LoadDigest,
+    SendNotice,
+    encode,
+)
+from acaciaspoke.gateway.part_suspects import BEGUN_RETENTION_S, PartEvidence
+from acaciaspoke.gateway.peerloads import HOST_RETENTION_S, PeerLoads
+from acaciaspoke.gateway.peers import UNREGISTERED_MAX_AGE_S, Peers
+from acaciaspoke.gateway.suspects import (
+    LOST_ATTEMPT_RETENTION_S,
+    CrashSuspects,
+)
 from acaciaspoke.gateway.types import CallerLimits, Configuration, Service
 from acaciaspoke.gateway.unserved import RETENTION_S, UnservedTimes
-from acaciaspoke.ids import BootId, HostId, ModelId
+from acaciaspoke.ids import BootId, HostId, ModelId, PartId, UpstreamId
 from test.gateway.builders import (
     SERVICE,
     artifact,
@@ -110,5 +129,78 @@
         self.assertLess(len(upstream._withdrawn), 100)
 
 
+class FormerHostsTest(unittest.TestCase):
+    """Hosts are replaced by others with new names."""
+
+    def _digests(self):
+        for number in range(NAMES):
+            digest = LoadDigest(
+                host=HostId(f"h{number}"),
+                boot=BootId("b"),
+                sequence=1,
+                crashes={number: 1},
+                suspected_parts={PartId(f"p{number}"): PartEvidence({1: 0.0})},
+            )
+            yield digest, number / PER_S
+
+    def test_loads_and_notices_of_former_hosts_are_forgotten(self):
+        loads = PeerLoads()
+        for digest, now_s in self._digests():
+            loads.apply_digest(digest, now_s)
+            for sequence in range(2, 4):
+                notice = SendNotice(
+                    host=digest.host,
+                    boot=digest.boot,
+                    sequence=sequence,
+                    upstream=UpstreamId("u1"),
+                )
+                loads.apply_send(notice, now_s)
+        bound = PER_S * HOST_RETENTION_S + 1
+        self.assertLessEqual(len(loads._digests), bound)
+        self.assertLessEqual(len(loads._notices), bound)
+
+    def test_old_notices_of_a_host_without_digests_are_forgotten(self):
+        loads = PeerLoads()
+        digest, _ = next(self._digests())
+        loads.apply_digest(digest, 0.0)
+        for number in range(NAMES):
+            notice = SendNotice(
+                host=digest.host,
+                boot=digest.boot,
+                sequence=number + 2,
+                upstream=UpstreamId("u1"),
+            )
+            loads.apply_send(notice, number / PER_S)
+        self.assertLessEqual(len(loads._notices[digest.host]), PER_S)
+
+    def test_lost_attempts_of_former_hosts_are_forgotten(self):
+        suspects = CrashSuspects()
+        for digest, now_s in self._digests():
+            suspects.apply_counts(digest.host, digest.crashes, now_s)
+        bound = PER_S * LOST_ATTEMPT_RETENTION_S + 1
+        self.assertLessEqual(len(suspects._remote), bound)
+
+    def test_former_members_and_aggregators_are_forgotten(self):
+        aggregator = LoadAggregator()
+        for digest, now_s in self._digests():
+            aggregator.apply_digest(digest, now_s)
+            fields = msgspec.structs.asdict(digest)
+            aggregator.apply_domain_loads(DomainLoads(**fields), now_s)
+        self.assertLessEqual(len(aggregator._last_seen_s), 2 * PER_S)
+        self.assertLessEqual(len(aggregator.aggregators_seen_s), 2 * PER_S)
+        bound = PER_S * BEGUN_RETENTION_S + 1
+        self.assertLessEqual(len(aggregator._member_parts), bound)
+        self.assertLessEqual(len(aggregator._domain_parts), bound)
+
+    def test_former_peers_are_forgotten(self):
+        peers = Peers(HostId("h"), "127.0.0.1", 7380, lambda message: None)
+        with mock.patch.object(time, "monotonic") as clock:
+            for digest, now_s in self._digests():
+                clock.return_value = now_s
+                peers._receive(encode(digest))
+        bound = PER_S * UNREGISTERED_MAX_AGE_S + 1
+        self.assertLessEqual(len(peers._last_seen_s), bound)
+
+
 if __name__ == "__main__":
     unittest.main()
