--- a/acaciaspoke/gateway/fleet.py
+++ b/acaciaspoke/gateway/fleet.py
@@ -55,6 +55,16 @@
     is_alone: bool = False
 
 
+def _valid(
+    valid_until_s: dict[Artifact, float], now_s: float
+) -> dict[Artifact, float]:
+    return {
+        artifact: end_s
+        for artifact, end_s in valid_until_s.items()
+        if end_s > now_s
+    }
+
+
 class Upstream:
     """One upstream, as one gateway knows it.
 
@@ -133,14 +143,24 @@
             return True
         return self._announced.get(artifact, 0.0) > now_s
 
+    def models(self, now_s: float) -> Iterator[ModelId]:
+        """Yields the models that it holds, also those being unloaded."""
+        for artifact in self.record.artifacts:
+            yield artifact.model
+        for artifact, valid_until_s in self._announced.items():
+            if valid_until_s > now_s:
+                yield artifact.model
+
     def announce(self, artifact: Artifact, now_s: float) -> None:
         """Records that an artifact was loaded."""
         self._withdrawn.pop(artifact, None)
+        self._announced = _valid(self._announced, now_s)
         self._announced[artifact] = now_s + ANNOUNCEMENT_VALID_S
 
     def withdraw(self, artifact: Artifact, now_s: float) -> None:
         """Records that an artifact is being unloaded or is missing."""
         self._announced.pop(artifact, None)
+        self._withdrawn = _valid(self._withdrawn, now_s)
         self._withdrawn[artifact] = now_s + ANNOUNCEMENT_VALID_S
 
     def update_record(self, record: UpstreamRecord) -> None:
@@ -275,6 +295,14 @@
             if upstream.holds(artifact, now_s)
         ]
 
+    def held_models(self, now_s: float) -> set[ModelId]:
+        """Returns the models of which there is a replica."""
+        return {
+            model
+            for upstream in self.upstreams.values()
+            for model in upstream.models(now_s)
+        }
+
     def record_sent(
         self, upstream: Upstream, request: Request, is_alone: bool = False
     ) -> None:
