Don't end at SIGHUP while the process starts

What the platform saw: a gateway that got SIGHUP in the first second after its start ended with it, which counts as a process that ends by itself. A host that starts while the settings of all hosts change is such a case.

Cause: the signal was handled only once the process served, after all imports.

Evidence: SIGHUP 0.01 to 0.8 s after the start ended the process in six of six tries, at 1.5 s it did not.

Change: it is ignored from the start of the command; the settings are read after that.

--- a/acaciaspoke/ui/serve.py
+++ b/acaciaspoke/ui/serve.py
@@ -1,5 +1,6 @@
 """The commands that run processes, and ``acaciaspoke settings``."""
 
+import signal
 from collections.abc import Awaitable, Callable
 from pathlib import Path
 
@@ -59,6 +60,9 @@
 )
 def gateway(path: Path) -> None:
     """Runs the gateway of a host on a platform with a metadata store."""
+    # The default action would end the process; the settings are read below.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
+
     from acaciaspoke.gateway.process import run_gateway
     from acaciaspoke.gateway.settings import load_gateway_settings
 
