--- a/test/gateway/test_stopping_process.py
+++ b/test/gateway/test_stopping_process.py
@@ -2,15 +2,9 @@
 
 import asyncio
 import signal
-import sys
-import tempfile
 import time
-from pathlib import Path
 
-import httpcore
-import msgspec
-
-from test.gateway.serving import READY_PORT, GatewayTest
+from test.gateway.process_serving import GatewayProcessTest
 
 EVENTS = tuple(b"id: %d\ndata: %d\n\n" % (n, n) for n in range(1, 6))
 
@@ -21,39 +15,7 @@
 BALANCER_S = 2.0
 
 
-class StoppingProcessTest(GatewayTest):
-
-    async def start_gateway(self, settings):
-        folder = Path(self.enterContext(tempfile.TemporaryDirectory()))
-        path = folder / "gateway.json"
-        path.write_bytes(msgspec.json.encode(settings))
-        log = self.enterContext((folder / "log").open("w+"))
-        self.process = await asyncio.create_subprocess_exec(
-            *(sys.executable, "-m", "acaciaspoke", "gateway"),
-            *("--settings", str(path)),
-            stdout=log,
-            stderr=log,
-        )
-        self.addAsyncCleanup(self._end_process)
-        url = f"http://{settings.address}:{READY_PORT}/ready"
-        await self._wait_for_200("GET", url)
-
-    async def _end_process(self):
-        if self.process.returncode is None:
-            self.process.kill()
-            await self.process.wait()
-
-    async def _wait_for_200(self, method, url):
-        deadline_s = time.monotonic() + 20.0
-        status = None
-        while status != 200:
-            self.assertLess(time.monotonic(), deadline_s, "is not ready")
-            try:
-                async with httpcore.AsyncConnectionPool() as pool:
-                    status = (await pool.request(method, url)).status
-            except httpcore.ConnectError:
-                status = None
-            await asyncio.sleep(0.1)
+class StoppingProcessTest(GatewayProcessTest):
 
     def _stream(self):
         return asyncio.create_task(
