Let a refused caller go on sending for 3 s instead of 5 s

Together with the notice of a stop (2.3 s) 5 s left 0.7 s of the grace time of 8 s for the end of the process. The tests of test_refused_upload pass unchanged.

--- a/acaciaspoke/util/http_protocol.py
+++ b/acaciaspoke/util/http_protocol.py
@@ -20,7 +20,7 @@
 
 # How long a caller may go on sending a request after the response that ends its
 # connection.
-LINGER_S = 5.0
+LINGER_S = 3.0
 
 
 class _LingeringTransport:
