Read the rest of a request's head when the process stops

What callers saw: a request on a kept connection whose head came in two pieces around the close of the listener ended with a closed connection.

Cause: at the stop a connection without a running request was closed if no byte waited in its socket. Bytes of a head that had been read already did not count.

Evidence: found in the code; the new test of test_request_at_idle_limit failed before ("b' 200 ' not found in b''").

Change: such a connection stays open until its head is complete, for 1 s at most; then the request is served and the connection closed, as for those that had been read.

--- a/acaciaspoke/gateway/protocol.py
+++ b/acaciaspoke/gateway/protocol.py
@@ -16,6 +16,9 @@
 # Pause until an idle connection with unread data is checked again.
 UNREAD_DATA_WAIT_S = 0.05
 
+# How long a stop waits for the rest of a request's header.
+MAX_HEADER_WAIT_S = 1.0
+
 
 class _HeadRefusedError(Exception):
     """Stops the parser at a head that is refused."""
@@ -31,6 +34,7 @@
 
         _idle_since_s = 0.0
         _in_header = False
+        _header_since_s = 0.0
         _begun_in_read = 0
         _header_bytes = 0
         _header_timer: asyncio.TimerHandle | None = None
@@ -60,6 +64,7 @@
         def on_message_begin(self) -> None:
             super().on_message_begin()
             self._in_header = True
+            self._header_since_s = self.loop.time()
             self._begun_in_read += 1
             self._header_bytes = 0
             self._header_timer = self.loop.call_later(
@@ -99,6 +104,13 @@
                 super().timeout_keep_alive_handler()
 
         def shutdown(self) -> None:
+            if self._in_header:
+                # The server calls this again.
+                age_s = self.loop.time() - self._header_since_s
+                if age_s < MAX_HEADER_WAIT_S:
+                    return
+                # No response could be lost by a reset.
+                self._in_message = False
             was_closing = self.transport.is_closing()
             super().shutdown()
             if self.transport.is_closing() and not was_closing:
--- a/test/gateway/test_request_at_idle_limit.py
+++ b/test/gateway/test_request_at_idle_limit.py
@@ -4,6 +4,8 @@
 import socket
 import time
 
+from acaciaspoke.gateway.process import DRAIN_NOTICE_S
+from acaciaspoke.gateway.protocol import MAX_HEADER_WAIT_S
 from test.gateway.serving import GatewayTest, configuration
 
 IDLE_S = 0.4
@@ -30,10 +32,13 @@
             lambda: self.gateway.app.configuration.version == version
         )
 
-    def _send(self):
+    def _request(self):
         headers = [f"{name}: {text}" for name, text in self.headers().items()]
         lines = ["GET /safe/x HTTP/1.1", *headers, "", ""]
-        self.raw.send("\r\n".join(lines).encode())
+        return "\r\n".join(lines).encode()
+
+    def _send(self):
+        self.raw.send(self._request())
 
     async def _check_answer(self):
         received = await asyncio.get_running_loop().sock_recv(self.raw, 9999)
@@ -65,6 +70,25 @@
         self._protocol().shutdown()
         await self._check_answer()
 
+    async def test_head_that_arrives_in_pieces_as_the_process_stops(self):
+        self._send()
+        await self._check_answer()
+        head = self._request()
+        self.raw.send(head[:20])
+        await self.eventually(lambda: self._protocol()._in_header)
+        self._protocol().shutdown()
+        self.raw.send(head[20:])
+        await self._check_answer()
+
+    async def test_head_without_an_end_as_the_process_stops(self):
+        self._send()
+        await self._check_answer()
+        self.raw.send(self._request()[:20])
+        await self.eventually(lambda: self._protocol()._in_header)
+        self.gateway.drain.request_stop()
+        async with asyncio.timeout(DRAIN_NOTICE_S + 2 * MAX_HEADER_WAIT_S):
+            await self.tasks[-1]
+
     def _protocol(self):
         peer = self.raw.getsockname()
         (transport,) = (
