Test that a host without the store gets the configuration from others

After a restore, a host that cannot reach the store gets a newer configuration from a host that has it.

The test fails without the request to other hosts.

--- a/test/gateway/test_restored_store.py
+++ b/test/gateway/test_restored_store.py
@@ -5,7 +5,9 @@
 import anyio
 import msgspec
 
+from acaciaspoke.clients.table import TableUnavailable
 from acaciaspoke.gateway.peers import PEER_MAX_AGE_S
+from acaciaspoke.platform.store import OPERATOR_TABLE
 from standins.faults import Faults
 from test.gateway.restored_store import (
     CONFIGURATION_ROW,
@@ -68,6 +70,17 @@
         await self.eventually(lambda: self.version_in_force() == 5)
         self.assertEqual([200, 404], await self.statuses("/added/", "/short/"))
 
+    async def test_host_that_cannot_read_a_restored_store_gets_the_newest(self):
+        async def fail(*_, **__):
+            raise TableUnavailable("cut off")
+
+        await self.restore(self.store.copy())
+        host = await self.start_host("h2")
+        host._store._rows = fail
+        host._followers[OPERATOR_TABLE].restart()
+        await self.put_configuration(changed_routes(5))
+        self.assertEqual([200, 404], await self.statuses("/added/", "/short/"))
+
 
 class UpstreamTest(RestoredStoreTest):
 
