Apply the aggregator's changes while the table cannot be read

Cause: a restore makes a host read the table again, and until it has, a follower refused what its aggregator read, as changes before that may be missing.

Change: changes that are newer than the last applied one are applied to what the host knew. Its version stays unknown, so that it reads the whole table as soon as it can. Before the first reading nothing is applied, as before.

Test: test_changes_are_applied_while_the_table_cannot_be_read failed before.

--- a/acaciaspoke/gateway/table_follower.py
+++ b/acaciaspoke/gateway/table_follower.py
@@ -181,6 +181,9 @@
         self._on_page = on_page
         self._is_delegated = is_delegated
         self._version: int | None = None
+        # The version of the last change that was applied, also while earlier
+        # ones may be missing; None before the first reading.
+        self._applied_version: int | None = None
         self._lost_since_s: float | None = None
         self._lost_logged_s = float("-inf")
         self._call = anyio.CancelScope()
@@ -193,6 +196,9 @@
     def offer(self, after: int, page: FeedPage) -> bool:
         """Applies changes that another host has read, unless some are missing.
 
+        While the whole table has to be read again, changes are applied also if
+        some are missing.
+
         Args:
             after: The version that the changes follow.
             page: The changes.
@@ -200,11 +206,15 @@
         Returns:
             Whether they were applied.
         """
-        local = self._version
-        if local is None or not after <= local < page.version:
+        applied, local = self._applied_version, self._version
+        if applied is None or page.version <= applied:
+            return False
+        if local is not None and after > local:
             return False
-        rows = [row for row in page.rows if row.version > local]
+        rows = [row for row in page.rows if row.version > applied]
         self._apply_rows(FeedPage(rows, page.version), is_snapshot=False)
+        if local is not None:
+            self._version = page.version
         return True
 
     def restart(self) -> None:
@@ -264,6 +274,7 @@
         self._on_page(after, page)
         if self._version == after:
             self._apply_rows(page, is_snapshot=after is None)
+            self._version = page.version
         else:
             # Changes from another host were applied during the call.
             self.offer(after, page)
@@ -273,7 +284,7 @@
             self._apply(page.rows, is_snapshot)
         except (msgspec.MsgspecError, ValueError):
             logger.exception("rows of table {} cannot be applied", self._table)
-        self._version = page.version
+        self._applied_version = page.version
 
     def _record_failure(self, error: TableUnavailable) -> None:
         self._metrics.store_failures.inc()
--- a/test/gateway/test_rowrelay.py
+++ b/test/gateway/test_rowrelay.py
@@ -6,6 +6,7 @@
 
 import anyio
 
+from acaciaspoke.clients.table import TableUnavailable
 from acaciaspoke.gateway.loadexchange import SUMMARY_INTERVAL_S
 from acaciaspoke.gateway.messages import ReadProgress, decode, encode
 from acaciaspoke.gateway.metrics import GatewayMetrics
@@ -102,10 +103,13 @@
 
     def __init__(self, version: int):
         self.version = version
+        self.is_reached = True
         self.calls: list[str] = []
 
     async def read_table(self, table: str) -> FeedPage:
         self.calls.append("read")
+        if not self.is_reached:
+            raise TableUnavailable("cut off")
         return FeedPage([], self.version)
 
     async def follow(self, table: str, after: int, wait_s: float) -> FeedPage:
@@ -156,6 +160,27 @@
         self.assertEqual([False], await self._run((12, _page(15, 14))))
         self.assertEqual(([], 10), (self.applied, self.version))
 
+    async def test_changes_are_applied_while_the_table_cannot_be_read(self):
+        """As after a restore, at a host that is cut off from the store."""
+        follower = self._follower()
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(follower.run)
+            await anyio.wait_all_tasks_blocked()
+            self.store.is_reached = False
+            follower.reread()
+            await anyio.wait_all_tasks_blocked()
+            offers = [_page(15, 14), _page(13, 13), _page(17, 14, 16)]
+            applied = [follower.offer(12, page) for page in offers]
+            self.assertEqual([True, False, True], applied)
+            self.assertEqual([("u14", 14), ("u16", 16)], self.applied)
+            # Some changes may be missing until the table is read.
+            self.assertEqual(0, follower.version)
+            self.store.is_reached = True
+            with anyio.fail_after(5.0):
+                while follower.version != 10:
+                    await anyio.sleep(0.01)
+            tasks.cancel_scope.cancel()
+
     async def test_known_changes_are_not_applied_again(self):
         offer = (8, _page(15, 9, 12, 14))
         self.assertEqual([True, False], await self._run(offer, offer))
