Forget former aggregators and prompt parts that were blocked long ago

The parts of prompts whose block had been logged, and hosts that were excluded as aggregators, were kept for as long as the process ran.

Change: an exclusion is dropped after its end. A part is forgotten when no request with it has come for as long as crashes count (10 min), so that a later block is logged again.

--- a/acaciaspoke/gateway/aggregate.py
+++ b/acaciaspoke/gateway/aggregate.py
@@ -91,6 +91,11 @@
             self._current not in (None, self._local_host)
             and now_s - self._last_summary_s > SUMMARY_TIMEOUT_S
         ):
+            self._excluded_until_s = {
+                host: end_s
+                for host, end_s in self._excluded_until_s.items()
+                if end_s > now_s
+            }
             self._excluded_until_s[self._current] = now_s + EXCLUSION_S
         candidates = {
             host: link_mbps
--- a/acaciaspoke/gateway/crash_guard.py
+++ b/acaciaspoke/gateway/crash_guard.py
@@ -4,7 +4,10 @@
 
 from acaciaspoke.gateway.attempt import Attempt, Ending
 from acaciaspoke.gateway.dispatch import Assignment
-from acaciaspoke.gateway.part_suspects import PartSuspects
+from acaciaspoke.gateway.part_suspects import (
+    CRASH_RETENTION_S,
+    PartSuspects,
+)
 from acaciaspoke.gateway.suspects import CrashSuspects
 from acaciaspoke.gateway.types import Request
 from acaciaspoke.ids import PartId
@@ -21,15 +24,22 @@
     def __init__(self) -> None:
         self.requests = CrashSuspects()
         self.parts = PartSuspects()
-        self._logged_parts: set[PartId] = set()
+        # When a request with each blocked part last came.
+        self._blocked_s: dict[PartId, float] = {}
 
     def is_blocked(self, request: Request, now_s: float) -> bool:
         """Returns whether a request must not be sent for now."""
         if self.requests.is_blocked(request.fingerprint, now_s):
             return True
         part = self.parts.blocked_part(request.shared_parts, now_s)
-        if part is not None and part not in self._logged_parts:
-            self._logged_parts.add(part)
+        if part is None:
+            return False
+        if part not in self._blocked_s:
+            self._blocked_s = {
+                known: last_s
+                for known, last_s in self._blocked_s.items()
+                if now_s - last_s <= CRASH_RETENTION_S
+            }
             evidence = self.parts.evidence_of(part, now_s)
             logger.warning(
                 "prompt part {} is blocked: engines crashed before its requests"
@@ -42,7 +52,8 @@
                 begun_age_s=evidence.begun_age_s,
                 request_id=request.id,
             )
-        return part is not None
+        self._blocked_s[part] = now_s
+        return True
 
     def record_begun(self, request: Request, now_s: float) -> None:
         """Records the first event of a request."""
--- a/test/gateway/test_unbounded_names.py
+++ b/test/gateway/test_unbounded_names.py
@@ -7,7 +7,12 @@
 
 import msgspec
 
-from acaciaspoke.gateway.aggregate import LoadAggregator
+from acaciaspoke.gateway.aggregate import (
+    EXCLUSION_S,
+    AggregatorChoice,
+    LoadAggregator,
+)
+from acaciaspoke.gateway.crash_guard import CrashGuard
 from acaciaspoke.gateway.demand import DEMAND_RETENTION_S, DemandTracker
 from acaciaspoke.gateway.messages import (
     ArtifactDemand,
@@ -17,7 +22,12 @@
     SendNotice,
     encode,
 )
-from acaciaspoke.gateway.part_suspects import BEGUN_RETENTION_S, PartEvidence
+from acaciaspoke.gateway.part_suspects import (
+    BEGUN_RETENTION_S,
+    CRASH_RETENTION_S,
+    MAX_CRASHES,
+    PartEvidence,
+)
 from acaciaspoke.gateway.peerloads import HOST_RETENTION_S, PeerLoads
 from acaciaspoke.gateway.peers import UNREGISTERED_MAX_AGE_S, Peers
 from acaciaspoke.gateway.suspects import (
@@ -26,7 +36,14 @@
 )
 from acaciaspoke.gateway.types import CallerLimits, Configuration, Service
 from acaciaspoke.gateway.unserved import RETENTION_S, UnservedTimes
-from acaciaspoke.ids import BootId, HostId, ModelId, PartId, UpstreamId
+from acaciaspoke.ids import (
+    BootId,
+    DomainId,
+    HostId,
+    ModelId,
+    PartId,
+    UpstreamId,
+)
 from test.gateway.builders import (
     SERVICE,
     artifact,
@@ -201,6 +218,29 @@
         bound = PER_S * UNREGISTERED_MAX_AGE_S + 1
         self.assertLessEqual(len(peers._last_seen_s), bound)
 
+    def test_former_exclusions_of_aggregators_are_forgotten(self):
+        choice = AggregatorChoice(HostId("h"), DomainId("a"))
+        for number in range(NAMES // 10):
+            # No summary comes from any of them.
+            choice.choose({HostId(f"h{number}"): 1.0}, float(number))
+        self.assertLessEqual(len(choice._excluded_until_s), EXCLUSION_S + 1)
+
+
+class BlockedPartTest(unittest.TestCase):
+
+    def test_prompt_parts_that_were_blocked_long_ago_are_forgotten(self):
+        guard = CrashGuard()
+        for number in range(NAMES // 10):
+            now_s = 10.0 * number
+            parts = (PartId(f"p{number}"),)
+            for engine in range(MAX_CRASHES):
+                engine_id = UpstreamId(f"u{number}-{engine}")
+                guard.parts.record_crash(parts, engine_id, 1, now_s)
+            blocked = request(shared_parts=parts)
+            self.assertTrue(guard.is_blocked(blocked, now_s))
+        bound = CRASH_RETENTION_S / 10.0 + 1
+        self.assertLessEqual(len(guard._blocked_s), bound)
+
 
 if __name__ == "__main__":
     unittest.main()
