Log what a request was doing when its caller left

The line "caller closed the connection" had only the request's id. The line now has the fields of "the host stops with the request open": state, upstream, ages and the last event.

Test: test.gateway.test_caller_left; both tests failed before (KeyError: 'state').

--- a/acaciaspoke/gateway/app.py
+++ b/acaciaspoke/gateway/app.py
@@ -113,9 +113,6 @@
             await send_failure(caller, error.failure)
         except CallerDisconnectedError:
             self._metrics.callers_gone.inc()
-            logger.info(
-                "caller closed the connection", request_id=caller.request_id
-            )
         except StreamBrokenError as error:
             # The server closes the connection of an unfinished response.
             logger.warning(
@@ -136,6 +133,13 @@
         limits = self.configuration.limits
         try:
             body = await caller.read_body(limits.max_body_bytes)
+        except CallerDisconnectedError:
+            logger.info(
+                "caller closed the connection",
+                request_id=caller.request_id,
+                state="reading",
+            )
+            raise
         except CallerError as error:
             raise _BadRequestError(
                 Failure(FailureType.TOO_LARGE, str(error))
@@ -188,6 +192,11 @@
         if entry.is_ended and isinstance(failure, CallerDisconnectedError):
             await answers.answer_stopped(self._metrics, request, relay)
             return
+        if isinstance(failure, CallerDisconnectedError):
+            logger.info(
+                "caller closed the connection",
+                **entry.log_fields(time.monotonic()),
+            )
         if failure is not None:
             raise failure
 
--- a/acaciaspoke/gateway/open_requests.py
+++ b/acaciaspoke/gateway/open_requests.py
@@ -33,6 +33,22 @@
             return "streaming"
         return "sent" if self.request.starts else "waiting"
 
+    def log_fields(self, now_s: float) -> dict[str, str | int | None]:
+        """Returns what logs say about it."""
+        request, relay = self.request, self.relay
+        last_event_id = relay.splitter.last_id or b""
+        return {
+            "request_id": request.id,
+            "route": request.route.name,
+            "upstream": relay.upstream,
+            "state": self.state,
+            "age_ms": round((now_s - request.arrived_s) * 1000),
+            "sent_ms": round((now_s - request.sent_s) * 1000)
+            if request.starts
+            else None,
+            "last_event_id": last_event_id.decode("latin-1"),
+        }
+
 
 class OpenRequests:
     """All requests in progress."""
@@ -61,19 +77,10 @@
         """
         now_s = time.monotonic()
         for entry in list(self._requests.values()):
-            request, relay = entry.request, entry.relay
             logger.warning(
                 "the host stops with the request open",
-                request_id=request.id,
-                route=request.route.name,
-                upstream=relay.upstream,
-                state=entry.state,
-                age_ms=round((now_s - request.arrived_s) * 1000),
-                sent_ms=round((now_s - request.sent_s) * 1000)
-                if request.starts
-                else None,
-                last_event_id=(relay.splitter.last_id or b"").decode("latin-1"),
+                **entry.log_fields(now_s),
             )
-            if not relay.caller.started:
+            if not entry.relay.caller.started:
                 entry.is_ended = True
                 entry.scope.cancel()
