Test that impatient callers don't hide the refused waits of patient ones

Fails: a model that only patient callers ask for (14.75 s, loads of 4 s) gets a replica after some refusals; with impatient callers (3.75 s) asking for it as well it gets none.

--- a/test/gateway/test_rare_models.py
+++ b/test/gateway/test_rare_models.py
@@ -2,8 +2,10 @@
 
 import unittest
 from collections import Counter
+from collections.abc import Iterable
 
 from acaciaspoke.gateway.demand import DemandTracker
+from acaciaspoke.gateway.engineview import EngineView
 from acaciaspoke.gateway.messages import ArtifactDemand, DemandDigest
 from acaciaspoke.gateway.placement import plan_models
 from acaciaspoke.ids import BootId, HostId, ModelId, UpstreamId
@@ -25,7 +27,12 @@
         self.tracker = DemandTracker()
         self._sequence = 0
 
-    def report(self, now_s: float, running: tuple = ()) -> None:
+    def report(
+        self,
+        now_s: float,
+        running: tuple = (),
+        more: Iterable[ArtifactDemand] = (),
+    ) -> None:
         self._sequence += 1
         requests, wait_s = divmod(now_s, INTERVAL_S)
         waits = wait_s < REFUSED_AFTER_S and not running
@@ -46,17 +53,16 @@
                 host=HostId("h1"),
                 boot=BootId("b"),
                 sequence=self._sequence,
-                demand=(rare, *busy),
+                demand=(*more, *busy) if more else (rare, *busy),
                 running={UpstreamId("u1"): running} if running else {},
             ),
             now_s,
         )
 
 
-def _order_times_s(end_s: float) -> list[float]:
-    """Returns when memory would be freed for m5, up to a time."""
-    host = _Host()
-    engines = [
+def _busy_engines() -> list[EngineView]:
+    """Returns engines without room for m5."""
+    return [
         engine(
             f"u{n}",
             "m1",
@@ -67,6 +73,12 @@
         )
         for n in (1, 2)
     ]
+
+
+def _order_times_s(end_s: float) -> list[float]:
+    """Returns when memory would be freed for m5, up to a time."""
+    host = _Host()
+    engines = _busy_engines()
     times_s = []
     for step in range(round(end_s / STEP_S)):
         now_s = step * STEP_S
@@ -94,6 +106,51 @@
         self.assertLess(wait_s + 4.0, REFUSED_AFTER_S)
 
 
+class MixedPatienceTest(unittest.TestCase):
+    """A model that patient and impatient callers ask for."""
+
+    IMPATIENT_S = 3.75
+    PATIENT_S = 14.75
+
+    def _ordered(self, waits_s) -> bool:
+        """Returns whether memory is freed for m5 in the end.
+
+        Args:
+            waits_s: How long callers wait; each asks again once refused.
+        """
+        host = _Host()
+        engines = _busy_engines()
+        for step in range(round(10 * INTERVAL_S / STEP_S)):
+            now_s = step * STEP_S
+            host.report(now_s, more=[*self._demand(waits_s, now_s)])
+            demands = host.tracker.totals(now_s)
+            orders = plan_models(
+                engines, demands, SPEC, 5, now_s, observed_s=now_s
+            )
+            if any(order.reserve_for == "m5" for order in orders):
+                return True
+        return False
+
+    def _demand(self, waits_s, now_s):
+        for wait_s in waits_s:
+            requests, oldest_s = divmod(now_s, wait_s)
+            yield ArtifactDemand(
+                SERVICE,
+                artifact("m5", f"a{round(wait_s)}"),
+                int(requests) + 1,
+                1,
+                2,
+                oldest_s,
+                remaining_s=wait_s - oldest_s,
+                patience_s=wait_s + 0.25,
+            )
+
+    def test_impatient_callers_do_not_hide_refused_waits_of_patient_ones(self):
+        # Refused waits counted only while no impatient request waited.
+        self.assertTrue(self._ordered([self.PATIENT_S]))
+        self.assertTrue(self._ordered([self.IMPATIENT_S, self.PATIENT_S]))
+
+
 class UnservedTimeTest(unittest.TestCase):
     """The time for which a model is asked for without being served."""
 
