Count refused waits also if impatient callers wait beside patient ones

Cause: whether refused waits count followed from the shortest patience of the routes of all waiting requests.

Change: they count also if a request that waits now can wait for the load.

--- a/acaciaspoke/gateway/replicas.py
+++ b/acaciaspoke/gateway/replicas.py
@@ -168,19 +168,23 @@
     def unserved_s(self, model: ModelId) -> float:
         """Returns for how long requests have waited for a first replica.
 
-        The waits of refused requests count if the next request can wait for the
-        replica. Otherwise it would serve nobody, however long they have waited.
+        The waits of refused requests count if a request that waits, or any that
+        comes next, can wait for the replica. Otherwise it would serve nobody,
+        however long they have waited.
 
         Args:
             model: A model for which requests wait.
         """
-        if self._waits_for_load(model):
+        longest_s = max(self._patience_s[model], self._remaining_s[model])
+        if longest_s >= self._min_wait_for_load_s(model):
             return max(self._oldest_s[model], self._unserved_s[model])
         return self._oldest_s[model]
 
     def _waits_for_load(self, model: ModelId) -> bool:
-        load_s = self._spec.models[model].load_s
-        return self._patience_s[model] >= load_s + MIN_ORDER_WINDOW_S
+        return self._patience_s[model] >= self._min_wait_for_load_s(model)
+
+    def _min_wait_for_load_s(self, model: ModelId) -> float:
+        return self._spec.models[model].load_s + MIN_ORDER_WINDOW_S
 
     def demand(self, model: ModelId) -> float:
         """Returns the slots that a model's requests need."""
