--- /dev/null
+++ b/test/gateway/test_answer_before_body.py
@@ -0,0 +1,48 @@
+"""Answers that are sent before the body of their request has been read."""
+
+import asyncio
+import contextlib
+
+from test.gateway.raw_connection import RawConnectionTest
+
+ANSWER_BYTES = 8 * 1024 * 1024
+BODY_BYTES = 200_000
+PIECES = 10
+PIECE_S = 0.03
+
+
+class AnswerBeforeBodyTest(RawConnectionTest):
+    """The connection was reset as it was closed, and the answer lost."""
+
+    def _write_head(self, path, length, *lines):
+        self.writer.write(self.head(path, f"content-length: {length}", *lines))
+
+    async def _send_body(self):
+        with contextlib.suppress(ConnectionError):
+            for _ in range(PIECES):
+                self.writer.write(b"x" * (BODY_BYTES // PIECES))
+                await self.writer.drain()
+                await asyncio.sleep(PIECE_S)
+
+    async def test_request_that_asks_for_the_end_of_its_connection(self):
+        self._write_head("/gone/x", BODY_BYTES, "connection: close")
+        await self._send_body()
+        self.assertEqual(404, (await self.answer()).status)
+        self.assertEqual(b"", await self.reader.read())
+
+    async def test_request_behind_one_with_a_long_answer(self):
+        async def answer(arrival):
+            await asyncio.sleep(0.3)
+            await arrival.answer(body=b"y" * ANSWER_BYTES)
+
+        for app in self.apps:
+            app.script = answer
+        self.gateway.drain.request_stop()
+        self._write_head("/safe/x", 0)
+        self._write_head("/gone/x", BODY_BYTES)
+        sending = asyncio.create_task(self._send_body())
+        first = await self.answer()
+        self.assertEqual((200, ANSWER_BYTES), (first.status, len(first.body)))
+        self.assertEqual(404, (await self.answer()).status)
+        self.assertEqual(b"", await self.reader.read())
+        await sending
