Count requests on that run at an upstream whose record comes back

An upstream whose record was removed and came back while requests ran at it, for instance after an outage or a restore of the store, counted as idle: it got more requests than it has slots, and the leader did not see its models in use. As the earlier requests ended, they were taken off those that had been sent since (found by a review).

Cause: a removal dropped what the host knew of the upstream, and a request that ended was taken off whatever upstream had the name then.

Change: a removed upstream with running requests is remembered until they end. It is taken up again if the record of the same process returns, with its pauses. A request is taken off only the process that it was sent to.

Tests: two of test.gateway.test_registry failed before.

--- a/acaciaspoke/gateway/fleet.py
+++ b/acaciaspoke/gateway/fleet.py
@@ -75,6 +75,8 @@
         is_draining: Whether it must get no new work.
         in_flight: Local requests at it, by artifact; None for services without
             models.
+        request_ids: The ids of these requests, of which callers may use one
+            more than once.
         prefilling: Prompts of local requests that await their first event.
         recent_prefills: Prompts of local requests that were prefilled recently.
         streaming: Time of the last event of each local request that had one.
@@ -92,6 +94,7 @@
         self.record = record
         self.is_draining = False
         self.in_flight: Counter[Artifact | None] = Counter()
+        self.request_ids: Counter[RequestId] = Counter()
         self.prefilling: dict[RequestId, Prompt] = {}
         self.recent_prefills: deque[Prompt] = deque()
         self.streaming: dict[RequestId, float] = {}
@@ -180,6 +183,8 @@
 
     def __init__(self) -> None:
         self.upstreams: dict[UpstreamId, Upstream] = {}
+        # Removed upstreams at which requests run; a record may come back.
+        self._removed: dict[UpstreamId, Upstream] = {}
         self.event_intervals = EventIntervals()
         # When the models that are being loaded will be ready.
         self.ready_at_s: dict[ModelId, float] = {}
@@ -200,9 +205,9 @@
         """Adds an upstream or renews its record."""
         upstream = self.upstreams.get(record.upstream)
         if upstream is None:
-            upstream = self.upstreams[record.upstream] = Upstream(record)
-        else:
-            upstream.update_record(record)
+            upstream = self._restore_removed(record) or Upstream(record)
+            self.upstreams[record.upstream] = upstream
+        upstream.update_record(record)
         if self._leaving.get(record.upstream) != record.started_ms:
             self._leaving.pop(record.upstream, None)
         if record.state is UpstreamState.DRAINING:
@@ -210,8 +215,16 @@
         upstream.is_draining = record.upstream in self._leaving
 
     def remove(self, upstream: UpstreamId) -> None:
-        """Removes an upstream."""
-        self.upstreams.pop(upstream, None)
+        """Removes an upstream; requests at it stay counted if it returns."""
+        removed = self.upstreams.pop(upstream, None)
+        if removed is not None and removed.in_flight:
+            self._removed[upstream] = removed
+
+    def _restore_removed(self, record: UpstreamRecord) -> Upstream | None:
+        removed = self._removed.pop(record.upstream, None)
+        if removed and removed.record.started_ms == record.started_ms:
+            return removed
+        return None
 
     def record_leaving(self, upstream_id: UpstreamId, started_ms: int) -> bool:
         """Records that an upstream says that it leaves.
@@ -314,6 +327,7 @@
             is_alone: Whether the engine has no other prompt to prefill.
         """
         upstream.in_flight[request.artifact] += 1
+        upstream.request_ids[request.id] += 1
         if upstream.is_on_trial:
             upstream.trial_request = request.id
         if request.artifact is not None:
@@ -367,10 +381,14 @@
         self, upstream_id: UpstreamId, request: Request
     ) -> None:
         """Stops counting a request."""
-        upstream = self.upstreams.get(upstream_id)
-        if upstream is None:
+        upstream = self.upstreams.get(upstream_id) or self._removed.get(
+            upstream_id
+        )
+        # The request may have been sent to an earlier process.
+        if upstream is None or request.id not in upstream.request_ids:
             return
         artifact = request.artifact
+        upstream.request_ids -= Counter((request.id,))
         upstream.prefilling.pop(request.id, None)
         upstream.streaming.pop(request.id, None)
         if upstream.trial_request == request.id:
@@ -378,6 +396,8 @@
         upstream.in_flight[artifact] -= 1
         if upstream.in_flight[artifact] <= 0:
             del upstream.in_flight[artifact]
+        if not upstream.in_flight and upstream_id not in self.upstreams:
+            del self._removed[upstream_id]
 
     def record_success(self, upstream_id: UpstreamId, now_s: float) -> None:
         """Records a complete response of an upstream."""
--- a/test/gateway/test_registry.py
+++ b/test/gateway/test_registry.py
@@ -6,7 +6,7 @@
 from acaciaspoke.gateway.registry import UpstreamRegistry
 from acaciaspoke.gateway.types import UpstreamRecord, UpstreamState
 from acaciaspoke.ids import UpstreamId
-from test.gateway.builders import SERVICE, record
+from test.gateway.builders import SERVICE, record, request
 
 
 def _record(name: str) -> UpstreamRecord:
@@ -38,6 +38,34 @@
         self.assertIn("u1", self.fleet.upstreams)
         self.assertNotIn("u2", self.fleet.upstreams)
 
+    def test_requests_at_an_upstream_that_returns_are_still_counted(self):
+        # Its load was taken for 0, and fell below the requests that were sent
+        # afterwards as the earlier ones ended.
+        running, later = request("q1"), request("q2", 2.0)
+        self.fleet.record_sent(self.fleet.upstreams["u1"], running)
+        self.registry.remove(UpstreamId("u1"), 0.0)
+        self.registry.drop_lapsed(0.0)
+        self.registry.put(record("u1", "m1"))
+        returned = self.fleet.upstreams["u1"]
+        self.assertEqual(1, returned.local_load)
+        self.fleet.record_sent(returned, later)
+        self.fleet.record_finished(UpstreamId("u1"), running)
+        self.assertEqual(1, returned.local_load)
+
+    def test_requests_at_an_earlier_process_are_not_taken_off_its_successor(
+        self,
+    ):
+        running, later = request("q1"), request("q2", 2.0)
+        self.fleet.record_sent(self.fleet.upstreams["u1"], running)
+        self.registry.remove(UpstreamId("u1"), 0.0)
+        self.registry.drop_lapsed(0.0)
+        self.registry.put(record("u1", "m1", started_ms=2))
+        successor = self.fleet.upstreams["u1"]
+        self.assertEqual(0, successor.local_load)
+        self.fleet.record_sent(successor, later)
+        self.fleet.record_finished(UpstreamId("u1"), running)
+        self.assertEqual(1, successor.local_load)
+
     def test_upstream_that_a_copy_brings_back_is_not_kept(self):
         # Its removal was recorded after a failed call, so that it could return;
         # the copy's record, which is as old, was taken for its return.
