Test refusals without an id on connections that are new in any case

test_refusal_without_an_id_on_a_new_connection failed once (502) on a busy machine. From 0.1 s after a refusal the upstream gets requests again, then on the connection of the refusal, which is no new one, so that the gateway is right not to believe it. With a pause of 0.15 s between its requests the test failed in five of five runs.

Change: the upstream closes each connection after a refusal, and the requests are far enough apart that each meets it. Six of six runs passed at load average 22. The test asks for as much as before, now without regard to how fast the machine is.

--- a/test/gateway/test_faulty_upstream.py
+++ b/test/gateway/test_faulty_upstream.py
@@ -10,6 +10,7 @@
 from acaciaspoke.entry.pool import MAX_HEAD_BYTES
 from acaciaspoke.gateway import bodies
 from acaciaspoke.gateway.events import MAX_EVENT_BYTES
+from acaciaspoke.gateway.fleet import REFUSAL_PAUSE_S
 from acaciaspoke.gateway.orders import MAX_RESPONSE_BYTES
 from standins.worker import ID_HEADER, SEAL_HEADER
 from test.gateway.serving import GatewayTest
@@ -102,11 +103,14 @@
         """Nothing was sent before that it could answer."""
 
         async def script(arrival):
-            await refuse(arrival, **{ID_HEADER: ""})
+            # The upstream ends each connection, so that all are new.
+            await refuse(arrival, **{ID_HEADER: "", "connection": "close"})
 
         self.apps[0].script = script
         for _ in range(4):
             self.assertEqual(200, (await self.ask("/unsafe/x")).status)
+            # Longer than the upstream is left alone after a refusal.
+            await asyncio.sleep(1.5 * REFUSAL_PAUSE_S)
 
     async def test_second_copy_of_a_response_after_the_next_head(self):
         """The copy arrives where the next response is expected."""
