Let the request with the largest token count wait for its model

test_token_count_out_of_range failed on a busy machine: 503 instead of 200 in 2 of 17, 1 of 16, 1 of 27, 1 of 22 and 1 of 190 runs at load averages of 20 to 26, 0 of 90 once.

Cause, from the log of the last one: the load of the model was ordered 0.1 s after the request, and the request was refused (late) 1.9 s later; in the runs that passed it was answered 1.1 s after the order. Callers of the test's route wait for 2 s.

Change: they wait for 10 s. What the test asks stays the same: the request is answered 200, and the process goes on.

--- a/test/gateway/test_token_count_out_of_range.py
+++ b/test/gateway/test_token_count_out_of_range.py
@@ -2,12 +2,29 @@
 
 import asyncio
 
-from test.gateway.serving import GatewayTest
+from standins.gateway_documents import gateway_route
+from test.gateway.serving import GatewayTest, configuration
+
+# Longer than an engine takes to load a model on a busy machine.
+WAIT_MS = 10_000
 
 
 class TokenCountOutOfRangeTest(GatewayTest):
     """One such request ended the gateway and all requests that it had."""
 
+    async def asyncSetUp(self):
+        await super().asyncSetUp()
+        route = gateway_route(
+            "/stream/",
+            "streaming",
+            "llm",
+            **{"target-latency-ms": WAIT_MS, "timeout-ms": WAIT_MS},
+        )
+        self.store.put("op", "config", configuration(2, routes=[route]))
+        await self.eventually(
+            lambda: self.gateway.app.configuration.version == 2
+        )
+
     async def test_other_requests_are_answered(self):
         async def script(arrival):
             await arrival.stream(b"id: 1\n\n")
@@ -27,6 +44,7 @@
             "/stream/x",
             Acaciaspoke_Model="m2",
             Acaciaspoke_Token_Count=f"{2**31 - 1},1",
+            Acaciaspoke_Time_Remaining_Ms=str(WAIT_MS),
         )
         self.assertEqual(200, largest.status)
         # The process ended at its next message to other hosts.
