Keep new connections at a stop for their first request

Callers that had just connected to a host that stops got their connections closed without an answer, though their first requests were on the way.

Cause: a stop closes all connections without a request in progress, and a connection that was just accepted looks like an idle one.

Change: at a stop, a connection that has had no request is kept until it is 0.5 s old.

Test: test.util.test_server, test_first_request_that_is_on_its_way_at_a_stop failed before (b'answer' not found in b'').

--- a/acaciaspoke/util/http_protocol.py
+++ b/acaciaspoke/util/http_protocol.py
@@ -15,6 +15,10 @@
 
 _FRAMING_HEADERS = (b"content-length", b"transfer-encoding")
 
+# How long a new connection is kept for its first request when the server stops.
+# Callers send it as soon as they are connected, so it is a round trip away.
+FIRST_REQUEST_WAIT_S = 0.5
+
 
 class _Parser:
     """A request parser that reads the body behind an Upgrade header, too."""
@@ -108,22 +112,29 @@
     # The last cycle that was started; uvicorn's ``cycle`` may wait behind it.
     _running: RequestResponseCycle | None = None
     _refusal: bytes | None = None
+    _connected_s = 0.0
 
     def connection_made(self, transport) -> None:
         """Prepares a new connection."""
         super().connection_made(transport)
         self.parser = _Parser(self)
+        self._connected_s = self.loop.time()
 
     def shutdown(self) -> None:
         """Closes an idle connection, or has it closed after its response.
 
-        A connection with a request that has not been read yet stays open; the
-        server calls this again.
+        A connection with a request that has not been read yet, or whose first
+        request may be on its way, stays open; the server calls this again.
         """
         is_idle = self.cycle is None or self.cycle.response_complete
-        if not (is_idle and has_unread_data(self.transport)):
+        if not (is_idle and self._may_get_request()):
             super().shutdown()
 
+    def _may_get_request(self) -> bool:
+        age_s = self.loop.time() - self._connected_s
+        is_new = self.cycle is None and age_s < FIRST_REQUEST_WAIT_S
+        return is_new or has_unread_data(self.transport)
+
     def data_received(self, data: bytes) -> None:
         """Parses received data; ignores what follows a refused request."""
         if self._refusal is None:
--- a/test/util/test_server.py
+++ b/test/util/test_server.py
@@ -15,13 +15,17 @@
     await send({"type": "http.response.body", "body": b"answer"})
 
 
+def _free_address():
+    with socket.socket() as free:
+        free.bind(("127.0.0.1", 0))
+        return free.getsockname()
+
+
 class StopTest(unittest.IsolatedAsyncioTestCase):
 
     async def test_connection_accepted_as_the_listener_closes(self):
         # It was kept open, so that the process ran until it was killed.
-        with socket.socket() as free:
-            free.bind(("127.0.0.1", 0))
-            address = free.getsockname()
+        address = _free_address()
         server = HttpServer(_answer, f"{address[0]}:{address[1]}")
         async with anyio.create_task_group() as tasks:
             await tasks.start(server.serve)
@@ -36,3 +40,17 @@
                 with anyio.fail_after(2.0):
                     self.assertEqual(b"", await loop.sock_recv(client, 1))
         self.assertLess(time.monotonic() - started_s, 2.0)
+
+    async def test_first_request_that_is_on_its_way_at_a_stop(self):
+        # The connection was closed: the caller got no answer and no refusal.
+        address = _free_address()
+        server = HttpServer(_answer, f"{address[0]}:{address[1]}")
+        async with anyio.create_task_group() as tasks:
+            await tasks.start(server.serve)
+            reader, writer = await asyncio.open_connection(*address)
+            server.stop()
+            await anyio.sleep(0.2)
+            writer.write(b"GET / HTTP/1.1\r\nhost: a\r\n\r\n")
+            with anyio.fail_after(2.0):
+                self.assertIn(b"answer", await reader.read())
+            writer.close()
