Give the first request of a connection the time limit of heads

Cause: the idle limit ran from the connection's start. It is the time for which callers may stay idle between two requests; a caller that has just connected does not count it.

Two tests of test_request_at_idle_limit failed before; the second one found that a line end between two requests stopped the time for good.

Change: a connection that has carried no request yet is closed after the time limit of heads, if that is longer.

--- a/acaciaspoke/gateway/protocol.py
+++ b/acaciaspoke/gateway/protocol.py
@@ -42,7 +42,7 @@
         def connection_made(self, transport) -> None:
             super().connection_made(transport)
             self._idle_since_s = self.loop.time()
-            self._close_when_idle_for(limits().idle_timeout_s)
+            self._close_when_idle_for(self._max_idle_s())
 
         def connection_lost(self, exc) -> None:
             self._stop_header_timer()
@@ -125,18 +125,21 @@
             )
 
         def _watch_rest(self) -> None:
-            """Restarts the idle time of a request that was answered early."""
-            is_answered = (
-                self.cycle is not None and self.cycle.response_complete
-            )
-            if is_answered and not self.transport.is_closing():
+            """Restarts the idle time if no request runs or begins."""
+            is_idle = self.cycle is None or self.cycle.response_complete
+            if is_idle and not self.transport.is_closing():
                 self._idle_since_s = self.loop.time()
                 self._close_when_idle_for(self._max_idle_s())
 
         def _max_idle_s(self) -> float:
-            # A body may pause for longer than a connection may be idle.
+            # The rest of a body, and the first request of a connection, may
+            # take longer than a connection may be idle.
             idle_s = limits().idle_timeout_s
-            return max(idle_s, BODY_TIMEOUT_S) if self._in_message else idle_s
+            if self._in_message:
+                return max(idle_s, BODY_TIMEOUT_S)
+            if self.cycle is None:
+                return max(idle_s, limits().header_timeout_s)
+            return idle_s
 
         def _close_when_idle_for(self, wait_s: float) -> None:
             self.timeout_keep_alive_task = self.loop.call_later(
--- a/test/gateway/test_request_at_idle_limit.py
+++ b/test/gateway/test_request_at_idle_limit.py
@@ -25,7 +25,9 @@
         await loop.sock_connect(self.raw, (host, int(port)))
 
     async def _set_idle_limit(self, version, idle_s):
-        limits = {"idle-timeout-ms": idle_s * 1000}
+        await self._apply_limits(version, {"idle-timeout-ms": idle_s * 1000})
+
+    async def _apply_limits(self, version, limits):
         row = configuration(version, limits=limits)
         self.store.put("op", "config", row)
         await self.eventually(
@@ -52,6 +54,19 @@
         self._send()
         await self._check_answer()
 
+    async def test_first_request_of_a_connection(self):
+        await asyncio.sleep(2 * IDLE_S)
+        self._send()
+        await self._check_answer()
+
+    async def test_connection_without_a_request_is_closed(self):
+        limits = {"idle-timeout-ms": 100, "header-timeout-ms": IDLE_S * 1000}
+        await self._apply_limits(3, limits)
+        loop = asyncio.get_running_loop()
+        self.raw.send(b"\r\n")
+        async with asyncio.timeout(10 * IDLE_S):
+            self.assertEqual(b"", await loop.sock_recv(self.raw, 9999))
+
     async def test_request_that_arrives_while_the_process_is_busy(self):
         self._send()
         await self._check_answer()
