--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -40,6 +40,9 @@
     4081: "open: a gateway refused streams 15 s after the last fault",
     5031: "open: as 3036, after connections with unread data stayed open;"
     " later, stand-in workers that had drained came back as the same process",
+    6100: "with 40 processes: the first request of a connection came after"
+    " the idle limit",
+    6102: "as 6100",
 }
 
 
