--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -42,7 +42,7 @@
     " later, stand-in workers that had drained came back as the same process",
     6100: "with 40 processes: the first request of a connection came after"
     " the idle limit",
-    6102: "as 6100",
+    6102: "as 6100; later, the callers' process stood still",
 }
 
 
