Drop what is written behind the end of a closed connection

Callers saw no difference: their answer was sent already. The log showed "Exception in ASGI application" with a RuntimeError ("Cannot call write() after write_eof()") for each such request (found by a review).

A request of which the body is invalid is refused while its application runs, which may send an answer of its own within the 3 s until the connection is closed, for instance because the body is also too large. A closing transport drops data; one after its end raises an error.

Change: what is written behind the end is dropped.

Test: test_invalid_body_that_is_also_too_large failed before with this error in the log.

--- a/acaciaspoke/util/http_protocol.py
+++ b/acaciaspoke/util/http_protocol.py
@@ -50,6 +50,11 @@
         """Returns whether nothing more can be sent."""
         return self._close_timer is not None or self._transport.is_closing()
 
+    def write(self, data: bytes) -> None:
+        """Sends data; drops it after ``close`` has sent the end."""
+        if self._close_timer is None:
+            self._transport.write(data)
+
     def close(self) -> None:
         """Sends what is buffered and the end; waits until the peer closes.
 
--- a/test/gateway/test_refused_upload.py
+++ b/test/gateway/test_refused_upload.py
@@ -113,6 +113,16 @@
         await asyncio.sleep(IDLE_S)
         self.assertFalse([app.arrivals for app in self.apps if app.arrivals])
 
+    async def test_invalid_body_that_is_also_too_large(self):
+        # The second refusal was written after the end of the connection.
+        self._send_head("/safe/x", "transfer-encoding: chunked")
+        size = b"%x" % (2 * MAX_BODY_BYTES)
+        self.writer.write(size + b"\r\n" + b"x" * 2 * MAX_BODY_BYTES + b"!!")
+        with self.assertNoLogs("uvicorn.error", "ERROR"):
+            self.assertEqual(400, (await self._answer())[0])
+            self.assertEqual(b"", await self.reader.read())
+            await self.eventually(lambda: not self.gateway.app.open_requests)
+
     async def test_upload_without_end(self):
         with mock.patch.object(http_protocol, "LINGER_S", IDLE_S):
             self._send_head(
