Record events of streams at an upstream without a record

An upstream whose record was removed and came back while streams ran at it was taken for unresponsive until one of them had its next event, so that other engines were preferred.

Change: events are recorded at a removed upstream, too, and only at the process that a request was sent to.

Tests: two of test.gateway.test_registry failed before.

--- a/acaciaspoke/gateway/fleet.py
+++ b/acaciaspoke/gateway/fleet.py
@@ -226,6 +226,11 @@
             return removed
         return None
 
+    def _with_requests(self, upstream_id: UpstreamId) -> Upstream | None:
+        """Returns an upstream, also a removed one at which requests run."""
+        upstream = self.upstreams.get(upstream_id)
+        return upstream or self._removed.get(upstream_id)
+
     def record_leaving(self, upstream_id: UpstreamId, started_ms: int) -> bool:
         """Records that an upstream says that it leaves.
 
@@ -339,8 +344,9 @@
         self, upstream_id: UpstreamId, request: Request, now_s: float
     ) -> bool:
         """Records an event of a request; returns whether it is the first."""
-        upstream = self.upstreams.get(upstream_id)
-        if upstream is None:
+        upstream = self._with_requests(upstream_id)
+        # The request may have been sent to an earlier process.
+        if upstream is None or request.id not in upstream.request_ids:
             return False
         upstream.last_event_s = now_s
         if upstream.trial_request == request.id:
@@ -374,16 +380,14 @@
             upstream_id: The engine.
             stream_event_s: When that of one of its streams was received.
         """
-        upstream = self.upstreams.get(upstream_id)
+        upstream = self._with_requests(upstream_id)
         return max(stream_event_s, upstream.last_event_s if upstream else 0.0)
 
     def record_finished(
         self, upstream_id: UpstreamId, request: Request
     ) -> None:
         """Stops counting a request."""
-        upstream = self.upstreams.get(upstream_id) or self._removed.get(
-            upstream_id
-        )
+        upstream = self._with_requests(upstream_id)
         # The request may have been sent to an earlier process.
         if upstream is None or request.id not in upstream.request_ids:
             return
--- a/test/gateway/test_registry.py
+++ b/test/gateway/test_registry.py
@@ -52,6 +52,32 @@
         self.fleet.record_finished(UpstreamId("u1"), running)
         self.assertEqual(1, returned.local_load)
 
+    def test_stream_that_goes_on_without_a_record_is_not_taken_for_silent(self):
+        # Events of an upstream without a record were not recorded, so that the
+        # engine seemed to be unresponsive and slow as its record came back.
+        name, stream = UpstreamId("u1"), request("q1")
+        self.fleet.record_sent(self.fleet.upstreams[name], stream)
+        self.fleet.record_event(name, stream, 0.1)
+        self.registry.remove(name, 0.1)
+        self.registry.drop_lapsed(0.1)
+        for tenths in range(2, 100):
+            self.fleet.record_event(name, stream, tenths / 10)
+        self.registry.put(record("u1", "m1"))
+        returned = self.fleet.upstreams[name]
+        self.assertFalse(returned.is_unresponsive(0.4, 10.0))
+        self.assertEqual(9.9, self.fleet.last_event_s(name, 0.0))
+
+    def test_first_event_without_a_record_ends_a_prefill(self):
+        # The prompt counted as being prefilled until the next event, and its
+        # engine as slow in prefilling.
+        name, stream = UpstreamId("u1"), request("q1", prompt_tokens=1000)
+        self.fleet.record_sent(self.fleet.upstreams[name], stream)
+        self.registry.remove(name, 0.0)
+        self.registry.drop_lapsed(0.0)
+        self.assertTrue(self.fleet.record_event(name, stream, 0.1))
+        self.registry.put(record("u1", "m1"))
+        self.assertEqual(0, self.fleet.prefill_tokens(10.0)[name])
+
     def test_requests_at_an_earlier_process_are_not_taken_off_its_successor(
         self,
     ):
