Ask hosts for the newest configuration in large deployments, too

Cause: such a host asks the host whose loads show a newer configuration. With more than 16 hosts it gets the sum of all hosts' loads, which names no host, so that the request was sent to nobody.

Test: test_host_with_an_aggregator_gets_the_newest failed before ("took too long").

--- a/acaciaspoke/gateway/configuration_relay.py
+++ b/acaciaspoke/gateway/configuration_relay.py
@@ -48,9 +48,9 @@
         """Records the row's value that is in force at this host."""
         self._value = value
 
-    def request(self, host: HostId) -> None:
-        """Asks a host that reports a newer configuration."""
-        self._post(RowRequest(key=_ROW_KEY, number=0), [host])
+    def request(self, hosts: Iterable[HostId]) -> None:
+        """Asks hosts that may have a newer configuration."""
+        self._post(RowRequest(key=_ROW_KEY, number=0), hosts)
 
     def handle_request(self, request: RowRequest) -> bool:
         """Answers a request; returns False if it is for another row."""
--- a/acaciaspoke/gateway/process.py
+++ b/acaciaspoke/gateway/process.py
@@ -73,6 +73,9 @@
 # each has discovered the others; otherwise all of them would compete.
 DISCOVERY_S = 1.5
 
+# Hosts that are asked at once for a newer configuration.
+MAX_ASKED_HOSTS = 3
+
 # The balancer checks each second and stops sending after two failures.
 DRAIN_NOTICE_S = 2.3
 
@@ -275,7 +278,12 @@
             )
             self._followers[OPERATOR_TABLE].reread()
             if self._store.was_restored:
-                self._configuration_relay.request(digest.host)
+                # A sum of loads does not tell whose configuration is newer.
+                self._configuration_relay.request(
+                    [digest.host]
+                    if digest.host in self._peers.rows
+                    else self._choose_peers(MAX_ASKED_HOSTS)
+                )
         self._request_handler.dispatch()
 
     def _knows_replicas(self, now_s: float) -> bool:
--- a/test/gateway/test_configuration_relay.py
+++ b/test/gateway/test_configuration_relay.py
@@ -37,7 +37,7 @@
         self.assertEqual([], self.posted)
 
     def test_request_goes_to_the_host_with_a_newer_configuration(self):
-        self.relay.request(H3)
+        self.relay.request([H3])
         ((request, hosts),) = self.posted
         self.assertEqual(([H3], None), (hosts, request.value))
         self.assertEqual("op/config", request.key)
--- a/test/gateway/test_restored_store.py
+++ b/test/gateway/test_restored_store.py
@@ -1,11 +1,13 @@
 """The store comes back from a copy and has lost what was written since."""
 
 import time
+from unittest import mock
 
 import anyio
 import msgspec
 
 from acaciaspoke.clients.table import TableUnavailable
+from acaciaspoke.gateway import loadexchange
 from acaciaspoke.gateway.peers import PEER_MAX_AGE_S
 from acaciaspoke.platform.store import OPERATOR_TABLE
 from standins.faults import Faults
@@ -70,6 +72,15 @@
         await self.eventually(lambda: self.version_in_force() == 5)
         self.assertEqual([200, 404], await self.statuses("/added/", "/short/"))
 
+    async def test_host_with_an_aggregator_gets_the_newest(self):
+        # It asked the sender of the sum of all loads, which is no host.
+        with mock.patch.object(loadexchange, "MAX_DIRECT_HOSTS", 0):
+            copy = self.store.copy()
+            await self.put_configuration(changed_routes(5))
+            await self.restore(copy)
+            await self.start_host("h2")
+            await self.eventually(lambda: self.version_in_force() == 5)
+
     async def test_host_that_cannot_read_a_restored_store_gets_the_newest(self):
         async def fail(*_, **__):
             raise TableUnavailable("cut off")
