Don't reset an answer before an incomplete head when the process stops

Cause: such a head no longer counted as a request that is being received, as no answer could be lost. This holds only if no request before it is running or was answered just now.

Change: the head counts while a request before it runs, so that the connection is shut down for sending only. Behind the last answer the stop waits for the head for 1 s, as before.

--- a/acaciaspoke/gateway/protocol.py
+++ b/acaciaspoke/gateway/protocol.py
@@ -109,11 +109,12 @@
         def shutdown(self) -> None:
             if self._in_header:
                 # The server calls this again.
-                age_s = self.loop.time() - self._header_since_s
-                if age_s < MAX_HEADER_WAIT_S:
+                since_s = max(self._header_since_s, self._idle_since_s)
+                if self.loop.time() - since_s < MAX_HEADER_WAIT_S:
                     return
-                # No response could be lost by a reset.
-                self._in_message = False
+                if self.cycle is None or self.cycle.response_complete:
+                    # No response could be lost by a reset.
+                    self._in_message = False
             was_closing = self.transport.is_closing()
             super().shutdown()
             if self.transport.is_closing() and not was_closing:
--- a/test/gateway/test_answer_before_body.py
+++ b/test/gateway/test_answer_before_body.py
@@ -10,6 +10,13 @@
 PIECES = 10
 PIECE_S = 0.03
 
+# Longer than a stop waits for the rest of a head.
+STOPPING_S = 4.0
+
+# Fits into the buffers of a connection.
+SHORT_ANSWER_BYTES = 500_000
+READING_DELAY_S = 0.5
+
 
 class AnswerBeforeBodyTest(RawConnectionTest):
     """The connection was reset as it was closed, and the answer lost."""
@@ -46,3 +53,30 @@
         self.assertEqual(404, (await self.answer()).status)
         self.assertEqual(b"", await self.reader.read())
         await sending
+
+    async def test_request_before_a_head_that_is_not_complete_at_a_stop(self):
+        async def answer(arrival):
+            await asyncio.sleep(STOPPING_S)
+            await arrival.answer(body=b"y" * SHORT_ANSWER_BYTES)
+
+        async def send_head():
+            with contextlib.suppress(ConnectionError):
+                while True:
+                    self.writer.write(b"n")
+                    await self.writer.drain()
+                    await asyncio.sleep(PIECE_S)
+
+        for app in self.apps:
+            app.script = answer
+        self._write_head("/safe/x", 0)
+        self.writer.write(b"POST /safe/x HTTP/1.1\r\nx-note: ")
+        sending = asyncio.create_task(send_head())
+        self.gateway.drain.request_stop()
+        # A reset discards what the caller has not read yet.
+        await asyncio.sleep(STOPPING_S + READING_DELAY_S)
+        first = await self.answer()
+        self.assertEqual(
+            (200, SHORT_ANSWER_BYTES), (first.status, len(first.body))
+        )
+        self.assertEqual(b"", await self.reader.read())
+        sending.cancel()
