--- a/acaciaspoke/gateway/replica_waits.py
+++ b/acaciaspoke/gateway/replica_waits.py
@@ -19,8 +19,8 @@
 class ReplicaWaits:
     """The time that requests for each model have waited without a replica.
 
-    Hosts hear of waiting requests and of replicas anyway, so that a host knows
-    these times when it becomes the leader.
+    Every host receives reports of waiting requests and of replicas, so that it
+    knows these times when it becomes the leader.
     """
 
     def __init__(
