Split one upstream from the fleet

What a host knows of one upstream (record, local requests, pauses) is in gateway/upstream.py; the fleet stays. No change of behaviour: the lines were moved, and only imports differ.

--- a/acaciaspoke/gateway/balance.py
+++ b/acaciaspoke/gateway/balance.py
@@ -13,8 +13,8 @@
 import xxhash
 
 from acaciaspoke.gateway.engine_speed import EngineSpeed
-from acaciaspoke.gateway.fleet import Upstream
 from acaciaspoke.gateway.types import BackupEngine, Request, WaitReason
+from acaciaspoke.gateway.upstream import Upstream
 from acaciaspoke.ids import DomainId, UpstreamId
 
 # Load of an engine up to which it gets requests, by priority, as a share of its
--- a/acaciaspoke/gateway/dispatch.py
+++ b/acaciaspoke/gateway/dispatch.py
@@ -18,7 +18,7 @@
     wait_reason_of,
 )
 from acaciaspoke.gateway.estimates import Estimates, priority_key
-from acaciaspoke.gateway.fleet import Fleet, Upstream
+from acaciaspoke.gateway.fleet import Fleet
 from acaciaspoke.gateway.local_demand import LocalDemand
 from acaciaspoke.gateway.messages import ArtifactDemand
 from acaciaspoke.gateway.retry_budget import RetryBudget
@@ -28,6 +28,7 @@
     Configuration,
     Request,
 )
+from acaciaspoke.gateway.upstream import Upstream
 from acaciaspoke.ids import DomainId, RequestId, ServiceId, UpstreamId
 
 # Requests with a shorter mean time get no KV backup, as backups are charged by
--- a/acaciaspoke/gateway/estimates.py
+++ b/acaciaspoke/gateway/estimates.py
@@ -15,8 +15,9 @@
 )
 from acaciaspoke.gateway.balance import slot_limit
 from acaciaspoke.gateway.durations import Durations
-from acaciaspoke.gateway.fleet import Fleet, Upstream
+from acaciaspoke.gateway.fleet import Fleet
 from acaciaspoke.gateway.types import Request
+from acaciaspoke.gateway.upstream import Upstream
 
 # Assumed mean time of a request until one is measured.
 INITIAL_SERVICE_S = 1.0
