Split the times of notices from the leader

When a notice is due and what it repeats is decided in gateway/notice_schedule.py; the leader plans and sends.

--- a/acaciaspoke/gateway/leader.py
+++ b/acaciaspoke/gateway/leader.py
@@ -27,6 +27,10 @@
 )
 from acaciaspoke.gateway.messages import DemandDigest, PlacementNotice
 from acaciaspoke.gateway.metrics import GatewayMetrics
+from acaciaspoke.gateway.notice_schedule import (
+    LARGE_DEPLOYMENT_NOTICE_INTERVAL_S,
+    NoticeSchedule,
+)
 from acaciaspoke.gateway.orders import (
     ORDER_TIMEOUT_S,
     QUERY_RETRY_S,
@@ -65,16 +69,6 @@
 # core to requests on a host that plans for many engines.
 PLAN_PAUSE_FACTOR = 2.0
 
-NOTICE_INTERVAL_S = 0.2
-
-# Minimum interval of notices of changes in a large deployment, as each notice
-# goes to all hosts.
-LARGE_DEPLOYMENT_NOTICE_INTERVAL_S = 0.04
-
-# A loaded artifact is repeated in notices for this time; then the engine's own
-# record shows it.
-NOTICE_REPEAT_S = 1.5
-
 # Longest time of an unload without running requests.
 UNLOAD_S = 0.1
 
@@ -126,7 +120,7 @@
         self._fleet = fleet
         self._metrics = metrics
         self._announce = announce
-        self._repeats_changes = repeats_changes
+        self._notices = NoticeSchedule(repeats_changes)
         self._configuration: Configuration | None = None
         self._load_limits: dict[ServiceId, LoadRateLimit] = {}
         self._wake = anyio.Event()
@@ -137,9 +131,6 @@
         self._former_renewals = 0
         self._is_former_row_outdated = False
         self._no_orders_until_s = 0.0
-        self._notice_due_s = 0.0
-        self._last_notice_s = 0.0
-        self._has_changes = False
         self._unplaced_log = UnplacedLog(metrics)
         self._order_sender = OrderSender(
             settings.host_id,
@@ -169,7 +160,7 @@
         self._wake.set()
 
     def _on_change(self) -> None:
-        self._has_changes = True
+        self._notices.record_change()
         self.wake()
 
     @property
@@ -273,7 +264,7 @@
             while True:
                 with anyio.move_on_after(
                     LARGE_DEPLOYMENT_NOTICE_INTERVAL_S
-                    if self._has_changes
+                    if self._notices.has_changes
                     else MAX_PLAN_INTERVAL_S
                 ):
                     await self._wake.wait()
@@ -427,23 +418,10 @@
             self._load_limits[service] = limit
         return limit
 
-    # Notices.
-
-    def _may_send_changes(self, now_s: float) -> bool:
-        if not self._has_changes or self._repeats_changes():
-            return self._has_changes
-        return now_s >= self._last_notice_s + LARGE_DEPLOYMENT_NOTICE_INTERVAL_S
-
     def _send_notice(self, now_s: float) -> None:
-        if now_s < self._notice_due_s and not self._may_send_changes(now_s):
+        since_s = self._notices.next_since_s(now_s)
+        if since_s is None:
             return
-        # Notices may be lost, so recent changes are repeated.
-        since_s = now_s - NOTICE_REPEAT_S
-        if now_s < self._notice_due_s and not self._repeats_changes():
-            since_s = self._last_notice_s - NOTICE_INTERVAL_S
-        else:
-            self._notice_due_s = now_s + NOTICE_INTERVAL_S
-        self._last_notice_s, self._has_changes = now_s, False
         self._announce(
             build_notice(
                 self._order_sender.trackers.values(),
