Log the software versions of upstreams, and which stream a caller goes on with

The record of an upstream now has its software version. "upstream ... is ready", and "attempt ... ended" name it, so that the log tells at which versions the attempts of a request ran. A request that goes on with an earlier stream logs the request that began it.

--- a/acaciaspoke/gateway/app.py
+++ b/acaciaspoke/gateway/app.py
@@ -17,7 +17,13 @@
 from acaciaspoke.gateway.metrics import CONTENT_TYPE, GatewayMetrics
 from acaciaspoke.gateway.open_requests import OpenRequests
 from acaciaspoke.gateway.routes import RouteTable, choose_service
-from acaciaspoke.gateway.types import Configuration, Request, Route
+from acaciaspoke.gateway.types import (
+    Configuration,
+    Request,
+    Route,
+    RouteKind,
+)
+from acaciaspoke.ids import RequestId
 from acaciaspoke.platform.headers import (
     RequestFields,
     attempt_id_of,
@@ -224,9 +230,22 @@
         prompt_tokens=fields.prompt_tokens,
         output_tokens=fields.output_tokens,
         fingerprint=xxhash.xxh64_intdigest(target + b"\0" + body),
+        continues=_continued_stream(fields, route),
     )
 
 
+def _continued_stream(fields: RequestFields, route: Route) -> RequestId | None:
+    """Returns the request whose stream a request goes on with; None if none.
+
+    It is empty if the caller does not name it.
+    """
+    if route.kind is not RouteKind.STREAMING or not route.resumable:
+        return None
+    if not (fields.continues or fields.has_last_event):
+        return None
+    return fields.continues
+
+
 def _bad_request(message: str) -> _BadRequestError:
     return _BadRequestError(Failure(FailureType.BAD_REQUEST, message))
 
--- a/acaciaspoke/gateway/dispatch.py
+++ b/acaciaspoke/gateway/dispatch.py
@@ -29,7 +29,13 @@
     Request,
 )
 from acaciaspoke.gateway.upstream import Upstream
-from acaciaspoke.ids import DomainId, RequestId, ServiceId, UpstreamId
+from acaciaspoke.ids import (
+    DomainId,
+    RequestId,
+    ServiceId,
+    SoftwareVersion,
+    UpstreamId,
+)
 
 # Requests with a shorter mean time get no KV backup, as backups are charged by
 # their size.
@@ -41,12 +47,14 @@
 
     Attributes:
         started_ms: The start of the upstream's process.
+        version: The version of its software.
     """
 
     request: Request
     upstream: UpstreamId
     address: str
     started_ms: int = 0
+    version: SoftwareVersion = SoftwareVersion("")
 
 
 class DroppedRequest(NamedTuple):
@@ -250,11 +258,17 @@
         request.sent_s = now_s
         self._running[request.id] = (request, backup.upstream)
         upstream = self.fleet.upstreams.get(backup.upstream)
-        started_ms = 0
-        if upstream is not None:
-            self.fleet.record_sent(upstream, request)
-            started_ms = upstream.record.started_ms
-        return Assignment(request, backup.upstream, backup.address, started_ms)
+        if upstream is None:
+            return Assignment(request, backup.upstream, backup.address)
+        self.fleet.record_sent(upstream, request)
+        record = upstream.record
+        return Assignment(
+            request,
+            backup.upstream,
+            backup.address,
+            record.started_ms,
+            record.version,
+        )
 
     def _refuse(
         self, request: Request, reason: str, wait_s: float, now_s: float
@@ -317,7 +331,9 @@
         self._running[request.id] = (request, name)
         self.fleet.record_sent(upstream, request, is_alone)
         record = upstream.record
-        return Assignment(request, name, record.address, record.started_ms)
+        return Assignment(
+            request, name, record.address, record.started_ms, record.version
+        )
 
     def demand(self, now_s: float, full: bool) -> tuple[ArtifactDemand, ...]:
         """Returns the demand of this host's callers for each artifact.
--- a/acaciaspoke/gateway/exchange.py
+++ b/acaciaspoke/gateway/exchange.py
@@ -224,6 +224,8 @@
             artifact=str(request.artifact or ""),
             prompt_tokens=request.prompt_tokens,
             service=request.service,
+            version=assignment.version,
+            continues=request.continues or "",
             load=attempt.load,
         )
         return attempt
--- a/acaciaspoke/gateway/registry.py
+++ b/acaciaspoke/gateway/registry.py
@@ -109,6 +109,7 @@
                 record.state.value,
                 service=record.service,
                 address=record.address,
+                version=record.version,
             )
 
     def remove(self, upstream: UpstreamId, now_s: float) -> None:
--- a/acaciaspoke/gateway/types.py
+++ b/acaciaspoke/gateway/types.py
@@ -13,6 +13,7 @@
     PartId,
     RequestId,
     ServiceId,
+    SoftwareVersion,
     UpstreamId,
 )
 
@@ -152,6 +153,7 @@
     Attributes:
         started_ms: Start of the process; distinguishes two boots under one id.
         heartbeat: Number of the heartbeat that wrote the record; 0 if unknown.
+        version: Version of its software; empty if its record names none.
         artifacts: Models and adapters that it holds.
         cached_models: Models whose weights are in host memory or on disk.
     """
@@ -164,6 +166,7 @@
     slots: int
     started_ms: int = 0
     heartbeat: int = 0
+    version: SoftwareVersion = SoftwareVersion("")
     artifacts: frozenset[Artifact] = frozenset()
     cached_models: frozenset[ModelId] = frozenset()
 
@@ -220,6 +223,8 @@
         wait_reason: Why it waits, or waited last.
         backup_engine: The engine with the KV backup of the current attempt.
         resume_at: The engine at which it resumes from its KV backup.
+        continues: The caller's earlier request that brought the first event of
+            the stream, if this one goes on with it.
     """
 
     id: RequestId
@@ -239,6 +244,7 @@
     wait_reason: WaitReason | None = None
     backup_engine: BackupEngine | None = None
     resume_at: BackupEngine | None = None
+    continues: RequestId | None = None
 
     @property
     def objective_s(self) -> float:
--- a/acaciaspoke/ids.py
+++ b/acaciaspoke/ids.py
@@ -5,6 +5,7 @@
 HostId = NewType("HostId", str)
 DomainId = NewType("DomainId", str)
 UpstreamId = NewType("UpstreamId", str)
+SoftwareVersion = NewType("SoftwareVersion", str)
 ServiceId = NewType("ServiceId", str)
 ModelId = NewType("ModelId", str)
 AdapterId = NewType("AdapterId", str)
--- a/acaciaspoke/platform/documents.py
+++ b/acaciaspoke/platform/documents.py
@@ -26,6 +26,7 @@
     DomainId,
     ModelId,
     ServiceId,
+    SoftwareVersion,
     UpstreamId,
 )
 from acaciaspoke.util.decoding import decode_json
@@ -139,6 +140,8 @@
     # Unix time of the process's start, in milliseconds.
     born: int = 0
     seq: Count = 0
+    # The version of its software; that of a model is in _LoadedModel.
+    version: str = ""
     models: tuple[_LoadedModel, ...] = ()
     at_hand: _CachedModels = _CachedModels()
 
@@ -251,6 +254,7 @@
         slots=document.slots,
         started_ms=document.born,
         heartbeat=document.seq,
+        version=SoftwareVersion(document.version),
         artifacts=_to_artifacts(document.models),
         cached_models=document.at_hand.models(),
     )
--- a/acaciaspoke/platform/headers.py
+++ b/acaciaspoke/platform/headers.py
@@ -37,6 +37,9 @@
 SERVER_LEAVING = b"server-leaving"
 RETRY_AFTER = b"retry-after"
 LAST_EVENT_ID = b"last-event-id"
+# Id of the caller's request that brought the first event of a stream with which
+# this request goes on.
+RESUMES = b"resumes"
 # Address of the engine that gets the KV backup of the run.
 KV_BACKUP = b"acaciaspoke-kv-backup"
 # Address of the engine that has the KV backup, and the id of the run.
@@ -106,6 +109,9 @@
         remaining_s: How long the caller waits; None if unknown.
         affinity: The last part of the prompt, which identifies the session.
         shared_parts: The other parts, which requests may share.
+        continues: The caller's earlier request that brought the first event of
+            the stream with which this one goes on; empty if it names none.
+        has_last_event: Whether it goes on after an event of a stream.
     """
 
     attempt_id: str
@@ -115,6 +121,8 @@
     output_tokens: int
     affinity: str
     shared_parts: tuple[PartId, ...] = ()
+    continues: RequestId = RequestId("")
+    has_last_event: bool = False
 
 
 class LoadReport(NamedTuple):
@@ -185,7 +193,14 @@
     found = dict(headers)
     text = {
         name: found.get(name, b"").decode("latin-1").strip()
-        for name in (ATTEMPT_ID, TIME_REMAINING_MS, MODEL, TOKEN_COUNT)
+        for name in (
+            ATTEMPT_ID,
+            TIME_REMAINING_MS,
+            MODEL,
+            TOKEN_COUNT,
+            RESUMES,
+            LAST_EVENT_ID,
+        )
     }
     remaining_ms = text[TIME_REMAINING_MS]
     prompt, _, output = text[TOKEN_COUNT].partition(",")
@@ -198,6 +213,8 @@
         output_tokens=_decode_tokens(output),
         affinity=last_part,
         shared_parts=tuple(filter(None, shared_parts[:MAX_SHARED_PARTS])),
+        continues=RequestId(text[RESUMES]),
+        has_last_event=bool(text[LAST_EVENT_ID]),
     )
 
 
--- a/standins/worker.py
+++ b/standins/worker.py
@@ -108,6 +108,7 @@
         arrivals: The requests received.
         orders: The orders accepted.
         models: The loaded models, each with its loaded adapters.
+        version: Version of its software.
         born: Stands for the start time of the boot, in the row and in reports.
     """
 
@@ -120,6 +121,7 @@
         script: Script = answer_all,
         slots: int = 4,
         born: int = 1,
+        version: str = "v1",
     ):
         self.name = name
         self.service = service
@@ -128,6 +130,7 @@
         self.script = script
         self.slots = slots
         self.born = born
+        self.version = version
         self.control_headers: dict[str, str] = {}
         self.arrivals: list[Arrival] = []
         self.orders: list[dict[str, Any]] = []
@@ -143,6 +146,7 @@
             "state": "ready",
             "seq": 1,
             "born": self.born,
+            "version": self.version,
             "models": self._model_documents(),
             **changes,
         }
