--- a/acaciaspoke/gateway/attempt.py
+++ b/acaciaspoke/gateway/attempt.py
@@ -1,7 +1,7 @@
 """Sends one request to an upstream and forwards its response to the caller."""
 
 import time
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from enum import Enum
 
 import anyio
@@ -135,6 +135,7 @@
         self.reading_since_s = 0.0
         self._on_event: Callable[[], None] = lambda: None
         self._on_notice: Callable[[int, UpstreamNotice], None] = lambda *_: None
+        self._before_start: Callable[[], Awaitable[None]] | None = None
 
     async def attempt(
         self,
@@ -143,6 +144,7 @@
         on_event: Callable[[], None],
         on_notice: Callable[[int, UpstreamNotice], None] = lambda *_: None,
         clock: Callable[[], float] = time.monotonic,
+        before_start: Callable[[], Awaitable[None]] | None = None,
     ) -> Attempt:
         """Makes one attempt; never raises for failures of the upstream.
 
@@ -153,10 +155,12 @@
             on_notice: Called with the status of the response, and with what its
                 head says about requests to come.
             clock: Returns the time.
+            before_start: Awaited before the first event is forwarded.
         """
         self.upstream = assignment.upstream
         self._on_event = on_event
         self._on_notice = on_notice
+        self._before_start = before_start
         try:
             return await self._exchange(assignment, connection, clock)
         except (httpcore.ConnectError, httpcore.ConnectTimeout) as error:
@@ -370,6 +374,8 @@
         events: bytes,
         clock: Callable[[], float],
     ) -> None:
+        if not self.caller.started and self._before_start is not None:
+            await self._before_start()
         now_s = clock()
         if self.first_event_s is not None:
             gap_s = now_s - self.last_event_s
--- a/acaciaspoke/gateway/dispatch.py
+++ b/acaciaspoke/gateway/dispatch.py
@@ -164,7 +164,7 @@
             self.fleet.speed,
         )
         unreachable = self.fleet.unreachable(now_s)
-        holders: dict[tuple[ServiceId, Artifact | None], list[Upstream]] = {}
+        holders: dict[tuple, list[Upstream]] = {}
         for request in sorted(self._waiting.values(), key=priority_key):
             if request.resume_at is not None:
                 yield self._resume(request, request.resume_at, now_s)
@@ -173,11 +173,12 @@
                 wait_s = self._retry_after_s(request, now_s)
                 yield self._refuse(request, "late", wait_s, now_s)
                 continue
-            key = (request.service, request.artifact)
+            key = (request.service, request.artifact, request.version)
             if key not in holders:
+                found = self.fleet.holders(*key[:2], now_s, request.version)
                 holders[key] = [
                     upstream
-                    for upstream in self.fleet.holders(*key, now_s)
+                    for upstream in found
                     if upstream.record.upstream not in unreachable
                 ]
             decision = self._try_assign(request, holders[key], loads, now_s)
@@ -360,5 +361,5 @@
     def lacks_replica(self, request: Request, now_s: float) -> bool:
         """Returns whether no upstream holds the artifact of a request."""
         return request.artifact is not None and not self.fleet.holders(
-            request.service, request.artifact, now_s
+            request.service, request.artifact, now_s, request.version
         )
--- a/acaciaspoke/gateway/estimates.py
+++ b/acaciaspoke/gateway/estimates.py
@@ -70,7 +70,7 @@
         """Returns when a replica will be ready; None if one is or unknown."""
         artifact = request.artifact
         if artifact is None or self._fleet.holders(
-            request.service, artifact.base, now_s
+            request.service, artifact.base, now_s, request.version
         ):
             return None
         return self._fleet.ready_at_s.get(artifact.model)
@@ -110,12 +110,16 @@
         self, request: Request, now_s: float
     ) -> tuple[list[Upstream], float]:
         artifact = request.artifact
-        holders = self._fleet.holders(request.service, artifact, now_s)
+        holders = self._fleet.holders(
+            request.service, artifact, now_s, request.version
+        )
         if holders or artifact is None:
             return holders, 0.0
         if artifact.adapter is not None:
             # An adapter is loaded within milliseconds.
-            holders = self._fleet.holders(request.service, artifact.base, now_s)
+            holders = self._fleet.holders(
+                request.service, artifact.base, now_s, request.version
+            )
         return holders, 0.0 if holders else COLD_START_S
 
     def _ahead_of(
--- a/acaciaspoke/gateway/exchange.py
+++ b/acaciaspoke/gateway/exchange.py
@@ -248,8 +248,13 @@
                 assignment.upstream,
                 assignment.started_ms,
             ),
+            before_start=functools.partial(self._begin_stream, assignment),
         )
 
+    async def _begin_stream(self, assignment: Assignment) -> None:
+        """Lets only upstreams of the same version go on with a stream."""
+        assignment.request.version = assignment.version
+
     async def _relay_backed_up(
         self, assignment: Assignment, relay: Relay, connection: Connection
     ) -> Attempt:
--- a/acaciaspoke/gateway/fleet.py
+++ b/acaciaspoke/gateway/fleet.py
@@ -17,6 +17,7 @@
 from acaciaspoke.ids import (
     ModelId,
     ServiceId,
+    SoftwareVersion,
     UpstreamId,
 )
 
@@ -162,14 +163,35 @@
             if upstream.record.service == service and not upstream.is_draining
         )
 
+    def versions(self, service: ServiceId) -> Counter[SoftwareVersion]:
+        """Counts the upstreams of a service by version, also leaving ones."""
+        return Counter(
+            upstream.record.version
+            for upstream in self.upstreams.values()
+            if upstream.record.service == service
+        )
+
     def holders(
-        self, service: ServiceId, artifact: Artifact | None, now_s: float
+        self,
+        service: ServiceId,
+        artifact: Artifact | None,
+        now_s: float,
+        version: SoftwareVersion | None = None,
     ) -> list[Upstream]:
-        """Returns the upstreams that can run requests for an artifact."""
+        """Returns the upstreams that can run requests for an artifact.
+
+        Args:
+            service: Their service.
+            artifact: The artifact; None if the service has no models.
+            now_s: The current time.
+            version: The only version of their software that is suitable; None
+                if each is.
+        """
         return [
             upstream
             for upstream in self.of_service(service)
             if upstream.holds(artifact, now_s)
+            and version in (None, upstream.record.version)
         ]
 
     def held_models(self, now_s: float) -> set[ModelId]:
--- a/acaciaspoke/gateway/types.py
+++ b/acaciaspoke/gateway/types.py
@@ -223,6 +223,8 @@
         wait_reason: Why it waits, or waited last.
         backup_engine: The engine with the KV backup of the current attempt.
         resume_at: The engine at which it resumes from its KV backup.
+        version: The software version that began its stream, and the only one
+            that can go on with it; None before its first event.
         continues: The caller's earlier request that brought the first event of
             the stream, if this one goes on with it.
     """
@@ -244,6 +246,7 @@
     wait_reason: WaitReason | None = None
     backup_engine: BackupEngine | None = None
     resume_at: BackupEngine | None = None
+    version: SoftwareVersion | None = None
     continues: RequestId | None = None
 
     @property
