Fix KV backups at engines of another software version

Cause: the engine for the backup was chosen without regard to its version. Now it has the version of the engine that runs the request, also at the moment at which the stream goes on; without such an engine there is no backup. Both new tests of test_balance failed before.

--- a/acaciaspoke/gateway/balance.py
+++ b/acaciaspoke/gateway/balance.py
@@ -213,6 +213,8 @@
 ) -> BackupEngine | None:
     """Returns the engine for a request's KV backup; None if there is no other.
 
+    It has the same software version, so that it can go on with the stream.
+
     Prefers another failure domain than that of the chosen engine, with one of
     the two in this host's domain, which stays reachable if the domain is cut
     off.
@@ -228,7 +230,12 @@
             loads.running[record.upstream] / max(1, record.slots),
         )
 
-    others = [upstream for upstream in holders if upstream is not chosen]
+    others = [
+        upstream
+        for upstream in holders
+        if upstream is not chosen
+        and upstream.record.version == chosen.record.version
+    ]
     if not others:
         return None
     record = min(others, key=rank).record
--- a/acaciaspoke/gateway/dispatch.py
+++ b/acaciaspoke/gateway/dispatch.py
@@ -229,11 +229,7 @@
     ) -> Assignment | DroppedRequest:
         """Assigns an interrupted stream to the engine with its KV backup."""
         upstream = self.fleet.upstreams.get(backup.upstream)
-        if (
-            upstream is None
-            or upstream.is_draining
-            or now_s < upstream.named_pause_until_s
-        ):
+        if not _may_continue(request, upstream, now_s):
             return self._refuse(request, "copy lost", 0.0, now_s)
         return self._assign(request, upstream, now_s)
 
@@ -241,12 +237,9 @@
         """Returns the engine with the KV backup if it may get the request."""
         backup = request.backup_engine
         upstream = backup and self.fleet.upstreams.get(backup.upstream)
-        if (
-            upstream is None
-            or upstream.is_draining
-            or now_s < upstream.named_pause_until_s
-            or not self.budget(request.service).allows_retry(now_s)
-        ):
+        if not _may_continue(request, upstream, now_s) or not self.budget(
+            request.service
+        ).allows_retry(now_s):
             return None
         return upstream
 
@@ -363,3 +356,15 @@
         return request.artifact is not None and not self.fleet.holders(
             request.service, request.artifact, now_s, request.version
         )
+
+
+def _may_continue(
+    request: Request, upstream: Upstream | None, now_s: float
+) -> bool:
+    """Returns whether the engine with the KV backup may get the request."""
+    return (
+        upstream is not None
+        and not upstream.is_draining
+        and now_s >= upstream.named_pause_until_s
+        and request.version in (None, upstream.record.version)
+    )
--- a/test/gateway/test_balance.py
+++ b/test/gateway/test_balance.py
@@ -184,6 +184,23 @@
     def test_request_or_backup_is_in_the_local_domain(self):
         self.assertIn(self._backup_engine("u3", "a").upstream, ("u1", "u2"))
 
+    def test_backup_is_at_the_same_software_version(self):
+        self.engines = [
+            record("u1", "m1", version="v1"),
+            record("u2", "m1", version="v2"),
+            record("u3", "m1", version="v1"),
+            record("u4", "m1", version="v2"),
+        ]
+        self.assertEqual("u3", self._backup_engine("u1", "a").upstream)
+        self.assertEqual("u4", self._backup_engine("u2", "a").upstream)
+
+    def test_no_backup_at_another_software_version(self):
+        self.engines = [
+            record("u1", "m1", version="v1"),
+            record("u2", "m1", version="v2"),
+        ]
+        self.assertIsNone(self._backup_engine("u1", "a"))
+
     def test_only_replica_of_a_model_has_no_backup_engine(self):
         self.assertIsNone(self._backup_engine("u1", "a", self.engines[0]))
 
