Fix callers' streams that went on at another software version

Cause: no host knew at which version a stream had begun. Each service with resumable routes now has a default version in the store. Streams of other versions are recorded there before their first event is forwarded, so that a stream without a record began at the default version. A request that goes on gets only upstreams of the version that began the stream; what cannot be known, or a version without upstreams, is refused at once (503, not run). New resumable streams begin at the default version while it has capacity, so that few need records.

--- a/acaciaspoke/gateway/answers.py
+++ b/acaciaspoke/gateway/answers.py
@@ -62,6 +62,14 @@
     await _answer_failure(metrics, request, relay.caller, failure)
 
 
+async def answer_not_resumable(
+    metrics: GatewayMetrics, request: Request, relay: Relay, obstacle: str
+) -> None:
+    """Answers a request that goes on with a stream, which nothing can do."""
+    failure = Failure(FailureType.NOT_RESUMABLE, obstacle)
+    await _answer_failure(metrics, request, relay.caller, failure)
+
+
 async def answer_dropped(
     metrics: GatewayMetrics, request: Request, relay: Relay, refusal: Refusal
 ) -> None:
--- a/acaciaspoke/gateway/dispatch.py
+++ b/acaciaspoke/gateway/dispatch.py
@@ -22,6 +22,7 @@
 from acaciaspoke.gateway.local_demand import LocalDemand
 from acaciaspoke.gateway.messages import ArtifactDemand
 from acaciaspoke.gateway.retry_budget import RetryBudget
+from acaciaspoke.gateway.stream_versions import StreamVersions
 from acaciaspoke.gateway.types import (
     Artifact,
     BackupEngine,
@@ -70,13 +71,27 @@
     Attributes:
         fleet: The upstreams and their loads.
         estimates: When requests can run and must have started.
+        versions: At which software versions streams begin.
     """
 
     def __init__(
-        self, local_domain: DomainId, budget: Callable[[], RetryBudget]
+        self,
+        local_domain: DomainId,
+        budget: Callable[[], RetryBudget],
+        store_era: Callable[[], int] = lambda: 0,
+        view_age_s: Callable[[], float] = lambda: 0.0,
     ):
+        """Creates a dispatcher without requests and upstreams.
+
+        Args:
+            local_domain: The failure domain of this host.
+            budget: Returns a new retry budget.
+            store_era: Returns the highest known era of the store.
+            view_age_s: Returns how long ago the upstreams were read.
+        """
         self.fleet = Fleet()
         self.estimates = Estimates(self.fleet)
+        self.versions = StreamVersions(self.fleet, store_era, view_age_s)
         self._local_domain = local_domain
         self._new_budget = budget
         self._budgets: dict[ServiceId, RetryBudget] = {}
@@ -100,6 +115,7 @@
     def set_configuration(self, configuration: Configuration) -> None:
         """Applies a version of the configuration."""
         self._configuration = configuration
+        self.versions.set_configuration(configuration)
 
     def submit(self, request: Request, now_s: float) -> Refusal | None:
         """Queues a new request, or returns why it is refused."""
@@ -193,9 +209,7 @@
         now_s: float,
     ) -> Assignment | DroppedRequest | None:
         """Assigns or refuses a request; returns None if it has to wait."""
-        upstream = choose_upstream(
-            request, holders, loads, self._local_domain, now_s
-        )
+        upstream = self._choose(request, holders, loads, now_s)
         if upstream is not None:
             is_alone = not loads.prefill_tokens[upstream.record.upstream]
             loads.add(upstream.record.upstream, request)
@@ -224,6 +238,29 @@
         del self._waiting[request.id]
         return DroppedRequest(request, refusal)
 
+    def _choose(
+        self,
+        request: Request,
+        holders: list[Upstream],
+        loads: Loads,
+        now_s: float,
+    ) -> Upstream | None:
+        """Chooses an upstream, at first among those of the preferred version.
+
+        While streams of other versions cannot be recorded, only these get it.
+        """
+        version = self.versions.preferred_version(request)
+        preferred = [
+            upstream
+            for upstream in holders
+            if upstream.record.version == version
+        ]
+        if preferred and not self.versions.can_record:
+            holders = preferred
+        return choose_upstream(
+            request, preferred, loads, self._local_domain, now_s
+        ) or choose_upstream(request, holders, loads, self._local_domain, now_s)
+
     def _resume(
         self, request: Request, backup: BackupEngine, now_s: float
     ) -> Assignment | DroppedRequest:
--- a/acaciaspoke/gateway/exchange.py
+++ b/acaciaspoke/gateway/exchange.py
@@ -17,6 +17,7 @@
 from acaciaspoke.gateway.dispatch import Assignment, Dispatcher, DroppedRequest
 from acaciaspoke.gateway.metrics import GatewayMetrics
 from acaciaspoke.gateway.stalls import StallDetector
+from acaciaspoke.gateway.stream_store import StreamStore
 from acaciaspoke.gateway.takeover import OpenedStream
 from acaciaspoke.gateway.types import Request
 from acaciaspoke.gateway.upstream_notices import NoticeRecorder
@@ -58,6 +59,7 @@
         body_memory: BodyMemory,
         on_load_needed: Callable[[], None],
         on_sent: Callable[[Assignment], None],
+        streams: StreamStore,
     ):
         """Creates a handler without any request.
 
@@ -68,12 +70,14 @@
             on_load_needed: Called when a request waits for an engine to load
                 its artifact.
             on_sent: Called with each request that is sent to an engine.
+            streams: Tells and records at which versions streams begin.
         """
         self._dispatcher = dispatcher
         self._metrics = metrics
         self.body_memory = body_memory
         self._on_load_needed = on_load_needed
         self._on_sent = on_sent
+        self._stream_store = streams
         self.crash_guard = CrashGuard()
         self._notices = NoticeRecorder(dispatcher.fleet, metrics)
         self._pending: dict[RequestId, _PendingDecision] = {}
@@ -105,6 +109,14 @@
         if self.crash_guard.is_blocked(request, now_s):
             await answers.answer_blocked(self._metrics, request, relay)
             return
+        if request.continues is not None:
+            obstacle = await self._find_version(request)
+            if obstacle:
+                await answers.answer_not_resumable(
+                    self._metrics, request, relay, obstacle
+                )
+                return
+            now_s = time.monotonic()
         refusal = self._dispatcher.submit(request, now_s)
         if refusal is not None:
             await answers.answer_refused(self._metrics, request, relay, refusal)
@@ -124,6 +136,24 @@
             self._dispatcher.cancel(request)
             self.dispatch()
 
+    async def _find_version(self, request: Request) -> str:
+        """Finds the only version that can go on with a caller's stream.
+
+        Returns:
+            Why there is none; empty if there is one.
+        """
+        origin = await self._stream_store.find_origin(request)
+        if origin.version is None:
+            return f"where its stream began is not known: {origin.reason}"
+        fleet = self._dispatcher.fleet
+        if not any(
+            upstream.record.version == origin.version
+            for upstream in fleet.of_service(request.service)
+        ):
+            return f"no upstream has version {origin.version} of its stream"
+        request.version = origin.version
+        return ""
+
     async def _serve_queued(self, request: Request, relay: Relay) -> None:
         while True:
             if relay.takeover.opened is not None:
@@ -253,7 +283,10 @@
 
     async def _begin_stream(self, assignment: Assignment) -> None:
         """Lets only upstreams of the same version go on with a stream."""
-        assignment.request.version = assignment.version
+        request = assignment.request
+        request.version = assignment.version
+        if request.route.resumable and request.continues is None:
+            await self._stream_store.begin(request, assignment.version)
 
     async def _relay_backed_up(
         self, assignment: Assignment, relay: Relay, connection: Connection
--- a/acaciaspoke/gateway/failures.py
+++ b/acaciaspoke/gateway/failures.py
@@ -17,6 +17,7 @@
     TOO_LARGE = "too_large"
     NOT_READY = "not_ready"
     OVERLOADED = "overloaded"
+    NOT_RESUMABLE = "not_resumable"
     UPSTREAM_REFUSED = "upstream_refused"
     UPSTREAM_FAILED = "upstream_failed"
     UPSTREAM_TIMEOUT = "upstream_timeout"
@@ -29,6 +30,7 @@
     FailureType.TOO_LARGE: 413,
     FailureType.NOT_READY: 503,
     FailureType.OVERLOADED: 503,
+    FailureType.NOT_RESUMABLE: 503,
     FailureType.UPSTREAM_REFUSED: 503,
     FailureType.UPSTREAM_FAILED: 502,
     FailureType.UPSTREAM_TIMEOUT: 504,
--- a/acaciaspoke/gateway/metrics.py
+++ b/acaciaspoke/gateway/metrics.py
@@ -37,6 +37,20 @@
         self.continued = self._counter(
             "continued", "Streams that went on from a copy of their run"
         )
+        self.stream_records = self._counter(
+            "stream_records", "Streams that began at another version"
+        )
+        self.unrecorded_streams = self._counter(
+            "unrecorded_streams",
+            "Streams that began at another version before that was recorded",
+        )
+        self.continued_streams = Counter(
+            "acaciaspoke_continued_streams",
+            "Requests that go on with an earlier stream, by what told at which"
+            " version that began",
+            ["known_by"],
+            registry=self.registry,
+        )
         self.callers_gone = self._counter("callers_gone", "Callers that left")
         self.orders = Counter(
             "acaciaspoke_orders",
--- a/acaciaspoke/gateway/process.py
+++ b/acaciaspoke/gateway/process.py
@@ -1,6 +1,7 @@
 """The gateway process: creates its parts and runs their tasks."""
 
 import functools
+import math
 import random
 import time
 import uuid
@@ -49,6 +50,7 @@
 from acaciaspoke.gateway.rows import configuration_applier, upstream_applier
 from acaciaspoke.gateway.settings import GatewaySettings
 from acaciaspoke.gateway.stop_limit import limit_stop
+from acaciaspoke.gateway.stream_store import StreamStore
 from acaciaspoke.gateway.table_follower import ConfigurationLag
 from acaciaspoke.gateway.types import CallerLimits, Configuration
 from acaciaspoke.ids import BootId, HostId
@@ -108,7 +110,18 @@
             self._handle,
             self._registration.record_row,
         )
-        self._dispatcher = Dispatcher(settings.domain_id, self._new_budget)
+        self._dispatcher = Dispatcher(
+            settings.domain_id,
+            self._new_budget,
+            store_era=lambda: self._store.era,
+            view_age_s=self._upstreams_age_s,
+        )
+        self._streams = StreamStore(
+            self._store,
+            self._dispatcher.versions,
+            self.metrics,
+            is_leader=lambda: self._leader.holds_lease,
+        )
         self._registry = UpstreamRegistry(
             self._dispatcher.fleet,
             settings.drain_ms / 1000,
@@ -121,6 +134,7 @@
             BodyMemory(int(MEMORY_SHARE * memory_bytes)),
             self._on_load_needed,
             self._on_sent,
+            self._streams,
         )
         self._configuration_lag = ConfigurationLag()
         apply_configuration = configuration_applier(
@@ -286,6 +300,11 @@
                 )
         self._request_handler.dispatch()
 
+    def _upstreams_age_s(self) -> float:
+        """Returns how long ago the store told of the upstreams."""
+        progress = self._row_relay.progress()
+        return math.inf if progress is None else progress.age_s
+
     def _knows_replicas(self, now_s: float) -> bool:
         """Returns whether other hosts or the store tell of new replicas."""
         progress = self._row_relay.progress()
@@ -383,6 +402,7 @@
         self._leader.lease.on_table_restored()
         for follower in self._followers.values():
             follower.reread()
+        self._streams.on_restored()
 
     def _on_store_failure(self) -> None:
         self._registry.record_store_failure(time.monotonic())
@@ -420,6 +440,7 @@
             self._digests.run,
             self._loads.run,
             self._replica_waits.run,
+            self._streams.run,
             self.tick,
             functools.partial(
                 limit_stop,
--- /dev/null
+++ b/acaciaspoke/gateway/stream_store.py
@@ -0,0 +1,379 @@
+"""Writes and reads the store's rows on the software versions of streams.
+
+There is a row for each service with its default version, and a record for each
+stream that began at another one (``acaciaspoke.gateway.stream_versions``).
+"""
+
+import itertools
+import random
+import time
+from collections.abc import Callable
+from typing import NamedTuple
+
+import anyio
+import msgspec
+import xxhash
+from loguru import logger
+
+from acaciaspoke.clients.table import (
+    Condition,
+    Conflict,
+    Delete,
+    OutcomeUnknown,
+    Put,
+    Row,
+    TableUnavailable,
+    Transaction,
+)
+from acaciaspoke.gateway.metrics import GatewayMetrics
+from acaciaspoke.gateway.stream_versions import (
+    DefaultVersion,
+    Origin,
+    OriginSource,
+    StreamVersions,
+)
+from acaciaspoke.gateway.types import Request
+from acaciaspoke.ids import RequestId, ServiceId, SoftwareVersion
+from acaciaspoke.platform.store import (
+    DEFAULT_VERSIONS_TABLE,
+    STREAMS_TABLE,
+    StoreClient,
+)
+
+# How often the default versions are checked.
+CHECK_INTERVAL_S = 0.25
+
+# Pause after a call to the store that failed.
+RETRY_S = 0.1
+
+# How long the first event of a stream waits for its record. Callers leave after
+# two seconds without an event.
+MAX_HOLD_S = 1.0
+
+# How long a caller that goes on with a stream waits for the store.
+LOOKUP_TIMEOUT_S = 0.5
+
+# A record is kept for this long after its caller's deadline.
+RECORD_MARGIN_S = 5.0
+
+# Entries of a transaction (the platform's protocol).
+MAX_ENTRIES = 100
+
+# Records that have expired are removed with the next write, or at this
+# interval.
+REMOVAL_INTERVAL_S = 5.0
+
+# How often the leader removes the records of hosts that are gone, and how far
+# the clocks of hosts may differ.
+SWEEP_INTERVAL_S = 60.0
+MAX_CLOCK_DIFFERENCE_S = 30.0
+
+# A longer id, or one of other characters, is replaced by a hash in keys.
+MAX_KEY_LENGTH = 100
+
+
+class StreamRecord(msgspec.Struct, frozen=True, kw_only=True):
+    """The record of a stream.
+
+    Attributes:
+        expires_s: Unix time after which no caller goes on with it.
+    """
+
+    version: SoftwareVersion
+    expires_s: int
+
+
+class _BegunStream(NamedTuple):
+    """A stream that began at this host.
+
+    Attributes:
+        expires_s: When it can be forgotten.
+        record: Its record in the store; None if it needs none.
+    """
+
+    version: SoftwareVersion
+    expires_s: float
+    record: StreamRecord | None
+
+
+def record_key(service: ServiceId, request: RequestId) -> str:
+    """Returns the key of the record of a stream."""
+    name = f"{service}/{request}"
+    if len(name) > MAX_KEY_LENGTH or not (
+        name.isascii() and name.isprintable()
+    ):
+        name = xxhash.xxh3_128_hexdigest(name.encode())
+    return f"{STREAMS_TABLE}/{name}"
+
+
+class StreamStore:
+    """Keeps the rows on streams, and answers where a stream began."""
+
+    def __init__(
+        self,
+        store: StoreClient,
+        versions: StreamVersions,
+        metrics: GatewayMetrics,
+        is_leader: Callable[[], bool] = lambda: False,
+    ):
+        """Creates an object that has read nothing.
+
+        Args:
+            store: Client of the store.
+            versions: What is known of default versions.
+            metrics: Counts records and lookups.
+            is_leader: Returns whether this host removes the records of others.
+        """
+        self._store = store
+        self._versions = versions
+        self._metrics = metrics
+        self._is_leader = is_leader
+        self._begun: dict[str, _BegunStream] = {}
+        # Records to write, with the events that tell that they are written.
+        self._pending: dict[str, anyio.Event] = {}
+        self._expired: list[str] = []
+        self._wake = anyio.Event()
+
+    async def run(self) -> None:
+        """Writes and reads rows until it is cancelled."""
+        self._versions.record_start(time.monotonic())
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self._maintain_defaults)
+            tasks.start_soon(self._write_records)
+            tasks.start_soon(self._sweep)
+
+    def on_restored(self) -> None:
+        """Writes the records again that a restored store may have lost."""
+        self._versions.record_restore(time.monotonic())
+        for key, begun in self._begun.items():
+            if begun.record is not None:
+                self._pending.setdefault(key, anyio.Event())
+        self._wake.set()
+
+    # Streams.
+
+    async def begin(self, request: Request, version: SoftwareVersion) -> None:
+        """Records that a stream begins at a version.
+
+        Returns when the record is written, or after ``MAX_HOLD_S``.
+        """
+        now_s = time.monotonic()
+        left_s = request.deadline_s - now_s + RECORD_MARGIN_S
+        key = record_key(request.service, request.id)
+        if not self._versions.needs_record(request.service, version):
+            self._begun[key] = _BegunStream(version, now_s + left_s, None)
+            return
+        expires_s = int(time.time() + left_s)
+        record = StreamRecord(version=version, expires_s=expires_s)
+        self._begun[key] = _BegunStream(version, now_s + left_s, record)
+        written = self._pending[key] = anyio.Event()
+        self._wake.set()
+        self._metrics.stream_records.inc()
+        if not self._versions.must_hold(request.service):
+            return
+        with anyio.move_on_after(MAX_HOLD_S):
+            await written.wait()
+        if not written.is_set():
+            self._metrics.unrecorded_streams.inc()
+            logger.warning(
+                "the stream begins at version {} before its record is written",
+                version,
+                request_id=request.id,
+                service=request.service,
+                default=self._versions.default_version(request.service),
+            )
+
+    async def find_origin(self, request: Request) -> Origin:
+        """Returns where the stream began with which a request goes on."""
+        now_s = time.monotonic()
+        origin = await self._find(request, now_s)
+        self._metrics.continued_streams.labels(origin.source.value).inc()
+        logger.info(
+            "goes on with an earlier stream",
+            request_id=request.id,
+            continues=request.continues,
+            service=request.service,
+            version=origin.version,
+            known_by=origin.source.value,
+            reason=origin.reason,
+            default=self._versions.default_version(request.service),
+            asked_ms=round((time.monotonic() - now_s) * 1000),
+        )
+        return origin
+
+    async def _find(self, request: Request, now_s: float) -> Origin:
+        service = request.service
+        if not request.continues:
+            origin = self._versions.origin_without_store(service)
+            if origin.version is not None:
+                return origin
+            return Origin(
+                None, OriginSource.UNKNOWN, "the caller names no request"
+            )
+        key = record_key(service, request.continues)
+        begun = self._begun.get(key)
+        if begun is not None:
+            return Origin(begun.version, OriginSource.MEMORY)
+        row = None
+        try:
+            with anyio.fail_after(LOOKUP_TIMEOUT_S):
+                row = await self._store.read(key)
+                if self._versions.default_version(service) is None:
+                    await self._read_default(service)
+            if row is None:
+                return self._versions.origin_without_record(service, now_s)
+            record = msgspec.json.decode(row.value, type=StreamRecord)
+            return Origin(record.version, OriginSource.RECORD)
+        except (TableUnavailable, TimeoutError) as error:
+            logger.warning(
+                "the record of a stream cannot be read: {}",
+                error or "timeout",
+                request_id=request.id,
+            )
+            return self._versions.origin_without_store(service)
+        except msgspec.MsgspecError as error:
+            return Origin(
+                None, OriginSource.UNKNOWN, f"its record is invalid: {error}"
+            )
+
+    # Records.
+
+    async def _write_records(self) -> None:
+        while True:
+            with anyio.move_on_after(REMOVAL_INTERVAL_S):
+                await self._wake.wait()
+            self._wake = anyio.Event()
+            self._forget_expired(time.monotonic())
+            if self._expired and not self._pending:
+                await self._write_batch()
+            while self._pending:
+                if not await self._write_batch():
+                    await anyio.sleep(RETRY_S)
+
+    def _forget_expired(self, now_s: float) -> None:
+        for key, begun in list(self._begun.items()):
+            if begun.expires_s <= now_s:
+                del self._begun[key]
+                self._pending.pop(key, None)
+                if begun.record is not None:
+                    self._expired.append(key)
+
+    async def _write_batch(self) -> bool:
+        """Writes the next records; returns whether the store confirmed it."""
+        written = dict(itertools.islice(self._pending.items(), MAX_ENTRIES))
+        removed = self._expired[: MAX_ENTRIES - len(written)]
+        puts = [
+            Put(key, msgspec.json.encode(self._begun[key].record))
+            for key in written
+        ]
+        deletes = [Delete(key) for key in removed]
+        try:
+            await self._store.commit(Transaction((), (*puts, *deletes)))
+        except (TableUnavailable, OutcomeUnknown) as error:
+            if written and self._versions.can_record:
+                logger.warning("records of streams are not written: {}", error)
+                self._versions.can_record = False
+            return False
+        if not self._versions.can_record:
+            logger.info("records of streams are written again")
+        self._versions.can_record = True
+        del self._expired[: len(removed)]
+        for key, event in written.items():
+            if self._pending.get(key) is event:
+                del self._pending[key]
+            event.set()
+        return True
+
+    async def _sweep(self) -> None:
+        """Removes the records of hosts that are gone, if this host leads."""
+        while True:
+            await anyio.sleep(SWEEP_INTERVAL_S)
+            if not self._is_leader():
+                continue
+            try:
+                page = await self._store.read_table(STREAMS_TABLE)
+            except TableUnavailable as error:
+                logger.warning("records of streams are not read: {}", error)
+                continue
+            before_s = time.time() - MAX_CLOCK_DIFFERENCE_S
+            self._expired.extend(
+                f"{STREAMS_TABLE}/{row.key}"
+                for row in page.rows
+                if _expires_s(row.value) < before_s
+            )
+
+    # Default versions.
+
+    async def _maintain_defaults(self) -> None:
+        # Hosts that start together do not all create the rows.
+        await anyio.sleep(random.uniform(0.0, CHECK_INTERVAL_S))
+        while True:
+            now_s = time.monotonic()
+            self._versions.observe(now_s)
+            for service in self._versions.services:
+                try:
+                    await self._maintain_default(service, now_s)
+                except (TableUnavailable, OutcomeUnknown) as error:
+                    logger.warning(
+                        "the default version of {} is not read or written: {}",
+                        service,
+                        error,
+                    )
+            await anyio.sleep(CHECK_INTERVAL_S)
+
+    async def _maintain_default(self, service: ServiceId, now_s: float) -> None:
+        if self._versions.needs_read(service, now_s):
+            await self._read_default(service)
+        change = self._versions.row_to_write(service, time.monotonic())
+        if change is None:
+            return
+        default, revision = change
+        key = _default_key(service)
+        result = await self._store.commit(
+            Transaction(
+                (Condition(key, revision),),
+                (Put(key, msgspec.json.encode(default)),),
+            )
+        )
+        if isinstance(result, Conflict):
+            self._apply_default(service, result.rows[key])
+            return
+        logger.info(
+            "the default version of {} is {}",
+            service,
+            default.version,
+            epoch=default.epoch,
+            store_era=default.era,
+        )
+        self._versions.apply_row(
+            service, default, result.revision, time.monotonic()
+        )
+
+    async def _read_default(self, service: ServiceId) -> None:
+        self._apply_default(
+            service, await self._store.read(_default_key(service))
+        )
+
+    def _apply_default(self, service: ServiceId, row: Row | None) -> None:
+        default, revision = None, 0
+        if row is not None:
+            revision = row.mod_revision
+            try:
+                default = msgspec.json.decode(row.value, type=DefaultVersion)
+            except msgspec.MsgspecError as error:
+                logger.error(
+                    "the default version of {} is invalid: {}", service, error
+                )
+        self._versions.apply_row(service, default, revision, time.monotonic())
+
+
+def _default_key(service: ServiceId) -> str:
+    return f"{DEFAULT_VERSIONS_TABLE}/{service}"
+
+
+def _expires_s(value: bytes | None) -> float:
+    """Returns when a record expires; one that is invalid has expired."""
+    try:
+        return msgspec.json.decode(value or b"", type=StreamRecord).expires_s
+    except msgspec.MsgspecError:
+        return 0.0
--- /dev/null
+++ b/acaciaspoke/gateway/stream_versions.py
@@ -0,0 +1,305 @@
+"""Decides which software version has begun a stream; does no I/O.
+
+What two versions of an engine's software write does not fit together, so a
+stream goes on only at the version that began it. Any host may get the request
+with which a caller goes on, also after the host that began the stream has died.
+
+Each service has a default version, which the store keeps. Streams that begin at
+another version are recorded in the store before their first event is forwarded.
+So a stream without a record began at the default version.
+"""
+
+import math
+from collections.abc import Callable
+from enum import Enum
+from typing import NamedTuple
+
+import msgspec
+
+from acaciaspoke.gateway.fleet import Fleet
+from acaciaspoke.gateway.types import Configuration, Request, RouteKind
+from acaciaspoke.ids import ServiceId, SoftwareVersion
+
+# Callers may wait longer than a route's timeout, over several requests, but not
+# longer than this multiple of it.
+STREAM_LIFE_TIMEOUTS = 2.0
+
+# While the store does not answer, the known upstreams tell that a service has
+# only one version if they were read this recently.
+MAX_VIEW_AGE_S = 5.0
+
+
+class DefaultVersion(msgspec.Struct, frozen=True, kw_only=True):
+    """The version of a service whose streams have no records.
+
+    Attributes:
+        epoch: Increased with each other version.
+        era: The era of the store up to which no record has been lost.
+    """
+
+    version: SoftwareVersion
+    epoch: int
+    era: int
+
+
+class OriginSource(Enum):
+    """What tells at which version a stream began."""
+
+    MEMORY = "memory"
+    RECORD = "record"
+    DEFAULT = "default"
+    ONLY_VERSION = "only_version"
+    UNKNOWN = "unknown"
+
+
+class Origin(NamedTuple):
+    """The version that began a stream; None if it is not known.
+
+    Attributes:
+        reason: Why it is not known.
+    """
+
+    version: SoftwareVersion | None
+    source: OriginSource
+    reason: str = ""
+
+
+def _unknown(reason: str) -> Origin:
+    return Origin(None, OriginSource.UNKNOWN, reason)
+
+
+class _Service:
+    """What this host knows of one service.
+
+    Attributes:
+        default: Its default version; None if there is none or it is not known.
+        revision: Revision of the row; 0 if there is none.
+        read_s: When the row was read; None if it has to be read again.
+        is_lost: Whether the store has lost the row or has an older one.
+        absent_since_s: Since when no upstream has had the default version.
+    """
+
+    def __init__(self) -> None:
+        self.default: DefaultVersion | None = None
+        self.revision = 0
+        self.read_s: float | None = None
+        self.is_lost = False
+        self.absent_since_s: float | None = None
+
+
+class StreamVersions:
+    """Default versions, and what follows from them for streams.
+
+    Attributes:
+        can_record: Whether records of streams are being confirmed.
+    """
+
+    def __init__(
+        self,
+        fleet: Fleet,
+        store_era: Callable[[], int] = lambda: 0,
+        view_age_s: Callable[[], float] = lambda: 0.0,
+    ):
+        """Creates an object that knows no default version.
+
+        Args:
+            fleet: The upstreams.
+            store_era: Returns the highest known era of the store.
+            view_age_s: Returns how long ago the upstreams were read.
+        """
+        self.can_record = True
+        self._fleet = fleet
+        self._store_era = store_era
+        self._view_age_s = view_age_s
+        self._life_s = math.inf
+        self._services: dict[ServiceId, _Service] = {}
+        # Records of streams that began before this may have been lost.
+        self._restored_s = -math.inf
+
+    def set_configuration(self, configuration: Configuration) -> None:
+        """Applies the services whose streams may resume."""
+        resumable = [
+            route
+            for route in configuration.routes
+            if route.kind is RouteKind.STREAMING and route.resumable
+        ]
+        self._life_s = STREAM_LIFE_TIMEOUTS * max(
+            (route.timeout_s for route in resumable), default=math.inf
+        )
+        names = {
+            target.service for route in resumable for target in route.targets
+        }
+        self._services = {
+            name: self._services.get(name) or _Service() for name in names
+        }
+
+    @property
+    def services(self) -> list[ServiceId]:
+        """The services whose streams may resume and that have upstreams."""
+        return [name for name in self._services if self._fleet.versions(name)]
+
+    def default_version(self, service: ServiceId) -> SoftwareVersion | None:
+        """Returns the default version of a service; None if not known."""
+        state = self._services.get(service)
+        if state is None or state.read_s is None or state.default is None:
+            return None
+        return state.default.version
+
+    def record_start(self, now_s: float) -> None:
+        """Records that this host starts; the store may have been restored."""
+        self._restored_s = now_s
+
+    def record_restore(self, now_s: float) -> None:
+        """Records that the store was restored; all rows are read again."""
+        self._restored_s = now_s
+        for state in self._services.values():
+            state.read_s = None
+
+    # The rows with the default versions.
+
+    def observe(self, now_s: float) -> None:
+        """Notes which default versions have upstreams.
+
+        A version that was gone for long and comes back may not be the default
+        any more.
+        """
+        for name, state in self._services.items():
+            if state.default is None:
+                continue
+            if state.default.version not in self._fleet.versions(name):
+                if state.absent_since_s is None:
+                    state.absent_since_s = now_s
+                continue
+            if self._absence_s(state, now_s) >= self._life_s / 2:
+                state.read_s = None
+            state.absent_since_s = None
+
+    def _absence_s(self, state: _Service, now_s: float) -> float:
+        if state.absent_since_s is None:
+            return 0.0
+        return now_s - state.absent_since_s
+
+    def needs_read(self, service: ServiceId, now_s: float) -> bool:
+        """Returns whether the row of a service has to be read."""
+        state = self._services[service]
+        if state.read_s is None:
+            return True
+        return (
+            state.absent_since_s is not None
+            and now_s - state.read_s >= self._life_s / 2
+        )
+
+    def apply_row(
+        self,
+        service: ServiceId,
+        default: DefaultVersion | None,
+        revision: int,
+        now_s: float,
+    ) -> None:
+        """Applies the row of a service, as it was read or written.
+
+        Args:
+            service: The service.
+            default: Its default version; None if there is no row.
+            revision: Revision of the row; 0 if there is none.
+            now_s: The current time.
+        """
+        state = self._services.get(service)
+        if state is None:
+            return
+        known = state.default
+        state.revision, state.read_s = revision, now_s
+        state.is_lost = known is not None and (
+            default is None or default.epoch < known.epoch
+        )
+        if not state.is_lost:
+            state.default = default
+
+    def row_to_write(
+        self, service: ServiceId, now_s: float
+    ) -> tuple[DefaultVersion, int] | None:
+        """Returns the row to write and the revision that it replaces, if any.
+
+        A default version without upstreams is replaced once all its streams
+        have ended: those of other versions have records until then.
+        """
+        state = self._services[service]
+        versions = self._fleet.versions(service)
+        if state.read_s is None or not versions:
+            return None
+        default = state.default
+        commonest = max(sorted(versions), key=versions.__getitem__)
+        if default is None:
+            row = DefaultVersion(
+                version=commonest, epoch=1, era=self._store_era()
+            )
+        elif self._absence_s(state, now_s) >= self._life_s:
+            row = msgspec.structs.replace(
+                default, version=commonest, epoch=default.epoch + 1
+            )
+        elif default.era != self._store_era() and self._has_outlived(now_s):
+            row = msgspec.structs.replace(default, era=self._store_era())
+        elif state.is_lost:
+            row = default
+        else:
+            return None
+        return row, state.revision
+
+    def _has_outlived(self, now_s: float) -> bool:
+        """Returns whether all streams began after the last restore."""
+        return now_s - self._restored_s >= self._life_s
+
+    # Streams.
+
+    def needs_record(
+        self, service: ServiceId, version: SoftwareVersion
+    ) -> bool:
+        """Returns whether a stream that begins at a version has a record."""
+        return version != self.default_version(service)
+
+    def must_hold(self, service: ServiceId) -> bool:
+        """Returns whether a stream may not begin before its record.
+
+        Without its record it would be taken for one of the default version,
+        which matters only if that has upstreams.
+        """
+        default = self.default_version(service)
+        return default is None or default in self._fleet.versions(service)
+
+    def origin_without_record(self, service: ServiceId, now_s: float) -> Origin:
+        """Returns where a stream began that the store has no record of."""
+        state = self._services.get(service)
+        default = self.default_version(service)
+        if state is None or default is None:
+            return _unknown("the default version is not known")
+        is_complete = state.default.era == self._store_era()
+        if is_complete or self._has_outlived(now_s):
+            return Origin(default, OriginSource.DEFAULT)
+        if set(self._fleet.versions(service)) == {default}:
+            return Origin(default, OriginSource.ONLY_VERSION)
+        return _unknown("the store may have lost its record")
+
+    def origin_without_store(self, service: ServiceId) -> Origin:
+        """Returns where a stream began while the store does not answer."""
+        default = self.default_version(service)
+        is_only = set(self._fleet.versions(service)) == {default}
+        age_s = self._view_age_s()
+        if is_only and age_s <= MAX_VIEW_AGE_S:
+            return Origin(default, OriginSource.ONLY_VERSION)
+        return _unknown(
+            "the store does not answer; upstreams known"
+            f" {age_s:.1f} s ago have the versions"
+            f" {sorted(self._fleet.versions(service))}"
+        )
+
+    def preferred_version(self, request: Request) -> SoftwareVersion | None:
+        """Returns the version at which a new stream should begin, if any.
+
+        Streams at the default version need no record.
+        """
+        route = request.route
+        if route.kind is not RouteKind.STREAMING or not route.resumable:
+            return None
+        if request.version is not None:
+            return None
+        return self.default_version(request.service)
--- a/acaciaspoke/platform/store.py
+++ b/acaciaspoke/platform/store.py
@@ -41,6 +41,15 @@
 # One row for each host of the system.
 HOSTS_TABLE = "hosts"
 
+# A record for each stream that did not begin at its service's default version,
+# and a row for each service with that version.
+STREAMS_TABLE = "streams"
+DEFAULT_VERSIONS_TABLE = "stream-defaults"
+
+# The store applies the transactions of one part one after another, so frequent
+# ones have a part of their own; all others are in the part without a name.
+_PARTS = {STREAMS_TABLE: "streams"}
+
 # Rises each time the store is restored from a copy.
 _ERA_HEADER = b"store-era"
 
@@ -166,7 +175,7 @@
         address = _address(key)
         query = {
             "table": address["table"],
-            "part": "",
+            "part": address["part"],
             "from": address["key"],
             "to": address["key"] + "\0",
             "limit": 1,
@@ -241,7 +250,11 @@
         version = None
         start = ""
         while True:
-            query = {"table": table, "part": "", "limit": _PAGE_ROWS}
+            query = {
+                "table": table,
+                "part": _part_of(table),
+                "limit": _PAGE_ROWS,
+            }
             if start:
                 query["from"] = start
             found = await self._rows("/rows-get", query)
@@ -399,7 +412,11 @@
 def _address(key: str) -> dict[str, str]:
     # The first part of this system's keys names the table.
     table, _, name = key.partition("/")
-    return {"table": table, "part": "", "key": name}
+    return {"table": table, "part": _part_of(table), "key": name}
+
+
+def _part_of(table: str) -> str:
+    return _PARTS.get(table, "")
 
 
 def _encode(value: bytes) -> str:
--- a/test/gateway/stream_serving.py
+++ b/test/gateway/stream_serving.py
@@ -1,4 +1,4 @@
-"""Streams from a gateway, with engines of several versions."""
+"""Streams through one or two gateways, with engines of several versions."""
 
 import asyncio
 import itertools
@@ -6,8 +6,17 @@
 
 import httpcore
 
+from acaciaspoke.gateway.process import GatewayProcess
+from acaciaspoke.gateway.settings import GatewaySettings
 from standins.worker import Arrival, Worker
-from test.gateway.serving import GatewayTest
+from test.gateway.serving import (
+    LISTEN_PORT,
+    PEER_PORT,
+    READY_PORT,
+    GatewayTest,
+    _NoLog,
+    next_ip,
+)
 
 EVENTS = tuple(b"id: %d\ndata: x\n\n" % number for number in range(1, 4))
 
@@ -50,21 +59,58 @@
         self.store.put("servers", engine.name, engine.row())
         await self.eventually(lambda: self.versions()[engine.name] == version)
 
-    def versions(self) -> dict[str, str]:
-        """Returns the versions of the upstreams that the gateway knows."""
-        fleet = self.gateway._dispatcher.fleet
+    def versions(self, gateway: GatewayProcess | None = None) -> dict[str, str]:
+        """Returns the versions of the upstreams that a gateway knows."""
+        fleet = (gateway or self.gateway)._dispatcher.fleet
         return {
             name: upstream.record.version
             for name, upstream in fleet.upstreams.items()
         }
 
-    async def read(self, path: str = "/resume/x", **headers: str) -> Received:
+    async def until_default_is_known(
+        self, gateway: GatewayProcess | None = None
+    ) -> None:
+        """Waits until a gateway knows the default version of the engines."""
+        versions = (gateway or self.gateway)._dispatcher.versions
+        await self.eventually(lambda: versions.default_version("llm"))
+
+    async def start_second_gateway(self) -> GatewayProcess:
+        """Starts another gateway of the same deployment."""
+        ip = next_ip()
+        settings = GatewaySettings(
+            host="h2",
+            failure_domain="a",
+            address=ip,
+            listen=f"{ip}:{LISTEN_PORT}",
+            ready_listen=f"{ip}:{READY_PORT}",
+            internal_ports=(PEER_PORT, PEER_PORT + 1),
+            store=self.gateway._settings.store,
+            metrics_port=PEER_PORT + 2,
+            stop_grace_s=self.stop_grace_s,
+        )
+        gateway = GatewayProcess(settings, _NoLog())
+        self.tasks.append(asyncio.create_task(gateway.run()))
+        await self.eventually(
+            lambda: gateway.is_ready and self.versions(gateway)
+        )
+        await self.until_default_is_known(gateway)
+        return gateway
+
+    async def read(
+        self,
+        path: str = "/resume/x",
+        gateway: GatewayProcess | None = None,
+        **headers: str,
+    ) -> Received:
         """Sends a request and reads its stream as far as it goes."""
+        address = self.address
+        if gateway is not None:
+            address = gateway._settings.listen
         received = bytearray()
         async with httpcore.AsyncConnectionPool() as pool:
             async with pool.stream(
                 "POST",
-                f"http://{self.address}{path}",
+                f"http://{address}{path}",
                 headers=self.headers(Acaciaspoke_Model="m1", **headers),
                 content=next(_bodies),
                 extensions={"target": path.encode()},
--- a/test/gateway/test_joined_versions.py
+++ b/test/gateway/test_joined_versions.py
@@ -1,5 +1,8 @@
 """Streams that would be joined from what two software versions write."""
 
+import asyncio
+
+from standins.faults import Faults
 from test.gateway.stream_serving import EVENTS, StreamTest, break_off, go_on
 
 
@@ -8,6 +11,7 @@
 
     async def asyncSetUp(self):
         await super().asyncSetUp()
+        await self.until_default_is_known()
         self.engines[0].script = break_off
         self.engines[1].script = go_on
 
@@ -43,3 +47,112 @@
     async def test_same_version_goes_on(self):
         received = await self._read_from_first()
         self.assertEqual((200, b"".join(EVENTS), True), received)
+
+
+class CallerGoesOnTest(StreamTest):
+    """A caller goes on with its stream, at a host that did not begin it."""
+
+    async def asyncSetUp(self):
+        await super().asyncSetUp()
+        self.old, self.new = self.engines
+        await self.until_default_is_known()
+        await self.set_version(self.new, "v2")
+        self.other_host = await self.start_second_gateway()
+
+    async def _begin_at(self, engine, request_id):
+        """Begins a stream at one engine, which breaks it off."""
+        other = self.old if engine is self.new else self.new
+        self.store.put("servers", other.name, {**other.row(), "models": []})
+        fleet = self.gateway._dispatcher.fleet
+        await self.eventually(
+            lambda: not fleet.upstreams[other.name].record.artifacts
+        )
+        engine.script = break_off
+        received = await self.read(Acaciaspoke_Attempt_Id=request_id)
+        self.assertEqual(EVENTS[0], received.body)
+        for each in self.engines:
+            each.script = go_on
+            each.arrivals.clear()
+            self.store.put("servers", each.name, each.row())
+        await self.eventually(
+            lambda: all(
+                gateway._dispatcher.fleet.upstreams[each.name].record.artifacts
+                for each in self.engines
+                for gateway in (self.gateway, self.other_host)
+            )
+        )
+
+    async def _go_on(self, request_id):
+        headers = {"Last_Event_Id": "1"}
+        if request_id:
+            headers["Resumes"] = request_id
+        return await self.read(gateway=self.other_host, **headers)
+
+    async def test_stream_of_the_default_version(self):
+        for number in range(4):
+            with self.subTest(number=number):
+                await self._begin_at(self.old, f"old{number}")
+                received = await self._go_on(f"old{number}")
+                self.assertEqual((200, b"".join(EVENTS[1:]), True), received)
+                self.assertEqual([], self.new.arrivals)
+
+    async def test_stream_of_another_version(self):
+        for number in range(4):
+            with self.subTest(number=number):
+                await self._begin_at(self.new, f"new{number}")
+                received = await self._go_on(f"new{number}")
+                self.assertEqual((200, b"".join(EVENTS[1:]), True), received)
+                self.assertEqual([], self.old.arrivals)
+
+    async def test_version_has_left(self):
+        await self._begin_at(self.old, "old")
+        self.store.remove("servers", self.old.name)
+        await self.eventually(
+            lambda: self.old.name not in self.versions(self.other_host)
+        )
+        self.assertEqual(503, (await self._go_on("old")).status)
+        self.assertEqual([], self.new.arrivals)
+
+    async def test_caller_does_not_name_its_request(self):
+        self.assertEqual(503, (await self._go_on("")).status)
+        self.assertEqual([], self.old.arrivals + self.new.arrivals)
+
+    async def test_store_does_not_answer(self):
+        await self._begin_at(self.new, "new")
+        self.store.set_faults(Faults(away=True))
+        self.assertEqual(503, (await self._go_on("new")).status)
+        self.assertEqual([], self.old.arrivals + self.new.arrivals)
+
+    async def test_record_is_written_before_the_first_event(self):
+        self.store.set_faults(Faults(drop_requests=3))
+        await self._begin_at(self.new, "new")
+        self.assertIn(("streams", "streams", "llm/new"), self.store.rows)
+
+    async def _until_restore_is_known(self):
+        other = self.other_host
+        await self.eventually(lambda: other._store.was_restored)
+        await self.until_default_is_known(other)
+
+    async def test_store_is_restored(self):
+        copy = self.store.copy()
+        await self._begin_at(self.new, "new")
+        self.store.restore(copy)
+        self.store.write_again()
+        await self.eventually(
+            lambda: ("streams", "streams", "llm/new") in self.store.rows
+        )
+        await self._until_restore_is_known()
+        self.assertEqual(200, (await self._go_on("new")).status)
+        self.assertEqual([], self.old.arrivals)
+
+    async def test_store_is_restored_after_the_host_has_died(self):
+        copy = self.store.copy()
+        await self._begin_at(self.new, "new")
+        first_host = self.tasks[1]
+        first_host.cancel()
+        await asyncio.gather(first_host, return_exceptions=True)
+        self.store.restore(copy)
+        self.store.write_again()
+        await self._until_restore_is_known()
+        self.assertEqual(503, (await self._go_on("new")).status)
+        self.assertEqual([], self.old.arrivals + self.new.arrivals)
--- /dev/null
+++ b/test/gateway/test_stream_versions.py
@@ -0,0 +1,210 @@
+"""Decisions on the software versions that begin streams."""
+
+import itertools
+import unittest
+
+from acaciaspoke.gateway.dispatch import Assignment
+from acaciaspoke.gateway.stream_versions import (
+    MAX_VIEW_AGE_S,
+    DefaultVersion,
+    OriginSource,
+    StreamVersions,
+)
+from acaciaspoke.gateway.types import Configuration
+from acaciaspoke.ids import ConfigVersion
+from test.gateway.builders import (
+    SERVICE,
+    fleet,
+    new_dispatcher,
+    record,
+    request,
+    route,
+)
+
+TIMEOUT_S = 12.0
+LIFE_S = 24.0
+
+RESUMABLE = route(resumable=True, timeout_s=TIMEOUT_S, priority=2)
+
+
+def configuration(*routes):
+    return Configuration(
+        version=ConfigVersion(1), routes=routes, services={}, limits=None
+    )
+
+
+def default(version="v1", epoch=1, era=1):
+    return DefaultVersion(version=version, epoch=epoch, era=era)
+
+
+class _VersionsTest(unittest.TestCase):
+
+    def setUp(self):
+        self.era = 1
+        self.view_age_s = 0.0
+        self.fleet = fleet(
+            record("u1", version="v1"),
+            record("u2", version="v1"),
+            record("u3", version="v2"),
+        )
+        self.versions = StreamVersions(
+            self.fleet, lambda: self.era, lambda: self.view_age_s
+        )
+        self.versions.set_configuration(configuration(RESUMABLE))
+        self.versions.record_start(0.0)
+
+    def _remove(self, *names):
+        for name in names:
+            self.fleet.remove(name)
+
+    def _origin(self, now_s):
+        return self.versions.origin_without_record(SERVICE, now_s)
+
+
+class DefaultVersionTest(_VersionsTest):
+
+    def test_row_is_read_first(self):
+        self.assertTrue(self.versions.needs_read(SERVICE, 0.0))
+        self.assertIsNone(self.versions.row_to_write(SERVICE, 0.0))
+
+    def test_commonest_version_becomes_the_default(self):
+        self.versions.apply_row(SERVICE, None, 0, 0.0)
+        self.assertEqual(
+            (default("v1"), 0), self.versions.row_to_write(SERVICE, 0.0)
+        )
+
+    def test_default_stays_while_it_has_upstreams(self):
+        self.versions.apply_row(SERVICE, default("v2"), 7, 0.0)
+        for now_s in range(0, 100, 10):
+            self.versions.observe(now_s)
+            self.assertIsNone(self.versions.row_to_write(SERVICE, now_s))
+
+    def test_default_changes_when_all_its_streams_have_ended(self):
+        self.versions.apply_row(SERVICE, default("v2"), 7, 0.0)
+        self._remove("u3")
+        self.versions.observe(1.0)
+        self.assertIsNone(self.versions.row_to_write(SERVICE, LIFE_S))
+        self.assertEqual(
+            (default("v1", epoch=2), 7),
+            self.versions.row_to_write(SERVICE, 1.0 + LIFE_S),
+        )
+
+    def test_default_that_comes_back_after_long_is_read_again(self):
+        # Another host may have changed it meanwhile.
+        self.versions.apply_row(SERVICE, default("v2"), 7, 0.0)
+        self._remove("u3")
+        self.versions.observe(1.0)
+        self.fleet.put(record("u3", version="v2"))
+        self.versions.observe(1.0 + LIFE_S / 2)
+        self.assertIsNone(self.versions.default_version(SERVICE))
+        self.assertTrue(self.versions.needs_read(SERVICE, 1.0 + LIFE_S / 2))
+
+    def test_row_that_a_restore_took_back_is_written_again(self):
+        self.versions.apply_row(SERVICE, default("v2", epoch=2), 7, 0.0)
+        for row, revision in ((None, 0), (default("v1"), 3)):
+            with self.subTest(row=row):
+                self.versions.record_restore(5.0)
+                self.versions.apply_row(SERVICE, row, revision, 5.0)
+                self.assertEqual(
+                    (default("v2", epoch=2), revision),
+                    self.versions.row_to_write(SERVICE, 5.0),
+                )
+
+    def test_services_without_resumable_routes_have_none(self):
+        self.versions.set_configuration(configuration(route()))
+        self.assertEqual([], self.versions.services)
+
+
+class OriginTest(_VersionsTest):
+
+    def test_stream_without_record_began_at_the_default_version(self):
+        self.versions.apply_row(SERVICE, default("v1"), 1, 0.0)
+        self.assertFalse(self.versions.needs_record(SERVICE, "v1"))
+        self.assertTrue(self.versions.needs_record(SERVICE, "v2"))
+        self.assertEqual(("v1", OriginSource.DEFAULT, ""), self._origin(1.0))
+
+    def test_streams_have_records_while_the_default_is_not_known(self):
+        self.assertTrue(self.versions.needs_record(SERVICE, "v1"))
+        self.assertTrue(self.versions.must_hold(SERVICE))
+        self.assertIsNone(self._origin(1.0).version)
+
+    def test_restored_store_may_have_lost_records(self):
+        self.versions.apply_row(SERVICE, default("v1"), 1, 0.0)
+        self.era = 2
+        self.versions.record_restore(30.0)
+        self.versions.apply_row(SERVICE, default("v1"), 1, 30.0)
+        self.assertIsNone(self._origin(31.0).version)
+        self._remove("u3")
+        self.assertEqual("v1", self._origin(31.0).version)
+
+    def test_records_are_complete_again_after_the_longest_stream(self):
+        self.versions.apply_row(SERVICE, default("v1"), 1, 0.0)
+        self.era = 2
+        self.versions.record_restore(30.0)
+        self.versions.apply_row(SERVICE, default("v1"), 1, 30.0)
+        self.assertIsNone(self.versions.row_to_write(SERVICE, 50.0))
+        now_s = 30.0 + LIFE_S
+        self.assertEqual("v1", self._origin(now_s).version)
+        self.assertEqual(
+            (default("v1", era=2), 1),
+            self.versions.row_to_write(SERVICE, now_s),
+        )
+
+    def test_host_that_started_after_a_restore(self):
+        self.era = 2
+        self.versions.apply_row(SERVICE, default("v1", era=1), 1, 0.0)
+        self.assertIsNone(self._origin(1.0).version)
+        self.versions.apply_row(SERVICE, default("v1", era=2), 2, 1.0)
+        self.assertEqual("v1", self._origin(1.0).version)
+
+    def test_only_version_counts_while_the_store_does_not_answer(self):
+        self.versions.apply_row(SERVICE, default("v1"), 1, 0.0)
+        origin = self.versions.origin_without_store
+        self.assertIsNone(origin(SERVICE).version)
+        self._remove("u3")
+        self.assertEqual("v1", origin(SERVICE).version)
+        self.view_age_s = MAX_VIEW_AGE_S + 1.0
+        self.assertIsNone(origin(SERVICE).version)
+        self.assertIn("6.0 s ago", origin(SERVICE).reason)
+
+
+class PreferredVersionTest(unittest.TestCase):
+    """New streams that may resume begin at the default version if they can."""
+
+    def setUp(self):
+        self.dispatcher = new_dispatcher(
+            record("u1", "m1", version="v1", slots=2),
+            record("u2", "m1", version="v2", slots=2),
+        )
+        self.dispatcher.set_configuration(configuration(RESUMABLE))
+        self.dispatcher.versions.apply_row(SERVICE, default("v1"), 1, 0.0)
+        self._ids = map("q{}".format, itertools.count())
+
+    def _assign(self, **changes):
+        new = request(next(self._ids), route=RESUMABLE, **changes)
+        self.dispatcher.submit(new, 0.0)
+        return [
+            decision.upstream
+            for decision in self.dispatcher.decide(0.0)
+            if isinstance(decision, Assignment)
+        ]
+
+    def test_other_versions_get_what_exceeds_the_default(self):
+        assigned = [self._assign() for _ in range(4)]
+        self.assertEqual([["u1"], ["u1"], ["u2"], ["u2"]], assigned)
+
+    def test_other_versions_get_none_without_records(self):
+        self.dispatcher.versions.can_record = False
+        assigned = [self._assign() for _ in range(3)]
+        self.assertEqual([["u1"], ["u1"], []], assigned)
+
+    def test_other_versions_get_streams_if_no_default_has_the_model(self):
+        self.dispatcher.versions.can_record = False
+        self.dispatcher.fleet.put(record("u1", version="v1"))
+        self.assertEqual(["u2"], self._assign())
+
+    def test_stream_goes_on_at_its_version(self):
+        self.assertEqual(["u2"], self._assign(version="v2"))
+
+    def test_stream_of_a_version_without_replica_waits(self):
+        self.assertEqual([], self._assign(version="v3"))
