Fix streams that went on at another service of a split route

A caller that goes on with its stream has a new id, by which the service of a split route was chosen, so that the rest could come from another service than the beginning. The id of the request that began the stream decides now. SplitRouteTest failed before.

--- a/acaciaspoke/gateway/app.py
+++ b/acaciaspoke/gateway/app.py
@@ -218,10 +218,12 @@
     wait_s = route.timeout_s
     if fields.remaining_s is not None:
         wait_s = min(wait_s, fields.remaining_s)
+    continues = _continued_stream(fields, route)
     return Request(
         id=caller.request_id,
         route=route,
-        service=choose_service(route, caller.request_id),
+        # A stream goes on at the service that began it.
+        service=choose_service(route, continues or caller.request_id),
         arrived_s=arrived_s,
         deadline_s=arrived_s + wait_s,
         artifact=fields.artifact,
@@ -230,7 +232,7 @@
         prompt_tokens=fields.prompt_tokens,
         output_tokens=fields.output_tokens,
         fingerprint=xxhash.xxh64_intdigest(target + b"\0" + body),
-        continues=_continued_stream(fields, route),
+        continues=continues,
     )
 
 
--- a/test/gateway/test_joined_versions.py
+++ b/test/gateway/test_joined_versions.py
@@ -3,6 +3,8 @@
 import asyncio
 
 from standins.faults import Faults
+from standins.gateway_documents import gateway_route
+from test.gateway.serving import configuration
 from test.gateway.stream_serving import EVENTS, StreamTest, break_off, go_on
 
 
@@ -156,3 +158,44 @@
         await self._until_restore_is_known()
         self.assertEqual(503, (await self._go_on("new")).status)
         self.assertEqual([], self.old.arrivals + self.new.arrivals)
+
+
+class SplitRouteTest(StreamTest):
+    """A route splits its requests between two services."""
+
+    async def test_stream_goes_on_at_the_service_that_began_it(self):
+        split = gateway_route(
+            "/split/",
+            "streaming",
+            "",
+            resumable=True,
+            **{
+                "traffic-split": [
+                    {"service": "llm", "weight": 1},
+                    {"service": "other", "weight": 1},
+                ]
+            },
+        )
+        services = configuration()["services"]
+        engine = services[1]["engine"]
+        services.append({"name": "other", "engine": engine})
+        other = await self.worker("other1", "other", {"m1": []})
+        self.store.put(
+            "op",
+            "config",
+            configuration(2, routes=[split], services=services),
+        )
+        await self.eventually(
+            lambda: self.gateway.app.configuration.version == 2
+            and other.name in self.known()
+        )
+        for worker in (*self.engines, other):
+            worker.script = go_on
+        for number in range(12):
+            begun = f"split{number}"
+            await self.read("/split/x", Acaciaspoke_Attempt_Id=begun)
+            is_other = bool(other.arrivals)
+            other.arrivals.clear()
+            await self.read("/split/x", Resumes=begun, Last_Event_Id="1")
+            self.assertEqual(is_other, bool(other.arrivals))
+            other.arrivals.clear()
