Fix an end of the process when a resumable route is removed

A configuration without the route, applied while the row of its service was read, raised a KeyError in a background task. Records also live as long as their streams may be taken up if callers name no deadline, and a shorter timeout does not end this time sooner for streams that run. test_route_that_is_removed_while_its_row_is_read failed before.

--- a/acaciaspoke/gateway/stream_store.py
+++ b/acaciaspoke/gateway/stream_store.py
@@ -53,7 +53,7 @@
 # How long a caller that goes on with a stream waits for the store.
 LOOKUP_TIMEOUT_S = 0.5
 
-# A record is kept for this long after its caller's deadline.
+# A record is kept for this long after its stream can be taken up.
 RECORD_MARGIN_S = 5.0
 
 # Entries of a transaction (the platform's protocol).
@@ -158,7 +158,8 @@
         Returns when the record is written, or after ``MAX_HOLD_S``.
         """
         now_s = time.monotonic()
-        left_s = request.deadline_s - now_s + RECORD_MARGIN_S
+        left_s = max(request.deadline_s - now_s, self._versions.life_s)
+        left_s += RECORD_MARGIN_S
         key = record_key(request.service, request.id)
         if not self._versions.needs_record(request.service, version):
             self._begun[key] = _BegunStream(version, now_s + left_s, None)
@@ -262,9 +263,11 @@
         """Writes the next records; returns whether the store confirmed it."""
         written = dict(itertools.islice(self._pending.items(), MAX_ENTRIES))
         removed = self._expired[: MAX_ENTRIES - len(written)]
+        records = {key: self._begun[key].record for key in written}
         puts = [
-            Put(key, msgspec.json.encode(self._begun[key].record))
-            for key in written
+            Put(key, msgspec.json.encode(record))
+            for key, record in records.items()
+            if record is not None
         ]
         deletes = [Delete(key) for key in removed]
         try:
--- a/acaciaspoke/gateway/stream_versions.py
+++ b/acaciaspoke/gateway/stream_versions.py
@@ -92,6 +92,7 @@
 
     Attributes:
         can_record: Whether records of streams are being confirmed.
+        life_s: How long after its beginning a stream may be taken up.
     """
 
     def __init__(
@@ -111,7 +112,7 @@
         self._fleet = fleet
         self._store_era = store_era
         self._view_age_s = view_age_s
-        self._life_s = math.inf
+        self.life_s = 0.0
         self._services: dict[ServiceId, _Service] = {}
         # Records of streams that began before this may have been lost.
         self._restored_s = -math.inf
@@ -123,8 +124,11 @@
             for route in configuration.routes
             if route.kind is RouteKind.STREAMING and route.resumable
         ]
-        self._life_s = STREAM_LIFE_TIMEOUTS * max(
-            (route.timeout_s for route in resumable), default=math.inf
+        # Streams that began with a longer timeout may still run.
+        self.life_s = max(
+            self.life_s,
+            STREAM_LIFE_TIMEOUTS
+            * max((route.timeout_s for route in resumable), default=0.0),
         )
         names = {
             target.service for route in resumable for target in route.targets
@@ -170,7 +174,7 @@
                 if state.absent_since_s is None:
                     state.absent_since_s = now_s
                 continue
-            if self._absence_s(state, now_s) >= self._life_s / 2:
+            if self._absence_s(state, now_s) >= self.life_s / 2:
                 state.read_s = None
             state.absent_since_s = None
 
@@ -181,12 +185,14 @@
 
     def needs_read(self, service: ServiceId, now_s: float) -> bool:
         """Returns whether the row of a service has to be read."""
-        state = self._services[service]
+        state = self._services.get(service)
+        if state is None:
+            return False
         if state.read_s is None:
             return True
         return (
             state.absent_since_s is not None
-            and now_s - state.read_s >= self._life_s / 2
+            and now_s - state.read_s >= self.life_s / 2
         )
 
     def apply_row(
@@ -223,9 +229,9 @@
         A default version without upstreams is replaced once all its streams
         have ended: those of other versions have records until then.
         """
-        state = self._services[service]
+        state = self._services.get(service)
         versions = self._fleet.versions(service)
-        if state.read_s is None or not versions:
+        if state is None or state.read_s is None or not versions:
             return None
         default = state.default
         commonest = max(sorted(versions), key=versions.__getitem__)
@@ -233,7 +239,7 @@
             row = DefaultVersion(
                 version=commonest, epoch=1, era=self._store_era()
             )
-        elif self._absence_s(state, now_s) >= self._life_s:
+        elif self._absence_s(state, now_s) >= self.life_s:
             row = msgspec.structs.replace(
                 default, version=commonest, epoch=default.epoch + 1
             )
@@ -247,7 +253,7 @@
 
     def _has_outlived(self, now_s: float) -> bool:
         """Returns whether all streams began after the last restore."""
-        return now_s - self._restored_s >= self._life_s
+        return now_s - self._restored_s >= self.life_s
 
     # Streams.
 
--- a/test/gateway/test_stream_versions.py
+++ b/test/gateway/test_stream_versions.py
@@ -114,6 +114,19 @@
         self.versions.set_configuration(configuration(route()))
         self.assertEqual([], self.versions.services)
 
+    def test_route_that_is_removed_while_its_row_is_read(self):
+        # The process ended with a KeyError.
+        self.versions.set_configuration(configuration(route()))
+        self.versions.apply_row(SERVICE, default(), 1, 0.0)
+        self.assertFalse(self.versions.needs_read(SERVICE, 0.0))
+        self.assertIsNone(self.versions.row_to_write(SERVICE, 0.0))
+
+    def test_streams_of_a_longer_timeout_are_waited_for(self):
+        self.versions.set_configuration(
+            configuration(route(resumable=True, timeout_s=1.0))
+        )
+        self.assertEqual(LIFE_S, self.versions.life_s)
+
 
 class OriginTest(_VersionsTest):
 
