--- /dev/null
+++ b/test/gateway/test_stream_store.py
@@ -0,0 +1,109 @@
+"""Rows on the software versions of streams, and failures of the store."""
+
+import unittest
+
+import anyio
+
+from acaciaspoke.clients.table import (
+    Committed,
+    Conflict,
+    Put,
+    Row,
+    Transaction,
+)
+from acaciaspoke.gateway.metrics import GatewayMetrics
+from acaciaspoke.gateway.stream_store import StreamStore
+from acaciaspoke.gateway.stream_versions import StreamVersions
+from acaciaspoke.gateway.types import Configuration, Target
+from acaciaspoke.ids import ConfigVersion, ServiceId
+from test.gateway.builders import fleet, record, route
+
+# Generous, as the machine may be busy.
+TIMEOUT_S = 10.0
+
+
+class _Store:
+    """Keeps rows.
+
+    Attributes:
+        on_read: Called with the key before each read; may raise.
+    """
+
+    def __init__(self):
+        self.rows: dict[str, Row] = {}
+        self.revision = 0
+        self.commits: list[Transaction] = []
+        self.on_read = lambda key: None
+
+    async def read(self, key):
+        await anyio.sleep(0)
+        self.on_read(key)
+        return self.rows.get(key)
+
+    async def commit(self, transaction):
+        await anyio.sleep(0)
+        self.commits.append(transaction)
+        for condition in transaction.conditions:
+            row = self.rows.get(condition.key)
+            if (row.mod_revision if row else 0) != condition.mod_revision:
+                return Conflict({condition.key: row})
+        self.revision += 1
+        for write in transaction.writes:
+            if isinstance(write, Put):
+                self.rows[write.key] = Row(
+                    write.key, write.value, self.revision, self.revision
+                )
+            else:
+                self.rows.pop(write.key, None)
+        return Committed(self.revision)
+
+
+def _configuration(*services):
+    routes = (
+        route(
+            prefix=f"/{service}/",
+            resumable=True,
+            targets=(Target(ServiceId(service), 1.0),),
+        )
+        for service in services
+    )
+    return Configuration(
+        version=ConfigVersion(1),
+        routes=tuple(routes),
+        services={},
+        limits=None,
+    )
+
+
+class StreamStoreTest(unittest.IsolatedAsyncioTestCase):
+
+    def setUp(self):
+        self.fleet = fleet(
+            *(
+                record(f"u{number}", service=ServiceId(service), version="v1")
+                for number, service in enumerate(("a", "b"))
+            )
+        )
+        self.versions = StreamVersions(self.fleet)
+        self.versions.set_configuration(_configuration("a", "b"))
+        self.store = _Store()
+        self.streams = StreamStore(self.store, self.versions, GatewayMetrics())
+
+    async def _run_until(self, condition):
+        with anyio.fail_after(TIMEOUT_S):
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(self.streams.run)
+                while not condition():
+                    await anyio.sleep(0.01)
+                tasks.cancel_scope.cancel()
+
+
+class MaintainDefaultsTest(StreamStoreTest):
+
+    async def test_services_leave_the_routes_during_a_read(self):
+        def on_read(key):
+            self.versions.set_configuration(_configuration("c"))
+
+        self.fleet.put(record("u9", service=ServiceId("c"), version="v1"))
+        self.store.on_read = on_read
+        await self._run_until(lambda: self.versions.default_version("c"))
