--- a/acaciaspoke/gateway/stream_store.py
+++ b/acaciaspoke/gateway/stream_store.py
@@ -158,6 +158,7 @@
         Returns when the record is written, or after ``MAX_HOLD_S``.
         """
         now_s = time.monotonic()
+        # The caller may go on with later requests, also beyond this deadline.
         left_s = max(request.deadline_s - now_s, self._versions.life_s)
         left_s += RECORD_MARGIN_S
         key = record_key(request.service, request.id)
--- a/test/gateway/test_stream_store.py
+++ b/test/gateway/test_stream_store.py
@@ -1,5 +1,6 @@
 """Rows on the software versions of streams, and failures of the store."""
 
+import time
 import unittest
 
 import anyio
@@ -12,11 +13,14 @@
     Transaction,
 )
 from acaciaspoke.gateway.metrics import GatewayMetrics
-from acaciaspoke.gateway.stream_store import StreamStore
+from acaciaspoke.gateway.stream_store import StreamStore, record_key
 from acaciaspoke.gateway.stream_versions import StreamVersions
 from acaciaspoke.gateway.types import Configuration, Target
 from acaciaspoke.ids import ConfigVersion, ServiceId
-from test.gateway.builders import fleet, record, route
+from test.gateway.builders import fleet, record, request, route
+
+# Longest life of the streams of ``route``.
+LIFE_S = 20.0
 
 # Generous, as the machine may be busy.
 TIMEOUT_S = 10.0
@@ -75,6 +79,17 @@
     )
 
 
+def _request(name="q1", service="a", **changes):
+    resumable = route(resumable=True)
+    return request(
+        name,
+        time.monotonic(),
+        route=resumable,
+        service=ServiceId(service),
+        **changes,
+    )
+
+
 class StreamStoreTest(unittest.IsolatedAsyncioTestCase):
 
     def setUp(self):
@@ -97,6 +112,21 @@
                     await anyio.sleep(0.01)
                 tasks.cancel_scope.cancel()
 
+    async def _begin(self, *requests, version="v2"):
+        async with anyio.create_task_group() as tasks:
+            for each in requests:
+                tasks.start_soon(self.streams.begin, each, version)
+
+
+class RecordsTest(StreamStoreTest):
+
+    async def test_record_outlives_the_first_request_of_its_caller(self):
+        # The caller goes on with further requests, up to its own deadline.
+        hasty = _request(deadline_s=time.monotonic() + 1.0)
+        await self._begin(hasty)
+        self.streams._forget_expired(time.monotonic() + LIFE_S)
+        self.assertIn(record_key(hasty.service, hasty.id), self.streams._begun)
+
 
 class MaintainDefaultsTest(StreamStoreTest):
 
--- a/test/gateway/test_stream_versions.py
+++ b/test/gateway/test_stream_versions.py
@@ -89,6 +89,14 @@
             self.versions.row_to_write(SERVICE, 1.0 + LIFE_S),
         )
 
+    def test_shorter_timeout_does_not_end_streams_that_have_begun(self):
+        self.versions.apply_row(SERVICE, default("v2"), 7, 0.0)
+        shorter = route(resumable=True, timeout_s=TIMEOUT_S / 4)
+        self.versions.set_configuration(configuration(shorter))
+        self._remove("u3")
+        self.versions.observe(1.0)
+        self.assertIsNone(self.versions.row_to_write(SERVICE, LIFE_S))
+
     def test_default_that_comes_back_after_long_is_read_again(self):
         # Another host may have changed it meanwhile.
         self.versions.apply_row(SERVICE, default("v2"), 7, 0.0)
