Fix streams of a version that has left taken for the only one's

Callers saw: streams joined from two versions, if the version that began them had left (a release back, a crash of its engines) and the store did not answer, or had been restored, when their callers went on. Cause: while the records cannot be read, a service with engines of one version only was taken for one whose streams all began there. Streams of a version that has left can be continued for as long as others. Evidence: three tests failed before, each with origin v1 for a stream of v2. The only version counts once no other one was seen for the longest life of a stream; without the store, also not sooner after the start of the host.

--- a/acaciaspoke/gateway/stream_store.py
+++ b/acaciaspoke/gateway/stream_store.py
@@ -206,7 +206,7 @@
     async def _find(self, request: Request, now_s: float) -> Origin:
         service = request.service
         if not request.continues:
-            origin = self._versions.origin_without_store(service)
+            origin = self._versions.origin_without_store(service, now_s)
             if origin.version is not None:
                 return origin
             return Origin(
@@ -232,7 +232,7 @@
                 error or "timeout",
                 request_id=request.id,
             )
-            return self._versions.origin_without_store(service)
+            return self._versions.origin_without_store(service, now_s)
         except msgspec.MsgspecError as error:
             return Origin(
                 None, OriginSource.UNKNOWN, f"its record is invalid: {error}"
--- a/acaciaspoke/gateway/stream_versions.py
+++ b/acaciaspoke/gateway/stream_versions.py
@@ -77,6 +77,7 @@
         read_s: When the row was read; None if it has to be read again.
         is_lost: Whether the store has lost the row or has an older one.
         absent_since_s: Since when no upstream has had the default version.
+        others_seen_s: When upstreams of other versions were seen last.
     """
 
     def __init__(self) -> None:
@@ -85,6 +86,7 @@
         self.read_s: float | None = None
         self.is_lost = False
         self.absent_since_s: float | None = None
+        self.others_seen_s = -math.inf
 
 
 class StreamVersions:
@@ -116,6 +118,7 @@
         self._services: dict[ServiceId, _Service] = {}
         # Records of streams that began before this may have been lost.
         self._restored_s = -math.inf
+        self._started_s = math.inf
 
     def set_configuration(self, configuration: Configuration) -> None:
         """Applies the services whose streams may resume."""
@@ -151,7 +154,7 @@
 
     def record_start(self, now_s: float) -> None:
         """Records that this host starts; the store may have been restored."""
-        self._restored_s = now_s
+        self._started_s = self._restored_s = now_s
 
     def record_restore(self, now_s: float) -> None:
         """Records that the store was restored; all rows are read again."""
@@ -170,7 +173,10 @@
         for name, state in self._services.items():
             if state.default is None:
                 continue
-            if state.default.version not in self._fleet.versions(name):
+            versions = self._fleet.versions(name)
+            if versions.keys() - {state.default.version}:
+                state.others_seen_s = now_s
+            if state.default.version not in versions:
                 if state.absent_since_s is None:
                     state.absent_since_s = now_s
                 continue
@@ -281,16 +287,20 @@
         is_complete = state.default.era == self._store_era()
         if is_complete or self._has_outlived(now_s):
             return Origin(default, OriginSource.DEFAULT)
-        if set(self._fleet.versions(service)) == {default}:
+        if self._has_been_alone(service, now_s):
             return Origin(default, OriginSource.ONLY_VERSION)
         return _unknown("the store may have lost its record")
 
-    def origin_without_store(self, service: ServiceId) -> Origin:
+    def origin_without_store(self, service: ServiceId, now_s: float) -> Origin:
         """Returns where a stream began while the store does not answer."""
         default = self.default_version(service)
-        is_only = set(self._fleet.versions(service)) == {default}
         age_s = self._view_age_s()
-        if is_only and age_s <= MAX_VIEW_AGE_S:
+        if (
+            age_s <= MAX_VIEW_AGE_S
+            # Another version may have left just before this host started.
+            and now_s - self._started_s >= self.life_s
+            and self._has_been_alone(service, now_s)
+        ):
             return Origin(default, OriginSource.ONLY_VERSION)
         return _unknown(
             "the store does not answer; upstreams known"
@@ -298,6 +308,19 @@
             f" {sorted(self._fleet.versions(service))}"
         )
 
+    def _has_been_alone(self, service: ServiceId, now_s: float) -> bool:
+        """Returns whether no known stream can be of another version.
+
+        Those of a version that has left can still be continued.
+        """
+        state = self._services.get(service)
+        default = self.default_version(service)
+        return (
+            default is not None
+            and set(self._fleet.versions(service)) == {default}
+            and now_s - state.others_seen_s >= self.life_s
+        )
+
     def preferred_version(self, request: Request) -> SoftwareVersion | None:
         """Returns the version at which a new stream should begin, if any.
 
--- a/test/gateway/test_stream_versions.py
+++ b/test/gateway/test_stream_versions.py
@@ -158,6 +158,16 @@
         self._remove("u3")
         self.assertEqual("v1", self._origin(31.0).version)
 
+    def test_version_has_left_before_a_restore(self):
+        self.versions.apply_row(SERVICE, default("v1"), 1, 0.0)
+        self.versions.observe(29.0)
+        self._remove("u3")
+        self.era = 2
+        self.versions.record_restore(30.0)
+        self.versions.apply_row(SERVICE, default("v1"), 1, 30.0)
+        self.assertIsNone(self._origin(31.0).version)
+        self.assertEqual("v1", self._origin(29.0 + LIFE_S).version)
+
     def test_records_are_complete_again_after_the_longest_stream(self):
         self.versions.apply_row(SERVICE, default("v1"), 1, 0.0)
         self.era = 2
@@ -181,12 +191,30 @@
     def test_only_version_counts_while_the_store_does_not_answer(self):
         self.versions.apply_row(SERVICE, default("v1"), 1, 0.0)
         origin = self.versions.origin_without_store
-        self.assertIsNone(origin(SERVICE).version)
+        now_s = 10.0
+        self.versions.observe(now_s)
+        self.assertIsNone(origin(SERVICE, now_s).version)
         self._remove("u3")
-        self.assertEqual("v1", origin(SERVICE).version)
+        now_s += LIFE_S
+        self.assertEqual("v1", origin(SERVICE, now_s).version)
         self.view_age_s = MAX_VIEW_AGE_S + 1.0
-        self.assertIsNone(origin(SERVICE).version)
-        self.assertIn("6.0 s ago", origin(SERVICE).reason)
+        self.assertIsNone(origin(SERVICE, now_s).version)
+        self.assertIn("6.0 s ago", origin(SERVICE, now_s).reason)
+
+    def test_version_has_left_before_the_store_does_not_answer(self):
+        self.versions.apply_row(SERVICE, default("v1"), 1, 0.0)
+        self.versions.observe(30.0)
+        self._remove("u3")
+        self.versions.observe(30.25)
+        origin = self.versions.origin_without_store
+        self.assertIsNone(origin(SERVICE, 31.0).version)
+
+    def test_version_has_left_before_this_host_started(self):
+        self._remove("u3")
+        self.versions.apply_row(SERVICE, default("v1"), 1, 0.0)
+        self.versions.observe(0.25)
+        origin = self.versions.origin_without_store
+        self.assertIsNone(origin(SERVICE, 1.0).version)
 
 
 class PreferredVersionTest(unittest.TestCase):
