Fix callers that name no request, refused soon after the start of a host

Within the longest life of a stream after a host's start, a request with Last-Event-Id and no Resumes got 503, although the service had one version. Cause: it was judged as if the store did not answer. Now it goes on if this host has seen no other version for that time. UnnamedRequestTest failed before.

--- a/acaciaspoke/gateway/stream_store.py
+++ b/acaciaspoke/gateway/stream_store.py
@@ -206,12 +206,7 @@
     async def _find(self, request: Request, now_s: float) -> Origin:
         service = request.service
         if not request.continues:
-            origin = self._versions.origin_without_store(service, now_s)
-            if origin.version is not None:
-                return origin
-            return Origin(
-                None, OriginSource.UNKNOWN, "the caller names no request"
-            )
+            return self._versions.origin_without_request(service, now_s)
         key = record_key(service, request.continues)
         begun = self._begun.get(key)
         if begun is not None:
--- a/acaciaspoke/gateway/stream_versions.py
+++ b/acaciaspoke/gateway/stream_versions.py
@@ -308,6 +308,15 @@
             f" {sorted(self._fleet.versions(service))}"
         )
 
+    def origin_without_request(
+        self, service: ServiceId, now_s: float
+    ) -> Origin:
+        """Returns where a stream began whose first request is not named."""
+        if self._has_been_alone(service, now_s):
+            default = self.default_version(service)
+            return Origin(default, OriginSource.ONLY_VERSION)
+        return _unknown("the caller does not name the request that began it")
+
     def _has_been_alone(self, service: ServiceId, now_s: float) -> bool:
         """Returns whether no known stream can be of another version.
 
--- a/test/gateway/test_joined_versions.py
+++ b/test/gateway/test_joined_versions.py
@@ -51,6 +51,17 @@
         self.assertEqual((200, b"".join(EVENTS), True), received)
 
 
+class UnnamedRequestTest(StreamTest):
+    """A caller goes on without naming the request that began its stream."""
+
+    async def test_service_with_one_version(self):
+        await self.until_default_is_known()
+        for engine in self.engines:
+            engine.script = go_on
+        received = await self.read(Last_Event_Id="1")
+        self.assertEqual((200, b"".join(EVENTS[1:]), True), received)
+
+
 class CallerGoesOnTest(StreamTest):
     """A caller goes on with its stream, at a host that did not begin it."""
 
