--- a/acaciaspoke/platform/documents.py
+++ b/acaciaspoke/platform/documents.py
@@ -42,6 +42,8 @@
 Integer = Annotated[int, msgspec.Meta(ge=MIN_INTEGER, le=MAX_INTEGER)]
 Count = Annotated[int, msgspec.Meta(ge=0)]
 Slots = Annotated[int, msgspec.Meta(ge=0, le=MAX_SLOTS)]
+# Part of the records of streams.
+VersionName = Annotated[str, msgspec.Meta(max_length=128)]
 
 
 class DocumentError(AcaciaspokeError):
@@ -141,7 +143,7 @@
     born: int = 0
     seq: Count = 0
     # The version of its software; that of a model is in _LoadedModel.
-    version: str = ""
+    version: VersionName = ""
     models: tuple[_LoadedModel, ...] = ()
     at_hand: _CachedModels = _CachedModels()
 
--- a/test/platform/test_documents.py
+++ b/test/platform/test_documents.py
@@ -47,6 +47,10 @@
         )
         self.assertEqual({"m2", "m3"}, found.cached_models)
 
+    def test_software_version(self):
+        self.assertEqual("v1.1", _decode(version="v1.1").version)
+        self.assertEqual("", _decode().version)
+
     def test_invalid_records_are_rejected(self):
         for change in (
             {"state": "asleep"},
@@ -54,6 +58,8 @@
             {"address": "nowhere"},
             {"models": "m1"},
             {"service": None},
+            {"version": 1.1},
+            {"version": "v" * 1000},
         ):
             with self.subTest(change), self.assertRaises(DocumentError):
                 _decode(**change)
