Fix default versions on which hosts disagreed after a cut

Callers saw: streams joined from two versions, also long after a host or a failure domain had been cut off from the store. Cause: a host that was cut off counted how long the default version had had no upstreams on its old view, and could replace the default of all hosts before it had read the upstreams again; a host that always saw upstreams of the default version, in its old view or as they were cut off with it, never read that others had replaced it, and began streams there without records. Evidence: both tests failed before (row replaced; default still relied on). The absence counts only while the upstreams are read; a default version that was not confirmed for half of the time after which others replace it is read again. Streams that begin then are recorded, without waiting for a store that has not answered for so long.

--- a/acaciaspoke/gateway/stream_store.py
+++ b/acaciaspoke/gateway/stream_store.py
@@ -307,11 +307,10 @@
         # Hosts that start together do not all create the rows.
         await anyio.sleep(random.uniform(0.0, CHECK_INTERVAL_S))
         while True:
-            now_s = time.monotonic()
-            self._versions.observe(now_s)
+            self._versions.observe(time.monotonic())
             for service in self._versions.services:
                 try:
-                    await self._maintain_default(service, now_s)
+                    await self._maintain_default(service)
                 except (TableUnavailable, OutcomeUnknown) as error:
                     logger.warning(
                         "the default version of {} is not read or written: {}",
@@ -320,8 +319,8 @@
                     )
             await anyio.sleep(CHECK_INTERVAL_S)
 
-    async def _maintain_default(self, service: ServiceId, now_s: float) -> None:
-        if self._versions.needs_read(service, now_s):
+    async def _maintain_default(self, service: ServiceId) -> None:
+        if self._versions.needs_read(service):
             await self._read_default(service)
         change = self._versions.row_to_write(service, time.monotonic())
         if change is None:
--- a/acaciaspoke/gateway/stream_versions.py
+++ b/acaciaspoke/gateway/stream_versions.py
@@ -74,7 +74,9 @@
     Attributes:
         default: Its default version; None if there is none or it is not known.
         revision: Revision of the row; 0 if there is none.
-        read_s: When the row was read; None if it has to be read again.
+        is_read: Whether the row has been read and can be relied on.
+        confirmed_s: When the row was read, or upstreams of the default version
+            were seen last.
         is_lost: Whether the store has lost the row or has an older one.
         absent_since_s: Since when no upstream has had the default version.
         others_seen_s: When upstreams of other versions were seen last.
@@ -83,7 +85,8 @@
     def __init__(self) -> None:
         self.default: DefaultVersion | None = None
         self.revision = 0
-        self.read_s: float | None = None
+        self.is_read = False
+        self.confirmed_s = -math.inf
         self.is_lost = False
         self.absent_since_s: float | None = None
         self.others_seen_s = -math.inf
@@ -148,7 +151,7 @@
     def default_version(self, service: ServiceId) -> SoftwareVersion | None:
         """Returns the default version of a service; None if not known."""
         state = self._services.get(service)
-        if state is None or state.read_s is None or state.default is None:
+        if state is None or not state.is_read or state.default is None:
             return None
         return state.default.version
 
@@ -160,46 +163,42 @@
         """Records that the store was restored; all rows are read again."""
         self._restored_s = now_s
         for state in self._services.values():
-            state.read_s = None
+            state.is_read = False
 
     # The rows with the default versions.
 
     def observe(self, now_s: float) -> None:
         """Notes which default versions have upstreams.
 
-        A version that was gone for long and comes back may not be the default
-        any more.
+        Other hosts replace a default version that is gone for long, so one that
+        was not confirmed for half of that time may not be the default any more.
         """
+        is_current = self._view_age_s() <= MAX_VIEW_AGE_S
         for name, state in self._services.items():
             if state.default is None:
                 continue
             versions = self._fleet.versions(name)
             if versions.keys() - {state.default.version}:
                 state.others_seen_s = now_s
-            if state.default.version not in versions:
-                if state.absent_since_s is None:
-                    state.absent_since_s = now_s
-                continue
-            if self._absence_s(state, now_s) >= self.life_s / 2:
-                state.read_s = None
-            state.absent_since_s = None
+            is_present = state.default.version in versions
+            if now_s - state.confirmed_s >= self.life_s / 2:
+                state.is_read = False
+            elif is_current and is_present:
+                state.confirmed_s = now_s
+            if is_present or not is_current:
+                state.absent_since_s = None
+            elif state.absent_since_s is None:
+                state.absent_since_s = now_s
 
     def _absence_s(self, state: _Service, now_s: float) -> float:
         if state.absent_since_s is None:
             return 0.0
         return now_s - state.absent_since_s
 
-    def needs_read(self, service: ServiceId, now_s: float) -> bool:
+    def needs_read(self, service: ServiceId) -> bool:
         """Returns whether the row of a service has to be read."""
         state = self._services.get(service)
-        if state is None:
-            return False
-        if state.read_s is None:
-            return True
-        return (
-            state.absent_since_s is not None
-            and now_s - state.read_s >= self.life_s / 2
-        )
+        return state is not None and not state.is_read
 
     def apply_row(
         self,
@@ -220,7 +219,7 @@
         if state is None:
             return
         known = state.default
-        state.revision, state.read_s = revision, now_s
+        state.revision, state.is_read, state.confirmed_s = revision, True, now_s
         state.is_lost = known is not None and (
             default is None or default.epoch < known.epoch
         )
@@ -237,7 +236,7 @@
         """
         state = self._services.get(service)
         versions = self._fleet.versions(service)
-        if state is None or state.read_s is None or not versions:
+        if state is None or not state.is_read or not versions:
             return None
         default = state.default
         commonest = max(sorted(versions), key=versions.__getitem__)
@@ -275,8 +274,13 @@
         Without its record it would be taken for one of the default version,
         which matters only if that has upstreams.
         """
-        default = self.default_version(service)
-        return default is None or default in self._fleet.versions(service)
+        if self._view_age_s() >= self.life_s / 2:
+            # The store has not answered for long, and may not do so in time.
+            return False
+        state = self._services.get(service)
+        if state is None or state.default is None:
+            return True
+        return state.default.version in self._fleet.versions(service)
 
     def origin_without_record(self, service: ServiceId, now_s: float) -> Origin:
         """Returns where a stream began that the store has no record of."""
--- a/test/gateway/test_stream_versions.py
+++ b/test/gateway/test_stream_versions.py
@@ -64,7 +64,7 @@
 class DefaultVersionTest(_VersionsTest):
 
     def test_row_is_read_first(self):
-        self.assertTrue(self.versions.needs_read(SERVICE, 0.0))
+        self.assertTrue(self.versions.needs_read(SERVICE))
         self.assertIsNone(self.versions.row_to_write(SERVICE, 0.0))
 
     def test_commonest_version_becomes_the_default(self):
@@ -105,7 +105,27 @@
         self.fleet.put(record("u3", version="v2"))
         self.versions.observe(1.0 + LIFE_S / 2)
         self.assertIsNone(self.versions.default_version(SERVICE))
-        self.assertTrue(self.versions.needs_read(SERVICE, 1.0 + LIFE_S / 2))
+        self.assertTrue(self.versions.needs_read(SERVICE))
+
+    def test_default_is_not_replaced_while_upstreams_are_not_read(self):
+        self.versions.apply_row(SERVICE, default("v2"), 7, 0.0)
+        self._remove("u3")
+        self.versions.observe(1.0)
+        self.view_age_s = MAX_VIEW_AGE_S + 1.0
+        self.versions.observe(2.0)
+        self.versions.apply_row(SERVICE, default("v2"), 7, 1.0 + LIFE_S)
+        self.assertIsNone(self.versions.row_to_write(SERVICE, 1.0 + LIFE_S))
+
+    def test_default_is_read_again_after_a_host_was_cut_off(self):
+        # Other hosts may have replaced it, though upstreams of it serve here.
+        self.versions.apply_row(SERVICE, default("v2"), 7, 0.0)
+        self.versions.observe(1.0)
+        self.view_age_s = LIFE_S
+        self.versions.observe(1.0 + LIFE_S)
+        self.view_age_s = 0.0
+        self.versions.observe(1.25 + LIFE_S)
+        self.assertIsNone(self.versions.default_version(SERVICE))
+        self.assertTrue(self.versions.needs_read(SERVICE))
 
     def test_row_that_a_restore_took_back_is_written_again(self):
         self.versions.apply_row(SERVICE, default("v2", epoch=2), 7, 0.0)
