Fix take-ups refused though the record of their stream can be read

Callers saw: 503 for a stream that could go on, after one call to the store had failed (a reset connection, a 429), or while the default version, which a stream with a record does not need, could not be read. Cause: one attempt to read the record, and a read of the default version also if there was a record. Evidence: both tests failed before (origin not known). Reads are repeated within the time for the lookup, unless the origin is known without the store; the default version is read only without a record. Rows are decoded as other documents of the store.

--- a/acaciaspoke/gateway/stream_store.py
+++ b/acaciaspoke/gateway/stream_store.py
@@ -39,6 +39,7 @@
     STREAMS_TABLE,
     StoreClient,
 )
+from acaciaspoke.util.decoding import decode_json
 
 # How often the default versions are checked.
 CHECK_INTERVAL_S = 0.25
@@ -211,27 +212,39 @@
         begun = self._begun.get(key)
         if begun is not None:
             return Origin(begun.version, OriginSource.MEMORY)
-        row = None
+        reason = "timeout"
+        with anyio.move_on_after(LOOKUP_TIMEOUT_S):
+            while True:
+                try:
+                    return await self._read_origin(service, key, now_s)
+                except TableUnavailable as error:
+                    reason = str(error)
+                origin = self._versions.origin_without_store(service, now_s)
+                if origin.version is not None:
+                    return origin
+                await anyio.sleep(RETRY_S)
+        logger.warning(
+            "the record of a stream cannot be read: {}",
+            reason,
+            request_id=request.id,
+        )
+        return self._versions.origin_without_store(service, now_s)
+
+    async def _read_origin(
+        self, service: ServiceId, key: str, now_s: float
+    ) -> Origin:
+        row = await self._store.read(key)
+        if row is None:
+            if self._versions.default_version(service) is None:
+                await self._read_default(service)
+            return self._versions.origin_without_record(service, now_s)
         try:
-            with anyio.fail_after(LOOKUP_TIMEOUT_S):
-                row = await self._store.read(key)
-                if self._versions.default_version(service) is None:
-                    await self._read_default(service)
-            if row is None:
-                return self._versions.origin_without_record(service, now_s)
-            record = msgspec.json.decode(row.value, type=StreamRecord)
-            return Origin(record.version, OriginSource.RECORD)
-        except (TableUnavailable, TimeoutError) as error:
-            logger.warning(
-                "the record of a stream cannot be read: {}",
-                error or "timeout",
-                request_id=request.id,
-            )
-            return self._versions.origin_without_store(service, now_s)
+            record = decode_json(row.value, StreamRecord)
         except msgspec.MsgspecError as error:
             return Origin(
                 None, OriginSource.UNKNOWN, f"its record is invalid: {error}"
             )
+        return Origin(record.version, OriginSource.RECORD)
 
     # Records.
 
@@ -357,7 +370,7 @@
         if row is not None:
             revision = row.mod_revision
             try:
-                default = msgspec.json.decode(row.value, type=DefaultVersion)
+                default = decode_json(row.value, DefaultVersion)
             except msgspec.MsgspecError as error:
                 logger.error(
                     "the default version of {} is invalid: {}", service, error
@@ -372,6 +385,6 @@
 def _expires_s(value: bytes | None) -> float:
     """Returns when a record expires; one that is invalid has expired."""
     try:
-        return msgspec.json.decode(value or b"", type=StreamRecord).expires_s
+        return decode_json(value or b"", StreamRecord).expires_s
     except msgspec.MsgspecError:
         return 0.0
--- a/test/gateway/test_stream_store.py
+++ b/test/gateway/test_stream_store.py
@@ -4,19 +4,26 @@
 import unittest
 
 import anyio
+import msgspec
 
 from acaciaspoke.clients.table import (
     Committed,
     Conflict,
     Put,
     Row,
+    TableUnavailable,
     Transaction,
 )
 from acaciaspoke.gateway.metrics import GatewayMetrics
-from acaciaspoke.gateway.stream_store import StreamStore, record_key
+from acaciaspoke.gateway.stream_store import (
+    StreamRecord,
+    StreamStore,
+    record_key,
+)
 from acaciaspoke.gateway.stream_versions import StreamVersions
 from acaciaspoke.gateway.types import Configuration, Target
 from acaciaspoke.ids import ConfigVersion, ServiceId
+from acaciaspoke.platform.store import DEFAULT_VERSIONS_TABLE
 from test.gateway.builders import fleet, record, request, route
 
 # Longest life of the streams of ``route``.
@@ -128,6 +135,44 @@
         self.assertIn(record_key(hasty.service, hasty.id), self.streams._begun)
 
 
+class LookupTest(StreamStoreTest):
+
+    async def asyncSetUp(self):
+        began = _request("began")
+        record_row = StreamRecord(version="v2", expires_s=0)
+        key = record_key(began.service, began.id)
+        self.store.rows[key] = Row(key, msgspec.json.encode(record_row), 1, 1)
+        self.request = _request("q2", continues="began")
+
+    async def test_one_read_fails(self):
+        failures = iter([TableUnavailable("reset")])
+
+        def on_read(key):
+            for failure in failures:
+                raise failure
+
+        self.store.on_read = on_read
+        origin = await self.streams.find_origin(self.request)
+        self.assertEqual("v2", origin.version)
+
+    async def test_default_version_cannot_be_read(self):
+        def on_read(key):
+            if key.startswith(DEFAULT_VERSIONS_TABLE):
+                raise TableUnavailable("away")
+
+        self.store.on_read = on_read
+        origin = await self.streams.find_origin(self.request)
+        self.assertEqual("v2", origin.version)
+
+    async def test_no_read_succeeds(self):
+        def on_read(key):
+            raise TableUnavailable("away")
+
+        self.store.on_read = on_read
+        origin = await self.streams.find_origin(self.request)
+        self.assertIsNone(origin.version)
+
+
 class MaintainDefaultsTest(StreamStoreTest):
 
     async def test_services_leave_the_routes_during_a_read(self):
