Fix take-ups that trusted a default version created after a restore

Callers saw: streams joined from two versions, if the store was restored from a copy without the row of the service, and all hosts had been restarted. Cause: the row that a new host creates named the era of the restored store, as if no record had been lost, and perhaps another version than the lost row. Evidence: the test failed before (origin v1 instead of not known). Such a row names era 0 until all streams of before have ended.

--- a/acaciaspoke/gateway/stream_versions.py
+++ b/acaciaspoke/gateway/stream_versions.py
@@ -28,6 +28,9 @@
 # only one version if they were read this recently.
 MAX_VIEW_AGE_S = 5.0
 
+# A store that was never restored is in this era, or in 0 if it names none.
+FIRST_ERA = 1
+
 
 class DefaultVersion(msgspec.Struct, frozen=True, kw_only=True):
     """The version of a service whose streams have no records.
@@ -241,9 +244,11 @@
         default = state.default
         commonest = max(sorted(versions), key=versions.__getitem__)
         if default is None:
-            row = DefaultVersion(
-                version=commonest, epoch=1, era=self._store_era()
-            )
+            era = self._store_era()
+            if era > FIRST_ERA and not self._has_outlived(now_s):
+                # The store may have lost an earlier row, and records with it.
+                era = 0
+            row = DefaultVersion(version=commonest, epoch=1, era=era)
         elif self._absence_s(state, now_s) >= self.life_s:
             row = msgspec.structs.replace(
                 default, version=commonest, epoch=default.epoch + 1
--- a/test/gateway/test_stream_versions.py
+++ b/test/gateway/test_stream_versions.py
@@ -201,6 +201,14 @@
             self.versions.row_to_write(SERVICE, now_s),
         )
 
+    def test_restore_has_lost_the_default_before_this_host_started(self):
+        self.era = 2
+        self.versions.apply_row(SERVICE, None, 0, 1.0)
+        row, _ = self.versions.row_to_write(SERVICE, 1.0)
+        self.versions.apply_row(SERVICE, row, 1, 1.0)
+        self.assertIsNone(self._origin(2.0).version)
+        self.assertEqual("v1", self._origin(LIFE_S).version)
+
     def test_host_that_started_after_a_restore(self):
         self.era = 2
         self.versions.apply_row(SERVICE, default("v1", era=1), 1, 0.0)
