Fix records of ended streams that piled up

Callers saw: nothing yet; a host's memory and its calls to the store grew. The writer forgets ended streams also between its tries, and removes all expired records, each once. Without a record to write it holds the store for usable again, or no stream would begin at another version to show that.

--- a/acaciaspoke/gateway/stream_store.py
+++ b/acaciaspoke/gateway/stream_store.py
@@ -132,7 +132,8 @@
         self._begun: dict[str, _BegunStream] = {}
         # Records to write, with the events that tell that they are written.
         self._pending: dict[str, anyio.Event] = {}
-        self._expired: list[str] = []
+        # Keys of records to remove.
+        self._expired: dict[str, None] = {}
         self._wake = anyio.Event()
 
     async def run(self) -> None:
@@ -254,11 +255,15 @@
                 await self._wake.wait()
             self._wake = anyio.Event()
             self._forget_expired(time.monotonic())
-            if self._expired and not self._pending:
-                await self._write_batch()
-            while self._pending:
-                if not await self._write_batch():
-                    await anyio.sleep(RETRY_S)
+            while self._pending or self._expired:
+                if await self._write_batch():
+                    continue
+                if not self._pending:
+                    break
+                await anyio.sleep(RETRY_S)
+                self._forget_expired(time.monotonic())
+            # All streams whose records were not confirmed have ended.
+            self._versions.can_record = True
 
     def _forget_expired(self, now_s: float) -> None:
         for key, begun in list(self._begun.items()):
@@ -266,12 +271,14 @@
                 del self._begun[key]
                 self._pending.pop(key, None)
                 if begun.record is not None:
-                    self._expired.append(key)
+                    self._expired[key] = None
 
     async def _write_batch(self) -> bool:
         """Writes the next records; returns whether the store confirmed it."""
         written = dict(itertools.islice(self._pending.items(), MAX_ENTRIES))
-        removed = self._expired[: MAX_ENTRIES - len(written)]
+        removed = list(
+            itertools.islice(self._expired, MAX_ENTRIES - len(written))
+        )
         records = {key: self._begun[key].record for key in written}
         puts = [
             Put(key, msgspec.json.encode(record))
@@ -289,7 +296,8 @@
         if not self._versions.can_record:
             logger.info("records of streams are written again")
         self._versions.can_record = True
-        del self._expired[: len(removed)]
+        for key in removed:
+            self._expired.pop(key, None)
         for key, event in written.items():
             if self._pending.get(key) is event:
                 del self._pending[key]
@@ -308,8 +316,8 @@
                 logger.warning("records of streams are not read: {}", error)
                 continue
             before_s = time.time() - MAX_CLOCK_DIFFERENCE_S
-            self._expired.extend(
-                f"{STREAMS_TABLE}/{row.key}"
+            self._expired.update(
+                (f"{STREAMS_TABLE}/{row.key}", None)
                 for row in page.rows
                 if _expires_s(row.value) < before_s
             )
--- a/test/gateway/test_stream_store.py
+++ b/test/gateway/test_stream_store.py
@@ -2,6 +2,7 @@
 
 import time
 import unittest
+from unittest import mock
 
 import anyio
 import msgspec
@@ -9,11 +10,13 @@
 from acaciaspoke.clients.table import (
     Committed,
     Conflict,
+    Delete,
     Put,
     Row,
     TableUnavailable,
     Transaction,
 )
+from acaciaspoke.gateway import stream_store
 from acaciaspoke.gateway.metrics import GatewayMetrics
 from acaciaspoke.gateway.stream_store import (
     StreamRecord,
@@ -23,7 +26,12 @@
 from acaciaspoke.gateway.stream_versions import StreamVersions
 from acaciaspoke.gateway.types import Configuration, Target
 from acaciaspoke.ids import ConfigVersion, ServiceId
-from acaciaspoke.platform.store import DEFAULT_VERSIONS_TABLE
+from acaciaspoke.platform.store import (
+    DEFAULT_VERSIONS_TABLE,
+    STREAMS_TABLE,
+    FeedPage,
+    FeedRow,
+)
 from test.gateway.builders import fleet, record, request, route
 
 # Longest life of the streams of ``route``.
@@ -38,6 +46,7 @@
 
     Attributes:
         on_read: Called with the key before each read; may raise.
+        is_away: Whether all writes fail.
     """
 
     def __init__(self):
@@ -45,6 +54,7 @@
         self.revision = 0
         self.commits: list[Transaction] = []
         self.on_read = lambda key: None
+        self.is_away = False
 
     async def read(self, key):
         await anyio.sleep(0)
@@ -53,6 +63,8 @@
 
     async def commit(self, transaction):
         await anyio.sleep(0)
+        if self.is_away:
+            raise TableUnavailable("away")
         self.commits.append(transaction)
         for condition in transaction.conditions:
             row = self.rows.get(condition.key)
@@ -68,13 +80,22 @@
                 self.rows.pop(write.key, None)
         return Committed(self.revision)
 
+    async def read_table(self, table):
+        rows = [
+            FeedRow(key.removeprefix(f"{table}/"), row.value, row.mod_revision)
+            for key, row in self.rows.items()
+            if key.startswith(f"{table}/")
+        ]
+        return FeedPage(rows, self.revision)
+
 
-def _configuration(*services):
+def _configuration(*services, **changes):
     routes = (
         route(
             prefix=f"/{service}/",
             resumable=True,
             targets=(Target(ServiceId(service), 1.0),),
+            **changes,
         )
         for service in services
     )
@@ -106,9 +127,12 @@
                 for number, service in enumerate(("a", "b"))
             )
         )
-        self.versions = StreamVersions(self.fleet)
-        self.versions.set_configuration(_configuration("a", "b"))
         self.store = _Store()
+        self._use(_configuration("a", "b"))
+
+    def _use(self, configuration):
+        self.versions = StreamVersions(self.fleet)
+        self.versions.set_configuration(configuration)
         self.streams = StreamStore(self.store, self.versions, GatewayMetrics())
 
     async def _run_until(self, condition):
@@ -134,6 +158,33 @@
         self.streams._forget_expired(time.monotonic() + LIFE_S)
         self.assertIn(record_key(hasty.service, hasty.id), self.streams._begun)
 
+    async def test_ended_streams_are_forgotten_while_the_store_is_away(self):
+        self.store.is_away = True
+        self._use(_configuration("a", timeout_s=0.01))
+        ended = _request(deadline_s=time.monotonic())
+        with mock.patch.object(stream_store, "RECORD_MARGIN_S", 2.0):
+            await self._begin(ended)
+        await self._run_until(
+            lambda: not self.streams._begun and self.versions.can_record
+        )
+
+    async def test_expired_records_are_removed_once(self):
+        keys = [f"{STREAMS_TABLE}/a/q{number}" for number in range(250)]
+        value = msgspec.json.encode(StreamRecord(version="v2", expires_s=0))
+        self.store.rows.update((key, Row(key, value, 1, 1)) for key in keys)
+        self.streams._is_leader = lambda: True
+        with mock.patch.object(stream_store, "SWEEP_INTERVAL_S", 0.1):
+            await self._run_until(
+                lambda: not self.store.rows.keys() & set(keys)
+            )
+        removed = [
+            write.key
+            for transaction in self.store.commits
+            for write in transaction.writes
+            if isinstance(write, Delete)
+        ]
+        self.assertCountEqual(keys, removed)
+
 
 class LookupTest(StreamStoreTest):
 
