--- a/acaciaspoke/gateway/stream_store.py
+++ b/acaciaspoke/gateway/stream_store.py
@@ -64,24 +64,17 @@
 # interval.
 REMOVAL_INTERVAL_S = 5.0
 
-# How often the leader removes the records of hosts that are gone, and how far
-# the clocks of hosts may differ.
+# How often the leader looks for the records of hosts that are gone.
 SWEEP_INTERVAL_S = 60.0
-MAX_CLOCK_DIFFERENCE_S = 30.0
 
 # A longer id, or one of other characters, is replaced by a hash in keys.
 MAX_KEY_LENGTH = 100
 
 
 class StreamRecord(msgspec.Struct, frozen=True, kw_only=True):
-    """The record of a stream.
-
-    Attributes:
-        expires_s: Unix time after which no caller goes on with it.
-    """
+    """The record of a stream."""
 
     version: SoftwareVersion
-    expires_s: int
 
 
 class _BegunStream(NamedTuple):
@@ -167,8 +160,7 @@
         if not self._versions.needs_record(request.service, version):
             self._begun[key] = _BegunStream(version, now_s + left_s, None)
             return
-        expires_s = int(time.time() + left_s)
-        record = StreamRecord(version=version, expires_s=expires_s)
+        record = StreamRecord(version=version)
         self._begun[key] = _BegunStream(version, now_s + left_s, record)
         written = self._pending[key] = anyio.Event()
         self._wake.set()
@@ -306,20 +298,27 @@
 
     async def _sweep(self) -> None:
         """Removes the records of hosts that are gone, if this host leads."""
+        # When each key was read first: the clocks of hosts may be wrong.
+        found_s: dict[str, float] = {}
         while True:
             await anyio.sleep(SWEEP_INTERVAL_S)
             if not self._is_leader():
+                found_s = {}
                 continue
             try:
                 page = await self._store.read_table(STREAMS_TABLE)
             except TableUnavailable as error:
                 logger.warning("records of streams are not read: {}", error)
                 continue
-            before_s = time.time() - MAX_CLOCK_DIFFERENCE_S
+            now_s = time.monotonic()
+            found_s = {
+                row.key: found_s.get(row.key, now_s) for row in page.rows
+            }
+            before_s = now_s - self._versions.life_s - RECORD_MARGIN_S
             self._expired.update(
-                (f"{STREAMS_TABLE}/{row.key}", None)
-                for row in page.rows
-                if _expires_s(row.value) < before_s
+                (f"{STREAMS_TABLE}/{key}", None)
+                for key, key_found_s in found_s.items()
+                if key_found_s <= before_s
             )
 
     # Default versions.
@@ -388,11 +387,3 @@
 
 def _default_key(service: ServiceId) -> str:
     return f"{DEFAULT_VERSIONS_TABLE}/{service}"
-
-
-def _expires_s(value: bytes | None) -> float:
-    """Returns when a record expires; one that is invalid has expired."""
-    try:
-        return decode_json(value or b"", StreamRecord).expires_s
-    except msgspec.MsgspecError:
-        return 0.0
--- a/test/gateway/test_stream_store.py
+++ b/test/gateway/test_stream_store.py
@@ -80,6 +80,15 @@
                 self.rows.pop(write.key, None)
         return Committed(self.revision)
 
+    def removed(self):
+        """Returns the keys of all removals."""
+        return [
+            write.key
+            for transaction in self.commits
+            for write in transaction.writes
+            if isinstance(write, Delete)
+        ]
+
     async def read_table(self, table):
         rows = [
             FeedRow(key.removeprefix(f"{table}/"), row.value, row.mod_revision)
@@ -168,29 +177,48 @@
             lambda: not self.streams._begun and self.versions.can_record
         )
 
-    async def test_expired_records_are_removed_once(self):
+    async def test_records_of_gone_hosts_are_removed_once(self):
+        self._use(_configuration("a", timeout_s=0.01))
         keys = [f"{STREAMS_TABLE}/a/q{number}" for number in range(250)]
-        value = msgspec.json.encode(StreamRecord(version="v2", expires_s=0))
+        value = msgspec.json.encode(StreamRecord(version="v2"))
         self.store.rows.update((key, Row(key, value, 1, 1)) for key in keys)
         self.streams._is_leader = lambda: True
-        with mock.patch.object(stream_store, "SWEEP_INTERVAL_S", 0.1):
+        with (
+            mock.patch.object(stream_store, "SWEEP_INTERVAL_S", 0.1),
+            mock.patch.object(stream_store, "RECORD_MARGIN_S", 0.5),
+        ):
             await self._run_until(
                 lambda: not self.store.rows.keys() & set(keys)
             )
-        removed = [
-            write.key
-            for transaction in self.store.commits
-            for write in transaction.writes
-            if isinstance(write, Delete)
-        ]
-        self.assertCountEqual(keys, removed)
+        self.assertCountEqual(keys, self.store.removed())
+
+    async def test_record_of_a_host_whose_clock_is_wrong_is_kept(self):
+        with mock.patch("time.time", return_value=time.time() - 3600.0):
+            await self._begin(_request())
+            await self._run_until(lambda: self.store.commits)
+        # The leader.
+        self._use(_configuration("a"))
+        self.streams._is_leader = lambda: True
+        reads = []
+        read_table = self.store.read_table
+
+        async def count_reads(table):
+            reads.append(table)
+            return await read_table(table)
+
+        self.store.read_table = count_reads
+        with mock.patch.object(stream_store, "SWEEP_INTERVAL_S", 0.1):
+            await self._run_until(lambda: len(reads) > 2)
+        self.streams._wake.set()
+        await self._run_until(lambda: not self.streams._expired)
+        self.assertEqual([], self.store.removed())
 
 
 class LookupTest(StreamStoreTest):
 
     async def asyncSetUp(self):
         began = _request("began")
-        record_row = StreamRecord(version="v2", expires_s=0)
+        record_row = StreamRecord(version="v2")
         key = record_key(began.service, began.id)
         self.store.rows[key] = Row(key, msgspec.json.encode(record_row), 1, 1)
         self.request = _request("q2", continues="began")
