Fix decisions that tried the same engines twice

Cause: engines of the preferred version were tried first and all engines then, though they are the same ones with one version. Evidence: the test failed before (two choices for one waiting stream).

--- a/acaciaspoke/gateway/dispatch.py
+++ b/acaciaspoke/gateway/dispatch.py
@@ -255,11 +255,15 @@
             for upstream in holders
             if upstream.record.version == version
         ]
-        if preferred and not self.versions.can_record:
-            holders = preferred
-        return choose_upstream(
+        upstream = choose_upstream(
             request, preferred, loads, self._local_domain, now_s
-        ) or choose_upstream(request, holders, loads, self._local_domain, now_s)
+        )
+        is_last = preferred and not self.versions.can_record
+        if upstream or is_last or len(preferred) == len(holders):
+            return upstream
+        return choose_upstream(
+            request, holders, loads, self._local_domain, now_s
+        )
 
     def _resume(
         self, request: Request, backup: BackupEngine, now_s: float
--- a/test/gateway/test_stream_versions.py
+++ b/test/gateway/test_stream_versions.py
@@ -2,6 +2,7 @@
 
 import itertools
 import unittest
+from unittest import mock
 
 from acaciaspoke.gateway.dispatch import Assignment
 from acaciaspoke.gateway.stream_versions import (
@@ -270,6 +271,16 @@
         assigned = [self._assign() for _ in range(4)]
         self.assertEqual([["u1"], ["u1"], ["u2"], ["u2"]], assigned)
 
+    def test_streams_that_wait_for_the_only_version_are_tried_once(self):
+        self.dispatcher.fleet.put(record("u2", "m1", version="v1", slots=1))
+        while self._assign():
+            pass
+        with mock.patch(
+            "acaciaspoke.gateway.dispatch.choose_upstream", return_value=None
+        ) as choose:
+            list(self.dispatcher.decide(0.0))
+        self.assertEqual(1, choose.call_count)
+
     def test_other_versions_get_none_without_records(self):
         self.dispatcher.versions.can_record = False
         assigned = [self._assign() for _ in range(3)]
