Count the versions of all services at once

Each host checks the default versions four times a second. With 5,500 upstreams in 5 services one check took 6.5 to 6.7 ms of processor time, as the upstreams were counted three times for each service; now 3.1 ms, with two counts for all (processor time of 20 checks in one process). The version of a new default is chosen only if one is due.

--- a/acaciaspoke/gateway/fleet.py
+++ b/acaciaspoke/gateway/fleet.py
@@ -1,6 +1,6 @@
 """The upstreams and their loads, as one gateway knows them."""
 
-from collections import Counter, OrderedDict
+from collections import Counter, OrderedDict, defaultdict
 from collections.abc import Iterator
 
 from acaciaspoke.gateway.engine_speed import EngineSpeed
@@ -171,6 +171,17 @@
             if upstream.record.service == service
         )
 
+    def versions_by_service(self) -> dict[ServiceId, Counter[SoftwareVersion]]:
+        """Counts the upstreams of all services as ``versions`` does."""
+        counts = Counter(
+            (upstream.record.service, upstream.record.version)
+            for upstream in self.upstreams.values()
+        )
+        found: dict[ServiceId, Counter[SoftwareVersion]] = defaultdict(Counter)
+        for (service, version), count in counts.items():
+            found[service][version] = count
+        return found
+
     def holders(
         self,
         service: ServiceId,
--- a/acaciaspoke/gateway/stream_versions.py
+++ b/acaciaspoke/gateway/stream_versions.py
@@ -149,7 +149,8 @@
     @property
     def services(self) -> list[ServiceId]:
         """The services whose streams may resume and that have upstreams."""
-        return [name for name in self._services if self._fleet.versions(name)]
+        served = self._fleet.versions_by_service()
+        return [name for name in self._services if name in served]
 
     def default_version(self, service: ServiceId) -> SoftwareVersion | None:
         """Returns the default version of a service; None if not known."""
@@ -177,10 +178,11 @@
         was not confirmed for half of that time may not be the default any more.
         """
         is_current = self._view_age_s() <= MAX_VIEW_AGE_S
+        versions_by_service = self._fleet.versions_by_service()
         for name, state in self._services.items():
             if state.default is None:
                 continue
-            versions = self._fleet.versions(name)
+            versions = versions_by_service[name]
             if versions.keys() - {state.default.version}:
                 state.others_seen_s = now_s
             is_present = state.default.version in versions
@@ -238,21 +240,15 @@
         have ended: those of other versions have records until then.
         """
         state = self._services.get(service)
-        versions = self._fleet.versions(service)
-        if state is None or not state.is_read or not versions:
+        if state is None or not state.is_read:
             return None
         default = state.default
-        commonest = max(sorted(versions), key=versions.__getitem__)
-        if default is None:
-            era = self._store_era()
-            if era > FIRST_ERA and not self._has_outlived(now_s):
-                # The store may have lost an earlier row, and records with it.
-                era = 0
-            row = DefaultVersion(version=commonest, epoch=1, era=era)
-        elif self._absence_s(state, now_s) >= self.life_s:
-            row = msgspec.structs.replace(
-                default, version=commonest, epoch=default.epoch + 1
-            )
+        if default is None or self._absence_s(state, now_s) >= self.life_s:
+            versions = self._fleet.versions(service)
+            if not versions:
+                return None
+            commonest = max(sorted(versions), key=versions.__getitem__)
+            row = self._new_default(default, commonest, now_s)
         elif default.era != self._store_era() and self._has_outlived(now_s):
             row = msgspec.structs.replace(default, era=self._store_era())
         elif state.is_lost:
@@ -261,6 +257,22 @@
             return None
         return row, state.revision
 
+    def _new_default(
+        self,
+        replaced: DefaultVersion | None,
+        version: SoftwareVersion,
+        now_s: float,
+    ) -> DefaultVersion:
+        if replaced is not None:
+            return msgspec.structs.replace(
+                replaced, version=version, epoch=replaced.epoch + 1
+            )
+        era = self._store_era()
+        if era > FIRST_ERA and not self._has_outlived(now_s):
+            # The store may have lost an earlier row, and records with it.
+            era = 0
+        return DefaultVersion(version=version, epoch=1, era=era)
+
     def _has_outlived(self, now_s: float) -> bool:
         """Returns whether all streams began after the last restore."""
         return now_s - self._restored_s >= self.life_s
