--- a/test/gateway/test_stream_versions.py
+++ b/test/gateway/test_stream_versions.py
@@ -147,7 +147,7 @@
         # The process ended with a KeyError.
         self.versions.set_configuration(configuration(route()))
         self.versions.apply_row(SERVICE, default(), 1, 0.0)
-        self.assertFalse(self.versions.needs_read(SERVICE, 0.0))
+        self.assertFalse(self.versions.needs_read(SERVICE))
         self.assertIsNone(self.versions.row_to_write(SERVICE, 0.0))
 
     def test_streams_of_a_longer_timeout_are_waited_for(self):
