Fix a gateway that ended when it got the lease before its configuration

Callers of a host that starts found nobody listening, where 503 with Retry-After is due: the gateway ended with AttributeError ('NoneType' object has no attribute 'services') in _update_epoch. Cause: a host that starts again competes for the order lease as soon as it can read the lease's row. If the operator's table cannot be read meanwhile, it acquires the lease without a configuration; what the former holder may have loaded is counted for each service of the configuration. A host competes only once it is ready: without a configuration it cannot plan. Class: a belief that is not there yet is used as if it were. Evidence: test_lease_without_configuration failed before (the gateway's task had ended); test_candidacy, test_handover and test_restored_lease passed after. Whether the users saw this is not known.

--- a/acaciaspoke/gateway/process.py
+++ b/acaciaspoke/gateway/process.py
@@ -380,9 +380,12 @@
         self.metrics.paused.set(len(fleet.in_named_pause(time.monotonic())))
 
     def is_lease_candidate(self) -> bool:
-        """Returns whether this host should try to acquire the lease."""
+        """Returns whether this host should try to acquire the lease.
+
+        Without a configuration it could not plan.
+        """
         now_s = time.monotonic()
-        if not self.drain.serving:
+        if not self.is_ready:
             return False
         age_s = now_s - self._started_s
         if self._settings.is_first_start and age_s < DISCOVERY_S:
