Fix streams refused after a restore of the store

Cause: such streams have no record, and records might have been lost. Now hosts write records of all their streams after a restore, and those that begin until all earlier ones have ended get records too. Only streams of hosts that died around the restore are refused. test_streams_of_the_default_version_around_a_restore and test_all_streams_have_records_while_some_may_be_lost are new; without this change they fail (the signature of needs_record changed with it).

--- a/acaciaspoke/gateway/stream_store.py
+++ b/acaciaspoke/gateway/stream_store.py
@@ -138,11 +138,17 @@
             tasks.start_soon(self._sweep)
 
     def on_restored(self) -> None:
-        """Writes the records again that a restored store may have lost."""
+        """Writes records again, which the restored store may have lost.
+
+        Streams of the default version get some too: without one, a stream may
+        be one of another version whose host has died.
+        """
         self._versions.record_restore(time.monotonic())
         for key, begun in self._begun.items():
-            if begun.record is not None:
-                self._pending.setdefault(key, anyio.Event())
+            self._begun[key] = begun._replace(
+                record=StreamRecord(version=begun.version)
+            )
+            self._pending.setdefault(key, anyio.Event())
         self._wake.set()
 
     # Streams.
@@ -157,7 +163,7 @@
         left_s = max(request.deadline_s - now_s, self._versions.life_s)
         left_s += RECORD_MARGIN_S
         key = record_key(request.service, request.id)
-        if not self._versions.needs_record(request.service, version):
+        if not self._versions.needs_record(request.service, version, now_s):
             self._begun[key] = _BegunStream(version, now_s + left_s, None)
             return
         record = StreamRecord(version=version)
@@ -165,7 +171,7 @@
         written = self._pending[key] = anyio.Event()
         self._wake.set()
         self._metrics.stream_records.inc()
-        if not self._versions.must_hold(request.service):
+        if not self._versions.must_hold(request.service, version):
             return
         with anyio.move_on_after(MAX_HOLD_S):
             await written.wait()
--- a/acaciaspoke/gateway/stream_versions.py
+++ b/acaciaspoke/gateway/stream_versions.py
@@ -273,6 +273,15 @@
             era = 0
         return DefaultVersion(version=version, epoch=1, era=era)
 
+    def _is_complete(self, service: ServiceId, now_s: float) -> bool:
+        """Returns whether no record that a stream needs has been lost."""
+        state = self._services.get(service)
+        if state is None or state.default is None:
+            return False
+        return state.default.era == self._store_era() or self._has_outlived(
+            now_s
+        )
+
     def _has_outlived(self, now_s: float) -> bool:
         """Returns whether all streams began after the last restore."""
         return now_s - self._restored_s >= self.life_s
@@ -280,17 +289,25 @@
     # Streams.
 
     def needs_record(
-        self, service: ServiceId, version: SoftwareVersion
+        self, service: ServiceId, version: SoftwareVersion, now_s: float
     ) -> bool:
-        """Returns whether a stream that begins at a version has a record."""
-        return version != self.default_version(service)
+        """Returns whether a stream that begins at a version has a record.
+
+        While the store may have lost records, the streams of the default
+        version have some too: those without one are not known then.
+        """
+        return version != self.default_version(
+            service
+        ) or not self._is_complete(service, now_s)
 
-    def must_hold(self, service: ServiceId) -> bool:
+    def must_hold(self, service: ServiceId, version: SoftwareVersion) -> bool:
         """Returns whether a stream may not begin before its record.
 
         Without its record it would be taken for one of the default version,
-        which matters only if that has upstreams.
+        which matters only if that is another one and has upstreams.
         """
+        if version == self.default_version(service):
+            return False
         if self._view_age_s() >= self.life_s / 2:
             # The store has not answered for long, and may not do so in time.
             return False
@@ -305,8 +322,7 @@
         default = self.default_version(service)
         if state is None or default is None:
             return _unknown("the default version is not known")
-        is_complete = state.default.era == self._store_era()
-        if is_complete or self._has_outlived(now_s):
+        if self._is_complete(service, now_s):
             return Origin(default, OriginSource.DEFAULT)
         if self._has_been_alone(service, now_s):
             return Origin(default, OriginSource.ONLY_VERSION)
--- a/test/gateway/test_joined_versions.py
+++ b/test/gateway/test_joined_versions.py
@@ -158,6 +158,22 @@
         self.assertEqual(200, (await self._go_on("new")).status)
         self.assertEqual([], self.old.arrivals)
 
+    async def test_streams_of_the_default_version_around_a_restore(self):
+        # They were refused, as they had no records.
+        copy = self.store.copy()
+        await self._begin_at(self.old, "before")
+        self.store.restore(copy)
+        self.store.write_again()
+        await self._until_restore_is_known()
+        await self._begin_at(self.old, "after")
+        for name in ("before", "after"):
+            await self.eventually(
+                lambda key=("streams", "streams", f"llm/{name}"): key
+                in self.store.rows
+            )
+            self.assertEqual(200, (await self._go_on(name)).status)
+        self.assertEqual([], self.new.arrivals)
+
     async def test_store_is_restored_after_the_host_has_died(self):
         copy = self.store.copy()
         await self._begin_at(self.new, "new")
--- a/test/gateway/test_stream_versions.py
+++ b/test/gateway/test_stream_versions.py
@@ -161,13 +161,15 @@
 
     def test_stream_without_record_began_at_the_default_version(self):
         self.versions.apply_row(SERVICE, default("v1"), 1, 0.0)
-        self.assertFalse(self.versions.needs_record(SERVICE, "v1"))
-        self.assertTrue(self.versions.needs_record(SERVICE, "v2"))
+        self.assertFalse(self.versions.needs_record(SERVICE, "v1", 1.0))
+        self.assertTrue(self.versions.needs_record(SERVICE, "v2", 1.0))
+        self.assertFalse(self.versions.must_hold(SERVICE, "v1"))
+        self.assertTrue(self.versions.must_hold(SERVICE, "v2"))
         self.assertEqual(("v1", OriginSource.DEFAULT, ""), self._origin(1.0))
 
     def test_streams_have_records_while_the_default_is_not_known(self):
-        self.assertTrue(self.versions.needs_record(SERVICE, "v1"))
-        self.assertTrue(self.versions.must_hold(SERVICE))
+        self.assertTrue(self.versions.needs_record(SERVICE, "v1", 1.0))
+        self.assertTrue(self.versions.must_hold(SERVICE, "v1"))
         self.assertIsNone(self._origin(1.0).version)
 
     def test_restored_store_may_have_lost_records(self):
@@ -189,6 +191,16 @@
         self.assertIsNone(self._origin(31.0).version)
         self.assertEqual("v1", self._origin(29.0 + LIFE_S).version)
 
+    def test_all_streams_have_records_while_some_may_be_lost(self):
+        self.versions.apply_row(SERVICE, default("v1"), 1, 0.0)
+        self.era = 2
+        self.versions.record_restore(30.0)
+        self.versions.apply_row(SERVICE, default("v1"), 1, 30.0)
+        self.assertTrue(self.versions.needs_record(SERVICE, "v1", 31.0))
+        self.assertFalse(self.versions.must_hold(SERVICE, "v1"))
+        now_s = 30.0 + LIFE_S
+        self.assertFalse(self.versions.needs_record(SERVICE, "v1", now_s))
+
     def test_records_are_complete_again_after_the_longest_stream(self):
         self.versions.apply_row(SERVICE, default("v1"), 1, 0.0)
         self.era = 2
