Fix take-ups refused by hosts that have just started

A host is ready with a configuration, before it has read the upstreams. A caller that went on with its stream there got 503, as no upstream had the version; other requests are queued at that moment.

--- a/acaciaspoke/gateway/exchange.py
+++ b/acaciaspoke/gateway/exchange.py
@@ -145,11 +145,12 @@
         origin = await self._stream_store.find_origin(request)
         if origin.version is None:
             return f"where its stream began is not known: {origin.reason}"
-        fleet = self._dispatcher.fleet
-        if not any(
-            upstream.record.version == origin.version
-            for upstream in fleet.of_service(request.service)
-        ):
+        serving = {
+            upstream.record.version
+            for upstream in self._dispatcher.fleet.of_service(request.service)
+        }
+        # A host that has just started knows no upstreams yet.
+        if serving and origin.version not in serving:
             return f"no upstream has version {origin.version} of its stream"
         request.version = origin.version
         return ""
--- a/test/gateway/test_joined_versions.py
+++ b/test/gateway/test_joined_versions.py
@@ -126,6 +126,17 @@
         self.assertEqual(503, (await self._go_on("old")).status)
         self.assertEqual([], self.new.arrivals)
 
+    async def test_host_that_knows_no_upstreams_yet(self):
+        await self._begin_at(self.old, "old")
+        fleet = self.other_host._dispatcher.fleet
+        known = dict(fleet.upstreams)
+        fleet.upstreams.clear()
+        going_on = asyncio.create_task(self._go_on("old"))
+        await asyncio.sleep(0.3)
+        for upstream in known.values():
+            fleet.put(upstream.record)
+        self.assertEqual(200, (await going_on).status)
+
     async def test_caller_does_not_name_its_request(self):
         self.assertEqual(503, (await self._go_on("")).status)
         self.assertEqual([], self.old.arrivals + self.new.arrivals)
