--- a/acaciaspoke/gateway/stream_store.py
+++ b/acaciaspoke/gateway/stream_store.py
@@ -330,6 +330,7 @@
     # Default versions.
 
     async def _maintain_defaults(self) -> None:
+        failing: set[ServiceId] = set()
         # Hosts that start together do not all create the rows.
         await anyio.sleep(random.uniform(0.0, CHECK_INTERVAL_S))
         while True:
@@ -337,12 +338,16 @@
             for service in self._versions.services:
                 try:
                     await self._maintain_default(service)
+                    failing.discard(service)
                 except (TableUnavailable, OutcomeUnknown) as error:
-                    logger.warning(
-                        "the default version of {} is not read or written: {}",
-                        service,
-                        error,
-                    )
+                    if service not in failing:
+                        failing.add(service)
+                        logger.warning(
+                            "the default version of {} is not read or written:"
+                            " {}",
+                            service,
+                            error,
+                        )
             await anyio.sleep(CHECK_INTERVAL_S)
 
     async def _maintain_default(self, service: ServiceId) -> None:
--- a/test/gateway/test_stream_store.py
+++ b/test/gateway/test_stream_store.py
@@ -254,6 +254,20 @@
 
 class MaintainDefaultsTest(StreamStoreTest):
 
+    async def test_failure_is_logged_once(self):
+        reads = []
+
+        def on_read(key):
+            reads.append(key)
+            raise TableUnavailable("away")
+
+        self.store.on_read = on_read
+        self._use(_configuration("a"))
+        with mock.patch.object(stream_store, "CHECK_INTERVAL_S", 0.01):
+            with mock.patch.object(stream_store.logger, "warning") as warning:
+                await self._run_until(lambda: len(reads) >= 5)
+        self.assertEqual(1, warning.call_count)
+
     async def test_services_leave_the_routes_during_a_read(self):
         def on_read(key):
             self.versions.set_configuration(_configuration("c"))
