Load models at the version that began a waiting stream

Callers saw: a caller that went on with its stream was answered 503 after its wait, though idle engines of the stream's version could have loaded the model.

Cause: since streams go on only at the version that began them, a request may need an engine of one version. Hosts reported demand by artifact only, so the leader saw replicas at the other version and ordered no load.

Change: while several versions serve, hosts report the waiting requests whose artifact no reachable engine of their version holds, apart from the others (DemandDigest.version_demand, left out when empty). The leader weighs a replica at that version like any other: gain by priority, number and wait, the same costs and load limits, no order if none of the requests can wait for the load, and one load for a model in a round. Adapters likewise. "no order for ..." tells the version. Hosts of earlier releases ignore the field and do not send it; an earlier leader orders no load for these requests.

--- a/acaciaspoke/gateway/adapter_placement.py
+++ b/acaciaspoke/gateway/adapter_placement.py
@@ -5,12 +5,13 @@
 pure.
 """
 
-from collections.abc import Iterator, Mapping
+from collections.abc import Collection, Iterator, Mapping
 
 import xxhash
 
 from acaciaspoke.gateway.demand import TotalDemand
 from acaciaspoke.gateway.engineview import EngineView, PlannedOrder, free_mb
+from acaciaspoke.gateway.messages import VersionDemand
 from acaciaspoke.gateway.replicas import TARGET_SHARE
 from acaciaspoke.gateway.types import Artifact, EngineSpec
 from acaciaspoke.ids import UpstreamId
@@ -21,42 +22,57 @@
     engines: list[EngineView],
     demands: Mapping[Artifact, TotalDemand],
     spec: EngineSpec,
+    version_demand: Collection[VersionDemand] = (),
 ) -> Iterator[PlannedOrder]:
-    """Yields the adapter orders to send now, at most one for each engine."""
+    """Yields the adapter orders to send now, at most one for each engine.
+
+    Args:
+        engines: The engines of a service.
+        demands: The demand for their artifacts.
+        spec: The properties that the engines share.
+        version_demand: Requests that wait for engines of their version.
+    """
     available = {
         engine.name: engine
         for engine in engines
         if engine.accepts_adapter_order
     }
-    waiting = [
-        total
+    waiting: list[tuple[TotalDemand | VersionDemand, list[EngineView]]] = [
+        (total, engines)
         for artifact, total in demands.items()
         if artifact.adapter is not None and total.waiting
     ]
-    waiting.sort(key=lambda total: (total.priority, -total.oldest_s))
-    for total in waiting:
-        order = _plan_adapter(total, engines, available, demands, spec)
+    waiting += [
+        (item, [each for each in engines if each.version == item.version])
+        for item in version_demand
+        if item.artifact.adapter is not None
+    ]
+    waiting.sort(key=lambda entry: (entry[0].priority, -entry[0].oldest_s))
+    for total, suitable in waiting:
+        order = _plan_adapter(
+            total.artifact, suitable, available, demands, spec
+        )
         if order is not None:
             del available[order.upstream]
             yield order
 
 
 def _plan_adapter(
-    total: TotalDemand,
+    artifact: Artifact,
     engines: list[EngineView],
     available: Mapping[UpstreamId, EngineView],
     demands: Mapping[Artifact, TotalDemand],
     spec: EngineSpec,
 ) -> PlannedOrder | None:
-    artifact = total.artifact
     holders = [engine for engine in engines if artifact in engine.adapters]
     if any(engine.load_share < 1 for engine in holders):
         return None  # It runs as soon as its host receives the notice.
     candidates = sorted(
         (
             engine
-            for engine in available.values()
-            if artifact.model in engine.models
+            for engine in engines
+            if engine.name in available
+            and artifact.model in engine.models
             and artifact.model not in engine.unloading_models
             and artifact not in engine.adapters
         ),
--- a/acaciaspoke/gateway/demand.py
+++ b/acaciaspoke/gateway/demand.py
@@ -8,10 +8,12 @@
 from acaciaspoke.gateway.messages import (
     ArtifactDemand,
     DemandDigest,
+    VersionDemand,
     is_superseded,
 )
 from acaciaspoke.gateway.types import Artifact
 from acaciaspoke.gateway.unserved import UnservedTimes
+from acaciaspoke.gateway.version_demand import sum_version_demand
 from acaciaspoke.ids import (
     BootId,
     HostId,
@@ -278,6 +280,14 @@
         }
         self._unserved.update(oldest_by_model_s, running, now_s)
 
+    def by_version(self, now_s: float) -> list[VersionDemand]:
+        """Returns the requests that wait for engines of their version."""
+        return sum_version_demand(
+            item
+            for digest in self._fresh(now_s)
+            for item in digest.version_demand
+        )
+
     def running(self, now_s: float) -> dict[UpstreamId, Counter[Artifact]]:
         """Returns the requests at each engine, by artifact."""
         running: dict[UpstreamId, Counter[Artifact]] = {}
--- a/acaciaspoke/gateway/digests.py
+++ b/acaciaspoke/gateway/digests.py
@@ -135,6 +135,7 @@
             boot=self._boot,
             sequence=self._next_sequence(),
             demand=self._dispatcher.demand(now_s, full),
+            version_demand=self._dispatcher.version_demand(now_s),
             running=running_by_artifact(self._dispatcher.fleet),
         )
         leader = self._leader_host()
--- a/acaciaspoke/gateway/dispatch.py
+++ b/acaciaspoke/gateway/dispatch.py
@@ -20,7 +20,7 @@
 from acaciaspoke.gateway.estimates import Estimates, priority_key
 from acaciaspoke.gateway.fleet import Fleet
 from acaciaspoke.gateway.local_demand import LocalDemand
-from acaciaspoke.gateway.messages import ArtifactDemand
+from acaciaspoke.gateway.messages import ArtifactDemand, VersionDemand
 from acaciaspoke.gateway.retry_budget import RetryBudget
 from acaciaspoke.gateway.stream_versions import StreamVersions
 from acaciaspoke.gateway.types import (
@@ -30,6 +30,10 @@
     Request,
 )
 from acaciaspoke.gateway.upstream import Upstream
+from acaciaspoke.gateway.version_demand import (
+    lack_version,
+    report_version_demand,
+)
 from acaciaspoke.ids import (
     DomainId,
     RequestId,
@@ -377,14 +381,33 @@
             now_s: The current time.
             full: Whether to include artifacts without recent requests.
         """
+        others = lack_version(self._waiting.values(), self.fleet, now_s)
         return self._demand.report(
-            self._waiting.values(),
+            (
+                request
+                for request in self._waiting.values()
+                if request not in others
+            ),
             now_s,
             full,
             lambda request: self.estimates.latest_start_s(request, now_s),
             self._has_model,
         )
 
+    def version_demand(self, now_s: float) -> tuple[VersionDemand, ...]:
+        """Returns the requests that wait for an engine of their version."""
+        return report_version_demand(
+            (
+                request
+                for request in lack_version(
+                    self._waiting.values(), self.fleet, now_s
+                )
+                if self._has_model(request.service, request.artifact)
+            ),
+            now_s,
+            lambda request: self.estimates.latest_start_s(request, now_s),
+        )
+
     def _has_model(self, service_id: ServiceId, artifact: Artifact) -> bool:
         if self._configuration is None:
             return True
--- a/acaciaspoke/gateway/engine_tracker.py
+++ b/acaciaspoke/gateway/engine_tracker.py
@@ -220,6 +220,7 @@
             reserved=self.reserved,
             running=by_model,
             cached_models=frozenset(self.cached_models),
+            version=self.record.version,
         )
 
     def _apply(self, order: PlannedOrder, now_s: float) -> None:
--- a/acaciaspoke/gateway/engineview.py
+++ b/acaciaspoke/gateway/engineview.py
@@ -6,7 +6,7 @@
 import msgspec
 
 from acaciaspoke.gateway.types import Artifact, EngineSpec
-from acaciaspoke.ids import DomainId, ModelId, UpstreamId
+from acaciaspoke.ids import DomainId, ModelId, SoftwareVersion, UpstreamId
 from acaciaspoke.platform.engine import OrderAction
 
 
@@ -24,6 +24,7 @@
         reserved: The model for which memory was freed.
         running: Requests of all hosts, by model.
         cached_models: Models that it can load without the weight store.
+        version: The version of its software.
     """
 
     name: UpstreamId
@@ -39,6 +40,7 @@
     reserved: ModelId | None = None
     running: Counter[ModelId] = msgspec.field(default_factory=Counter)
     cached_models: frozenset[ModelId] = frozenset()
+    version: SoftwareVersion = SoftwareVersion("")
 
     @property
     def load_share(self) -> float:
--- a/acaciaspoke/gateway/leader.py
+++ b/acaciaspoke/gateway/leader.py
@@ -152,7 +152,7 @@
     def apply_demand(self, digest: DemandDigest) -> None:
         """Updates the demand of a host."""
         self.demand.apply(digest, time.monotonic())
-        if any(item.waiting for item in digest.demand):
+        if digest.version_demand or any(item.waiting for item in digest.demand):
             self.wake()
 
     def wake(self) -> None:
@@ -334,6 +334,11 @@
             for artifact, total in self.demand.totals(now_s).items()
             if total.service == service and artifact.model in spec.models
         }
+        version_demand = [
+            item
+            for item in self.demand.by_version(now_s)
+            if item.service == service and item.artifact.model in spec.models
+        ]
         running = self.demand.running(now_s)
         engines = [
             tracker.view(running.get(name, Counter()), now_s)
@@ -349,13 +354,14 @@
             now_s,
             observed_s=self.demand.observed_s(now_s),
             on_unplaced=functools.partial(
-                self._unplaced_log.record, demands, now_s
+                self._unplaced_log.record, demands, version_demand, now_s
             ),
+            version_demand=version_demand,
         )
         assigned = {order.upstream for order in orders}
         orders.extend(
             order
-            for order in plan_adapters(engines, demands, spec)
+            for order in plan_adapters(engines, demands, spec, version_demand)
             if order.upstream not in assigned
         )
         return orders
--- a/acaciaspoke/gateway/messages.py
+++ b/acaciaspoke/gateway/messages.py
@@ -20,6 +20,7 @@
     ModelId,
     PartId,
     ServiceId,
+    SoftwareVersion,
     UpstreamId,
 )
 from acaciaspoke.platform.versions import MAX_ERA, NUMBER_BITS, to_version
@@ -195,15 +196,40 @@
     patience_s: float = math.inf
 
 
+class VersionDemand(msgspec.Struct, frozen=True, array_like=True):
+    """Waiting requests that only engines of one software version can run.
+
+    Attributes:
+        waiting: Number of requests that wait now.
+        priority: Priority of the most urgent one.
+        oldest_s: How long the oldest one has waited.
+        remaining_s: The longest time for which one of them can go on waiting
+            until it is sent to an engine.
+    """
+
+    service: ServiceId
+    artifact: Artifact
+    version: SoftwareVersion
+    waiting: int
+    priority: int
+    oldest_s: float
+    remaining_s: float
+
+
 class DemandDigest(_Message, kw_only=True):
     """Demand for and use of artifacts; to the leader.
 
     Attributes:
-        demand: Demand for each artifact that was requested lately.
+        demand: Demand for each artifact that was requested lately, without the
+            requests that ``version_demand`` counts as waiting.
+        version_demand: Requests that wait because no engine of the only version
+            that can run them holds their artifact. Hosts of earlier releases
+            neither send nor read it.
         running: Number of requests at each engine, by artifact.
     """
 
     demand: tuple[ArtifactDemand, ...] = ()
+    version_demand: tuple[VersionDemand, ...] = ()
     running: dict[UpstreamId, tuple[tuple[Artifact, int], ...]] = {}
 
 
--- a/acaciaspoke/gateway/placement.py
+++ b/acaciaspoke/gateway/placement.py
@@ -5,22 +5,26 @@
 a busy model gets more replicas as its engines fill up. All functions are pure.
 """
 
-from collections.abc import Callable, Iterator, Mapping
+from collections.abc import Callable, Collection, Iterator, Mapping
 from enum import Enum
 from typing import NamedTuple
 
 from acaciaspoke.gateway.demand import TotalDemand
 from acaciaspoke.gateway.engine_speed import DEFAULT_PREFILL_TOKENS_PER_S
 from acaciaspoke.gateway.engineview import EngineView, PlannedOrder, free_mb
+from acaciaspoke.gateway.messages import VersionDemand
 from acaciaspoke.gateway.replicas import (
     SPARE_REPLICA_MIN_DEMAND,
     SPARE_REPLICA_SHARE,
     TARGET_SHARE,
+    WAITING_GAIN_PER_S,
+    Addition,
     Replicas,
     target_share,
 )
 from acaciaspoke.gateway.types import Artifact, EngineSpec
-from acaciaspoke.ids import ModelId, UpstreamId
+from acaciaspoke.gateway.version_placement import version_replicas_to_add
+from acaciaspoke.ids import ModelId, SoftwareVersion, UpstreamId
 from acaciaspoke.platform.engine import OrderAction
 
 # An engine counts as full if at least this share of its slots is in use.
@@ -40,10 +44,6 @@
 # the weight store take up to ten times as long as from host memory or disk.
 DELAY_COST_PER_S = 0.5
 
-# Gain of a model without replica for each second that requests for it have
-# waited, by weight; keeps busier models from starving it.
-WAITING_GAIN_PER_S = 0.7
-
 # Time from planning a load until it begins: the order, and an unload before it.
 ORDER_DELAY_S = 0.5
 
@@ -88,12 +88,14 @@
     Attributes:
         gain: The gain of a replica.
         least_cost: The least cost of one; None if no engine was examined.
+        version: The only software version at which it is useful, if any.
     """
 
     model: ModelId
     obstacle: Obstacle
     gain: float
     least_cost: ReplicaCost | None = None
+    version: SoftwareVersion | None = None
 
 
 def plan_models(
@@ -105,8 +107,11 @@
     prefill_tokens_per_s: float = DEFAULT_PREFILL_TOKENS_PER_S,
     observed_s: float = 0.0,
     on_unplaced: Callable[[Unplaced], None] = lambda unplaced: None,
+    version_demand: Collection[VersionDemand] = (),
 ) -> list[PlannedOrder]:
-    """Returns the model orders to send now, at most one for each engine.
+    """Returns the model orders to send now.
+
+    There is at most one for each engine and for each model that gets a replica.
 
     Args:
         engines: The engines of a service.
@@ -118,6 +123,7 @@
         observed_s: For how long the demand has been observed.
         on_unplaced: Called with each model that should get a replica, but for
             which no order is sent.
+        version_demand: Requests that wait for engines of their version.
     """
     replicas = Replicas(
         engines, demands, spec, now_s, prefill_tokens_per_s, observed_s
@@ -125,17 +131,25 @@
     available = {
         engine.name: engine for engine in engines if engine.accepts_model_order
     }
-    orders = list(_reserved_loads(available, replicas, spec))
+    needed = {item.artifact.model for item in version_demand}
+    orders = list(_reserved_loads(available, replicas, spec, needed))
     for order in orders:
         engine = available.pop(order.upstream)
         cold_loads -= order.artifact.model not in engine.cached_models
-    for model, gain, reason in _replicas_to_add(replicas, spec):
-        order = _plan_replica(
-            model, gain, reason, available, replicas, spec, cold_loads
-        )
+    additions = [
+        *_replicas_to_add(replicas, spec),
+        *version_replicas_to_add(version_demand, replicas),
+    ]
+    added: set[ModelId] = set()
+    for addition in sorted(additions, key=lambda each: -each.gain):
+        model = addition.model
+        if model in added:
+            continue
+        order = _plan_replica(addition, available, replicas, spec, cold_loads)
         if isinstance(order, Unplaced):
             on_unplaced(order)
             continue
+        added.add(model)
         orders.append(order)
         engine = available.pop(order.upstream)
         if order.action is OrderAction.LOAD:
@@ -152,13 +166,18 @@
     available: Mapping[UpstreamId, EngineView],
     replicas: Replicas,
     spec: EngineSpec,
+    needed: Collection[ModelId],
 ) -> Iterator[PlannedOrder]:
     for engine in available.values():
         model = engine.reserved
         if model is None or model in engine.models or model not in spec.models:
             continue
         fits = free_mb(engine, spec) >= spec.models[model].weights_mb
-        has_demand = replicas.waiting[model] or replicas.rate[model] > 0.1
+        has_demand = (
+            replicas.waiting[model]
+            or replicas.rate[model] > 0.1
+            or model in needed
+        )
         if fits and (has_demand or model not in replicas.priority):
             yield PlannedOrder(
                 engine.name, OrderAction.LOAD, Artifact(model), "room made"
@@ -167,8 +186,7 @@
 
 def _replicas_to_add(
     replicas: Replicas, spec: EngineSpec
-) -> list[tuple[ModelId, float, str]]:
-    additions = []
+) -> Iterator[Addition]:
     for model in spec.models:
         holders = replicas.holders[model]
         weight = replicas.weight.get(model, 1.0)
@@ -177,15 +195,15 @@
             if replicas.waiting[model]:
                 gain = weight * (demand + replicas.waiting[model])
                 gain += weight * WAITING_GAIN_PER_S * replicas.unserved_s(model)
-                additions.append((model, gain, "no copy"))
+                yield Addition(model, gain, "no copy")
             elif demand >= 1:
                 # Its requests are refused on arrival, as they can't wait for a
                 # load; the next ones find the replica.
-                additions.append((model, weight * demand, "refused"))
+                yield Addition(model, weight * demand, "refused")
             elif model not in replicas.priority:
                 gain = PRELOAD_GAIN_PER_LOAD_S * spec.models[model].load_s
                 gain *= replicas.unrequested_share
-                additions.append((model, gain, "not asked for yet"))
+                yield Addition(model, gain, "not asked for yet")
             continue
         slots = sum(engine.slots for engine in holders)
         load = sum(engine.running.total() for engine in holders)
@@ -199,22 +217,20 @@
         if is_full and model not in replicas.loading_models:
             missing_slots += replicas.waiting[model]
         if missing_slots > 0 and demand >= 1:
-            additions.append((model, weight * missing_slots, "busy"))
+            yield Addition(model, weight * missing_slots, "busy")
         elif len(holders) == 1 and demand >= SPARE_REPLICA_MIN_DEMAND:
             gain = weight * SPARE_REPLICA_SHARE * demand
-            additions.append((model, gain, "one copy"))
-    return sorted(additions, key=lambda item: -item[1])
+            yield Addition(model, gain, "one copy")
 
 
 def _plan_replica(
-    model: ModelId,
-    gain: float,
-    reason: str,
+    addition: Addition,
     available: Mapping[UpstreamId, EngineView],
     replicas: Replicas,
     spec: EngineSpec,
     cold_loads: int,
 ) -> PlannedOrder | Unplaced:
+    model, gain, reason, version, _ = addition
     best: tuple | None = None
     least_cost: ReplicaCost | None = None
     obstacle = Obstacle.ENGINE
@@ -222,22 +238,22 @@
     for engine in available.values():
         if model in engine.models or engine.reserved is not None:
             continue
+        if version not in (None, engine.version):
+            continue
         if cold_loads <= 0 and model not in engine.cached_models:
             if obstacle is Obstacle.ENGINE:
                 obstacle = Obstacle.LOAD_LIMIT
             continue
         load_s = _load_s(model, engine, spec)
-        is_needed_now = not replicas.holders[model] and replicas.waiting[model]
-        if is_needed_now and replicas.is_too_late(
-            model, ORDER_DELAY_S + load_s
-        ):
+        if _is_too_late(addition, ORDER_DELAY_S + load_s, replicas):
             if obstacle is not Obstacle.COST:
                 obstacle = Obstacle.LATE
             continue
         obstacle = Obstacle.COST
         victim, eviction_cost = _victim(model, engine, replicas, spec)
-        is_waited_for = model in replicas.priority and (
-            replicas.waiting[model] or replicas.holders[model]
+        is_waited_for = version is not None or (
+            model in replicas.priority
+            and (replicas.waiting[model] or replicas.holders[model])
         )
         if not is_waited_for and replicas.is_urgent(victim):
             continue
@@ -258,7 +274,7 @@
         if best is None or cost < best[0]:
             best = (cost, engine, victim)
     if best is None:
-        return Unplaced(model, obstacle, gain, least_cost)
+        return Unplaced(model, obstacle, gain, least_cost, version)
     _, engine, victim = best
     if victim is None:
         return PlannedOrder(
@@ -273,6 +289,17 @@
     )
 
 
+def _is_too_late(
+    addition: Addition, ready_s: float, replicas: Replicas
+) -> bool:
+    """Returns whether the waiting requests cannot wait for a replica."""
+    model = addition.model
+    if addition.version is not None:
+        return addition.remaining_s < ready_s
+    is_needed_now = not replicas.holders[model] and replicas.waiting[model]
+    return bool(is_needed_now) and replicas.is_too_late(model, ready_s)
+
+
 def _replica_cost(
     gain: float,
     engine: EngineView,
--- a/acaciaspoke/gateway/replicas.py
+++ b/acaciaspoke/gateway/replicas.py
@@ -6,12 +6,12 @@
 import math
 from collections import Counter, defaultdict
 from collections.abc import Callable, Iterable, Mapping, Sequence
-from typing import Any
+from typing import Any, NamedTuple
 
 from acaciaspoke.gateway.demand import TotalDemand
 from acaciaspoke.gateway.engineview import EngineView, free_mb
 from acaciaspoke.gateway.types import Artifact, EngineSpec
-from acaciaspoke.ids import ModelId, UpstreamId
+from acaciaspoke.ids import ModelId, SoftwareVersion, UpstreamId
 
 # Lower bound of the mean time for which a request occupies a slot; once there
 # is a replica, its running requests show the actual use.
@@ -75,12 +75,31 @@
 SPARE_REPLICA_SHARE = 0.1
 SPARE_REPLICA_MIN_DEMAND = 4.0
 
+# Gain of a model without replica for each second that requests for it have
+# waited, by weight; keeps busier models from starving it.
+WAITING_GAIN_PER_S = 0.7
+
 # Routes whose requests wait for less than this beyond a load from the weight
 # store count as never waiting for one: the order, the reports of demand and
 # busy engines take up the rest of the wait.
 MIN_ORDER_WINDOW_S = 1.5
 
 
+class Addition(NamedTuple):
+    """A replica that would be useful.
+
+    Attributes:
+        version: The only software version at which it is; None if at any.
+        remaining_s: The time until which it has to be ready.
+    """
+
+    model: ModelId
+    gain: float
+    reason: str
+    version: SoftwareVersion | None = None
+    remaining_s: float = math.inf
+
+
 class Replicas:
     """The demand for each model, and the engines that hold it."""
 
--- a/acaciaspoke/gateway/unplaced.py
+++ b/acaciaspoke/gateway/unplaced.py
@@ -1,10 +1,11 @@
 """Logs why models with waiting requests get no order."""
 
-from collections.abc import Mapping
+from collections.abc import Collection, Mapping
 
 from loguru import logger
 
 from acaciaspoke.gateway.demand import TotalDemand
+from acaciaspoke.gateway.messages import VersionDemand
 from acaciaspoke.gateway.metrics import GatewayMetrics
 from acaciaspoke.gateway.placement import Unplaced
 from acaciaspoke.gateway.types import Artifact
@@ -24,6 +25,7 @@
     def record(
         self,
         demands: Mapping[Artifact, TotalDemand],
+        version_demand: Collection[VersionDemand],
         now_s: float,
         unplaced: Unplaced,
     ) -> None:
@@ -31,14 +33,17 @@
 
         Args:
             demands: The demand for all artifacts.
+            version_demand: Requests that wait for engines of their version.
             now_s: The current time.
             unplaced: The model, and what stands against an order for it.
         """
         model = unplaced.model
         waiting = [
             total
-            for artifact, total in demands.items()
-            if artifact.model == model and total.waiting
+            for total in (
+                demands.values() if unplaced.version is None else version_demand
+            )
+            if total.artifact.model == model and total.waiting
         ]
         if not waiting:
             return
@@ -55,6 +60,7 @@
             waiting=sum(total.waiting for total in waiting),
             oldest_ms=round(1000 * max(total.oldest_s for total in waiting)),
             priority=min(total.priority for total in waiting),
+            version=unplaced.version,
             gain=round(unplaced.gain, 2),
             cost={
                 name: round(value, 2) for name, value in cost._asdict().items()
--- a/test/gateway/stream_serving.py
+++ b/test/gateway/stream_serving.py
@@ -111,7 +111,7 @@
             async with pool.stream(
                 "POST",
                 f"http://{address}{path}",
-                headers=self.headers(Acaciaspoke_Model="m1", **headers),
+                headers=self.headers(**{"Acaciaspoke_Model": "m1", **headers}),
                 content=next(_bodies),
                 extensions={"target": path.encode()},
             ) as response:
