Let stand-in workers run a software version and resumable streams

The worker that the soak runs as a process has the version of its software in its row and in the events of resumable streams, goes on after Last-Event-Id without checking the version, and refuses requests for another instance, as the platform's workers do.

--- a/standins/worker_process.py
+++ b/standins/worker_process.py
@@ -1,13 +1,16 @@
 """Runs one worker as a process; the arguments are those of ``_main``.
 
 It echoes requests, prints a line for each run and renews its row in a metadata
-store. At SIGUSR1 it reports that it drains; at the next one it is ready, and
-says that its process has started again, as a process that has drained ends.
+store. Events of resumable streams name its software version; like workers of
+the platform it goes on after an event of any version. At SIGUSR1 it reports
+that it drains; at the next one it is ready, and says that its process has
+started again, as a process that has drained ends.
 """
 
 import asyncio
 import contextlib
 import copy
+import functools
 import itertools
 import signal
 import sys
@@ -20,12 +23,25 @@
 
 EVENTS = 6
 
+# Streams below this path can go on.
+RESUMABLE_PREFIX = "/resume/"
+RESUMABLE_EVENTS = 16
+RESUMABLE_INTERVAL_S = 0.04
+
 # The interval of the platform's workers.
 RENEWAL_INTERVAL_S = 1.2
 
 
-async def run(arrival: Arrival) -> None:
+async def run(worker: Worker, arrival: Arrival) -> None:
     """Echoes the request's body, at once or in events."""
+    expected = arrival.headers.get("acaciaspoke-expect-instance")
+    if expected not in (None, worker.name):
+        not_executed = {"Acaciaspoke-Not-Executed": "1"}
+        await arrival.answer(421, b"", not_executed)
+        return
+    if arrival.target.startswith(RESUMABLE_PREFIX):
+        await _run_resumable(worker, arrival)
+        return
     text = arrival.body.decode()
     print(f"ran {text}", flush=True)
     if not arrival.target.startswith("/stream"):
@@ -42,6 +58,22 @@
     await arrival.writer.drain()
 
 
+async def _run_resumable(worker: Worker, arrival: Arrival) -> None:
+    # The body is that of the stream, over all requests for it.
+    print(f"ran {arrival.id}", flush=True)
+    text = arrival.body.decode()
+    last = int(arrival.headers.get("last-event-id", 0))
+    await arrival.stream(end=False)
+    for number in range(last + 1, RESUMABLE_EVENTS + 1):
+        await asyncio.sleep(RESUMABLE_INTERVAL_S)
+        data = f"{text} {number} {worker.version}"
+        event = f"id: {number}\ndata: {data}\n\n".encode()
+        arrival.writer.write(b"%x\r\n%s\r\n" % (len(event), event))
+        await arrival.writer.drain()
+    arrival.writer.write(b"0\r\n\r\n")
+    await arrival.writer.drain()
+
+
 class Registration:
     """Renews a worker's row in a metadata store."""
 
@@ -95,10 +127,20 @@
     service: str,
     slots: str,
     born: str,
+    version: str,
     *models: str,
 ) -> None:
     held = {model: [] for model in models}
-    worker = Worker(name, service, address, held, run, int(slots), int(born))
+    worker = Worker(
+        name,
+        service,
+        address,
+        held,
+        slots=int(slots),
+        born=int(born),
+        version=version,
+    )
+    worker.script = functools.partial(run, worker)
     registration = Registration(worker, row_address, store)
     asyncio.get_running_loop().add_signal_handler(
         signal.SIGUSR1, registration.toggle
