Soak: releases of engines, and callers that go on with broken streams

No stream may hold events of two versions, miss an event, hold one twice or look complete too early; of the streams that can go on, half of the share of new ones must. The plans of known seeds stay as they are without the option.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -14,8 +14,10 @@
 
 from soak.callers import Callers, Kind
 from soak.deployment import Deployment
+from soak.joins import count_shares, find_refused, find_stream_violations
 from soak.plan import MIN_PROCESSES, Plan, make_plan
 from soak.promises import find_violations
+from soak.streams import StreamCallers
 
 LENGTH_S = 12.0
 
@@ -50,9 +52,12 @@
 async def _run(plan: Plan, folder: Path) -> list[str]:
     async with Deployment(plan, folder) as deployment:
         callers = Callers(deployment, plan.seed)
+        streams = StreamCallers(deployment, plan.seed)
         async with asyncio.TaskGroup() as tasks:
             for _ in range(CALLERS_PER_GATEWAY * plan.gateways):
                 tasks.create_task(callers.run_caller())
+                if plan.added_engines:
+                    tasks.create_task(streams.run_caller())
             async with asyncio.TaskGroup() as faults:
                 begin_s = time.monotonic()
                 for fault in plan.faults:
@@ -60,6 +65,7 @@
                     await asyncio.sleep(max(0.0, delay_s))
                     faults.create_task(deployment.apply(fault))
             callers.stop()
+            streams.stop()
         violations = [
             line async for line in _check_recovery(deployment, callers)
         ]
@@ -69,6 +75,10 @@
             deployment.outages,
             deployment.broken_s,
         )
+        if plan.added_engines:
+            violations += [
+                line async for line in _check_streams(deployment, streams)
+            ]
         answered = sum(one.status == 200 for one in callers.outcomes)
         print(
             f"seed {plan.seed}: {len(plan.faults)} faults,"
@@ -102,19 +112,46 @@
                     await asyncio.sleep(0.2)
 
 
+async def _check_streams(deployment: Deployment, callers: StreamCallers):
+    """Yields what was wrong with resumable streams; prints their shares."""
+    shares = count_shares(
+        callers.streams, deployment.injected, deployment.engines
+    )
+    print(f"seed {deployment.plan.seed}: {shares}", flush=True)
+    for line in find_refused(shares):
+        yield line
+    deadline_s = time.monotonic() + RECOVERY_S
+    for gateway in range(len(deployment.gateway_addresses)):
+        while not (await callers.read([gateway])).is_complete:
+            if time.monotonic() > deadline_s:
+                yield f"gateway{gateway}: no resumable stream is complete"
+                break
+    for line in find_stream_violations(
+        callers.streams,
+        deployment.runs(),
+        deployment.outages,
+        deployment.broken_s,
+    ):
+        yield line
+
+
 def run_seed(
-    seed: int, length_s: float, processes: int, restores: int = 0
+    seed: int,
+    length_s: float,
+    processes: int,
+    restores: int = 0,
+    releases: int = 0,
 ) -> list[str]:
     """Runs one seed; keeps its logs if a guarantee was violated."""
     folder = Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
-    plan = make_plan(seed, length_s, processes, restores)
+    plan = make_plan(seed, length_s, processes, restores, releases)
     violations = asyncio.run(_run(plan, folder))
     if violations:
         print(f"  logs: {folder}")
         for fault in plan.faults:
             print(
                 f"  {fault.at_s:6.2f} s {fault.kind.name} {fault.target}"
-                f" for {fault.duration_s:.2f} s"
+                f" for {fault.duration_s:.2f} s {fault.version}"
             )
     else:
         shutil.rmtree(folder)
@@ -143,6 +180,13 @@
     show_default=True,
     help="How often the store is restored from a copy in each run.",
 )
+@click.option(
+    "--releases",
+    type=click.IntRange(0, 20),
+    default=0,
+    show_default=True,
+    help="How often engines get another software version in each run.",
+)
 def main(
     seed: int | None,
     minutes: float,
@@ -150,6 +194,7 @@
     regressions: bool,
     length_s: float,
     restores: int,
+    releases: int,
 ) -> None:
     """Runs seeds one after the other; fails if a guarantee was violated."""
     # Unwinds like an interrupt, so that the started processes are killed.
@@ -166,7 +211,9 @@
     deadline_s = time.monotonic() + 60 * minutes
     is_broken = False
     while True:
-        is_broken |= bool(run_seed(seed, length_s, processes, restores))
+        is_broken |= bool(
+            run_seed(seed, length_s, processes, restores, releases)
+        )
         seed += 1
         if time.monotonic() >= deadline_s:
             break
--- a/soak/deployment.py
+++ b/soak/deployment.py
@@ -3,6 +3,7 @@
 import asyncio
 import itertools
 import json
+import math
 import os
 import random
 import signal
@@ -14,6 +15,8 @@
 from pathlib import Path
 from typing import NamedTuple, Self
 
+import msgspec
+
 from soak.plan import Fault, FaultKind, Plan
 from soak.proxy import Proxy
 from standins import client
@@ -38,6 +41,13 @@
 # The shortest idle limit of a configuration.
 MIN_IDLE_MS = 500
 
+# The timeout of resumable streams; their callers wait for longer, over several
+# requests.
+RESUMABLE_TIMEOUT_MS = 8000
+
+# How long a worker that leaves for a release runs its streams on.
+RELEASE_DRAIN_S = 0.4
+
 # Every third change of the configuration is a series of this many versions.
 SERIES = 4
 
@@ -49,11 +59,15 @@
     return f"127.{high + 1}.{low + 1}.{next(_hosts) % 250 + 1}"
 
 
-def configuration(version: int) -> dict:
+def configuration(version: int, *, has_resumable: bool = False) -> dict:
     """Returns a version of the configuration, with a route of its own.
 
     Later versions draw the limits of connections, the timeouts and the number
     of routes.
+
+    Args:
+        version: The version.
+        has_resumable: Whether there is a route with resumable streams.
     """
     rng = random.Random(version)
     engine = engine_spec(("m1", "m2"), slots=SLOTS)
@@ -70,6 +84,11 @@
         route("/unsafe/", "unsafe", "app"),
         route(f"/version-{version}/", "safe", "app"),
     ]
+    if has_resumable:
+        resumable = {"resumable": True, "timeout-ms": RESUMABLE_TIMEOUT_MS}
+        routes.append(
+            gateway_route("/resume/", "streaming", "llm", **resumable)
+        )
     limits = {}
     if not is_first:
         limits["idle-timeout-ms"] = rng.choice([MIN_IDLE_MS, 2000, 15000])
@@ -100,6 +119,27 @@
     is_stop: bool = False
 
 
+class InjectedFault(msgspec.Struct):
+    """A fault, and how long it really lasted.
+
+    Attributes:
+        end_s: When it had been repaired.
+    """
+
+    fault: Fault
+    begin_s: float
+    end_s: float = math.inf
+
+
+class ServingEngine(msgspec.Struct):
+    """An engine between its start and the moment when it leaves or ends."""
+
+    number: int
+    version: str
+    begin_s: float
+    end_s: float = math.inf
+
+
 class Deployment:
     """Gateways, and workers and a store behind proxies; a context manager.
 
@@ -107,6 +147,8 @@
         gateway_addresses: Addresses of the gateways.
         outages: Outages of the gateways.
         broken_s: When connections to workers were broken.
+        injected: The faults that were injected.
+        engines: Where engines served, and when.
         version: Current version of the configuration.
     """
 
@@ -117,12 +159,18 @@
         ]
         self.outages: list[Outage] = []
         self.broken_s: list[float] = []
+        self.injected: list[InjectedFault] = []
+        self.engines: list[ServingEngine] = []
         self.version = 1
         self._folder = folder
         self._processes: dict[str, subprocess.Popen] = {}
         self._locks: dict[str, asyncio.Lock] = {}
         self._operator_lock = asyncio.Lock()
         self._stopping: set[str] = set()
+        self._software = dict.fromkeys(self._workers, "v1")
+        # A worker has another id after a release.
+        self._ids = {number: f"worker{number}" for number in self._workers}
+        self._ended_ids: list[str] = []
         # A worker that comes back after it has drained counts up from its own.
         self._boot_numbers = itertools.count(BOOTS_STEP, BOOTS_STEP)
         self._store = f"{_next_ip()}:{STANDIN_PORT}"
@@ -142,7 +190,7 @@
 
     @property
     def _workers(self) -> range:
-        return range(self.plan.workers)
+        return range(self.plan.workers + self.plan.added_engines)
 
     async def __aenter__(self) -> Self:
         await self._stack.__aenter__()
@@ -186,17 +234,30 @@
             )
 
     async def _start_worker(self, number: int) -> None:
-        service, models = ("llm", ["m1"]) if number % 2 else ("app", [])
+        is_engine = number in self.plan.engines
+        service, models = ("llm", ["m1"]) if is_engine else ("app", [])
         proxy = self._worker_proxies[number]
         name, born = f"worker{number}", str(next(self._boot_numbers))
         self._start(
             name,
             "standins.worker_process",
             *(proxy.target, proxy.address, self._store),
-            *(name, service, str(SLOTS), born),
-            *models,
+            *(self._ids[number], service, str(SLOTS), born),
+            *(self._software[number], *models),
         )
         await self._wait_until_reachable(proxy.target, "/report")
+        self._record_serving(number)
+
+    def _record_serving(self, number: int) -> None:
+        if number in self.plan.engines:
+            self.engines.append(
+                ServingEngine(number, self._software[number], time.monotonic())
+            )
+
+    def _record_end(self, number: int) -> None:
+        for engine in self.engines:
+            if engine.number == number:
+                engine.end_s = min(engine.end_s, time.monotonic())
 
     def _start_gateway(self, number: int) -> None:
         ip = self.gateway_addresses[number].split(":")[0]
@@ -252,7 +313,9 @@
     async def _write_configuration(self) -> None:
         """Writes the current configuration as the operator."""
         async with self._operator_lock:
-            document = configuration(self.version)
+            document = configuration(
+                self.version, has_resumable=self.plan.added_engines > 0
+            )
             body = client.encode_row("op", "config", document)
             await self._post_to_store("/rows-tx", body)
 
@@ -270,7 +333,10 @@
 
     async def apply(self, fault: Fault) -> None:
         """Injects a fault and repairs it after its duration."""
+        injected = InjectedFault(fault, time.monotonic())
+        self.injected.append(injected)
         await _FAULTS[fault.kind](self, fault)
+        injected.end_s = time.monotonic()
 
     async def _kill_gateway(self, fault: Fault) -> None:
         await self._restart_gateway(fault, signal.SIGKILL)
@@ -326,12 +392,58 @@
         if lock.locked():
             return
         async with lock:
-            self.broken_s.append(time.monotonic())
-            self._signal(name, signal.SIGKILL)
-            await asyncio.to_thread(self._processes[name].wait)
+            await self._end_worker(fault.target)
             await asyncio.sleep(fault.duration_s)
             await self._start_worker(fault.target)
 
+    async def _end_worker(self, number: int) -> None:
+        self.broken_s.append(time.monotonic())
+        self._record_end(number)
+        self._signal(f"worker{number}", signal.SIGKILL)
+        await asyncio.to_thread(self._processes[f"worker{number}"].wait)
+
+    async def _release(self, fault: Fault) -> None:
+        numbers = itertools.islice(
+            itertools.cycle(self.plan.engines),
+            fault.target,
+            fault.target + fault.engines,
+        )
+        async with asyncio.TaskGroup() as tasks:
+            for number in numbers:
+                tasks.create_task(self._replace_worker(number, fault.version))
+                await asyncio.sleep(fault.duration_s / fault.engines)
+
+    async def _replace_worker(self, number: int, version: str) -> None:
+        name = f"worker{number}"
+        async with self._locks.setdefault(name, asyncio.Lock()):
+            if self._software[number] == version:
+                return
+            self._record_end(number)
+            self._signal(name, signal.SIGUSR1)
+            await asyncio.sleep(RELEASE_DRAIN_S)
+            await self._end_worker(number)
+            boot = next(self._boot_numbers)
+            self._ended_ids.append(self._ids[number])
+            self._ids[number] = f"{name}-{boot}"
+            self._software[number] = version
+            await self._remove_ended_rows()
+            await self._start_worker(number)
+
+    async def _remove_ended_rows(self) -> None:
+        """Removes the rows of workers that have ended, as the platform does."""
+        rows = [
+            {"table": "servers", "part": "", "key": key}
+            for key in self._ended_ids
+        ]
+        body = json.dumps({"remove": rows}).encode()
+        await self._post_to_store("/rows-tx", body)
+
+    async def _kill_all_gateways(self, fault: Fault) -> None:
+        async with asyncio.TaskGroup() as tasks:
+            for number in self._gateways:
+                one = msgspec.structs.replace(fault, target=number)
+                tasks.create_task(self._kill_gateway(one))
+
     async def _pause_worker(self, fault: Fault) -> None:
         await self._pause(f"worker{fault.target}", fault.duration_s)
 
@@ -340,9 +452,11 @@
         if lock.locked():
             return
         async with lock:
+            self._record_end(fault.target)
             self._signal(f"worker{fault.target}", signal.SIGUSR1)
             await asyncio.sleep(fault.duration_s)
             self._signal(f"worker{fault.target}", signal.SIGUSR1)
+            self._record_serving(fault.target)
 
     async def _delay(self, proxy: Proxy, duration_s: float) -> None:
         proxy.delay_s = duration_s / 10
@@ -405,6 +519,8 @@
         await asyncio.sleep(fault.duration_s)
         await self._post_to_store("/standin/restore", answer.body)
         await self._post_to_store("/standin/faults", b"{}")
+        if self._ended_ids:
+            await self._remove_ended_rows()
         # Workers renew their rows at intervals.
         await self._write_configuration()
 
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -15,6 +15,30 @@
 MIN_COPY_AGE_S = 0.5
 MAX_COPY_AGE_S = 6.0
 
+# With releases, engines that only they restart are added to the processes.
+RELEASE_ENGINES = 4
+
+# How soon one engine follows the other in a release.
+MIN_RELEASE_GAP_S = 0.1
+MAX_RELEASE_GAP_S = 0.6
+
+# Share of the releases that go back to the version of before.
+ROLLBACK_SHARE = 0.3
+
+# All gateways are killed up to this long after the begin of a release.
+MAX_KILL_DELAY_S = 4.0
+MAX_POWER_LOSS_S = 1.0
+
+# Breaks of single engines for each release.
+BREAKS_PER_RELEASE = 4
+
+# After the other faults of a run with releases only these happen: when all
+# gateways are killed, when one of them is, and how long this phase is.
+LAST_KILL_OF_ALL_S = 1.5
+LAST_KILLS_OF_ONE_S = (4.5, 6.0)
+LAST_KILL_S = 0.5
+LAST_PHASE_S = LAST_KILLS_OF_ONE_S[-1] + LAST_KILL_S
+
 # Share of the processes that are gateways; one other process is the store.
 GATEWAY_SHARE = 0.4
 
@@ -42,12 +66,19 @@
     LOSE_ANSWERS = "apply writes at the store without an answer"
     CHANGE_CONFIGURATION = "a new version of the configuration"
     RESTORE_STORE = "the store is away and comes back from a copy"
+    RELEASE = "engines come back one after the other at another version"
+    KILL_ALL_GATEWAYS = "kill all gateways at once and start them again"
 
 
-# Kinds that ``Plan.faults`` has without an option.
-_COMMON_KINDS = [
-    kind for kind in FaultKind if kind is not FaultKind.RESTORE_STORE
-]
+# Kinds that ``Plan.faults`` has only with an option.
+_OPTIONAL_KINDS = frozenset(
+    [
+        FaultKind.RESTORE_STORE,
+        FaultKind.RELEASE,
+        FaultKind.KILL_ALL_GATEWAYS,
+    ]
+)
+_COMMON_KINDS = [kind for kind in FaultKind if kind not in _OPTIONAL_KINDS]
 
 
 class Fault(msgspec.Struct, frozen=True):
@@ -56,8 +87,11 @@
     Attributes:
         at_s: Begin, relative to the start of the load; when the copy is made
             if the store is restored.
-        target: Number of the gateway or worker.
+        target: Number of the gateway or worker; which engine is the first of
+            a release.
         copy_age_s: Age of the copy when the store goes away.
+        version: Software version to which a release takes engines.
+        engines: How many engines a release takes there.
     """
 
     at_s: float
@@ -65,13 +99,18 @@
     target: int
     duration_s: float
     copy_age_s: float = 0.0
+    version: str = ""
+    engines: int = 0
 
 
 class Plan(msgspec.Struct, frozen=True):
     """The faults and the size of a run.
 
     Attributes:
-        length_s: Time by which the last fault has ended.
+        workers: Number of workers, without the added engines.
+        length_s: Time by which the last fault has ended, but for the last
+            phase of runs with releases.
+        added_engines: Engines that are added for releases.
     """
 
     seed: int
@@ -79,20 +118,32 @@
     workers: int
     length_s: float
     faults: tuple[Fault, ...]
+    added_engines: int = 0
+
+    @property
+    def engines(self) -> list[int]:
+        """The numbers of the workers that are engines."""
+        added = range(self.workers, self.workers + self.added_engines)
+        return [*range(1, self.workers, 2), *added]
 
 
 def make_plan(
-    seed: int, length_s: float, processes: int, restores: int = 0
+    seed: int,
+    length_s: float,
+    processes: int,
+    restores: int = 0,
+    releases: int = 0,
 ) -> Plan:
     """Returns the plan of a seed.
 
-    The other faults are the same for any number of restores.
+    The other faults are the same for any number of restores and releases.
 
     Args:
         seed: Determines all random choices.
         length_s: Duration in which faults are injected.
         processes: Number of gateways, workers and the store together.
         restores: How often the store is restored from a copy.
+        releases: How often engines get another software version.
     """
     rng = random.Random(f"{seed} {length_s} {processes}")
     gateways = max(2, round(GATEWAY_SHARE * processes))
@@ -112,8 +163,13 @@
             )
         )
     faults += _make_restores(f"restores of {seed}", length_s, restores)
+    added_engines = RELEASE_ENGINES if releases else 0
+    plan = Plan(seed, gateways, workers, length_s, (), added_engines)
+    faults += _make_releases(plan, releases)
+    if releases:
+        faults += _make_last_phase(plan)
     faults.sort(key=lambda fault: fault.at_s)
-    return Plan(seed, gateways, workers, length_s, tuple(faults))
+    return msgspec.structs.replace(plan, faults=tuple(faults))
 
 
 def _make_restores(seed: str, length_s: float, count: int) -> Iterator[Fault]:
@@ -129,3 +185,62 @@
             duration_s=duration_s,
             copy_age_s=copy_age_s,
         )
+
+
+def _make_releases(plan: Plan, count: int) -> Iterator[Fault]:
+    """Yields releases, and the breaks of streams around each of them."""
+    rng = random.Random(f"releases of {plan.seed}")
+    before, current, newest = "v1", "v1", 1
+    for begin_s in sorted(
+        rng.uniform(0.0, plan.length_s / 2) for _ in range(count)
+    ):
+        if before != current and rng.random() < ROLLBACK_SHARE:
+            before, current = current, before
+        else:
+            newest += 1
+            before, current = current, f"v{newest}"
+        engines = rng.randint(2, len(plan.engines))
+        gap_s = rng.uniform(MIN_RELEASE_GAP_S, MAX_RELEASE_GAP_S)
+        yield Fault(
+            at_s=begin_s,
+            kind=FaultKind.RELEASE,
+            target=rng.randrange(len(plan.engines)),
+            duration_s=min(engines * gap_s, plan.length_s - begin_s),
+            version=current,
+            engines=engines,
+        )
+        kill_s = begin_s + rng.uniform(0.0, MAX_KILL_DELAY_S)
+        duration_s = rng.uniform(0.1, MAX_POWER_LOSS_S)
+        yield Fault(
+            at_s=max(0.0, min(kill_s, plan.length_s - duration_s)),
+            kind=FaultKind.KILL_ALL_GATEWAYS,
+            target=0,
+            duration_s=duration_s,
+        )
+        for _ in range(BREAKS_PER_RELEASE):
+            duration_s = rng.uniform(0.1, MAX_POWER_LOSS_S)
+            yield Fault(
+                at_s=rng.uniform(begin_s, plan.length_s - duration_s),
+                kind=rng.choice(
+                    [FaultKind.KILL_WORKER, FaultKind.RESET_WORKER]
+                ),
+                target=rng.choice(plan.engines),
+                duration_s=duration_s,
+            )
+
+
+def _make_last_phase(plan: Plan) -> Iterator[Fault]:
+    """Yields kills after which nothing prevents streams from going on."""
+    yield Fault(
+        at_s=plan.length_s + LAST_KILL_OF_ALL_S,
+        kind=FaultKind.KILL_ALL_GATEWAYS,
+        target=0,
+        duration_s=LAST_KILL_S,
+    )
+    for number, at_s in enumerate(LAST_KILLS_OF_ONE_S):
+        yield Fault(
+            at_s=plan.length_s + at_s,
+            kind=FaultKind.KILL_GATEWAY,
+            target=number,
+            duration_s=LAST_KILL_S,
+        )
--- a/soak/promises.py
+++ b/soak/promises.py
@@ -5,6 +5,7 @@
 
 from soak.callers import Kind, Outcome
 from soak.deployment import Outage
+from soak.streams import Try
 from standins.worker_process import EVENTS
 
 # With these the gateway guarantees that the request has not run and never will.
@@ -48,7 +49,7 @@
             yield f"{one.id} was answered, but not run"
         if (
             one.problem
-            and not _is_excused(one, counts[one.id] > 0, outages)
+            and not is_excused(one, counts[one.id] > 0, outages)
             and not _may_be_cut(one, broken_s)
         ):
             yield (
@@ -66,7 +67,10 @@
     )
 
 
-def _is_excused(one: Outcome, has_run: bool, outages: Iterable[Outage]) -> bool:
+def is_excused(
+    one: Outcome | Try, has_run: bool, outages: Iterable[Outage]
+) -> bool:
+    """Returns whether a request may have no answer, as its gateway was down."""
     return any(
         outage.gateway == one.gateway
         and not (outage.is_stop and has_run)
--- a/test/soak/test_soak.py
+++ b/test/soak/test_soak.py
@@ -2,13 +2,14 @@
 
 import asyncio
 import contextlib
+import itertools
 import unittest
 import zlib
 
 from soak.__main__ import run_seed
 from soak.callers import Kind, Outcome
 from soak.deployment import Outage
-from soak.plan import FaultKind, make_plan
+from soak.plan import LAST_PHASE_S, FaultKind, make_plan
 from soak.promises import find_violations
 from soak.proxy import Proxy
 from standins.worker import Worker
@@ -47,7 +48,9 @@
         self.assertNotEqual(make_plan(7, 12.0, 8), make_plan(8, 12.0, 8))
 
     def test_all_kinds_of_faults_occur(self):
-        plans = [make_plan(seed, 12, 8, restores=1) for seed in range(50)]
+        plans = [
+            make_plan(seed, 12, 8, restores=1, releases=1) for seed in range(50)
+        ]
         kinds = {fault.kind for plan in plans for fault in plan.faults}
         self.assertEqual(set(FaultKind), kinds)
 
@@ -64,10 +67,38 @@
             self.assertEqual(3, len(restores))
             self.assertEqual(make_plan(seed, 12.0, 8).faults, others)
 
+    def test_releases_leave_the_other_faults_as_they_are(self):
+        for seed in range(20):
+            with self.subTest(seed=seed):
+                plan = make_plan(seed, 12.0, 8, restores=1)
+                released = make_plan(seed, 12.0, 8, restores=1, releases=3)
+                self.assertLessEqual(set(plan.faults), set(released.faults))
+                kinds = [fault.kind for fault in released.faults]
+                self.assertEqual(3, kinds.count(FaultKind.RELEASE))
+                self.assertEqual(4, kinds.count(FaultKind.KILL_ALL_GATEWAYS))
+                self.assertEqual(
+                    (plan.gateways, plan.workers),
+                    (released.gateways, released.workers),
+                )
+
+    def test_releases_go_to_the_next_version_or_back(self):
+        is_back = set()
+        for seed in range(20):
+            faults = make_plan(seed, 12.0, 8, releases=4).faults
+            versions = ["v1", *(f.version for f in faults if f.version)]
+            for before, after in itertools.pairwise(versions):
+                self.assertNotEqual(before, after)
+                is_back.add(after < before)
+        self.assertEqual({True, False}, is_back)
+
     def test_faults_end_within_the_length(self):
         for fault in make_plan(7, 12.0, 100, restores=20).faults:
             length_s = fault.copy_age_s + fault.duration_s
             self.assertLessEqual(fault.at_s + length_s, 12.0)
+        for fault in make_plan(7, 12.0, 100, releases=20).faults:
+            self.assertLessEqual(
+                fault.at_s + fault.duration_s, 12.0 + LAST_PHASE_S
+            )
 
 
 class PromiseTest(unittest.TestCase):
@@ -194,3 +225,6 @@
 
     def test_no_guarantee_is_violated(self):
         self.assertEqual([], run_seed(1, LENGTH_S, 8))
+
+    def test_no_guarantee_is_violated_with_releases(self):
+        self.assertEqual([], run_seed(9500, 4.0, 8, releases=2))
