Soak: resumable streams that last longer than the wait for records

All streams took 0.64 s, less than a gateway holds a first event for its record, so that a gateway that was killed with unrecorded streams had none with events.

--- a/soak/joins.py
+++ b/soak/joins.py
@@ -13,7 +13,6 @@
 from soak.plan import FaultKind
 from soak.promises import (
     ALLOWED_STATUSES,
-    MIN_DEADLINE_S,
     NOT_RUN_STATUSES,
     is_excused,
 )
@@ -125,7 +124,7 @@
 
 
 def _may_be_cut(one: Try, broken_s: Collection[float]) -> bool:
-    return one.ended_s - one.sent_s >= MIN_DEADLINE_S or any(
+    return one.ended_s >= one.deadline_s or any(
         one.sent_s <= at_s <= one.ended_s for at_s in broken_s
     )
 
--- a/soak/streams.py
+++ b/soak/streams.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import itertools
+import math
 import random
 import time
 
@@ -9,7 +10,7 @@
 import msgspec
 
 from soak.callers import MAX_PAUSE_S
-from soak.deployment import Deployment
+from soak.deployment import RESUMABLE_TIMEOUT_MS, Deployment
 from standins.worker_process import RESUMABLE_PREFIX
 
 # For all requests for a stream together.
@@ -35,6 +36,7 @@
         last_event: Number of the last event that the caller had; 0 for none.
         resumes: The id of the request that brought the first event.
         status: 0 without a response.
+        deadline_s: When a gateway may give up, at the latest.
         events: The events that it brought, as the workers have written them.
         is_complete: Whether the response looks complete.
         has_left: Whether the caller left it.
@@ -47,6 +49,7 @@
     resumes: str
     sent_s: float
     ended_s: float = 0.0
+    deadline_s: float = math.inf
     status: int = 0
     retry_after_s: float = 0.0
     events: list[bytes] = []
@@ -130,6 +133,9 @@
             left_s = deadline_s - one.sent_s
             if left_s <= MIN_PAUSE_S:
                 break
+            one.deadline_s = min(
+                deadline_s, one.sent_s + RESUMABLE_TIMEOUT_MS / 1000
+            )
             is_sent = await self._send(stream, one, left_s)
             one.ended_s = time.monotonic()
             if is_sent:
--- a/standins/worker_process.py
+++ b/standins/worker_process.py
@@ -12,6 +12,7 @@
 import copy
 import functools
 import itertools
+import random
 import signal
 import sys
 
@@ -28,6 +29,10 @@
 RESUMABLE_EVENTS = 16
 RESUMABLE_INTERVAL_S = 0.04
 
+# Some streams last for longer than gateways wait for the store.
+SLOW_INTERVAL_S = 0.2
+SLOW_SHARE = 1 / 4
+
 # The interval of the platform's workers.
 RENEWAL_INTERVAL_S = 1.2
 
@@ -63,9 +68,11 @@
     print(f"ran {arrival.id}", flush=True)
     text = arrival.body.decode()
     last = int(arrival.headers.get("last-event-id", 0))
+    is_slow = random.Random(text).random() < SLOW_SHARE
+    interval_s = SLOW_INTERVAL_S if is_slow else RESUMABLE_INTERVAL_S
     await arrival.stream(end=False)
     for number in range(last + 1, RESUMABLE_EVENTS + 1):
-        await asyncio.sleep(RESUMABLE_INTERVAL_S)
+        await asyncio.sleep(interval_s)
         data = f"{text} {number} {worker.version}"
         event = f"id: {number}\ndata: {data}\n\n".encode()
         arrival.writer.write(b"%x\r\n%s\r\n" % (len(event), event))
