Fix streams without a record when their host loses the store and dies

A host whose calls to the store got no answer let streams of another than the default version begin after a second without a record. Cause: only the host that began a stream knew its version, and only it wrote the record. A record that is not confirmed within 0.1 s is now written through up to three other hosts, like rows of leases; a host that cannot write it keeps it, knows the version by it, and writes it when the store answers. test_host_dies_before_the_record_is_written failed before. Open: the store silent for all hosts, and all of them killed.

--- a/acaciaspoke/gateway/messages.py
+++ b/acaciaspoke/gateway/messages.py
@@ -262,7 +262,7 @@
 
 
 class RowRequest(_Message, kw_only=True):
-    """Asks another host to read or write the row of a lease in the store.
+    """Asks another host to read or write a row in the store.
 
     Attributes:
         number: Identifies the call at the sender.
--- a/acaciaspoke/gateway/peer_lease_table.py
+++ b/acaciaspoke/gateway/peer_lease_table.py
@@ -71,6 +71,7 @@
         choose_peers: Callable[[int], list[HostId]],
         store_era: Callable[[], int] = lambda: 0,
         record_store_era: Callable[[int], None] = lambda era: None,
+        on_unwritten: Callable[[str, bytes], None] = lambda key, value: None,
     ):
         """Creates the table without calling the store.
 
@@ -81,6 +82,8 @@
             choose_peers: Returns up to the given number of responsive hosts.
             store_era: Returns the highest known era of the store.
             record_store_era: Records an era that another host knows.
+            on_unwritten: Called with key and value of a row that this host
+                could not write for another one.
         """
         self._store = store
         self._local_host = local_host
@@ -88,6 +91,7 @@
         self._choose_peers = choose_peers
         self._store_era = store_era
         self._record_store_era = record_store_era
+        self._on_unwritten = on_unwritten
         self._calls: dict[int, _Call] = {}
         self._numbers = itertools.count(1)
         self._inbox, self._queue = anyio.create_memory_object_stream[_Queued](
@@ -211,6 +215,8 @@
             logger.info(
                 "call to the store for {} failed: {}", queued.asked_by, error
             )
+            if request.value is not None:
+                self._on_unwritten(request.key, request.value)
             return
         if answer.revision and answer.era != self._store_era():
             return  # The store was restored since.
--- a/acaciaspoke/gateway/process.py
+++ b/acaciaspoke/gateway/process.py
@@ -121,6 +121,9 @@
             self._dispatcher.versions,
             self.metrics,
             is_leader=lambda: self._leader.holds_lease,
+            commit_through_peers=lambda transaction: (
+                self._peer_lease_table.commit(transaction)
+            ),
         )
         self._registry = UpstreamRegistry(
             self._dispatcher.fleet,
@@ -151,6 +154,7 @@
             self._choose_peers,
             lambda: self._store.era,
             self._store.record_era,
+            self._streams.adopt,
         )
         self._replica_waits = ReplicaWaits(
             self._dispatcher.fleet,
--- a/acaciaspoke/gateway/stream_store.py
+++ b/acaciaspoke/gateway/stream_store.py
@@ -7,7 +7,7 @@
 import itertools
 import random
 import time
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from typing import NamedTuple
 
 import anyio
@@ -16,6 +16,7 @@
 from loguru import logger
 
 from acaciaspoke.clients.table import (
+    Committed,
     Condition,
     Conflict,
     Delete,
@@ -51,6 +52,13 @@
 # two seconds without an event.
 MAX_HOLD_S = 1.0
 
+# A record that takes longer is written through other hosts too; the store
+# usually responds within 10 ms.
+DIRECT_WAIT_S = 0.1
+
+# Records written through other hosts at the same time.
+MAX_PEER_WRITES = 8
+
 # How long a caller that goes on with a stream waits for the store.
 LOOKUP_TIMEOUT_S = 0.5
 
@@ -71,6 +79,9 @@
 MAX_KEY_LENGTH = 100
 
 
+CommitThroughPeers = Callable[[Transaction], Awaitable[Committed | Conflict]]
+
+
 class StreamRecord(msgspec.Struct, frozen=True, kw_only=True):
     """The record of a stream."""
 
@@ -109,6 +120,7 @@
         versions: StreamVersions,
         metrics: GatewayMetrics,
         is_leader: Callable[[], bool] = lambda: False,
+        commit_through_peers: CommitThroughPeers | None = None,
     ):
         """Creates an object that has read nothing.
 
@@ -117,11 +129,15 @@
             versions: What is known of default versions.
             metrics: Counts records and lookups.
             is_leader: Returns whether this host removes the records of others.
+            commit_through_peers: Writes one row, through other hosts if the
+                store does not answer this one.
         """
         self._store = store
         self._versions = versions
         self._metrics = metrics
         self._is_leader = is_leader
+        self._commit_through_peers = commit_through_peers
+        self._peer_writes = anyio.Semaphore(MAX_PEER_WRITES)
         self._begun: dict[str, _BegunStream] = {}
         # Records to write, with the events that tell that they are written.
         self._pending: dict[str, anyio.Event] = {}
@@ -174,6 +190,11 @@
         if not self._versions.must_hold(request.service, version):
             return
         with anyio.move_on_after(MAX_HOLD_S):
+            with anyio.move_on_after(DIRECT_WAIT_S):
+                await written.wait()
+            if not written.is_set() and self._commit_through_peers is not None:
+                async with self._peer_writes:
+                    await self._write_through_peers(key, record)
             await written.wait()
         if not written.is_set():
             self._metrics.unrecorded_streams.inc()
@@ -185,6 +206,39 @@
                 default=self._versions.default_version(request.service),
             )
 
+    async def _write_through_peers(
+        self, key: str, record: StreamRecord
+    ) -> None:
+        value = msgspec.json.encode(record)
+        try:
+            result = await self._commit_through_peers(
+                Transaction((Condition(key, 0),), (Put(key, value),))
+            )
+        except OutcomeUnknown as error:
+            logger.info("a record is not written through peers: {}", error)
+            return
+        row = result.rows[key] if isinstance(result, Conflict) else None
+        if isinstance(result, Committed) or (row and row.value == value):
+            event = self._pending.pop(key, None)
+            if event is not None:
+                event.set()
+
+    def adopt(self, key: str, value: bytes) -> None:
+        """Keeps a record that this host could not write for another one."""
+        if not key.startswith(f"{STREAMS_TABLE}/") or key in self._begun:
+            return
+        try:
+            record = msgspec.json.decode(value, type=StreamRecord)
+        except msgspec.MsgspecError as error:
+            logger.warning("the record {} is invalid: {}", key, error)
+            return
+        life_s = self._versions.life_s + RECORD_MARGIN_S
+        expires_s = time.monotonic() + life_s
+        self._begun[key] = _BegunStream(record.version, expires_s, record)
+        self._pending[key] = anyio.Event()
+        self._wake.set()
+        logger.info("keeps the record {} until the store answers", key)
+
     async def find_origin(self, request: Request) -> Origin:
         """Returns where the stream began with which a request goes on."""
         now_s = time.monotonic()
--- a/test/gateway/test_joined_versions.py
+++ b/test/gateway/test_joined_versions.py
@@ -197,6 +197,20 @@
         self.assertEqual(503, (await self._go_on("new")).status)
         self.assertEqual([], self.old.arrivals + self.new.arrivals)
 
+    async def test_host_dies_before_the_record_is_written(self):
+        await self.eventually(
+            lambda: self.gateway._choose_peers(1)
+            and self.other_host._choose_peers(1)
+        )
+        self.store.set_faults(Faults(drop_requests=1000))
+        await self._begin_at(self.new, "new")
+        first_host = self.tasks[1]
+        first_host.cancel()
+        await asyncio.gather(first_host, return_exceptions=True)
+        self.store.set_faults(Faults())
+        received = await self._go_on("new")
+        self.assertEqual([], self.old.arrivals, received)
+
 
 class SplitRouteTest(StreamTest):
     """A route splits its requests between two services."""
--- a/test/gateway/test_peer_lease_table.py
+++ b/test/gateway/test_peer_lease_table.py
@@ -72,6 +72,7 @@
         self.tables = {}
         self.asked = []
         self.sent = []
+        self.unwritten = []
         self.era = 0
 
     def _add(self, name, fault=None):
@@ -97,6 +98,7 @@
             post,
             choose_peers,
             lambda: self.era,
+            on_unwritten=lambda *row: self.unwritten.append((name, *row)),
         )
         return self.tables[host]
 
@@ -140,6 +142,16 @@
                 self.assertEqual(Committed(2), self._write(table))
                 self.assertEqual(b"renewed", self.store.value)
 
+    def test_write_that_fails_everywhere_is_told_at_the_other_hosts(self):
+        table = self._add("h1", "hangs")
+        self._add("h2", "refuses")
+        self._add("h3", "refuses")
+        with self.assertRaises(OutcomeUnknown):
+            self._write(table)
+        self.assertEqual(
+            [("h2", KEY, b"renewed"), ("h3", KEY, b"renewed")], self.unwritten
+        )
+
     def test_hosts_of_earlier_releases_get_the_numbers_of_the_store(self):
         """With other versions they would never acquire the lease again."""
         self.era = 2
--- a/test/gateway/test_stream_store.py
+++ b/test/gateway/test_stream_store.py
@@ -167,6 +167,51 @@
         self.streams._forget_expired(time.monotonic() + LIFE_S)
         self.assertIn(record_key(hasty.service, hasty.id), self.streams._begun)
 
+    async def test_record_is_written_through_peers(self):
+        # Another row with the same key is one of an earlier attempt to write.
+        value = msgspec.json.encode(StreamRecord(version="v2"))
+        for result in (
+            Committed(1),
+            Conflict({"streams/a/q1": Row("streams/a/q1", value, 1, 1)}),
+        ):
+            commit = mock.AsyncMock(return_value=result)
+            self.streams = StreamStore(
+                self.store,
+                self.versions,
+                GatewayMetrics(),
+                commit_through_peers=commit,
+            )
+            self.versions.must_hold = lambda service, version: True
+            with anyio.fail_after(TIMEOUT_S):
+                await self._begin(_request())
+            (transaction,) = commit.await_args.args
+            self.assertEqual((Put("streams/a/q1", value),), transaction.writes)
+            self.assertEqual({}, self.streams._pending)
+
+    async def test_record_that_a_peer_holds_differently_stays_pending(self):
+        value = msgspec.json.encode(StreamRecord(version="v3"))
+        row = Row("streams/a/q1", value, 1, 1)
+        self.streams._commit_through_peers = mock.AsyncMock(
+            return_value=Conflict({"streams/a/q1": row})
+        )
+        self.versions.must_hold = lambda service, version: True
+        await self._begin(_request())
+        self.assertEqual({"streams/a/q1"}, self.streams._pending.keys())
+
+    async def test_adopted_record_is_known_and_written(self):
+        value = msgspec.json.encode(StreamRecord(version="v2"))
+        self.streams.adopt("streams/a/q1", value)
+        continuing = _request("q2", continues="q1")
+        origin = await self.streams.find_origin(continuing)
+        self.assertEqual("v2", origin.version)
+        await self._run_until(lambda: "streams/a/q1" in self.store.rows)
+        self.assertEqual(value, self.store.rows["streams/a/q1"].value)
+
+    async def test_rows_that_are_no_records_are_not_adopted(self):
+        self.streams.adopt("lease/engines", b"{}")
+        self.streams.adopt("streams/a/q1", b"{}")
+        self.assertEqual({}, self.streams._begun)
+
     async def test_ended_streams_are_forgotten_while_the_store_is_away(self):
         self.store.is_away = True
         self._use(_configuration("a", timeout_s=0.01))
