Fix streams taken for the only version's by hosts that start after a restore

The store was silent for 4 s, streams began at v2 after a second without a record, all gateways were killed, and the store was restored. The gateway that started then saw engines of v1 only, as those of v2 had just left, and took that for the only version. Cause: a host that has just started has seen no other version because it has seen nothing; only the case without a store regarded that. And while the default version was not confirmed, new streams did not prefer it, so that more of them needed records which could not be written. Now the only version counts at hosts that have run for the longest life of a stream, and the last known default version is preferred also while it is not confirmed. Both new tests failed before.

--- a/acaciaspoke/gateway/stream_versions.py
+++ b/acaciaspoke/gateway/stream_versions.py
@@ -324,7 +324,7 @@
             return _unknown("the default version is not known")
         if self._is_complete(service, now_s):
             return Origin(default, OriginSource.DEFAULT)
-        if self._has_been_alone(service, now_s):
+        if self._has_long_been_alone(service, now_s):
             return Origin(default, OriginSource.ONLY_VERSION)
         return _unknown("the store may have lost its record")
 
@@ -332,11 +332,8 @@
         """Returns where a stream began while the store does not answer."""
         default = self.default_version(service)
         age_s = self._view_age_s()
-        if (
-            age_s <= MAX_VIEW_AGE_S
-            # Another version may have left just before this host started.
-            and now_s - self._started_s >= self.life_s
-            and self._has_been_alone(service, now_s)
+        if age_s <= MAX_VIEW_AGE_S and self._has_long_been_alone(
+            service, now_s
         ):
             return Origin(default, OriginSource.ONLY_VERSION)
         return _unknown(
@@ -354,6 +351,14 @@
             return Origin(default, OriginSource.ONLY_VERSION)
         return _unknown("the caller does not name the request that began it")
 
+    def _has_long_been_alone(self, service: ServiceId, now_s: float) -> bool:
+        """Returns whether no stream at all can be of another version.
+
+        Another one may have left just before this host started.
+        """
+        has_run_long = now_s - self._started_s >= self.life_s
+        return has_run_long and self._has_been_alone(service, now_s)
+
     def _has_been_alone(self, service: ServiceId, now_s: float) -> bool:
         """Returns whether no known stream can be of another version.
 
@@ -370,11 +375,13 @@
     def preferred_version(self, request: Request) -> SoftwareVersion | None:
         """Returns the version at which a new stream should begin, if any.
 
-        Streams at the default version need no record.
+        Streams at the default version need no record. It is the best guess also
+        while the store does not confirm it.
         """
         route = request.route
         if route.kind is not RouteKind.STREAMING or not route.resumable:
             return None
-        if request.version is not None:
+        state = self._services.get(request.service)
+        if request.version is not None or state is None:
             return None
-        return self.default_version(request.service)
+        return state.default and state.default.version
--- a/test/gateway/test_stream_versions.py
+++ b/test/gateway/test_stream_versions.py
@@ -181,6 +181,15 @@
         self._remove("u3")
         self.assertEqual("v1", self._origin(31.0).version)
 
+    def test_host_that_starts_after_a_restore_and_sees_one_version(self):
+        # Those of the other one have left just before.
+        self.era = 2
+        self.versions.apply_row(SERVICE, default("v1", era=1), 1, 0.0)
+        self._remove("u3")
+        self.versions.observe(1.0)
+        self.assertIsNone(self._origin(1.0).version)
+        self.assertEqual("v1", self._origin(LIFE_S).version)
+
     def test_version_has_left_before_a_restore(self):
         self.versions.apply_row(SERVICE, default("v1"), 1, 0.0)
         self.versions.observe(29.0)
@@ -303,6 +312,12 @@
         self.dispatcher.fleet.put(record("u1", version="v1"))
         self.assertEqual(["u2"], self._assign())
 
+    def test_default_is_preferred_while_it_is_not_confirmed(self):
+        self.dispatcher.versions.record_restore(0.0)
+        self.dispatcher.versions.can_record = False
+        assigned = [self._assign() for _ in range(3)]
+        self.assertEqual([["u1"], ["u1"], []], assigned)
+
     def test_stream_goes_on_at_its_version(self):
         self.assertEqual(["u2"], self._assign(version="v2"))
 
