Fix calls of the lease table completed by an answer on another row

An answer of another host is matched by the number of the call only, and numbers begin at 1 in each process. While all calls were for the row of the lease, an answer to an earlier process of the host had its row at least. Now records of streams are written through peers too: such a late answer could confirm a renewal of the lease that was not written, or a record, and a read of the lease would have raised KeyError and ended the process.

The row of the answer has to be that of the call.

test_answer_on_another_row_completes_no_call failed before: the commit returned Committed.

--- a/acaciaspoke/gateway/peer_lease_table.py
+++ b/acaciaspoke/gateway/peer_lease_table.py
@@ -42,9 +42,14 @@
 
 
 class _Call:
-    """A call that completes with the first answer."""
+    """A call that completes with the first answer.
 
-    def __init__(self) -> None:
+    Attributes:
+        key: The row that it reads or writes.
+    """
+
+    def __init__(self, key: str) -> None:
+        self.key = key
         self.done = anyio.Event()
         self.result: Committed | Conflict | None = None
 
@@ -147,7 +152,7 @@
         call_direct: Callable[[], Awaitable[Committed | Conflict]],
         request: RowRequest,
     ) -> Committed | Conflict | None:
-        call = self._calls[request.number] = _Call()
+        call = self._calls[request.number] = _Call(request.key)
         try:
             async with anyio.create_task_group() as tasks:
                 tasks.start_soon(self._call_direct, call_direct, call)
@@ -179,6 +184,8 @@
         call = self._calls.get(answer.number)
         if call is None or answer.asked_by != self._local_host:
             return  # The call has completed already.
+        if answer.key != call.key:
+            return  # An earlier process of this host had used the number.
         self._record_store_era(answer.era)
         if answer.era < self._store_era():
             return  # The store was restored since.
--- a/test/gateway/test_peer_lease_table.py
+++ b/test/gateway/test_peer_lease_table.py
@@ -142,6 +142,30 @@
                 self.assertEqual(Committed(2), self._write(table))
                 self.assertEqual(b"renewed", self.store.value)
 
+    def test_answer_on_another_row_completes_no_call(self):
+        # Such as one to an earlier process of this host, with the same number.
+        table = self._add("h1", "hangs")
+        answer = RowAnswer(
+            asked_by="h1", number=1, key="streams/a/q1", is_committed=True
+        )
+
+        async def write():
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(answer_soon)
+                try:
+                    return await table.commit(
+                        Transaction((Condition(KEY, 1),), (Put(KEY, b""),))
+                    )
+                except OutcomeUnknown as error:
+                    return error
+
+        async def answer_soon():
+            await anyio.sleep(0.1)
+            table.handle_answer(answer)
+
+        with self.assertRaises(OutcomeUnknown):
+            self._run(write)
+
     def test_write_that_fails_everywhere_is_told_at_the_other_hosts(self):
         table = self._add("h1", "hangs")
         self._add("h2", "refuses")
