Fix records removed by hosts that had kept them for another one

A host that could not write a record for another one keeps it, writes it when the store answers, and removed it when it forgot it. It counted the life of the stream by its own configuration: a host that has just started, cut off from the store, has none, and one may have an older one with shorter timeouts.

test_record_of_another_host_is_not_removed_when_forgotten failed before: the record was removed.

--- a/acaciaspoke/gateway/stream_store.py
+++ b/acaciaspoke/gateway/stream_store.py
@@ -89,16 +89,18 @@
 
 
 class _BegunStream(NamedTuple):
-    """A stream that began at this host.
+    """A stream that began at this host, or whose record it writes.
 
     Attributes:
         expires_s: When it can be forgotten.
         record: Its record in the store; None if it needs none.
+        is_local: Whether it began here.
     """
 
     version: SoftwareVersion
     expires_s: float
     record: StreamRecord | None
+    is_local: bool = True
 
 
 def record_key(service: ServiceId, request: RequestId) -> str:
@@ -234,7 +236,9 @@
             return
         life_s = self._versions.life_s + RECORD_MARGIN_S
         expires_s = time.monotonic() + life_s
-        self._begun[key] = _BegunStream(record.version, expires_s, record)
+        self._begun[key] = _BegunStream(
+            record.version, expires_s, record, is_local=False
+        )
         self._pending[key] = anyio.Event()
         self._wake.set()
         logger.info("keeps the record {} until the store answers", key)
@@ -322,7 +326,8 @@
             if begun.expires_s <= now_s:
                 del self._begun[key]
                 self._pending.pop(key, None)
-                if begun.record is not None:
+                # Another host may know a longer life of its streams.
+                if begun.record is not None and begun.is_local:
                     self._expired[key] = None
 
     async def _write_batch(self) -> bool:
--- a/test/gateway/test_stream_store.py
+++ b/test/gateway/test_stream_store.py
@@ -207,6 +207,18 @@
         await self._run_until(lambda: "streams/a/q1" in self.store.rows)
         self.assertEqual(value, self.store.rows["streams/a/q1"].value)
 
+    async def test_record_of_another_host_is_not_removed_when_forgotten(self):
+        # A host without a configuration forgets it before its stream ends.
+        self.versions.life_s = 0.0
+        value = msgspec.json.encode(StreamRecord(version="v2"))
+        with mock.patch.object(stream_store, "RECORD_MARGIN_S", 0.2):
+            self.streams.adopt("streams/a/q1", value)
+        await self._run_until(lambda: "streams/a/q1" in self.store.rows)
+        await anyio.sleep(0.2)
+        with mock.patch.object(stream_store, "REMOVAL_INTERVAL_S", 0.1):
+            await self._run_until(lambda: not self.streams._begun)
+        self.assertEqual([], self.store.removed())
+
     async def test_rows_that_are_no_records_are_not_adopted(self):
         self.streams.adopt("lease/engines", b"{}")
         self.streams.adopt("streams/a/q1", b"{}")
