Fix an end of the process by a record nested too deeply

A host keeps the record that it could not write for another one. Decoding it caught errors of msgspec only; RecursionError, which deep nesting raises, left the task that calls the store for others and ended the process. Only a faulty host could send such a value.

It is decoded as other documents are. test_rows_that_are_no_records_are_not_adopted has the case, and failed with RecursionError before.

--- a/acaciaspoke/gateway/stream_store.py
+++ b/acaciaspoke/gateway/stream_store.py
@@ -230,7 +230,7 @@
         if not key.startswith(f"{STREAMS_TABLE}/") or key in self._begun:
             return
         try:
-            record = msgspec.json.decode(value, type=StreamRecord)
+            record = decode_json(value, StreamRecord)
         except msgspec.MsgspecError as error:
             logger.warning("the record {} is invalid: {}", key, error)
             return
--- a/test/gateway/test_stream_store.py
+++ b/test/gateway/test_stream_store.py
@@ -222,6 +222,9 @@
     async def test_rows_that_are_no_records_are_not_adopted(self):
         self.streams.adopt("lease/engines", b"{}")
         self.streams.adopt("streams/a/q1", b"{}")
+        self.streams.adopt(
+            "streams/a/q1", b'{"version":"v2","a":' + b"[" * 9999
+        )
         self.assertEqual({}, self.streams._begun)
 
     async def test_ended_streams_are_forgotten_while_the_store_is_away(self):
