Fix streams refused because a load at another version is late

The notices of the leader tell when a model's next replica is ready, not at which software version. A request that goes on with a stream, and whose version had no replica, was refused at once ("copy is late") if one was being loaded at another version and would be ready late. So it never became demand for its own version, which may load the model much faster.

While a service has several versions, these notices say nothing about a request that has one. It waits as without a notice, until its latest start at most.

test_late_replica_of_another_version_does_not_matter failed before: refused, with a retry after 3.33 s. With one version nothing changes, which a second test shows.

--- a/acaciaspoke/gateway/estimates.py
+++ b/acaciaspoke/gateway/estimates.py
@@ -73,6 +73,11 @@
             request.service, artifact.base, now_s, request.version
         ):
             return None
+        if (
+            request.version is not None
+            and len(self._fleet.versions(request.service)) > 1
+        ):
+            return None  # The replica may be one of another version.
         return self._fleet.ready_at_s.get(artifact.model)
 
     def backlog(
--- a/test/gateway/test_version_demand.py
+++ b/test/gateway/test_version_demand.py
@@ -50,6 +50,18 @@
         (total,) = dispatcher.demand(0.25, full=False)
         self.assertEqual(0, total.waiting)
 
+    def test_late_replica_of_another_version_does_not_matter(self):
+        dispatcher = new_dispatcher(OLD, NEW_WITH_MODEL)
+        dispatcher.fleet.ready_at_s = {artifact("m1").model: 20.0}
+        self.assertIsNone(dispatcher.submit(request("q1", version=V1), 0.0))
+        self.assertEqual([], list(dispatcher.decide(0.1)))
+        self.assertEqual(1, len(dispatcher.version_demand(0.1)))
+
+    def test_late_replica_of_the_only_version_is_not_waited_for(self):
+        dispatcher = new_dispatcher(OLD, record("u2", version=V1))
+        dispatcher.fleet.ready_at_s = {artifact("m1").model: 20.0}
+        self.assertIsNotNone(dispatcher.submit(request("q1", version=V1), 0.0))
+
     def test_version_without_the_adapter(self):
         adapter = artifact("m1", "a1")
         dispatcher = _waiting(OLD_WITH_MODEL, NEW_WITH_MODEL, artifact=adapter)
