Fix upstreams that got no work because of an odd software version

A version is only compared: a number counts as its text, a long text as its hash, anything else as no version.

--- a/acaciaspoke/platform/documents.py
+++ b/acaciaspoke/platform/documents.py
@@ -3,6 +3,7 @@
 from typing import Annotated, Any
 
 import msgspec
+import xxhash
 from loguru import logger
 
 from acaciaspoke.errors import AcaciaspokeError
@@ -42,8 +43,10 @@
 Integer = Annotated[int, msgspec.Meta(ge=MIN_INTEGER, le=MAX_INTEGER)]
 Count = Annotated[int, msgspec.Meta(ge=0)]
 Slots = Annotated[int, msgspec.Meta(ge=0, le=MAX_SLOTS)]
-# Part of the records of streams.
-VersionName = Annotated[str, msgspec.Meta(max_length=128)]
+
+
+# Versions are part of the records of streams; a hash replaces a longer one.
+MAX_VERSION_LENGTH = 128
 
 
 class DocumentError(AcaciaspokeError):
@@ -143,7 +146,7 @@
     born: int = 0
     seq: Count = 0
     # The version of its software; that of a model is in _LoadedModel.
-    version: VersionName = ""
+    version: Any = ""
     models: tuple[_LoadedModel, ...] = ()
     at_hand: _CachedModels = _CachedModels()
 
@@ -256,12 +259,23 @@
         slots=document.slots,
         started_ms=document.born,
         heartbeat=document.seq,
-        version=SoftwareVersion(document.version),
+        version=_to_software_version(document.version),
         artifacts=_to_artifacts(document.models),
         cached_models=document.at_hand.models(),
     )
 
 
+def _to_software_version(value: Any) -> SoftwareVersion:
+    """Returns a version, which is only compared; empty if it names none."""
+    is_number = isinstance(value, int | float) and abs(value) <= MAX_INTEGER
+    if not (is_number or isinstance(value, str)):
+        return SoftwareVersion("")
+    text = str(value)
+    if len(text) > MAX_VERSION_LENGTH:
+        text = xxhash.xxh3_128_hexdigest(text.encode("utf-8", "replace"))
+    return SoftwareVersion(text)
+
+
 def decode_report(data: bytes) -> EngineReport:
     """Decodes an engine's report of its state.
 
