Choose at once for requests that prefer no version

Most requests have no preferred version; each one that waited was tried with an empty list of upstreams first. Decisions are the same.

--- a/acaciaspoke/gateway/dispatch.py
+++ b/acaciaspoke/gateway/dispatch.py
@@ -254,6 +254,10 @@
         While streams of other versions cannot be recorded, only these get it.
         """
         version = self.versions.preferred_version(request)
+        if version is None:
+            return choose_upstream(
+                request, holders, loads, self._local_domain, now_s
+            )
         preferred = [
             upstream
             for upstream in holders
