Split the store's rows on streams: records, default versions, lookup

stream_store.py did three jobs. It finds where a stream began now; stream_records.py writes and removes records, default_version_rows.py keeps the rows of services.

--- a/acaciaspoke/gateway/stream_store.py
+++ b/acaciaspoke/gateway/stream_store.py
@@ -1,120 +1,42 @@
-"""Writes and reads the store's rows on the software versions of streams.
+"""What the store tells of the software versions that began streams.
 
 There is a row for each service with its default version, and a record for each
 stream that began at another one (``acaciaspoke.gateway.stream_versions``).
 """
 
-import itertools
-import random
 import time
-from collections.abc import Awaitable, Callable
-from typing import NamedTuple
+from collections.abc import Callable
 
 import anyio
 import msgspec
-import xxhash
 from loguru import logger
 
-from acaciaspoke.clients.table import (
-    Committed,
-    Condition,
-    Conflict,
-    Delete,
-    OutcomeUnknown,
-    Put,
-    Row,
-    TableUnavailable,
-    Transaction,
-)
+from acaciaspoke.clients.table import TableUnavailable
+from acaciaspoke.gateway.default_version_rows import DefaultVersionRows
 from acaciaspoke.gateway.metrics import GatewayMetrics
+from acaciaspoke.gateway.stream_records import (
+    RETRY_S,
+    CommitThroughPeers,
+    StreamRecord,
+    StreamRecords,
+    record_key,
+)
 from acaciaspoke.gateway.stream_versions import (
-    DefaultVersion,
     Origin,
     OriginSource,
     StreamVersions,
 )
 from acaciaspoke.gateway.types import Request
-from acaciaspoke.ids import RequestId, ServiceId, SoftwareVersion
-from acaciaspoke.platform.store import (
-    DEFAULT_VERSIONS_TABLE,
-    STREAMS_TABLE,
-    StoreClient,
-)
+from acaciaspoke.ids import ServiceId, SoftwareVersion
+from acaciaspoke.platform.store import StoreClient
 from acaciaspoke.util.decoding import decode_json
 
-# How often the default versions are checked.
-CHECK_INTERVAL_S = 0.25
-
-# Pause after a call to the store that failed.
-RETRY_S = 0.1
-
-# How long the first event of a stream waits for its record. Callers leave after
-# two seconds without an event.
-MAX_HOLD_S = 1.0
-
-# A record that takes longer is written through other hosts too; the store
-# usually responds within 10 ms.
-DIRECT_WAIT_S = 0.1
-
-# Records written through other hosts at the same time.
-MAX_PEER_WRITES = 8
-
 # How long a caller that goes on with a stream waits for the store.
 LOOKUP_TIMEOUT_S = 0.5
 
-# A record is kept for this long after its stream can be taken up.
-RECORD_MARGIN_S = 5.0
-
-# Entries of a transaction (the platform's protocol).
-MAX_ENTRIES = 100
-
-# Records that have expired are removed with the next write, or at this
-# interval.
-REMOVAL_INTERVAL_S = 5.0
-
-# How often the leader looks for the records of hosts that are gone.
-SWEEP_INTERVAL_S = 60.0
-
-# A longer id, or one of other characters, is replaced by a hash in keys.
-MAX_KEY_LENGTH = 100
-
-
-CommitThroughPeers = Callable[[Transaction], Awaitable[Committed | Conflict]]
-
-
-class StreamRecord(msgspec.Struct, frozen=True, kw_only=True):
-    """The record of a stream."""
-
-    version: SoftwareVersion
-
-
-class _BegunStream(NamedTuple):
-    """A stream that began at this host, or whose record it writes.
-
-    Attributes:
-        expires_s: When it can be forgotten.
-        record: Its record in the store; None if it needs none.
-        is_local: Whether it began here.
-    """
-
-    version: SoftwareVersion
-    expires_s: float
-    record: StreamRecord | None
-    is_local: bool = True
-
-
-def record_key(service: ServiceId, request: RequestId) -> str:
-    """Returns the key of the record of a stream."""
-    name = f"{service}/{request}"
-    if len(name) > MAX_KEY_LENGTH or not (
-        name.isascii() and name.isprintable()
-    ):
-        name = xxhash.xxh3_128_hexdigest(name.encode())
-    return f"{STREAMS_TABLE}/{name}"
-
 
 class StreamStore:
-    """Keeps the rows on streams, and answers where a stream began."""
+    """Records where streams begin, and finds where others began."""
 
     def __init__(
         self,
@@ -137,111 +59,30 @@
         self._store = store
         self._versions = versions
         self._metrics = metrics
-        self._is_leader = is_leader
-        self._commit_through_peers = commit_through_peers
-        self._peer_writes = anyio.Semaphore(MAX_PEER_WRITES)
-        self._begun: dict[str, _BegunStream] = {}
-        # Records to write, with the events that tell that they are written.
-        self._pending: dict[str, anyio.Event] = {}
-        # Keys of records to remove.
-        self._expired: dict[str, None] = {}
-        self._wake = anyio.Event()
+        self._default_rows = DefaultVersionRows(store, versions)
+        self._records = StreamRecords(
+            store, versions, metrics, is_leader, commit_through_peers
+        )
 
     async def run(self) -> None:
         """Writes and reads rows until it is cancelled."""
         self._versions.record_start(time.monotonic())
         async with anyio.create_task_group() as tasks:
-            tasks.start_soon(self._maintain_defaults)
-            tasks.start_soon(self._write_records)
-            tasks.start_soon(self._sweep)
+            tasks.start_soon(self._default_rows.run)
+            tasks.start_soon(self._records.run)
 
     def on_restored(self) -> None:
-        """Writes records again, which the restored store may have lost.
-
-        Streams of the default version get some too: without one, a stream may
-        be one of another version whose host has died.
-        """
+        """Reads and writes rows again that a restored store may have lost."""
         self._versions.record_restore(time.monotonic())
-        for key, begun in self._begun.items():
-            self._begun[key] = begun._replace(
-                record=StreamRecord(version=begun.version)
-            )
-            self._pending.setdefault(key, anyio.Event())
-        self._wake.set()
-
-    # Streams.
-
-    async def begin(self, request: Request, version: SoftwareVersion) -> None:
-        """Records that a stream begins at a version.
-
-        Returns when the record is written, or after ``MAX_HOLD_S``.
-        """
-        now_s = time.monotonic()
-        # The caller may go on with later requests, also beyond this deadline.
-        left_s = max(request.deadline_s - now_s, self._versions.life_s)
-        left_s += RECORD_MARGIN_S
-        key = record_key(request.service, request.id)
-        if not self._versions.needs_record(request.service, version, now_s):
-            self._begun[key] = _BegunStream(version, now_s + left_s, None)
-            return
-        record = StreamRecord(version=version)
-        self._begun[key] = _BegunStream(version, now_s + left_s, record)
-        written = self._pending[key] = anyio.Event()
-        self._wake.set()
-        self._metrics.stream_records.inc()
-        if not self._versions.must_hold(request.service, version):
-            return
-        with anyio.move_on_after(MAX_HOLD_S):
-            with anyio.move_on_after(DIRECT_WAIT_S):
-                await written.wait()
-            if not written.is_set() and self._commit_through_peers is not None:
-                async with self._peer_writes:
-                    await self._write_through_peers(key, record)
-            await written.wait()
-        if not written.is_set():
-            self._metrics.unrecorded_streams.inc()
-            logger.warning(
-                "the stream begins at version {} before its record is written",
-                version,
-                request_id=request.id,
-                service=request.service,
-                default=self._versions.default_version(request.service),
-            )
-
-    async def _write_through_peers(
-        self, key: str, record: StreamRecord
-    ) -> None:
-        value = msgspec.json.encode(record)
-        try:
-            result = await self._commit_through_peers(
-                Transaction((Condition(key, 0),), (Put(key, value),))
-            )
-        except OutcomeUnknown as error:
-            logger.info("a record is not written through peers: {}", error)
-            return
-        row = result.rows[key] if isinstance(result, Conflict) else None
-        if isinstance(result, Committed) or (row and row.value == value):
-            event = self._pending.pop(key, None)
-            if event is not None:
-                event.set()
+        self._records.write_again()
 
     def adopt(self, key: str, value: bytes) -> None:
         """Keeps a record that this host could not write for another one."""
-        if not key.startswith(f"{STREAMS_TABLE}/") or key in self._begun:
-            return
-        try:
-            record = decode_json(value, StreamRecord)
-        except msgspec.MsgspecError as error:
-            logger.warning("the record {} is invalid: {}", key, error)
-            return
-        life_s = self._versions.life_s + RECORD_MARGIN_S
-        expires_s = time.monotonic() + life_s
-        self._begun[key] = _BegunStream(
-            record.version, expires_s, record, is_local=False
-        )
-        self._pending[key] = anyio.Event()
-        self._wake.set()
-        logger.info("keeps the record {} until the store answers", key)
+        self._records.adopt(key, value)
+
+    async def begin(self, request: Request, version: SoftwareVersion) -> None:
+        """Records that a stream begins at a version; see ``StreamRecords``."""
+        await self._records.begin(request, version)
 
     async def find_origin(self, request: Request) -> Origin:
         """Returns where the stream began with which a request goes on."""
@@ -266,9 +107,9 @@
         if not request.continues:
             return self._versions.origin_without_request(service, now_s)
         key = record_key(service, request.continues)
-        begun = self._begun.get(key)
-        if begun is not None:
-            return Origin(begun.version, OriginSource.MEMORY)
+        version = self._records.version_of(key)
+        if version is not None:
+            return Origin(version, OriginSource.MEMORY)
         reason = "timeout"
         with anyio.move_on_after(LOOKUP_TIMEOUT_S):
             while True:
@@ -293,7 +134,7 @@
         row = await self._store.read(key)
         if row is None:
             if self._versions.default_version(service) is None:
-                await self._read_default(service)
+                await self._default_rows.read(service)
             return self._versions.origin_without_record(service, now_s)
         try:
             record = decode_json(row.value, StreamRecord)
@@ -302,158 +143,3 @@
                 None, OriginSource.UNKNOWN, f"its record is invalid: {error}"
             )
         return Origin(record.version, OriginSource.RECORD)
-
-    # Records.
-
-    async def _write_records(self) -> None:
-        while True:
-            with anyio.move_on_after(REMOVAL_INTERVAL_S):
-                await self._wake.wait()
-            self._wake = anyio.Event()
-            self._forget_expired(time.monotonic())
-            while self._pending or self._expired:
-                if await self._write_batch():
-                    continue
-                if not self._pending:
-                    break
-                await anyio.sleep(RETRY_S)
-                self._forget_expired(time.monotonic())
-            # All streams whose records were not confirmed have ended.
-            self._versions.can_record = True
-
-    def _forget_expired(self, now_s: float) -> None:
-        for key, begun in list(self._begun.items()):
-            if begun.expires_s <= now_s:
-                del self._begun[key]
-                self._pending.pop(key, None)
-                # Another host may know a longer life of its streams.
-                if begun.record is not None and begun.is_local:
-                    self._expired[key] = None
-
-    async def _write_batch(self) -> bool:
-        """Writes the next records; returns whether the store confirmed it."""
-        written = dict(itertools.islice(self._pending.items(), MAX_ENTRIES))
-        removed = list(
-            itertools.islice(self._expired, MAX_ENTRIES - len(written))
-        )
-        records = {key: self._begun[key].record for key in written}
-        puts = [
-            Put(key, msgspec.json.encode(record))
-            for key, record in records.items()
-            if record is not None
-        ]
-        deletes = [Delete(key) for key in removed]
-        try:
-            await self._store.commit(Transaction((), (*puts, *deletes)))
-        except (TableUnavailable, OutcomeUnknown) as error:
-            if written and self._versions.can_record:
-                logger.warning("records of streams are not written: {}", error)
-                self._versions.can_record = False
-            return False
-        if not self._versions.can_record:
-            logger.info("records of streams are written again")
-        self._versions.can_record = True
-        for key in removed:
-            self._expired.pop(key, None)
-        for key, event in written.items():
-            if self._pending.get(key) is event:
-                del self._pending[key]
-            event.set()
-        return True
-
-    async def _sweep(self) -> None:
-        """Removes the records of hosts that are gone, if this host leads."""
-        # When each key was read first: the clocks of hosts may be wrong.
-        found_s: dict[str, float] = {}
-        while True:
-            await anyio.sleep(SWEEP_INTERVAL_S)
-            if not self._is_leader():
-                found_s = {}
-                continue
-            try:
-                page = await self._store.read_table(STREAMS_TABLE)
-            except TableUnavailable as error:
-                logger.warning("records of streams are not read: {}", error)
-                continue
-            now_s = time.monotonic()
-            found_s = {
-                row.key: found_s.get(row.key, now_s) for row in page.rows
-            }
-            before_s = now_s - self._versions.life_s - RECORD_MARGIN_S
-            self._expired.update(
-                (f"{STREAMS_TABLE}/{key}", None)
-                for key, key_found_s in found_s.items()
-                if key_found_s <= before_s
-            )
-
-    # Default versions.
-
-    async def _maintain_defaults(self) -> None:
-        failing: set[ServiceId] = set()
-        # Hosts that start together do not all create the rows.
-        await anyio.sleep(random.uniform(0.0, CHECK_INTERVAL_S))
-        while True:
-            self._versions.observe(time.monotonic())
-            for service in self._versions.services:
-                try:
-                    await self._maintain_default(service)
-                    failing.discard(service)
-                except (TableUnavailable, OutcomeUnknown) as error:
-                    if service not in failing:
-                        failing.add(service)
-                        logger.warning(
-                            "the default version of {} is not read or written:"
-                            " {}",
-                            service,
-                            error,
-                        )
-            await anyio.sleep(CHECK_INTERVAL_S)
-
-    async def _maintain_default(self, service: ServiceId) -> None:
-        if self._versions.needs_read(service):
-            await self._read_default(service)
-        change = self._versions.row_to_write(service, time.monotonic())
-        if change is None:
-            return
-        default, revision = change
-        key = _default_key(service)
-        result = await self._store.commit(
-            Transaction(
-                (Condition(key, revision),),
-                (Put(key, msgspec.json.encode(default)),),
-            )
-        )
-        if isinstance(result, Conflict):
-            self._apply_default(service, result.rows[key])
-            return
-        logger.info(
-            "the default version of {} is {}",
-            service,
-            default.version,
-            epoch=default.epoch,
-            store_era=default.era,
-        )
-        self._versions.apply_row(
-            service, default, result.revision, time.monotonic()
-        )
-
-    async def _read_default(self, service: ServiceId) -> None:
-        self._apply_default(
-            service, await self._store.read(_default_key(service))
-        )
-
-    def _apply_default(self, service: ServiceId, row: Row | None) -> None:
-        default, revision = None, 0
-        if row is not None:
-            revision = row.mod_revision
-            try:
-                default = decode_json(row.value, DefaultVersion)
-            except msgspec.MsgspecError as error:
-                logger.error(
-                    "the default version of {} is invalid: {}", service, error
-                )
-        self._versions.apply_row(service, default, revision, time.monotonic())
-
-
-def _default_key(service: ServiceId) -> str:
-    return f"{DEFAULT_VERSIONS_TABLE}/{service}"
--- a/test/gateway/test_stream_store.py
+++ b/test/gateway/test_stream_store.py
@@ -16,13 +16,10 @@
     TableUnavailable,
     Transaction,
 )
-from acaciaspoke.gateway import stream_store
+from acaciaspoke.gateway import default_version_rows, stream_records
 from acaciaspoke.gateway.metrics import GatewayMetrics
-from acaciaspoke.gateway.stream_store import (
-    StreamRecord,
-    StreamStore,
-    record_key,
-)
+from acaciaspoke.gateway.stream_records import StreamRecord, record_key
+from acaciaspoke.gateway.stream_store import StreamStore
 from acaciaspoke.gateway.stream_versions import StreamVersions
 from acaciaspoke.gateway.types import Configuration, Target
 from acaciaspoke.ids import ConfigVersion, ServiceId
@@ -164,8 +161,10 @@
         # The caller goes on with further requests, up to its own deadline.
         hasty = _request(deadline_s=time.monotonic() + 1.0)
         await self._begin(hasty)
-        self.streams._forget_expired(time.monotonic() + LIFE_S)
-        self.assertIn(record_key(hasty.service, hasty.id), self.streams._begun)
+        self.streams._records._forget_expired(time.monotonic() + LIFE_S)
+        self.assertIn(
+            record_key(hasty.service, hasty.id), self.streams._records._begun
+        )
 
     async def test_record_is_written_through_peers(self):
         # Another row with the same key is one of an earlier attempt to write.
@@ -186,17 +185,19 @@
                 await self._begin(_request())
             (transaction,) = commit.await_args.args
             self.assertEqual((Put("streams/a/q1", value),), transaction.writes)
-            self.assertEqual({}, self.streams._pending)
+            self.assertEqual({}, self.streams._records._pending)
 
     async def test_record_that_a_peer_holds_differently_stays_pending(self):
         value = msgspec.json.encode(StreamRecord(version="v3"))
         row = Row("streams/a/q1", value, 1, 1)
-        self.streams._commit_through_peers = mock.AsyncMock(
+        self.streams._records._commit_through_peers = mock.AsyncMock(
             return_value=Conflict({"streams/a/q1": row})
         )
         self.versions.must_hold = lambda service, version: True
         await self._begin(_request())
-        self.assertEqual({"streams/a/q1"}, self.streams._pending.keys())
+        self.assertEqual(
+            {"streams/a/q1"}, self.streams._records._pending.keys()
+        )
 
     async def test_adopted_record_is_known_and_written(self):
         value = msgspec.json.encode(StreamRecord(version="v2"))
@@ -211,12 +212,12 @@
         # A host without a configuration forgets it before its stream ends.
         self.versions.life_s = 0.0
         value = msgspec.json.encode(StreamRecord(version="v2"))
-        with mock.patch.object(stream_store, "RECORD_MARGIN_S", 0.2):
+        with mock.patch.object(stream_records, "RECORD_MARGIN_S", 0.2):
             self.streams.adopt("streams/a/q1", value)
         await self._run_until(lambda: "streams/a/q1" in self.store.rows)
         await anyio.sleep(0.2)
-        with mock.patch.object(stream_store, "REMOVAL_INTERVAL_S", 0.1):
-            await self._run_until(lambda: not self.streams._begun)
+        with mock.patch.object(stream_records, "REMOVAL_INTERVAL_S", 0.1):
+            await self._run_until(lambda: not self.streams._records._begun)
         self.assertEqual([], self.store.removed())
 
     async def test_rows_that_are_no_records_are_not_adopted(self):
@@ -225,16 +226,17 @@
         self.streams.adopt(
             "streams/a/q1", b'{"version":"v2","a":' + b"[" * 9999
         )
-        self.assertEqual({}, self.streams._begun)
+        self.assertEqual({}, self.streams._records._begun)
 
     async def test_ended_streams_are_forgotten_while_the_store_is_away(self):
         self.store.is_away = True
         self._use(_configuration("a", timeout_s=0.01))
         ended = _request(deadline_s=time.monotonic())
-        with mock.patch.object(stream_store, "RECORD_MARGIN_S", 2.0):
+        with mock.patch.object(stream_records, "RECORD_MARGIN_S", 2.0):
             await self._begin(ended)
         await self._run_until(
-            lambda: not self.streams._begun and self.versions.can_record
+            lambda: not self.streams._records._begun
+            and self.versions.can_record
         )
 
     async def test_records_of_gone_hosts_are_removed_once(self):
@@ -242,10 +244,10 @@
         keys = [f"{STREAMS_TABLE}/a/q{number}" for number in range(250)]
         value = msgspec.json.encode(StreamRecord(version="v2"))
         self.store.rows.update((key, Row(key, value, 1, 1)) for key in keys)
-        self.streams._is_leader = lambda: True
+        self.streams._records._is_leader = lambda: True
         with (
-            mock.patch.object(stream_store, "SWEEP_INTERVAL_S", 0.1),
-            mock.patch.object(stream_store, "RECORD_MARGIN_S", 0.5),
+            mock.patch.object(stream_records, "SWEEP_INTERVAL_S", 0.1),
+            mock.patch.object(stream_records, "RECORD_MARGIN_S", 0.5),
         ):
             await self._run_until(
                 lambda: not self.store.rows.keys() & set(keys)
@@ -258,7 +260,7 @@
             await self._run_until(lambda: self.store.commits)
         # The leader.
         self._use(_configuration("a"))
-        self.streams._is_leader = lambda: True
+        self.streams._records._is_leader = lambda: True
         reads = []
         read_table = self.store.read_table
 
@@ -267,10 +269,10 @@
             return await read_table(table)
 
         self.store.read_table = count_reads
-        with mock.patch.object(stream_store, "SWEEP_INTERVAL_S", 0.1):
+        with mock.patch.object(stream_records, "SWEEP_INTERVAL_S", 0.1):
             await self._run_until(lambda: len(reads) > 2)
-        self.streams._wake.set()
-        await self._run_until(lambda: not self.streams._expired)
+        self.streams._records._wake.set()
+        await self._run_until(lambda: not self.streams._records._expired)
         self.assertEqual([], self.store.removed())
 
 
@@ -323,8 +325,10 @@
 
         self.store.on_read = on_read
         self._use(_configuration("a"))
-        with mock.patch.object(stream_store, "CHECK_INTERVAL_S", 0.01):
-            with mock.patch.object(stream_store.logger, "warning") as warning:
+        with mock.patch.object(default_version_rows, "CHECK_INTERVAL_S", 0.01):
+            with mock.patch.object(
+                default_version_rows.logger, "warning"
+            ) as warning:
                 await self._run_until(lambda: len(reads) >= 5)
         self.assertEqual(1, warning.call_count)
 
