Split attempts and the watch for stalls from the handling of requests

exchange.py held the queueing and retries of requests, the attempts at upstreams with their connections, and the watch for silent engines. The latter two are attempt_runner.py and stall_watch.py now.

--- a/acaciaspoke/gateway/process.py
+++ b/acaciaspoke/gateway/process.py
@@ -369,12 +369,12 @@
             await anyio.sleep(TICK_S)
             self._registry.drop_lapsed(time.monotonic())
             self._peers.drop_unregistered(time.monotonic())
-            self._request_handler.record_stalls()
+            self._request_handler.attempts.stall_watch.record_stalls()
             self._request_handler.dispatch()
             self.metrics.log_lines_dropped.set(self._log_writer.dropped)
             self.metrics.waiting.set(self._dispatcher.waiting)
             self._count_upstreams()
-            await self._request_handler.close_unused()
+            await self._request_handler.attempts.close_unused()
 
     def _count_upstreams(self) -> None:
         fleet = self._dispatcher.fleet
--- a/test/gateway/test_takeover_ends.py
+++ b/test/gateway/test_takeover_ends.py
@@ -36,7 +36,9 @@
 
     async def _check_both_left(self):
         await self.eventually(lambda: sorted(self.left) == [False, True])
-        self.assertFalse(self.gateway._request_handler._streams)
+        self.assertFalse(
+            self.gateway._request_handler.attempts.stall_watch.streams
+        )
         self.assertEqual({}, local_loads(self.gateway._dispatcher.fleet))
 
     async def test_caller_leaves(self):
--- a/test/gateway/test_upstream_notices.py
+++ b/test/gateway/test_upstream_notices.py
@@ -163,7 +163,7 @@
 
     async def test_idle_connections_are_closed(self):
         await self._tell(200, {})
-        pools = self.gateway._request_handler._pools
+        pools = self.gateway._request_handler.attempts._pools
         await self.eventually(lambda: self.apps[0].address not in pools)
 
     async def test_header_of_a_caller_is_dropped(self):
