Split the delivery of messages from the gateway process

process.py created the parts of a gateway and also knew which part each message is for; message_router.py does the latter now.

--- a/acaciaspoke/gateway/process.py
+++ b/acaciaspoke/gateway/process.py
@@ -25,16 +25,10 @@
 from acaciaspoke.gateway.leader import Leader
 from acaciaspoke.gateway.load_reports import waiting_by_model
 from acaciaspoke.gateway.loadexchange import LoadExchange
+from acaciaspoke.gateway.message_router import MessageRouter
 from acaciaspoke.gateway.messages import (
-    DemandDigest,
-    LoadDigest,
     Message,
     PlacementNotice,
-    ReadProgress,
-    RowAnswer,
-    RowChanges,
-    RowRequest,
-    SendBatch,
     SendNotice,
 )
 from acaciaspoke.gateway.metrics import GatewayMetrics
@@ -60,7 +54,6 @@
     UPSTREAMS_TABLE,
     StoreClient,
 )
-from acaciaspoke.platform.versions import era_of
 from acaciaspoke.util.drain import Drain, stop_on_signals
 from acaciaspoke.util.log import LogWriter
 from acaciaspoke.util.net import split_address
@@ -83,7 +76,7 @@
 
 
 class GatewayProcess:
-    """Holds the parts of a gateway and routes messages to them."""
+    """Creates the parts of a gateway, and runs them."""
 
     def __init__(
         self,
@@ -107,7 +100,7 @@
             settings.host_id,
             settings.address,
             settings.peer_port,
-            self._handle,
+            lambda message: self._router.handle(message),
             self._registration.record_row,
         )
         self._dispatcher = Dispatcher(
@@ -177,11 +170,13 @@
             settings.domain_id,
             self._peers,
             self._post,
-            self._apply_digest,
+            lambda digest, now_s: self._router.apply_digest(digest, now_s),
             self._dispatcher.fleet.peer_loads.apply_send,
             prefill_tokens_per_s=self._dispatcher.fleet.prefill_tokens_per_s,
             get_read_progress=lambda: self._row_relay.progress(),
-            record_read_progress=self._record_read_progress,
+            record_read_progress=lambda progress: (
+                self._router.record_read_progress(progress)
+            ),
         )
         self._row_relay = RowRelay(
             settings.drain_ms / 1000,
@@ -190,6 +185,20 @@
             members=self._loads.members,
             post=self._post,
         )
+        self._router = MessageRouter(
+            settings.host,
+            dispatcher=self._dispatcher,
+            request_handler=self._request_handler,
+            leader=self._leader,
+            known_leader=self._known_leader,
+            loads=self._loads,
+            row_relay=self._row_relay,
+            configuration_relay=self._configuration_relay,
+            peer_lease_table=self._peer_lease_table,
+            configuration_lag=self._configuration_lag,
+            record_store_era=self._store.record_era,
+            on_lag=self._request_configuration,
+        )
         self._digests = DigestSender(
             settings.host_id,
             self._boot,
@@ -261,48 +270,16 @@
 
     # Messages.
 
-    def _handle(self, message: Message) -> None:
-        now_s = time.monotonic()
-        match message:
-            case LoadDigest() | SendNotice() | SendBatch():
-                self._loads.handle(message, now_s)
-            case RowChanges():
-                self._row_relay.apply(message)
-            case DemandDigest():
-                self._leader.apply_demand(message)
-            case PlacementNotice():
-                self._loads.forward(message)
-                self._apply_notice(message, now_s)
-            case RowRequest():
-                if not self._configuration_relay.handle_request(message):
-                    self._peer_lease_table.enqueue_request(message)
-            case RowAnswer():
-                if not self._configuration_relay.handle_answer(message):
-                    self._peer_lease_table.handle_answer(message)
-
-    def _apply_digest(self, digest: LoadDigest, now_s: float) -> None:
-        self._dispatcher.fleet.peer_loads.apply_digest(digest, now_s)
-        self._request_handler.crash_guard.requests.apply_counts(
-            digest.host, digest.crashes, now_s
-        )
-        self._request_handler.crash_guard.parts.apply_evidence(
-            digest.host, digest.suspected_parts, now_s
-        )
-        if self._configuration_lag.observe(digest.configuration, now_s):
-            logger.info(
-                "host {} has configuration {}; reading it again",
-                digest.host,
-                digest.configuration,
+    def _request_configuration(self, host: HostId) -> None:
+        """Reads the configuration again, as a host has a newer one."""
+        self._followers[OPERATOR_TABLE].reread()
+        if self._store.was_restored:
+            # A sum of loads does not tell whose configuration is newer.
+            self._configuration_relay.request(
+                [host]
+                if host in self._peers.rows
+                else self._choose_peers(MAX_ASKED_HOSTS)
             )
-            self._followers[OPERATOR_TABLE].reread()
-            if self._store.was_restored:
-                # A sum of loads does not tell whose configuration is newer.
-                self._configuration_relay.request(
-                    [digest.host]
-                    if digest.host in self._peers.rows
-                    else self._choose_peers(MAX_ASKED_HOSTS)
-                )
-        self._request_handler.dispatch()
 
     def _upstreams_age_s(self) -> float:
         """Returns how long ago the store told of the upstreams."""
@@ -315,22 +292,9 @@
         is_read = progress is not None and progress.age_s <= MAX_GAP_S
         return is_read or bool(self._dispatcher.fleet.peer_loads.fresh(now_s))
 
-    def _record_read_progress(self, progress: ReadProgress) -> None:
-        self._store.record_era(era_of(progress.newest_version))
-        self._row_relay.record_peer_read(progress)
-
-    def _apply_notice(self, notice: PlacementNotice, now_s: float) -> None:
-        self._store.record_era(notice.lease_era)
-        if not self._known_leader.observe(notice, now_s):
-            return
-        if notice.host != self._settings.host:
-            self._leader.observe_notice(notice)
-        self._dispatcher.fleet.apply_notice(notice, now_s)
-        self._request_handler.dispatch()
-
     def _broadcast_notice(self, notice: PlacementNotice) -> None:
         notice = self._loads.broadcast(notice)
-        self._apply_notice(notice, time.monotonic())
+        self._router.apply_notice(notice, time.monotonic())
 
     def _post(self, message: Message, hosts: Iterable[HostId]) -> Message:
         """Sends a message with host, boot and sequence; returns it as sent."""
--- a/test/gateway/test_unserved_after_handover.py
+++ b/test/gateway/test_unserved_after_handover.py
@@ -125,7 +125,7 @@
         started_s = time.monotonic()
         while time.monotonic() - started_s < duration_s:
             self.sequence += 1
-            self.gateway._handle(_loads(self.sequence, RARE))
+            self.gateway._router.handle(_loads(self.sequence, RARE))
             await anyio.sleep(STEP_S)
 
     async def _acquire_lease_again(self):
