Split the soak's configuration and its faults from the deployment

soak/deployment.py started processes, drew the configuration and injected the faults. The latter two are soak/configuration.py and soak/faults.py now.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -14,6 +14,7 @@
 
 from soak.callers import Callers, Kind
 from soak.deployment import Deployment
+from soak.faults import FaultInjector
 from soak.joins import count_shares, find_refused, find_stream_violations
 from soak.plan import MIN_PROCESSES, Plan, make_plan
 from soak.promises import find_violations
@@ -51,6 +52,7 @@
 
 async def _run(plan: Plan, folder: Path) -> list[str]:
     async with Deployment(plan, folder) as deployment:
+        injector = FaultInjector(deployment)
         callers = Callers(deployment, plan.seed)
         streams = StreamCallers(deployment, plan.seed)
         async with asyncio.TaskGroup() as tasks:
@@ -63,7 +65,7 @@
                 for fault in plan.faults:
                     delay_s = begin_s + fault.at_s - time.monotonic()
                     await asyncio.sleep(max(0.0, delay_s))
-                    faults.create_task(deployment.apply(fault))
+                    faults.create_task(injector.apply(fault))
             callers.stop()
             streams.stop()
         violations = [
@@ -77,7 +79,8 @@
         )
         if plan.added_engines:
             violations += [
-                line async for line in _check_streams(deployment, streams)
+                line
+                async for line in _check_streams(deployment, injector, streams)
             ]
         answered = sum(one.status == 200 for one in callers.outcomes)
         print(
@@ -112,10 +115,12 @@
                     await asyncio.sleep(0.2)
 
 
-async def _check_streams(deployment: Deployment, callers: StreamCallers):
+async def _check_streams(
+    deployment: Deployment, injector: FaultInjector, callers: StreamCallers
+):
     """Yields what was wrong with resumable streams; prints their shares."""
     shares = count_shares(
-        callers.streams, deployment.injected, deployment.engines
+        callers.streams, injector.injected, deployment.engines
     )
     print(f"seed {deployment.plan.seed}: {shares}", flush=True)
     for line in find_refused(shares):
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -10,7 +10,8 @@
 
 import httpcore
 
-from soak.deployment import MIN_IDLE_MS, Deployment
+from soak.configuration import MIN_IDLE_MS
+from soak.deployment import Deployment
 
 DEADLINE_S = 5.0
 
--- /dev/null
+++ b/soak/faults.py
@@ -0,0 +1,257 @@
+"""Injects the faults of a plan into the processes of a deployment."""
+
+import asyncio
+import itertools
+import json
+import math
+import signal
+import time
+from collections.abc import Awaitable, Callable
+
+import msgspec
+
+from soak.deployment import Deployment, Outage
+from soak.plan import Fault, FaultKind
+from soak.proxy import Proxy
+from standins import client
+
+# How long a worker that leaves for a release runs its streams on.
+RELEASE_DRAIN_S = 0.4
+
+# Every third change of the configuration is a series of this many versions.
+SERIES = 4
+
+
+class InjectedFault(msgspec.Struct):
+    """A fault, and how long it really lasted.
+
+    Attributes:
+        end_s: When it had been repaired.
+    """
+
+    fault: Fault
+    begin_s: float
+    end_s: float = math.inf
+
+
+class FaultInjector:
+    """Injects faults from outside of the processes.
+
+    Attributes:
+        injected: The faults that were injected.
+    """
+
+    def __init__(self, deployment: Deployment):
+        self.injected: list[InjectedFault] = []
+        self._target = deployment
+        self._locks: dict[str, asyncio.Lock] = {}
+        self._stopping: set[str] = set()
+        self._ended_ids: list[str] = []
+
+    async def apply(self, fault: Fault) -> None:
+        """Injects a fault and repairs it after its duration."""
+        injected = InjectedFault(fault, time.monotonic())
+        self.injected.append(injected)
+        await _FAULTS[fault.kind](self, fault)
+        injected.end_s = time.monotonic()
+
+    async def _kill_gateway(self, fault: Fault) -> None:
+        await self._restart_gateway(fault, signal.SIGKILL)
+
+    async def _stop_gateway(self, fault: Fault) -> None:
+        await self._restart_gateway(fault, signal.SIGTERM)
+
+    async def _restart_gateway(
+        self, fault: Fault, number: signal.Signals
+    ) -> None:
+        name = f"gateway{fault.target}"
+        lock = self._locks.setdefault(name, asyncio.Lock())
+        if lock.locked():
+            # A process that is stopping gets a second signal; one that is
+            # starting gets none.
+            if name in self._stopping:
+                self._target.send_signal(name, number)
+            return
+        async with lock:
+            begin_s = time.monotonic()
+            process = self._target.processes[name]
+            self._stopping.add(name)
+            self._target.send_signal(name, number)
+            await asyncio.to_thread(process.wait)
+            self._stopping.remove(name)
+            is_stop = number is signal.SIGTERM and process.returncode == 0
+            await asyncio.sleep(fault.duration_s)
+            self._target.start_gateway(fault.target)
+            await self._target.wait_until_ready(fault.target)
+            now_s = time.monotonic()
+            self._target.outages.append(
+                Outage(fault.target, begin_s, now_s, is_stop)
+            )
+
+    async def _pause(self, name: str, duration_s: float) -> None:
+        self._target.send_signal(name, signal.SIGSTOP)
+        await asyncio.sleep(duration_s)
+        self._target.send_signal(name, signal.SIGCONT)
+
+    async def _pause_gateway(self, fault: Fault) -> None:
+        begin_s = time.monotonic()
+        await self._pause(f"gateway{fault.target}", fault.duration_s)
+        end_s = time.monotonic()
+        self._target.outages.append(Outage(fault.target, begin_s, end_s))
+
+    async def _reload_gateway(self, fault: Fault) -> None:
+        name = f"gateway{fault.target}"
+        # SIGHUP ends a process that has not installed its handler yet.
+        if not self._locks.setdefault(name, asyncio.Lock()).locked():
+            self._target.send_signal(name, signal.SIGHUP)
+
+    async def _kill_worker(self, fault: Fault) -> None:
+        name = f"worker{fault.target}"
+        lock = self._locks.setdefault(name, asyncio.Lock())
+        if lock.locked():
+            return
+        async with lock:
+            await self._end_worker(fault.target)
+            await asyncio.sleep(fault.duration_s)
+            await self._target.start_worker(fault.target)
+
+    async def _end_worker(self, number: int) -> None:
+        self._target.broken_s.append(time.monotonic())
+        self._target.record_end(number)
+        self._target.send_signal(f"worker{number}", signal.SIGKILL)
+        await asyncio.to_thread(self._target.processes[f"worker{number}"].wait)
+
+    async def _release(self, fault: Fault) -> None:
+        numbers = itertools.islice(
+            itertools.cycle(self._target.plan.engines),
+            fault.target,
+            fault.target + fault.engines,
+        )
+        async with asyncio.TaskGroup() as tasks:
+            for number in numbers:
+                tasks.create_task(self._replace_worker(number, fault.version))
+                await asyncio.sleep(fault.duration_s / fault.engines)
+
+    async def _replace_worker(self, number: int, version: str) -> None:
+        name = f"worker{number}"
+        async with self._locks.setdefault(name, asyncio.Lock()):
+            if self._target.software[number] == version:
+                return
+            self._target.record_end(number)
+            self._target.send_signal(name, signal.SIGUSR1)
+            await asyncio.sleep(RELEASE_DRAIN_S)
+            await self._end_worker(number)
+            boot = next(self._target.boot_numbers)
+            self._ended_ids.append(self._target.worker_ids[number])
+            self._target.worker_ids[number] = f"{name}-{boot}"
+            self._target.software[number] = version
+            await self._remove_ended_rows()
+            await self._target.start_worker(number)
+
+    async def _remove_ended_rows(self) -> None:
+        """Removes the rows of workers that have ended, as the platform does."""
+        rows = [
+            {"table": "servers", "part": "", "key": key}
+            for key in self._ended_ids
+        ]
+        body = json.dumps({"remove": rows}).encode()
+        await self._target.post_to_store("/rows-tx", body)
+
+    async def _kill_all_gateways(self, fault: Fault) -> None:
+        async with asyncio.TaskGroup() as tasks:
+            for number in self._target.gateways:
+                one = msgspec.structs.replace(fault, target=number)
+                tasks.create_task(self._kill_gateway(one))
+
+    async def _pause_worker(self, fault: Fault) -> None:
+        await self._pause(f"worker{fault.target}", fault.duration_s)
+
+    async def _drain_worker(self, fault: Fault) -> None:
+        lock = self._locks.setdefault(f"worker{fault.target}", asyncio.Lock())
+        if lock.locked():
+            return
+        async with lock:
+            self._target.record_end(fault.target)
+            self._target.send_signal(f"worker{fault.target}", signal.SIGUSR1)
+            await asyncio.sleep(fault.duration_s)
+            self._target.send_signal(f"worker{fault.target}", signal.SIGUSR1)
+            self._target.record_serving(fault.target)
+
+    async def _delay(self, proxy: Proxy, duration_s: float) -> None:
+        proxy.delay_s = duration_s / 10
+        await asyncio.sleep(duration_s)
+        proxy.heal()
+
+    async def _cut(
+        self, proxy: Proxy, duration_s: float, *, both: bool
+    ) -> None:
+        proxy.cut(both_ways=both)
+        await asyncio.sleep(duration_s)
+        proxy.heal()
+
+    async def _delay_worker(self, fault: Fault) -> None:
+        await self._delay(
+            self._target.worker_proxies[fault.target], fault.duration_s
+        )
+
+    async def _reset_worker(self, fault: Fault) -> None:
+        self._target.broken_s.append(time.monotonic())
+        self._target.worker_proxies[fault.target].reset()
+
+    async def _cut_worker(self, fault: Fault) -> None:
+        proxy = self._target.worker_proxies[fault.target]
+        await self._cut(proxy, fault.duration_s, both=False)
+
+    async def _silence_worker(self, fault: Fault) -> None:
+        proxy = self._target.worker_proxies[fault.target]
+        await self._cut(proxy, fault.duration_s, both=True)
+
+    async def _delay_store(self, fault: Fault) -> None:
+        await self._delay(
+            self._target.store_proxies[fault.target], fault.duration_s
+        )
+
+    async def _reset_store(self, fault: Fault) -> None:
+        self._target.store_proxies[fault.target].reset()
+
+    async def _silence_store(self, fault: Fault) -> None:
+        proxy = self._target.store_proxies[fault.target]
+        await self._cut(proxy, fault.duration_s, both=True)
+
+    async def _pause_store(self, fault: Fault) -> None:
+        await self._pause("store", fault.duration_s)
+
+    async def _lose_answers(self, fault: Fault) -> None:
+        body = json.dumps({"drop_answers": 3}).encode()
+        await asyncio.to_thread(
+            client.request,
+            self._target.store,
+            "POST",
+            "/standin/faults",
+            body,
+        )
+
+    async def _change_configuration(self, fault: Fault) -> None:
+        count = 1 if self._target.version % 3 else SERIES
+        for _ in range(count):
+            self._target.version += 1
+            await self._target.write_configuration()
+            await asyncio.sleep(fault.duration_s / count)
+
+    async def _restore_store(self, fault: Fault) -> None:
+        answer = await self._target.post_to_store("/standin/copy", b"")
+        await asyncio.sleep(fault.copy_age_s)
+        away = json.dumps({"away": True}).encode()
+        await self._target.post_to_store("/standin/faults", away)
+        await asyncio.sleep(fault.duration_s)
+        await self._target.post_to_store("/standin/restore", answer.body)
+        await self._target.post_to_store("/standin/faults", b"{}")
+        if self._ended_ids:
+            await self._remove_ended_rows()
+        # Workers renew their rows at intervals.
+        await self._target.write_configuration()
+
+
+_FAULTS: dict[FaultKind, Callable[[FaultInjector, Fault], Awaitable[None]]] = {
+    kind: getattr(FaultInjector, f"_{kind.name.lower()}") for kind in FaultKind
+}
--- a/soak/joins.py
+++ b/soak/joins.py
@@ -4,12 +4,9 @@
 from collections.abc import Collection, Iterable, Iterator
 from typing import NamedTuple
 
-from soak.deployment import (
-    RESUMABLE_TIMEOUT_MS,
-    InjectedFault,
-    Outage,
-    ServingEngine,
-)
+from soak.configuration import RESUMABLE_TIMEOUT_MS
+from soak.deployment import Outage, ServingEngine
+from soak.faults import InjectedFault
 from soak.plan import FaultKind
 from soak.promises import (
     ALLOWED_STATUSES,
--- a/soak/promises.py
+++ b/soak/promises.py
@@ -11,8 +11,8 @@
 # With these the gateway guarantees that the request has not run and never will.
 NOT_RUN_STATUSES = frozenset([408, 421, 429, 503])
 
-# The shortest timeout of a route (soak/deployment.py), without the margin for
-# requests that are counted from their head.
+# The shortest timeout of a route (soak/configuration.py), without the margin
+# for requests that are counted from their head.
 MIN_DEADLINE_S = 2.4
 
 # Statuses that a caller may get while faults are injected.
--- a/soak/streams.py
+++ b/soak/streams.py
@@ -10,7 +10,8 @@
 import msgspec
 
 from soak.callers import MAX_PAUSE_S
-from soak.deployment import RESUMABLE_TIMEOUT_MS, Deployment
+from soak.configuration import RESUMABLE_TIMEOUT_MS
+from soak.deployment import Deployment
 from standins.worker_process import RESUMABLE_PREFIX
 
 # For all requests for a stream together.
--- a/test/soak/test_joins.py
+++ b/test/soak/test_joins.py
@@ -3,7 +3,8 @@
 import math
 import unittest
 
-from soak.deployment import InjectedFault, Outage, ServingEngine
+from soak.deployment import Outage, ServingEngine
+from soak.faults import InjectedFault
 from soak.joins import (
     MIN_CONTINUED,
     Shares,
