--- a/test/gateway/test_joined_versions.py
+++ b/test/gateway/test_joined_versions.py
@@ -126,6 +126,32 @@
         self.assertEqual(503, (await self._go_on("old")).status)
         self.assertEqual([], self.new.arrivals)
 
+    async def test_all_hosts_are_killed_after_the_version_has_left(self):
+        await self._begin_at(self.old, "old")
+        self.store.remove("servers", self.old.name)
+        hosts = [self.tasks[1], self.tasks[-1]]
+        for host in hosts:
+            host.cancel()
+        await asyncio.gather(*hosts, return_exceptions=True)
+        self.other_host = await self.start_second_gateway()
+        self.assertEqual(503, (await self._go_on("old")).status)
+        self.assertEqual([], self.new.arrivals)
+
+    async def test_all_hosts_are_killed_amid_streams_of_two_versions(self):
+        await self._begin_at(self.old, "old")
+        await self._begin_at(self.new, "new")
+        hosts = [self.tasks[1], self.tasks[-1]]
+        for host in hosts:
+            host.cancel()
+        await asyncio.gather(*hosts, return_exceptions=True)
+        self.other_host = await self.start_second_gateway()
+        await self.eventually(lambda: len(self.versions(self.other_host)) == 4)
+        self.assertEqual(200, (await self._go_on("old")).status)
+        self.assertEqual([], self.new.arrivals)
+        self.old.arrivals.clear()
+        self.assertEqual(200, (await self._go_on("new")).status)
+        self.assertEqual([], self.old.arrivals)
+
     async def test_host_that_knows_no_upstreams_yet(self):
         await self._begin_at(self.old, "old")
         fleet = self.other_host._dispatcher.fleet
