Fix gateways that ended with all requests when a background task failed

Callers got 500 or a closed connection for requests in progress, and found nobody listening after that. Cause of the class: the tasks of a gateway share a task group, so that an error in any of them ended all. Now a task that has failed is logged, counted and started again; planning and calls of engines were contained already. An error of the server, or at the start, still ends the process. test_failed_task failed before (the gateway's tasks had ended).

--- a/acaciaspoke/gateway/process.py
+++ b/acaciaspoke/gateway/process.py
@@ -45,6 +45,7 @@
 from acaciaspoke.gateway.settings import GatewaySettings
 from acaciaspoke.gateway.stop_limit import limit_stop
 from acaciaspoke.gateway.stream_store import StreamStore
+from acaciaspoke.gateway.supervision import run_supervised
 from acaciaspoke.gateway.table_follower import ConfigurationLag
 from acaciaspoke.gateway.types import CallerLimits, Configuration
 from acaciaspoke.ids import BootId, HostId
@@ -390,8 +391,8 @@
         )
         async with self._store, anyio.create_task_group() as tasks:
             tasks.start_soon(stop_on_signals, self.drain)
-            for task in self._background():
-                tasks.start_soon(task)
+            for name, run in self._background().items():
+                tasks.start_soon(run_supervised, run, name, self.metrics)
             async with anyio.create_task_group() as serving:
                 await serving.start(server.serve)
                 logger.info("started", role="gateway", version=__version__)
@@ -402,28 +403,35 @@
             logger.info("stopped")
             tasks.cancel_scope.cancel()
 
-    def _background(self) -> list[Callable[[], Awaitable[None]]]:
-        return [
-            *(follower.run for follower in self._followers.values()),
-            self._registration.run,
-            self._peers.run,
-            self._peer_lease_table.run,
-            self._digests.run,
-            self._loads.run,
-            self._replica_waits.run,
-            self._streams.run,
-            self.tick,
-            functools.partial(
+    def _background(self) -> dict[str, Callable[[], Awaitable[None]]]:
+        """Returns the tasks that run as long as the process, by name."""
+        followers = {
+            f"follower of {table}": follower.run
+            for table, follower in self._followers.items()
+        }
+        return {
+            **followers,
+            "registration": self._registration.run,
+            "peers": self._peers.run,
+            "calls for peers": self._peer_lease_table.run,
+            "digests": self._digests.run,
+            "loads": self._loads.run,
+            "replica waits": self._replica_waits.run,
+            "streams": self._streams.run,
+            "tick": self.tick,
+            "stop limit": functools.partial(
                 limit_stop,
                 self.drain,
                 self._dispatcher.estimates,
                 self._settings.stop_grace_s,
                 self.app.end_unanswered,
             ),
-            functools.partial(log_reloads, self._settings, self._settings_path),
-            self._leader.run,
-            self._keep_lease,
-        ]
+            "reloads": functools.partial(
+                log_reloads, self._settings, self._settings_path
+            ),
+            "planning": self._leader.run,
+            "lease": self._keep_lease,
+        }
 
     async def _keep_lease(self) -> None:
         await self._leader.keep_lease(self.is_lease_candidate)
