Decode workspaces, their keys and quotas; check API keys

The platform's configuration may list tenants with API keys, a priority and a quota. Requests of routes that are not public need a key then (401 otherwise); upstreams get the workspace's name and never the key.

--- a/acaciaspoke/gateway/app.py
+++ b/acaciaspoke/gateway/app.py
@@ -11,6 +11,7 @@
 from acaciaspoke.entry.errors import CallerError, Outcome
 from acaciaspoke.gateway import answers
 from acaciaspoke.gateway.answers import StreamBrokenError
+from acaciaspoke.gateway.api_keys import ApiKeys, fingerprint
 from acaciaspoke.gateway.attempt import Relay
 from acaciaspoke.gateway.exchange import RequestHandler
 from acaciaspoke.gateway.failures import Failure, FailureType, send_failure
@@ -28,6 +29,7 @@
     Request,
     Route,
     RouteKind,
+    Workspace,
 )
 from acaciaspoke.ids import RequestId
 from acaciaspoke.platform.headers import (
@@ -72,6 +74,7 @@
         self.open_requests = 0
         self._requests = OpenRequests()
         self._routes = RouteTable(())
+        self._api_keys = ApiKeys()
         self._request_handler = request_handler
         self._metrics = metrics
         self._ready_port = ready_port
@@ -85,6 +88,7 @@
         """Activates a configuration."""
         self.configuration = configuration
         self._routes = RouteTable(configuration.routes)
+        self._api_keys = ApiKeys(configuration.workspaces)
 
     def end_unanswered(self) -> None:
         """Answers all requests that have no answer, as the host stops."""
@@ -178,7 +182,7 @@
         arrived_s: float,
         forwarded: ForwardedFields | None,
     ) -> None:
-        fields, route = self._check(caller, path)
+        self._check(caller, path)
         limits = self.configuration.limits
         try:
             body = await caller.read_body(limits.max_body_bytes)
@@ -194,18 +198,21 @@
                 Failure(FailureType.TOO_LARGE, str(error))
             ) from error
         # A newer configuration may have become active while the body arrived.
-        fields, route = self._check(caller, path)
+        fields, route, workspace = self._check(caller, path)
         if forwarded is not None and self._is_detached():
             await self._decline(caller, forwarded, "this host is detached")
             return
         request = _to_request(caller, fields, route, target, body, arrived_s)
+        request.workspace = workspace
         if forwarded is not None:
             _apply_forwarded(request, forwarded)
             self._metrics.served_for_hosts.inc()
         relay = Relay(caller, target, body, self._request_handler.body_memory)
         await self._serve_until_disconnect(request, relay)
 
-    def _check(self, caller: Caller, path: str) -> tuple[RequestFields, Route]:
+    def _check(
+        self, caller: Caller, path: str
+    ) -> tuple[RequestFields, Route, Workspace | None]:
         if self.configuration is None:
             raise _BadRequestError(
                 Failure(
@@ -224,7 +231,20 @@
         if route is None:
             failure = Failure(FailureType.NOT_FOUND, "no route for this path")
             raise _BadRequestError(failure)
-        return fields, route
+        return fields, route, self._authenticate(fields, route)
+
+    def _authenticate(
+        self, fields: RequestFields, route: Route
+    ) -> Workspace | None:
+        """Returns the workspace of a request; None if it needs none."""
+        workspace = self._api_keys.find(fields.api_key)
+        if workspace or route.is_public or not self._api_keys.are_required:
+            return workspace
+        message = "the request has no API key"
+        if fields.api_key:
+            digits = fingerprint(fields.api_key)
+            message = f"no workspace has the API key with fingerprint {digits}"
+        raise _BadRequestError(Failure(FailureType.UNAUTHENTICATED, message))
 
     async def _serve_until_disconnect(
         self, request: Request, relay: Relay
@@ -282,6 +302,7 @@
         output_tokens=fields.output_tokens,
         fingerprint=xxhash.xxh64_intdigest(target + b"\0" + body),
         continues=continues,
+        states_tokens=fields.states_tokens,
     )
 
 
--- a/acaciaspoke/gateway/dispatch.py
+++ b/acaciaspoke/gateway/dispatch.py
@@ -215,7 +215,7 @@
         """Counts the running requests at each upstream, by priority."""
         counts: defaultdict[UpstreamId, Counter[int]] = defaultdict(Counter)
         for request, upstream in self._running.values():
-            counts[upstream][request.route.priority] += 1
+            counts[upstream][request.priority] += 1
         return counts
 
     # Decisions.
@@ -338,7 +338,7 @@
         if free > 0:
             loads.add(point.upstream, request)
             return False
-        self.fleet.places.need(point.upstream, request.route.priority)
+        self.fleet.places.need(point.upstream, request.priority)
         request.wait_reason = WaitReason.ROOM
         return True
 
--- a/acaciaspoke/gateway/estimates.py
+++ b/acaciaspoke/gateway/estimates.py
@@ -163,7 +163,7 @@
             count
             for digest in self._fleet.peer_loads.fresh(now_s)
             for priority, count in digest.waiting.get(model, {}).items()
-            if priority <= request.route.priority
+            if priority <= request.priority
         )
 
 
@@ -176,7 +176,8 @@
     return slots if limit_per_s is None else min(slots, limit_per_s * service_s)
 
 
-def priority_key(request: Request) -> tuple[int, float]:
+def priority_key(request: Request) -> tuple[int, int, float]:
     """Returns the key by which waiting requests are served."""
-    # Callers that retry have less time left, so they go first.
-    return (request.route.priority, request.deadline_s)
+    # The routes of a workspace have ranks of their own. Callers that retry have
+    # less time left, so they go first.
+    return (request.priority, request.route.priority, request.deadline_s)
--- a/acaciaspoke/gateway/failures.py
+++ b/acaciaspoke/gateway/failures.py
@@ -13,9 +13,11 @@
     """Types of failures; described in docs/errors.md."""
 
     BAD_REQUEST = "bad_request"
+    UNAUTHENTICATED = "unauthenticated"
     NOT_FOUND = "not_found"
     TOO_LARGE = "too_large"
     NOT_READY = "not_ready"
+    QUOTA_EXCEEDED = "quota_exceeded"
     OVERLOADED = "overloaded"
     NOT_RESUMABLE = "not_resumable"
     UPSTREAM_REFUSED = "upstream_refused"
@@ -26,9 +28,11 @@
 
 STATUS = {
     FailureType.BAD_REQUEST: 400,
+    FailureType.UNAUTHENTICATED: 401,
     FailureType.NOT_FOUND: 404,
     FailureType.TOO_LARGE: 413,
     FailureType.NOT_READY: 503,
+    FailureType.QUOTA_EXCEEDED: 429,
     FailureType.OVERLOADED: 503,
     FailureType.NOT_RESUMABLE: 503,
     FailureType.UPSTREAM_REFUSED: 503,
--- a/acaciaspoke/gateway/limited_choice.py
+++ b/acaciaspoke/gateway/limited_choice.py
@@ -107,7 +107,7 @@
         ]
         wait_s, upstream = self._least_wait(request, usable or limited, now_s)
         if usable:
-            self._tokens.need(upstream.record.upstream, request.route.priority)
+            self._tokens.need(upstream.record.upstream, request.priority)
         if unlimited:
             return 0.0
         request.wait_reason = WaitReason.LIMIT
@@ -119,7 +119,7 @@
         least_s, chosen = math.inf, limited[0]
         for upstream in limited:
             wait_s = self._tokens.wait_s(
-                upstream.record.upstream, request.route.priority, now_s
+                upstream.record.upstream, request.priority, now_s
             )
             if wait_s < least_s:
                 least_s, chosen = wait_s, upstream
@@ -149,7 +149,7 @@
             and name not in request.tried
             and upstream.accepts(now_s)
         ):
-            places.need(name, request.route.priority)
+            places.need(name, request.priority)
             request.wait_reason = WaitReason.ROOM
 
 
--- a/acaciaspoke/gateway/load_reports.py
+++ b/acaciaspoke/gateway/load_reports.py
@@ -15,7 +15,7 @@
     for request in waiting:
         if request.artifact is not None:
             counts = counts_by_model.setdefault(request.artifact.model, {})
-            priority = request.route.priority
+            priority = request.priority
             counts[priority] = counts.get(priority, 0) + 1
     return counts_by_model
 
--- a/acaciaspoke/gateway/types.py
+++ b/acaciaspoke/gateway/types.py
@@ -16,6 +16,7 @@
     ServiceId,
     SoftwareVersion,
     UpstreamId,
+    WorkspaceId,
 )
 
 
@@ -62,6 +63,7 @@
             is not a stream.
         priority: Priority of the requests; 0 is the most urgent.
         max_attempts: How many upstreams may run one request.
+        is_public: Whether requests need no API key.
     """
 
     name: str
@@ -75,6 +77,7 @@
     gap_objective_s: float = 0.0
     priority: int = 0
     max_attempts: int = 1
+    is_public: bool = False
 
     @property
     def idempotent(self) -> bool:
@@ -123,6 +126,38 @@
     engine: EngineSpec | None = None
 
 
+class Quota(msgspec.Struct, frozen=True, kw_only=True):
+    """What a workspace may send through all hosts together.
+
+    Attributes:
+        tokens_per_s: Rate at which tokens accrue.
+        burst_tokens: Tokens that accrue at most while none are used.
+        plain_tokens: Tokens of a request that states none.
+        counts_tokens: Whether a request counts by the tokens that it states;
+            otherwise each request counts as one token.
+    """
+
+    tokens_per_s: float
+    burst_tokens: float
+    plain_tokens: int = 1
+    counts_tokens: bool = True
+
+
+class Workspace(msgspec.Struct, frozen=True, kw_only=True):
+    """A group of callers with API keys of its own.
+
+    Attributes:
+        key_digests: Digests of its API keys.
+        priority: Goes before the priority of routes; None if it has none.
+        quota: None if it may send any number of requests.
+    """
+
+    name: WorkspaceId
+    key_digests: frozenset[bytes]
+    priority: int | None = None
+    quota: Quota | None = None
+
+
 class CallerLimits(msgspec.Struct, frozen=True, kw_only=True):
     """Limits on the size and duration of a caller's request."""
 
@@ -133,12 +168,17 @@
 
 
 class Configuration(msgspec.Struct, frozen=True, kw_only=True):
-    """One version of the routes, services and limits."""
+    """One version of the routes, services, limits and workspaces.
+
+    Attributes:
+        workspaces: Empty if requests need no API key.
+    """
 
     version: ConfigVersion
     routes: tuple[Route, ...]
     services: dict[ServiceId, Service]
     limits: CallerLimits
+    workspaces: tuple[Workspace, ...] = ()
 
 
 class UpstreamState(Enum):
@@ -253,6 +293,8 @@
             caller sent it here.
         starts_elsewhere: How often it had been sent to an upstream before.
         tried_hosts: Hosts to which it was forwarded, and that did not serve it.
+        workspace: The workspace that holds its API key; None if it has none.
+        states_tokens: Whether its caller has stated the numbers of tokens.
     """
 
     id: RequestId
@@ -280,6 +322,15 @@
     forwarded_by: HostId | None = None
     starts_elsewhere: int = 0
     tried_hosts: set[HostId] = msgspec.field(default_factory=set)
+    workspace: Workspace | None = None
+    states_tokens: bool = False
+
+    @property
+    def priority(self) -> int:
+        """Its priority among the requests of all workspaces."""
+        if self.workspace is None or self.workspace.priority is None:
+            return self.route.priority
+        return self.workspace.priority
 
     @property
     def objective_s(self) -> float:
--- a/acaciaspoke/platform/headers.py
+++ b/acaciaspoke/platform/headers.py
@@ -37,6 +37,10 @@
 SERVER_LOAD = b"acaciaspoke-server-load"
 # Priority at the engine, from 0 (most urgent) to LEAST_URGENT.
 REQUEST_URGENCY = b"acaciaspoke-request-urgency"
+# The API key of the caller's workspace, which no upstream gets.
+API_KEY = b"acaciaspoke-key"
+# The name of the workspace.
+WORKSPACE = b"acaciaspoke-tenant"
 LAST_EVENT_ID = b"last-event-id"
 # Id of the caller's request that brought the first event of a stream with which
 # this request goes on.
@@ -65,9 +69,13 @@
         KV_FROM,
         b"acaciaspoke-pin-ms",
         b"kv-fetch",
+        WORKSPACE,
     ]
 )
 
+# Headers of a caller that upstreams do not get; other hosts check the key too.
+_HIDDEN_FROM_UPSTREAMS = _RESERVED_HEADERS | {API_KEY}
+
 # RFC 9110, section 7.6.1, and headers that the HTTP libraries write.
 _HOP_BY_HOP_HEADERS = frozenset(
     [
@@ -115,6 +123,8 @@
         continues: The caller's earlier request that brought the first event of
             the stream with which this one goes on; empty if it names none.
         has_last_event: Whether it goes on after an event of a stream.
+        api_key: The key of the caller's workspace; empty if it sent none.
+        states_tokens: Whether the numbers of tokens are stated.
     """
 
     attempt_id: str
@@ -126,6 +136,8 @@
     shared_parts: tuple[PartId, ...] = ()
     continues: RequestId = RequestId("")
     has_last_event: bool = False
+    api_key: bytes = b""
+    states_tokens: bool = False
 
 
 class LoadReport(NamedTuple):
@@ -203,6 +215,8 @@
         shared_parts=tuple(filter(None, shared_parts[:MAX_SHARED_PARTS])),
         continues=RequestId(text[RESUMES]),
         has_last_event=bool(text[LAST_EVENT_ID]),
+        api_key=found.get(API_KEY, b"").strip(),
+        states_tokens=bool(text[TOKEN_COUNT]),
     )
 
 
@@ -243,15 +257,17 @@
     last_event_id: bytes | None,
 ) -> Headers:
     """Returns the headers to send to an upstream."""
-    encoded = end_to_end_headers(headers, _RESERVED_HEADERS)
+    encoded = end_to_end_headers(headers, _HIDDEN_FROM_UPSTREAMS)
     if last_event_id is not None:
         encoded = [pair for pair in encoded if pair[0] != LAST_EVENT_ID]
         encoded.append((LAST_EVENT_ID, last_event_id))
+    if request.workspace is not None:
+        encoded.append((WORKSPACE, request.workspace.name.encode("latin-1")))
     remaining_ms = max(1, int((request.deadline_s - now_s) * 1000))
     encoded.append((TIME_REMAINING_MS, str(remaining_ms).encode()))
     encoded.append((EXPECT_INSTANCE, upstream.encode("latin-1")))
     if request.artifact is not None:
-        urgency = min(request.route.priority, LEAST_URGENT)
+        urgency = min(max(request.priority, 0), LEAST_URGENT)
         encoded.append((REQUEST_URGENCY, str(urgency).encode()))
     if request.resume_at is not None:
         memory = request.resume_at.memory
