Rank requests by their workspace's priority, then by their route's

Engines get both priorities in one of their ten levels. Shares of slots and the weights of replicas still follow the route alone, as workspaces of a deployment may all have the same priority.

--- a/acaciaspoke/gateway/admission.py
+++ b/acaciaspoke/gateway/admission.py
@@ -151,7 +151,7 @@
     """
     max_s = (request.deadline_s - now_s) * MAX_RETRY_AFTER_SHARE
     spread = xxhash.xxh32_intdigest(request.id.encode()) / 2**32
-    spread_s = RETRY_SPREAD_S * (min(request.priority, 2) + spread)
+    spread_s = RETRY_SPREAD_S * (min(request.route.priority, 2) + spread)
     delay_s = ready_s - now_s + RETRY_MARGIN_S + spread_s
     retry_s = now_s + min(delay_s, max_s)
     total_s = min(max_wait_s(request), request.deadline_s - retry_s)
--- a/acaciaspoke/gateway/balance.py
+++ b/acaciaspoke/gateway/balance.py
@@ -54,7 +54,7 @@
     slots = upstream.record.slots
     if request.artifact is None:
         return PLAIN_SLOT_SHARE * slots
-    rank = min(request.priority, len(SLOT_SHARES) - 1)
+    rank = min(request.route.priority, len(SLOT_SHARES) - 1)
     return SLOT_SHARES[rank] * slots
 
 
--- a/acaciaspoke/gateway/estimates.py
+++ b/acaciaspoke/gateway/estimates.py
@@ -176,8 +176,7 @@
     return slots if limit_per_s is None else min(slots, limit_per_s * service_s)
 
 
-def priority_key(request: Request) -> tuple[int, int, float]:
+def priority_key(request: Request) -> tuple[int, float]:
     """Returns the key by which waiting requests are served."""
-    # The routes of a workspace have ranks of their own. Callers that retry have
-    # less time left, so they go first.
-    return (request.priority, request.route.priority, request.deadline_s)
+    # Callers that retry have less time left, so they go first.
+    return (request.priority, request.deadline_s)
--- a/acaciaspoke/gateway/local_demand.py
+++ b/acaciaspoke/gateway/local_demand.py
@@ -41,7 +41,7 @@
             demand = self._demand[request.artifact] = _Demand(request.service)
         demand.arrivals += 1
         demand.prompt_tokens += request.prompt_tokens
-        demand.priority = min(demand.priority, request.priority)
+        demand.priority = min(demand.priority, request.route.priority)
         demand.last_s = now_s
 
     def report(
--- a/acaciaspoke/gateway/types.py
+++ b/acaciaspoke/gateway/types.py
@@ -19,6 +19,9 @@
     WorkspaceId,
 )
 
+# Priorities of workspaces and of routes beyond these count as the last one.
+PRIORITY_LEVELS = 10
+
 
 class RouteKind(Enum):
     """Whether requests of a route may be retried."""
@@ -327,10 +330,34 @@
 
     @property
     def priority(self) -> int:
-        """Its priority among the requests of all workspaces."""
-        if self.workspace is None or self.workspace.priority is None:
+        """Its rank in queues; 0 is the most urgent.
+
+        The priority of its workspace goes before that of its route.
+        """
+        if self.workspace is None:
             return self.route.priority
-        return self.workspace.priority
+        first, second = self._priorities
+        return PRIORITY_LEVELS * first + second
+
+    @property
+    def engine_priority(self) -> int:
+        """Its priority at an engine, which knows few levels."""
+        if self.workspace is None:
+            return self.route.priority
+        first, second = (min(level, 2) for level in self._priorities)
+        return 3 * first + second
+
+    @property
+    def _priorities(self) -> tuple[int, int]:
+        own = self.workspace.priority
+        levels = (
+            self.route.priority if own is None else own,
+            self.route.priority,
+        )
+        first, second = (
+            min(max(level, 0), PRIORITY_LEVELS - 1) for level in levels
+        )
+        return first, second
 
     @property
     def objective_s(self) -> float:
--- a/acaciaspoke/gateway/version_demand.py
+++ b/acaciaspoke/gateway/version_demand.py
@@ -76,7 +76,7 @@
                 artifact=request.artifact,
                 version=request.version,
                 waiting=1,
-                priority=request.priority,
+                priority=request.route.priority,
                 oldest_s=now_s - request.arrived_s,
                 remaining_s=latest_start_s(request) - now_s,
             )
--- a/acaciaspoke/platform/headers.py
+++ b/acaciaspoke/platform/headers.py
@@ -267,7 +267,7 @@
     encoded.append((TIME_REMAINING_MS, str(remaining_ms).encode()))
     encoded.append((EXPECT_INSTANCE, upstream.encode("latin-1")))
     if request.artifact is not None:
-        urgency = min(max(request.priority, 0), LEAST_URGENT)
+        urgency = min(max(request.engine_priority, 0), LEAST_URGENT)
         encoded.append((REQUEST_URGENCY, str(urgency).encode()))
     if request.resume_at is not None:
         memory = request.resume_at.memory
