Prefer upstreams at which work takes less time

Upstreams report how long work takes on their machines now. Engines are ranked by slowdown x (1 + load), prompts in prefill count by it, and plain requests are spread by free capacity.

--- a/acaciaspoke/gateway/aggregate.py
+++ b/acaciaspoke/gateway/aggregate.py
@@ -26,6 +26,7 @@
 )
 from acaciaspoke.gateway.peerloads import PeerLoads
 from acaciaspoke.gateway.reachability import UNREACHABLE_REPORTERS
+from acaciaspoke.gateway.slowdown import newest_reports
 from acaciaspoke.gateway.suspects import CrashSuspects
 from acaciaspoke.gateway.upstream_limits import UpstreamLimits
 from acaciaspoke.ids import DomainId, HostId, ModelId, PartId, UpstreamId
@@ -208,6 +209,7 @@
             suspected_parts=_merge_parts(self._member_parts.values(), now_s),
             limits=self._limits.reports(now_s),
             brittle=self._brittle.reports(now_s),
+            slowdowns=self._members.slowdowns(now_s),
             reached=_union(digest.reached for digest in digests),
             detached=_union(digest.detached for digest in digests),
             stopping=_union(digest.stopping for digest in digests),
@@ -245,6 +247,9 @@
         newest = _newest_configuration(digests)
         limits = self._limits.reports(now_s)
         brittle = self._brittle.reports(now_s)
+        slowdowns = newest_reports(
+            [members.slowdowns(now_s), domains.slowdowns(now_s)]
+        )
         reached = _union(digest.reached for digest in digests)
         detached = _union(digest.detached for digest in digests)
         stopping = _union(digest.stopping for digest in digests)
@@ -269,6 +274,7 @@
                 suspected_parts=parts,
                 limits=limits,
                 brittle=brittle,
+                slowdowns=slowdowns,
                 reached=reached,
                 detached=detached,
                 stopping=stopping,
--- a/acaciaspoke/gateway/balance.py
+++ b/acaciaspoke/gateway/balance.py
@@ -6,6 +6,7 @@
 prefill.
 """
 
+import math
 from collections import Counter
 from collections.abc import Iterable, Mapping, Set
 from types import MappingProxyType
@@ -14,7 +15,12 @@
 import xxhash
 
 from acaciaspoke.gateway.engine_speed import EngineSpeed
-from acaciaspoke.gateway.types import BackupEngine, Request, WaitReason
+from acaciaspoke.gateway.types import (
+    BackupEngine,
+    Request,
+    UpstreamRecord,
+    WaitReason,
+)
 from acaciaspoke.gateway.upstream import Upstream
 from acaciaspoke.ids import DomainId, UpstreamId
 
@@ -32,8 +38,12 @@
 # loaded one is chosen.
 LOCAL_LOAD_SHARE = 0.8
 
-# Engines whose load differs by less than this share of their slots count as
-# equal, so that hosts with the same loads do not all choose the same one.
+# Free capacity that each upstream counts as having, as a share of its slots.
+MIN_FREE_SHARE = 0.05
+
+# Engines whose load, times their slowdown, differs by less than this share of
+# their slots count as equal, so that hosts with the same loads do not all
+# choose the same one.
 EQUAL_LOAD_SHARE = 0.2
 
 # Share of the longest gap between events that prefill may take; the rest is the
@@ -68,6 +78,10 @@
         speed: The measured speed of engines.
         limited: Upstreams that limit the requests that they take.
         places: Requests that this host may still send to each brittle upstream.
+        slowdowns: How many times the usual time work takes at each upstream;
+            empty if upstreams do not report it.
+        spreads_plain: Whether plain requests are spread by free capacity, as
+            many hosts with the same loads would choose the same upstream.
     """
 
     running: Counter[UpstreamId]
@@ -76,6 +90,12 @@
     speed: EngineSpeed = EngineSpeed()  # Without samples; never changed.
     limited: Set[UpstreamId] = frozenset()
     places: Mapping[UpstreamId, int] = MappingProxyType({})
+    slowdowns: Mapping[UpstreamId, float] = MappingProxyType({})
+    spreads_plain: bool = False
+
+    def slowdown(self, upstream: UpstreamId) -> float:
+        """Returns how many times the usual time work takes at an upstream."""
+        return self.slowdowns.get(upstream, 1.0)
 
     def add(self, upstream: UpstreamId, request: Request) -> None:
         """Counts a request that is sent now."""
@@ -102,7 +122,8 @@
     if request.artifact is None or not loads.prefill_tokens[name]:
         return True
     tokens = loads.prefill_tokens[name] + request.prompt_tokens
-    return tokens <= prefill_limit_tokens(request, loads.speed)
+    limit_tokens = prefill_limit_tokens(request, loads.speed)
+    return tokens * loads.slowdown(name) <= limit_tokens
 
 
 def prefill_limit_tokens(request: Request, speed: EngineSpeed) -> float:
@@ -154,24 +175,31 @@
         for upstream in usable
     }
 
+    costs = {
+        name: loads.slowdown(name) * (1 + share)
+        for name, share in shares.items()
+    }
+
     def rank_engine(upstream: Upstream) -> tuple:
-        record = upstream.record
-        share = shares[record.upstream]
+        name = upstream.record.upstream
         # Requests of a session go to the same engine, which may have their
         # prompt cached.
         return (
-            share > least_share + EQUAL_LOAD_SHARE,
-            -_preference(request.affinity or request.id, record.upstream),
+            costs[name] > least_cost + EQUAL_LOAD_SHARE,
+            -_preference(request.affinity or request.id, name),
         )
 
     def rank_plain(upstream: Upstream) -> tuple:
         record = upstream.record
-        share = shares[record.upstream]
+        share = shares[record.upstream] * loads.slowdown(record.upstream)
         is_local = record.failure_domain == local_domain
         is_busy = share >= LOCAL_LOAD_SHARE
+        if loads.spreads_plain:
+            order = _spread_order(request, record, share)
+            return (is_busy, not is_busy and not is_local, order)
         return (is_busy, share if is_busy else not is_local, share)
 
-    least_share = min(shares.values())
+    least_cost = min(costs.values())
     rank = rank_plain if request.artifact is None else rank_engine
     return min(usable, key=rank)
 
@@ -254,5 +282,18 @@
     return BackupEngine(record.upstream, record.address)
 
 
+def _spread_order(
+    request: Request, record: UpstreamRecord, share: float
+) -> float:
+    """Returns the key of weighted rendezvous hashing by free capacity.
+
+    Each upstream is chosen with a probability proportional to its weight.
+    """
+    free_share = max(MIN_FREE_SHARE, PLAIN_SLOT_SHARE - share)
+    weight = free_share * max(1, record.slots)
+    point = _preference(request.id, record.upstream) + 1
+    return -math.log(point / 2**32) / weight
+
+
 def _preference(affinity: str, upstream: UpstreamId) -> int:
     return xxhash.xxh32_intdigest(f"{affinity}\0{upstream}".encode())
--- a/acaciaspoke/gateway/digests.py
+++ b/acaciaspoke/gateway/digests.py
@@ -133,6 +133,7 @@
             suspected_parts=self._part_suspects.local_evidence(now_s),
             limits=self._dispatcher.fleet.limits.reports(now_s),
             brittle=self._dispatcher.fleet.brittle.named.reports(now_s),
+            slowdowns=self._dispatcher.fleet.slowdowns.reports(now_s),
             reached=self._dispatcher.fleet.reachability.reached(now_s),
             detached=(self._host,) if self._is_detached() else (),
             stopping=(self._host,) if self._is_stopping() else (),
--- a/acaciaspoke/gateway/dispatch.py
+++ b/acaciaspoke/gateway/dispatch.py
@@ -220,6 +220,10 @@
 
     # Decisions.
 
+    @property
+    def _has_workspaces(self) -> bool:
+        return bool(self._configuration and self._configuration.workspaces)
+
     def decide(
         self, now_s: float
     ) -> Iterator[Assignment | DroppedRequest | Forward | Decline]:
@@ -228,6 +232,7 @@
         self.fleet.places.begin_round()
         if not self._waiting:
             return
+        slowdowns = self.fleet.slowdowns.factors(now_s)
         loads = Loads(
             self.fleet.loads(now_s),
             self.fleet.prefill_tokens(now_s),
@@ -235,6 +240,8 @@
             self.fleet.speed,
             self.fleet.limits.limited().keys(),
             self.fleet.places.free(now_s),
+            slowdowns,
+            bool(slowdowns) or self._has_workspaces,
         )
         unreachable = self.fleet.reachability.unreachable(now_s)
         holders: dict[tuple, list[Upstream]] = {}
--- a/acaciaspoke/gateway/fleet.py
+++ b/acaciaspoke/gateway/fleet.py
@@ -11,6 +11,7 @@
 from acaciaspoke.gateway.messages import PlacementNotice
 from acaciaspoke.gateway.peerloads import PeerLoads
 from acaciaspoke.gateway.reachability import Reachability
+from acaciaspoke.gateway.slowdown import Slowdowns
 from acaciaspoke.gateway.types import (
     Artifact,
     Request,
@@ -61,6 +62,7 @@
         self.speed = EngineSpeed()
         self.peer_loads = PeerLoads(self.prefill_tokens_per_s)
         self.limits = UpstreamLimits(self._started_ms)
+        self.slowdowns = Slowdowns(self._started_ms)
         self.brittle = BrittleUpstreams(self.upstreams, self._started_ms)
         self.places = HostPlaces(self.brittle)
         self.links = Links()
--- a/acaciaspoke/gateway/message_router.py
+++ b/acaciaspoke/gateway/message_router.py
@@ -129,6 +129,7 @@
             digest.brittle, now_s
         ):
             log_brittle_change(change, f"host {digest.host}")
+        self._dispatcher.fleet.slowdowns.apply_reports(digest.slowdowns, now_s)
         self._request_handler.crash_guard.requests.apply_counts(
             digest.host, digest.crashes, now_s
         )
--- a/acaciaspoke/gateway/messages.py
+++ b/acaciaspoke/gateway/messages.py
@@ -14,6 +14,7 @@
 from acaciaspoke.clients.table import Condition, Put, Transaction
 from acaciaspoke.gateway.part_suspects import PartEvidence
 from acaciaspoke.gateway.place_allocation import PlaceUse
+from acaciaspoke.gateway.slowdown import SlowdownReport
 from acaciaspoke.gateway.types import Artifact
 from acaciaspoke.gateway.upstream_limits import LimitReport
 from acaciaspoke.ids import (
@@ -78,6 +79,8 @@
             others only if no other host can.
         brittle: What is known of upstreams that say that they are brittle, with
             the refusals a second that they survive in place of a limit.
+        slowdowns: What upstreams have just reported about how long work takes.
+            Hosts of earlier releases neither send nor read it.
     """
 
     in_flight: dict[UpstreamId, int] = {}
@@ -93,6 +96,7 @@
     detached: tuple[HostId, ...] = ()
     stopping: tuple[HostId, ...] = ()
     brittle: dict[UpstreamId, LimitReport] = {}
+    slowdowns: dict[UpstreamId, SlowdownReport] = {}
 
 
 class ReadProgress(NamedTuple):
--- a/acaciaspoke/gateway/peerloads.py
+++ b/acaciaspoke/gateway/peerloads.py
@@ -10,6 +10,7 @@
     SendNotice,
     is_superseded,
 )
+from acaciaspoke.gateway.slowdown import SlowdownReport, newest_reports
 from acaciaspoke.ids import HostId, UpstreamId
 
 # Loads of a host that has sent nothing for this time no longer count; hosts
@@ -100,6 +101,18 @@
         """Returns the other hosts that were told to stop."""
         return set().union(*(digest.stopping for digest in self.fresh(now_s)))
 
+    def slowdowns(self, now_s: float) -> dict[UpstreamId, SlowdownReport]:
+        """Returns the newest figures of upstreams, with their ages by now."""
+        return newest_reports(
+            {
+                name: report._replace(
+                    age_ms=report.age_ms + round(1000 * (now_s - received_s))
+                )
+                for name, report in digest.slowdowns.items()
+            }
+            for digest, received_s in self._fresh_digests(now_s, None)
+        )
+
     def loads(
         self, now_s: float, host: HostId | None = None
     ) -> Counter[UpstreamId]:
--- a/acaciaspoke/gateway/upstream_notices.py
+++ b/acaciaspoke/gateway/upstream_notices.py
@@ -57,6 +57,10 @@
         """
         self._record_limit(upstream, started_ms, notice, sent_s)
         self._record_brittle(upstream, started_ms, notice, sent_s)
+        if notice.work_time_percent is not None:
+            self._fleet.slowdowns.record(
+                upstream, notice.work_time_percent, self._clock()
+            )
         if notice.is_leaving and self._fleet.record_leaving(
             upstream, started_ms
         ):
--- a/acaciaspoke/platform/headers.py
+++ b/acaciaspoke/platform/headers.py
@@ -17,6 +17,7 @@
     SERVER_BRITTLE,
     SERVER_LEAVING,
     SERVER_LIMIT,
+    SERVER_LOAD,
     UpstreamNotice,
     decode_notice,
 )
@@ -34,7 +35,6 @@
 # The signature of an upstream's response.
 RESPONSE_SEAL = b"acaciaspoke-response-seal"
 NOT_EXECUTED = b"acaciaspoke-not-executed"
-SERVER_LOAD = b"acaciaspoke-server-load"
 # Priority at the engine, from 0 (most urgent) to LEAST_URGENT.
 REQUEST_URGENCY = b"acaciaspoke-request-urgency"
 # The API key of the caller's workspace, which no upstream gets.
--- a/acaciaspoke/platform/notices.py
+++ b/acaciaspoke/platform/notices.py
@@ -14,6 +14,11 @@
 # Refusals a second for want of room beyond which an upstream's process ends.
 SERVER_BRITTLE = b"server-brittle"
 RETRY_AFTER = b"retry-after"
+# Requests that run and wait at an upstream, its slots and, on some platforms,
+# how long work takes there now as a percentage of the usual time.
+SERVER_LOAD = b"acaciaspoke-server-load"
+_WORK_TIME_INDEX = 3
+_MAX_WORK_TIME_DIGITS = 6
 
 _DECIMAL = re.compile(rb"\+?([0-9]+(\.[0-9]*)?|\.[0-9]+)([eE][+-]?[0-9]{1,3})?")
 
@@ -35,6 +40,8 @@
         has_invalid_brittle: Whether it says so with a number that cannot be
             decoded.
         is_robust: Whether the lack of this number shows that it is not brittle.
+        work_time_percent: How long work takes there now, as a share of the
+            usual time; None if it does not say.
     """
 
     is_leaving: bool = False
@@ -46,6 +53,7 @@
     brittle_refusals_per_s: float | None = None
     has_invalid_brittle: bool = False
     is_robust: bool = False
+    work_time_percent: int | None = None
 
 
 def decode_notice(
@@ -76,9 +84,18 @@
         has_invalid_limit=bool(limits) and limit_per_s is None,
         brittle_refusals_per_s=refusals_per_s,
         has_invalid_brittle=bool(refusals) and refusals_per_s is None,
+        work_time_percent=_decode_work_time(found.get(SERVER_LOAD, b"")),
     )
 
 
+def _decode_work_time(load: bytes) -> int | None:
+    figures = load.split(b",")
+    text = b"".join(figures[_WORK_TIME_INDEX : _WORK_TIME_INDEX + 1]).strip()
+    if not text.isdigit() or len(text) > _MAX_WORK_TIME_DIGITS:
+        return None
+    return int(text) or None
+
+
 def _decode_rate(values: Collection[bytes]) -> float | None:
     """Returns the only value as a rate; None if it is invalid or ambiguous."""
     if len(values) != 1:
