--- a/acaciaspoke/gateway/engineview.py
+++ b/acaciaspoke/gateway/engineview.py
@@ -26,7 +26,6 @@
         cached_models: Models that it can load without the weight store.
         version: The version of its software.
         is_limited: Whether it limits the requests that it takes.
-        slowdown: How many times the median time of all engines work takes.
     """
 
     name: UpstreamId
@@ -44,7 +43,6 @@
     cached_models: frozenset[ModelId] = frozenset()
     version: SoftwareVersion = SoftwareVersion("")
     is_limited: bool = False
-    slowdown: float = 1.0
 
     @property
     def load_share(self) -> float:
--- a/acaciaspoke/gateway/leader.py
+++ b/acaciaspoke/gateway/leader.py
@@ -42,7 +42,6 @@
 from acaciaspoke.gateway.placement_notice import build_notice
 from acaciaspoke.gateway.replicas import limit_slots
 from acaciaspoke.gateway.settings import GatewaySettings
-from acaciaspoke.gateway.slowdown.planning import with_slowdowns
 from acaciaspoke.gateway.types import Configuration, EngineSpec
 from acaciaspoke.gateway.unplaced import UnplacedLog
 from acaciaspoke.gateway.upstream_notices import NoticeRecorder
@@ -363,7 +362,6 @@
             for name, tracker in self._order_sender.trackers.items()
             if tracker.record.service == service and name not in unreachable
         ]
-        engines = with_slowdowns(engines, self._fleet.slowdowns.mean_factors())
         remaining = self._load_limit(service).remaining(spec.loads_per_s, now_s)
         orders = plan_models(
             engines,
--- a/acaciaspoke/gateway/placement.py
+++ b/acaciaspoke/gateway/placement.py
@@ -219,21 +219,9 @@
             missing_slots += replicas.waiting[model]
         if missing_slots > 0 and demand >= 1:
             yield Addition(model, weight * missing_slots, "busy")
-        elif demand >= 1:
-            yield from _better_replicas(model, replicas)
-
-
-def _better_replicas(model: ModelId, replicas: Replicas) -> Iterator[Addition]:
-    """Yields the replica that a model needs though its replicas are not busy."""
-    holders, demand = replicas.holders[model], replicas.demand(model)
-    slow_gain = replicas.slow_cost(model, holders)
-    is_alone = len(holders) == 1 and demand >= SPARE_REPLICA_MIN_DEMAND
-    spare_gain = SPARE_REPLICA_SHARE * demand if is_alone else 0.0
-    gain = slow_gain + replicas.weight.get(model, 1.0) * spare_gain
-    if slow_gain and model not in replicas.loading_models:
-        yield Addition(model, gain, "slow copies")
-    elif is_alone:
-        yield Addition(model, gain, "one copy")
+        elif len(holders) == 1 and demand >= SPARE_REPLICA_MIN_DEMAND:
+            gain = weight * SPARE_REPLICA_SHARE * demand
+            yield Addition(model, gain, "one copy")
 
 
 def _plan_replica(
@@ -271,7 +259,6 @@
         if not is_waited_for and replicas.is_urgent(victim):
             continue
         costs = _replica_cost(
-            model,
             gain,
             engine,
             engine.failure_domain in domains,
@@ -315,7 +302,6 @@
 
 
 def _replica_cost(
-    model: ModelId,
     gain: float,
     engine: EngineView,
     is_same_domain: bool,
@@ -327,7 +313,6 @@
     load_cost = FULL_ENGINE_COST * max(load_share, engine.is_limited)
     load_cost += gain * max(0.0, load_share - TARGET_SHARE)
     load_cost += SAME_DOMAIN_COST if is_same_domain else 0.0
-    load_cost += replicas.slow_cost(model, [engine])
     return ReplicaCost(
         eviction=eviction_cost,
         load=load_cost,
--- a/acaciaspoke/gateway/replicas.py
+++ b/acaciaspoke/gateway/replicas.py
@@ -12,7 +12,6 @@
 
 from acaciaspoke.gateway.demand import TotalDemand
 from acaciaspoke.gateway.engineview import EngineView, free_mb
-from acaciaspoke.gateway.slowdown.planning import late_share, least_late_share
 from acaciaspoke.gateway.types import Artifact, EngineSpec
 from acaciaspoke.ids import ModelId, SoftwareVersion, UpstreamId
 
@@ -246,18 +245,6 @@
             return default_per_s * load_s * self.unrequested_share
         return costs_per_s[min(priority, len(costs_per_s) - 1)] * load_s
 
-    def slow_cost(self, model: ModelId, engines: Sequence[EngineView]) -> float:
-        """Returns what a model's streams lose if only these engines run them.
-
-        Args:
-            model: The model.
-            engines: The engines; the fastest one counts.
-        """
-        share = least_late_share(engines)
-        if not share:
-            return 0.0
-        return self.weight.get(model, 1.0) * share * self.demand(model)
-
     def adapter_block_cost(self, engine: EngineView, load_s: float) -> float:
         """Returns the cost of blocking adapter orders at an engine."""
         return load_s * self._cached(self._adapter_block_cost_per_s, engine)
@@ -336,8 +323,6 @@
             return cost + self._last_replica_cost(model)
         if len(other_holders) == 1:
             cost += self._second_replica_cost(model)
-        if late_share(engine) < least_late_share(other_holders):
-            cost += self.slow_cost(model, other_holders)
         if model not in self.priority:
             return cost
         demand = self.demand(model)
