Keep workspaces within their quotas over all hosts

One host owns the token bucket of a workspace; the others ask it for the tokens of each request and get a grant or a denial (429). Requests that no upstream got give their tokens back.

--- a/acaciaspoke/gateway/answers.py
+++ b/acaciaspoke/gateway/answers.py
@@ -70,6 +70,18 @@
     await _answer_failure(metrics, request, relay.caller, failure)
 
 
+async def answer_over_quota(
+    metrics: GatewayMetrics, request: Request, relay: Relay, refusal: Refusal
+) -> None:
+    """Answers a request beyond the quota of its workspace."""
+    failure = Failure(
+        FailureType.QUOTA_EXCEEDED,
+        "the workspace has used its quota",
+        retry_after_s=refusal.retry_after_s,
+    )
+    await _answer_failure(metrics, request, relay.caller, failure)
+
+
 async def answer_not_resumable(
     metrics: GatewayMetrics, request: Request, relay: Relay, obstacle: str
 ) -> None:
--- a/acaciaspoke/gateway/exchange.py
+++ b/acaciaspoke/gateway/exchange.py
@@ -25,6 +25,7 @@
 )
 from acaciaspoke.gateway.forwarding import Forwarder
 from acaciaspoke.gateway.metrics import GatewayMetrics
+from acaciaspoke.gateway.quotas import QuotaGate
 from acaciaspoke.gateway.stream_store import StreamStore
 from acaciaspoke.gateway.takeover import resume_points
 from acaciaspoke.gateway.types import BackupEngine, Request
@@ -81,6 +82,7 @@
         streams: StreamStore,
         forwarder: Forwarder,
         suspect_links: Callable[[], None] | None = None,
+        quotas: QuotaGate | None = None,
     ):
         """Creates a handler without any request.
 
@@ -95,8 +97,10 @@
             forwarder: Sends requests to other hosts.
             suspect_links: Called if a connection to an upstream failed; None if
                 this host's links are not checked.
+            quotas: Admits requests within quotas; None if there are none.
         """
         self._forwarder = forwarder
+        self._quotas = quotas
         self._dispatcher = dispatcher
         self._metrics = metrics
         self.body_memory = body_memory
@@ -144,8 +148,23 @@
                     self._metrics, request, relay, obstacle
                 )
                 return
-            now_s = time.monotonic()
-        refusal = self._dispatcher.submit(request, now_s)
+        if not is_local or self._quotas is None:
+            await self._serve_admitted(request, relay)
+            return
+        refusal = await self._quotas.admit(request)
+        if refusal is not None:
+            await answers.answer_over_quota(
+                self._metrics, request, relay, refusal
+            )
+            return
+        try:
+            await self._serve_admitted(request, relay)
+        finally:
+            if not request.starts:
+                self._quotas.give_back(request)
+
+    async def _serve_admitted(self, request: Request, relay: Relay) -> None:
+        refusal = self._dispatcher.submit(request, time.monotonic())
         if refusal is not None:
             await answers.answer_refused(self._metrics, request, relay, refusal)
             return
--- a/acaciaspoke/gateway/message_router.py
+++ b/acaciaspoke/gateway/message_router.py
@@ -21,6 +21,9 @@
     PlaceGrant,
     PlacementNotice,
     PlaceReport,
+    QuotaAnswer,
+    QuotaAsk,
+    QuotaSettlement,
     ReadProgress,
     RowAnswer,
     RowChanges,
@@ -30,6 +33,7 @@
 )
 from acaciaspoke.gateway.peer_lease_table import PeerLeaseTable
 from acaciaspoke.gateway.place_exchange import PlaceExchange
+from acaciaspoke.gateway.quotas import QuotaExchange
 from acaciaspoke.gateway.rowrelay import RowRelay
 from acaciaspoke.gateway.table_follower import ConfigurationLag
 from acaciaspoke.gateway.upstream_notices import (
@@ -54,6 +58,7 @@
         loads: LoadExchange,
         limits: LimitExchange,
         places: PlaceExchange,
+        quotas: QuotaExchange,
         row_relay: RowRelay,
         configuration_relay: ConfigurationRelay,
         peer_lease_table: PeerLeaseTable,
@@ -72,6 +77,7 @@
             loads: Gets loads, and forwards notices.
             limits: Gets asks and tokens for limited upstreams.
             places: Gets reports and grants of places at brittle upstreams.
+            quotas: Gets asks and answers about quotas of workspaces.
             row_relay: Gets changes of the upstreams' table.
             configuration_relay: Passes configurations on.
             peer_lease_table: Calls the store for other hosts.
@@ -87,6 +93,7 @@
         self._loads = loads
         self._limits = limits
         self._places = places
+        self._quotas = quotas
         self._row_relay = row_relay
         self._configuration_relay = configuration_relay
         self._peer_lease_table = peer_lease_table
@@ -104,6 +111,8 @@
                 self._limits.handle(message)
             case PlaceReport() | PlaceGrant():
                 self._places.handle(message)
+            case QuotaAsk() | QuotaAnswer() | QuotaSettlement():
+                self._quotas.handle(message)
             case RowChanges():
                 self._row_relay.apply(message)
             case DemandDigest():
--- a/acaciaspoke/gateway/messages.py
+++ b/acaciaspoke/gateway/messages.py
@@ -7,18 +7,31 @@
 """
 
 import math
-from typing import Annotated, NamedTuple
+from typing import NamedTuple
 
 import msgspec
 
 from acaciaspoke.clients.table import Condition, Put, Transaction
+from acaciaspoke.gateway.message_base import (
+    BaseMessage,
+    Count,
+    Epoch,
+    Era,
+    Number,
+    Share,
+    Time,
+)
 from acaciaspoke.gateway.part_suspects import PartEvidence
 from acaciaspoke.gateway.place_allocation import PlaceUse
+from acaciaspoke.gateway.quotas.messages import (
+    QuotaAnswer,
+    QuotaAsk,
+    QuotaSettlement,
+)
 from acaciaspoke.gateway.slowdown import SlowdownReport
 from acaciaspoke.gateway.types import Artifact
 from acaciaspoke.gateway.upstream_limits import LimitReport
 from acaciaspoke.ids import (
-    BootId,
     HostId,
     ModelId,
     PartId,
@@ -26,35 +39,10 @@
     SoftwareVersion,
     UpstreamId,
 )
-from acaciaspoke.platform.versions import MAX_ERA, NUMBER_BITS, to_version
-
-_Number = Annotated[int, msgspec.Meta(ge=0, lt=1 << NUMBER_BITS)]
-# Far more than the requests that wait at a host.
-_Tokens = Annotated[int, msgspec.Meta(ge=0, lt=1 << 16)]
-# Seconds of a monotonic clock; not-a-number is not within the bounds.
-_Time = Annotated[float, msgspec.Meta(ge=0.0, lt=1e12)]
-_Share = Annotated[float, msgspec.Meta(ge=0.0, le=1.0)]
-_Epoch = Annotated[int, msgspec.Meta(ge=0, lt=1 << 48)]
-_Era = Annotated[int, msgspec.Meta(ge=0, le=MAX_ERA)]
-
-
-class _Message(
-    msgspec.Struct, frozen=True, kw_only=True, tag=True, omit_defaults=True
-):
-    """Common options, and the sender, which is set when a message is sent.
-
-    Attributes:
-        host: The host of the sender.
-        boot: The boot of the sender's process.
-        sequence: Increases with each message of a boot.
-    """
-
-    host: HostId = HostId("")
-    boot: BootId = BootId("")
-    sequence: int = 0
+from acaciaspoke.platform.versions import to_version
 
 
-class LoadDigest(_Message, kw_only=True):
+class LoadDigest(BaseMessage, kw_only=True):
     """A host's loads at the upstreams, and its waiting requests.
 
     It goes to all hosts or, in a large deployment, to the aggregator.
@@ -135,7 +123,7 @@
     rows_read: ReadProgress | None = None
 
 
-class SendNotice(_Message, kw_only=True):
+class SendNotice(BaseMessage, kw_only=True):
     """A request that a host has just sent to an engine; goes where digests go.
 
     Without it, hosts that send to the same engine within a tenth of a second
@@ -150,7 +138,7 @@
     prompt_tokens: int = 0
 
 
-class SendBatch(_Message, kw_only=True):
+class SendBatch(BaseMessage, kw_only=True):
     """Requests that hosts have just sent; from an aggregator.
 
     Attributes:
@@ -184,7 +172,7 @@
     version: int
 
 
-class RowChanges(_Message, kw_only=True):
+class RowChanges(BaseMessage, kw_only=True):
     """Changes of the upstreams' table; from an aggregator to a host.
 
     Attributes:
@@ -243,7 +231,7 @@
     remaining_s: float
 
 
-class DemandDigest(_Message, kw_only=True):
+class DemandDigest(BaseMessage, kw_only=True):
     """Demand for and use of artifacts; to the leader.
 
     Attributes:
@@ -260,7 +248,7 @@
     running: dict[UpstreamId, tuple[tuple[Artifact, int], ...]] = {}
 
 
-class PlacementNotice(_Message, kw_only=True):
+class PlacementNotice(BaseMessage, kw_only=True):
     """Sent by the leader to all hosts, at intervals also without changes.
 
     Attributes:
@@ -276,8 +264,8 @@
 
     epoch: int
     lease_value: bytes = b""
-    lease_revision: _Number = 0
-    lease_era: _Era = 0
+    lease_revision: Number = 0
+    lease_era: Era = 0
     loaded: dict[UpstreamId, tuple[Artifact, ...]] = {}
     withdrawn: dict[UpstreamId, tuple[Artifact, ...]] = {}
     coming_s: dict[ModelId, float] = {}
@@ -288,7 +276,7 @@
         return to_version(self.lease_era, self.lease_revision)
 
 
-class RowRequest(_Message, kw_only=True):
+class RowRequest(BaseMessage, kw_only=True):
     """Asks another host to read or write a row in the store.
 
     Attributes:
@@ -302,8 +290,8 @@
     number: int
     key: str
     value: bytes | None = None
-    expected_revision: _Number = 0
-    expected_era: _Era = 0
+    expected_revision: Number = 0
+    expected_era: Era = 0
 
     def to_transaction(self) -> Transaction:
         """Returns the compare-and-put."""
@@ -316,7 +304,7 @@
         )
 
 
-class RowAnswer(_Message, kw_only=True):
+class RowAnswer(BaseMessage, kw_only=True):
     """The result of a ``RowRequest``.
 
     Attributes:
@@ -334,9 +322,9 @@
     number: int
     key: str
     is_committed: bool = False
-    revision: _Number = 0
+    revision: Number = 0
     value: bytes = b""
-    era: _Era = 0
+    era: Era = 0
 
     @property
     def version(self) -> int:
@@ -344,7 +332,7 @@
         return to_version(self.era, self.revision)
 
 
-class LimitRequest(_Message, kw_only=True):
+class LimitRequest(BaseMessage, kw_only=True):
     """Asks the owner of a limited upstream's budget for tokens.
 
     Attributes:
@@ -356,12 +344,12 @@
     """
 
     upstream: UpstreamId
-    waiting: dict[int, _Number] = {}
-    charged: _Number = 0
+    waiting: dict[int, Number] = {}
+    charged: Number = 0
     asker: HostId | None = None
 
 
-class LimitGrant(_Message, kw_only=True):
+class LimitGrant(BaseMessage, kw_only=True):
     """Tokens for a limited upstream; each is for one request.
 
     Attributes:
@@ -371,12 +359,12 @@
     """
 
     upstream: UpstreamId
-    tokens: _Tokens = 0
+    tokens: Count = 0
     waits: dict[int, tuple[float, float]] = {}
     asker: HostId | None = None
 
 
-class PlaceReport(_Message, kw_only=True):
+class PlaceReport(BaseMessage, kw_only=True):
     """What a host uses of a brittle service; goes to the owner of its room.
 
     Attributes:
@@ -386,12 +374,12 @@
     """
 
     service: ServiceId
-    sent_s: _Time = 0.0
-    applied: tuple[_Epoch, _Number] = (0, 0)
+    sent_s: Time = 0.0
+    applied: tuple[Epoch, Number] = (0, 0)
     uses: dict[UpstreamId, PlaceUse] = {}
 
 
-class PlaceGrant(_Message, kw_only=True):
+class PlaceGrant(BaseMessage, kw_only=True):
     """All places of a host at a brittle service.
 
     Attributes:
@@ -404,15 +392,15 @@
     """
 
     service: ServiceId
-    epoch: _Epoch = 0
-    number: _Number = 0
-    reported_s: _Time = 0.0
-    places: dict[UpstreamId, _Tokens] = {}
-    share: _Share = 1.0
+    epoch: Epoch = 0
+    number: Number = 0
+    reported_s: Time = 0.0
+    places: dict[UpstreamId, Count] = {}
+    share: Share = 1.0
     is_scarce: bool = False
 
 
-def is_superseded(message: _Message, known: _Message) -> bool:
+def is_superseded(message: BaseMessage, known: BaseMessage) -> bool:
     """Returns whether a known message of the same boot is as new or newer."""
     return known.boot == message.boot and known.sequence >= message.sequence
 
@@ -432,6 +420,9 @@
     | LimitGrant
     | PlaceReport
     | PlaceGrant
+    | QuotaAsk
+    | QuotaAnswer
+    | QuotaSettlement
 )
 
 _encoder = msgspec.msgpack.Encoder()
--- a/acaciaspoke/gateway/metrics.py
+++ b/acaciaspoke/gateway/metrics.py
@@ -131,6 +131,24 @@
         self.limit_refusals = self._counter(
             "limit_refusals", "Requests refused because of a limit"
         )
+        self.quota_asks = self._counter(
+            "quota_asks", "Asks for tokens of workspaces with a quota"
+        )
+        self.quota_unanswered = self._counter(
+            "quota_unanswered", "Asks for tokens that no owner answered in time"
+        )
+        self.quota_late_answers = self._counter(
+            "quota_late_answers", "Tokens granted for requests that had ended"
+        )
+        self.quota_returned_tokens = self._counter(
+            "quota_returned_tokens", "Tokens of requests that were not sent"
+        )
+        self.quota_denials = Counter(
+            "acaciaspoke_quota_denials",
+            "Requests refused because their workspace had used its quota",
+            ["workspace"],
+            registry=self.registry,
+        )
         self.forwarded = Counter(
             "acaciaspoke_forwarded",
             "Requests that were forwarded to another host, by their ending",
--- a/acaciaspoke/gateway/peers.py
+++ b/acaciaspoke/gateway/peers.py
@@ -36,6 +36,8 @@
         link_mbps: Bandwidth of its network link; 0 if unknown.
         takes_forwarded: Whether it serves requests that other hosts forward to
             the same port over TCP. Hosts of earlier releases do not.
+        owns_quotas: Whether it can own the quotas of workspaces. Hosts of
+            earlier releases cannot.
     """
 
     address: str
@@ -43,6 +45,7 @@
     failure_domain: DomainId
     link_mbps: float = 0.0
     takes_forwarded: bool = False
+    owns_quotas: bool = False
 
     def __post_init__(self) -> None:
         # Other text would be resolved as a name, which blocks the process, or
--- a/acaciaspoke/gateway/process.py
+++ b/acaciaspoke/gateway/process.py
@@ -38,6 +38,7 @@
 from acaciaspoke.gateway.peer_lease_table import PeerLeaseTable
 from acaciaspoke.gateway.peers import Peers
 from acaciaspoke.gateway.place_exchange import PlaceExchange
+from acaciaspoke.gateway.quotas import QuotaExchange, QuotaGate
 from acaciaspoke.gateway.registration import Registration
 from acaciaspoke.gateway.registry import UpstreamRegistry
 from acaciaspoke.gateway.reload import log_reloads
@@ -153,6 +154,11 @@
             self._streams,
             self._forwarder,
             suspect_links=lambda: self._link_prober.suspect(),
+            quotas=QuotaGate(
+                lambda *ask: self._quotas.ask(*ask),
+                lambda *tokens: self._quotas.give_back(*tokens),
+                random.random,
+            ),
         )
         self._link_prober = LinkProber(
             self._dispatcher.fleet.links,
@@ -218,6 +224,15 @@
             count_hosts=lambda: len(self._peers.rows),
             on_tokens=self._request_handler.dispatch,
         )
+        self._quotas = QuotaExchange(
+            settings.host_id,
+            self._boot,
+            self.metrics,
+            self._post,
+            self._quota_hosts,
+            count_hosts=lambda: len(self._peers.rows),
+            local_link_mbps=settings.link_mbps,
+        )
         self._places = PlaceExchange(
             settings.host_id,
             self._dispatcher,
@@ -243,6 +258,7 @@
             loads=self._loads,
             limits=self._limits,
             places=self._places,
+            quotas=self._quotas,
             row_relay=self._row_relay,
             configuration_relay=self._configuration_relay,
             peer_lease_table=self._peer_lease_table,
@@ -324,6 +340,7 @@
         self._configuration_relay.record(value)
         self._dispatcher.set_configuration(configuration)
         self._leader.set_configuration(configuration)
+        self._quotas.set_configuration(configuration)
         self.app.set_configuration(configuration)
         self._configuration_lag.record_local_version(configuration.version)
         self.metrics.configuration.set(configuration.version)
@@ -382,6 +399,14 @@
         live = self._loads.live(time.monotonic())
         return random.sample(live, min(count, len(live)))
 
+    def _quota_hosts(self, now_s: float) -> dict[HostId, float]:
+        rows = self._peers.rows
+        return {
+            host: link_mbps
+            for host, link_mbps in self._loads.live_links_mbps(now_s).items()
+            if host in rows and rows[host].owns_quotas
+        }
+
     def _next_sequence(self) -> int:
         self._sequence += 1
         return self._sequence
@@ -510,6 +535,7 @@
             "loads": self._loads.run,
             "limits": self._limits.run,
             "places": self._places.run,
+            "quotas": self._quotas.run,
             "links": self._link_prober.run,
             "replica waits": self._replica_waits.run,
             "streams": self._streams.run,
--- /dev/null
+++ b/acaciaspoke/gateway/quotas/exchange.py
@@ -0,0 +1,352 @@
+"""Asks the owners of quotas for tokens, and answers other hosts.
+
+The owner of a workspace's bucket is chosen by rendezvous hashing among the
+responsive hosts, those with fast links first. An ask is repeated once; if no
+answer comes, the host uses its own share of the quota.
+"""
+
+import time
+from collections import OrderedDict
+from collections.abc import Callable, Iterable, Mapping
+from typing import NamedTuple
+
+import anyio
+import msgspec
+from loguru import logger
+
+from acaciaspoke.gateway.message_base import BaseMessage
+from acaciaspoke.gateway.metrics import GatewayMetrics
+from acaciaspoke.gateway.quotas.local_use import LocalUse
+from acaciaspoke.gateway.quotas.messages import (
+    QuotaAnswer,
+    QuotaAsk,
+    QuotaSettlement,
+)
+from acaciaspoke.gateway.quotas.owner import QuotaOwner
+from acaciaspoke.gateway.types import Configuration, Quota
+from acaciaspoke.ids import BootId, HostId, WorkspaceId
+from acaciaspoke.util.rendezvous import rank_by_link
+
+# How long an answer may take before the ask is repeated, and how often it is
+# sent. An owner on a busy machine answers within some ten milliseconds.
+ANSWER_TIMEOUT_S = 0.08
+MAX_SENDS = 2
+
+# How often settlements are sent and the owners are chosen anew.
+STEP_INTERVAL_S = 0.1
+
+# Shortest pause between two steps while requests wait for tokens.
+MIN_STEP_INTERVAL_S = 0.005
+
+LOG_INTERVAL_S = 5.0
+
+# Asks without an answer whose tokens are given back if it comes late.
+MAX_GIVEN_UP = 1024
+
+# Retry-After of a request that is denied without an owner.
+UNKNOWN_WAIT_S = 0.5
+
+
+class Denial(NamedTuple):
+    """Tokens that are not granted.
+
+    Attributes:
+        wait_s: The time until they could be.
+    """
+
+    wait_s: float
+
+
+class _PendingAsk:
+    """An ask without an answer yet."""
+
+    def __init__(self) -> None:
+        self.answered = anyio.Event()
+        self.answer: QuotaAnswer | None = None
+
+
+class QuotaExchange:
+    """Asks for tokens, and grants those of the buckets that this host owns."""
+
+    def __init__(
+        self,
+        local_host: HostId,
+        boot: BootId,
+        metrics: GatewayMetrics,
+        post: Callable[[BaseMessage, Iterable[HostId]], BaseMessage],
+        live_links_mbps: Callable[[float], Mapping[HostId, float]],
+        count_hosts: Callable[[], int],
+        local_link_mbps: float = 0.0,
+        clock: Callable[[], float] = time.monotonic,
+    ):
+        """Creates an exchange without quotas.
+
+        Args:
+            local_host: This host.
+            boot: The boot of this process.
+            metrics: Counts asks and tokens.
+            post: Sends a message to some hosts.
+            live_links_mbps: Returns the other hosts that are responsive and
+                know of quotas, with the bandwidth of their links.
+            count_hosts: Returns the number of registered hosts.
+            local_link_mbps: The bandwidth of this host's link.
+            clock: Returns the time.
+        """
+        self._local_host = local_host
+        self._boot = boot
+        self._metrics = metrics
+        self._post = post
+        self._live_links_mbps = live_links_mbps
+        self._count_hosts = count_hosts
+        self._local_link_mbps = local_link_mbps
+        self._clock = clock
+        self._owner = QuotaOwner(local_host, clock())
+        self._use = LocalUse()
+        self._quotas: dict[WorkspaceId, Quota] = {}
+        self._owners: dict[WorkspaceId, HostId] = {}
+        # The owner that last answered; another one has to know of recent use.
+        self._answered_by: dict[WorkspaceId, HostId] = {}
+        self._pending: dict[int, _PendingAsk] = {}
+        # Tokens of asks that were given up; their answers may still come.
+        self._given_up: OrderedDict[int, int] = OrderedDict()
+        self._number = 0
+        self._share = 1.0
+        self._log_due_s = 0.0
+        self._wake = anyio.Event()
+
+    def set_configuration(self, configuration: Configuration) -> None:
+        """Applies the quotas of a configuration."""
+        self._quotas = {
+            workspace.name: workspace.quota
+            for workspace in configuration.workspaces
+            if workspace.quota is not None
+        }
+        self._choose_owners(self._clock())
+
+    # For requests of this host.
+
+    async def ask(
+        self,
+        workspace: WorkspaceId,
+        quota: Quota,
+        tokens: int,
+        max_wait_s: float,
+    ) -> Denial | None:
+        """Asks for the tokens of a request.
+
+        Args:
+            workspace: The workspace.
+            quota: Its quota.
+            tokens: What the request needs.
+            max_wait_s: How long the request can wait.
+
+        Returns:
+            None if the request may be sent.
+        """
+        answer = await self._ask_owner(workspace, quota, tokens, max_wait_s)
+        now_s = self._clock()
+        if answer is None:
+            return self._decide_alone(workspace, quota, tokens, now_s)
+        if answer.is_granted:
+            self._use.record_granted(workspace, tokens, now_s)
+            return None
+        self._use.record_denied(workspace, now_s)
+        self._metrics.quota_denials.labels(workspace).inc()
+        return Denial(answer.wait_s)
+
+    def give_back(self, workspace: WorkspaceId, tokens: int) -> None:
+        """Gives back the tokens of a request that was not sent."""
+        self._metrics.quota_returned_tokens.inc(tokens)
+        self._use.give_back(workspace, tokens)
+
+    async def _ask_owner(
+        self,
+        workspace: WorkspaceId,
+        quota: Quota,
+        tokens: int,
+        max_wait_s: float,
+    ) -> QuotaAnswer | None:
+        self._number += 1
+        ask = QuotaAsk(
+            workspace=workspace,
+            number=self._number,
+            tokens=tokens,
+            max_wait_s=max_wait_s,
+        )
+        pending = self._pending[ask.number] = _PendingAsk()
+        self._metrics.quota_asks.inc()
+        try:
+            for attempt in range(MAX_SENDS):
+                self._send_ask(ask, quota)
+                # An ask that waits for tokens gets its answer with them.
+                wait_s = ANSWER_TIMEOUT_S + max_wait_s * (attempt > 0)
+                with anyio.move_on_after(wait_s):
+                    await pending.answered.wait()
+                if pending.answer is not None:
+                    break
+            return pending.answer
+        finally:
+            del self._pending[ask.number]
+            if pending.answer is None:
+                self._given_up[ask.number] = tokens
+                if len(self._given_up) > MAX_GIVEN_UP:
+                    self._given_up.popitem(last=False)
+
+    def _send_ask(self, ask: QuotaAsk, quota: Quota) -> None:
+        now_s = self._clock()
+        owner = self._owners.get(ask.workspace, self._local_host)
+        if self._answered_by.get(ask.workspace) != owner:
+            recent = self._use.recent_tokens(ask.workspace, quota, now_s)
+            ask = msgspec.structs.replace(ask, recent_tokens=recent)
+        if owner == self._local_host:
+            ask = msgspec.structs.replace(
+                ask, host=self._local_host, boot=self._boot
+            )
+            self._handle_ask(ask, now_s)
+        else:
+            self._post(ask, [owner])
+
+    def _decide_alone(
+        self, workspace: WorkspaceId, quota: Quota, tokens: int, now_s: float
+    ) -> Denial | None:
+        self._metrics.quota_unanswered.inc()
+        share = 1 / max(1, self._count_hosts())
+        if self._use.use_unasked(workspace, quota, tokens, share, now_s):
+            self._use.record_granted(workspace, tokens, now_s)
+            return None
+        self._metrics.quota_denials.labels(workspace).inc()
+        return Denial(UNKNOWN_WAIT_S)
+
+    # Messages of other hosts.
+
+    def handle(self, message: QuotaAsk | QuotaAnswer | QuotaSettlement) -> None:
+        """Handles a message of another host."""
+        now_s = self._clock()
+        match message:
+            case QuotaAsk():
+                self._handle_ask(message, now_s)
+            case QuotaAnswer():
+                self._handle_answer(message)
+            case QuotaSettlement():
+                self._owner.settle(
+                    message.workspace,
+                    message.returned_tokens,
+                    message.used_tokens,
+                    now_s,
+                )
+
+    def _handle_ask(self, ask: QuotaAsk, now_s: float) -> None:
+        owner = self._owners.get(ask.workspace)
+        if owner == self._local_host:
+            answer = self._owner.handle(ask, now_s)
+            if answer is not None:
+                self._answer(ask, answer)
+            else:
+                self._wake.set()
+        elif owner is not None and ask.asker is None:
+            # The sender may not reach the owner, or does not know it yet.
+            passed = msgspec.structs.replace(
+                ask, asker=ask.host, asker_boot=ask.boot
+            )
+            self._post(passed, [owner])
+
+    def _answer(self, ask: QuotaAsk, answer: QuotaAnswer) -> None:
+        if ask.host == self._local_host:
+            self._handle_answer(answer)
+        else:
+            self._post(answer, [ask.host])
+
+    def _handle_answer(self, answer: QuotaAnswer) -> None:
+        if answer.asker not in (None, self._local_host):
+            passed = msgspec.structs.replace(answer, asker=None)
+            self._post(passed, [answer.asker])
+            return
+        pending = self._pending.get(answer.number)
+        if pending is None:
+            tokens = self._given_up.pop(answer.number, 0)
+            if tokens and answer.is_granted:
+                # The request did not wait for the answer.
+                self._metrics.quota_late_answers.inc()
+                self._use.give_back(answer.workspace, tokens)
+            return
+        self._answered_by[answer.workspace] = answer.owner
+        pending.answer = answer
+        pending.answered.set()
+
+    # Steps.
+
+    async def run(self) -> None:
+        """Grants tokens and sends settlements until cancelled."""
+        while True:
+            wait_s = self._owner.next_grant_s(self._clock())
+            interval_s = STEP_INTERVAL_S
+            if wait_s is not None:
+                interval_s = max(MIN_STEP_INTERVAL_S, min(interval_s, wait_s))
+            with anyio.move_on_after(interval_s):
+                await self._wake.wait()
+            self._wake = anyio.Event()
+            self.step()
+
+    def step(self) -> None:
+        """Grants what has accrued, and sends what is due."""
+        now_s = self._clock()
+        self._choose_owners(now_s)
+        if not self._quotas:
+            return
+        for ask, answer in self._owner.grant(now_s):
+            self._answer(ask, answer)
+        for workspace in self._use.unsettled():
+            self._settle(workspace, now_s)
+        self._log_use(now_s)
+
+    def _choose_owners(self, now_s: float) -> None:
+        links_mbps = {}
+        if self._quotas:
+            links_mbps = {
+                **self._live_links_mbps(now_s),
+                self._local_host: self._local_link_mbps,
+            }
+        self._owners = {
+            workspace: rank_by_link(f"quota {workspace}", links_mbps, 1)[0]
+            for workspace in self._quotas
+        }
+        # Both sides of a cut together stay within the quota.
+        self._share = len(links_mbps) / max(
+            1, len(links_mbps), self._count_hosts()
+        )
+        owned = {
+            workspace: quota
+            for workspace, quota in self._quotas.items()
+            if self._owners[workspace] == self._local_host
+        }
+        self._owner.set_quotas(owned, self._share, now_s)
+
+    def _settle(self, workspace: WorkspaceId, now_s: float) -> None:
+        returned, used = self._use.take_settlement(workspace)
+        owner = self._owners.get(workspace)
+        if owner == self._local_host:
+            self._owner.settle(workspace, returned, used, now_s)
+        elif owner is not None:
+            settlement = QuotaSettlement(
+                workspace=workspace,
+                returned_tokens=returned,
+                used_tokens=used,
+            )
+            self._post(settlement, [owner])
+
+    def _log_use(self, now_s: float) -> None:
+        if now_s < self._log_due_s:
+            return
+        self._log_due_s = now_s + LOG_INTERVAL_S
+        for workspace, bucket in self._owner.buckets.items():
+            if bucket.granted_tokens or bucket.denied:
+                logger.info(
+                    "workspace {} was granted {} tokens",
+                    workspace,
+                    round(bucket.granted_tokens),
+                    within_s=LOG_INTERVAL_S,
+                    denied=bucket.denied,
+                    level_tokens=round(bucket.level_tokens),
+                    share=round(self._share, 2),
+                )
+            bucket.granted_tokens, bucket.denied = 0.0, 0
--- a/acaciaspoke/gateway/registration.py
+++ b/acaciaspoke/gateway/registration.py
@@ -29,6 +29,7 @@
             failure_domain=settings.domain_id,
             link_mbps=settings.link_mbps,
             takes_forwarded=True,
+            owns_quotas=True,
         )
         self._is_registered = False
         self._is_ended = False
