--- a/acaciaspoke/gateway/process.py
+++ b/acaciaspoke/gateway/process.py
@@ -14,9 +14,7 @@
 from acaciaspoke import __version__
 from acaciaspoke.gateway.app import GatewayApp
 from acaciaspoke.gateway.bodies import MEMORY_SHARE, BodyMemory
-from acaciaspoke.gateway.candidacy import should_compete, should_hand_over
 from acaciaspoke.gateway.configuration_relay import ConfigurationRelay
-from acaciaspoke.gateway.crash_guard import is_own_loss
 from acaciaspoke.gateway.digests import DigestSender
 from acaciaspoke.gateway.dispatch import Assignment, Dispatcher
 from acaciaspoke.gateway.exchange import RequestHandler
@@ -24,6 +22,7 @@
 from acaciaspoke.gateway.forwarding import Forwarder, ForwardingHosts
 from acaciaspoke.gateway.known_leader import KnownLeader
 from acaciaspoke.gateway.leader import Leader
+from acaciaspoke.gateway.leader_eligibility import LeaderEligibility
 from acaciaspoke.gateway.limit_exchange import LimitExchange
 from acaciaspoke.gateway.link_prober import SILENCE_S, LinkProber
 from acaciaspoke.gateway.load_reports import waiting_by_model
@@ -70,10 +69,6 @@
 # How often deadlines, unresponsive engines and removed upstreams are checked.
 TICK_S = 0.05
 
-# When all hosts start for the first time, none competes for the lease until
-# each has discovered the others; otherwise all of them would compete.
-DISCOVERY_S = 1.5
-
 # Hosts that are asked at once for a newer configuration.
 MAX_ASKED_HOSTS = 3
 
@@ -97,7 +92,6 @@
         self._log_writer = log_writer
         self._boot = BootId(uuid.uuid4().hex[:12])
         self._sequence = 0
-        self._started_s = time.monotonic()
         self._store = StoreClient(
             settings.store, STORE_TIMEOUT_S, self._on_store_restored
         )
@@ -215,6 +209,15 @@
                 self._router.record_read_progress(progress)
             ),
         )
+        self._eligibility = LeaderEligibility(
+            settings,
+            self._dispatcher.fleet,
+            self._peers,
+            self._loads,
+            self._known_leader,
+            lease_holder=lambda: self._leader.lease.holder,
+            is_ready=lambda: self.is_ready,
+        )
         self._limits = LimitExchange(
             settings.host_id,
             self._dispatcher,
@@ -427,7 +430,7 @@
                 self._link_prober.suspect()
             self._request_handler.crash_guard.review(
                 self._dispatcher.fleet.links,
-                self._is_own_loss(time.monotonic()),
+                self._eligibility.is_own_loss(time.monotonic()),
                 time.monotonic(),
             )
             self._request_handler.dispatch()
@@ -437,54 +440,9 @@
             await self._request_handler.attempts.close_unused()
             await self._forwarder.close_unused()
 
-    def _is_own_loss(self, now_s: float) -> bool:
-        """Returns whether links that are lost are those of this host."""
-        return is_own_loss(
-            self._peers.rows.keys() - {self._settings.host_id},
-            self._loads.live(now_s),
-            self._dispatcher.fleet.peer_loads.detached_hosts(now_s),
-        )
-
     def _others_can_lead(self, now_s: float) -> bool:
         """Returns whether another host has links to upstreams and goes on."""
-        return not self._unfit_leaders(now_s).issuperset(
-            self._loads.live(now_s)
-        )
-
-    def _unfit_leaders(self, now_s: float) -> set[HostId]:
-        loads = self._dispatcher.fleet.peer_loads
-        return loads.detached_hosts(now_s) | loads.stopping_hosts(now_s)
-
-    def is_lease_candidate(self) -> bool:
-        """Returns whether this host should try to acquire the lease.
-
-        Without a configuration it could not plan.
-        """
-        now_s = time.monotonic()
-        if not self.is_ready:
-            return False
-        age_s = now_s - self._started_s
-        if self._settings.is_first_start and age_s < DISCOVERY_S:
-            return False
-        if not self._known_leader.is_silent(now_s):
-            return False
-        local_host = self._settings.host_id
-        links_mbps = self._loads.live_links_mbps(now_s)
-        links_mbps[local_host] = self._settings.link_mbps
-        detached = self._unfit_leaders(now_s)
-        if self._dispatcher.fleet.links.is_cut_off(now_s):
-            detached.add(local_host)
-        return should_compete(
-            local_host, self._leader.lease.holder, links_mbps, detached
-        )
-
-    def should_hand_over_lease(self) -> bool:
-        """Returns whether another host should lead, as links are lost."""
-        now_s = time.monotonic()
-        return should_hand_over(
-            self._dispatcher.fleet.links.cut_off_s(now_s),
-            self._others_can_lead(now_s),
-        )
+        return self._eligibility.others_can_lead(now_s)
 
     def _on_store_restored(self) -> None:
         """Discards what depends on versions of the store before the restore."""
@@ -557,7 +515,8 @@
 
     async def _keep_lease(self) -> None:
         await self._leader.keep_lease(
-            self.is_lease_candidate, self.should_hand_over_lease
+            self._eligibility.is_lease_candidate,
+            self._eligibility.should_hand_over_lease,
         )
 
 
