--- a/acaciaspoke/gateway/balance.py
+++ b/acaciaspoke/gateway/balance.py
@@ -78,8 +78,9 @@
         speed: The measured speed of engines.
         limited: Upstreams that limit the requests that they take.
         places: Requests that this host may still send to each brittle upstream.
-        slowdowns: How many times the usual time work takes at each upstream;
-            empty if upstreams do not report it.
+        slowdowns: How many times the usual time work takes now at each
+            upstream; empty if upstreams do not report it.
+        stream_slowdowns: The same on average while a stream runs.
         spreads_plain: Whether plain requests are spread by free capacity, as
             many hosts with the same loads would choose the same upstream.
     """
@@ -91,6 +92,7 @@
     limited: Set[UpstreamId] = frozenset()
     places: Mapping[UpstreamId, int] = MappingProxyType({})
     slowdowns: Mapping[UpstreamId, float] = MappingProxyType({})
+    stream_slowdowns: Mapping[UpstreamId, float] = MappingProxyType({})
     spreads_plain: bool = False
 
     def slowdown(self, upstream: UpstreamId) -> float:
@@ -176,7 +178,7 @@
     }
 
     costs = {
-        name: loads.slowdown(name) * (1 + share)
+        name: loads.stream_slowdowns.get(name, 1.0) * (1 + share)
         for name, share in shares.items()
     }
 
--- a/acaciaspoke/gateway/dispatch.py
+++ b/acaciaspoke/gateway/dispatch.py
@@ -241,6 +241,7 @@
             self.fleet.limits.limited().keys(),
             self.fleet.places.free(now_s),
             slowdowns,
+            self.fleet.slowdowns.stream_factors(now_s),
             bool(slowdowns) or self._has_workspaces,
         )
         unreachable = self.fleet.reachability.unreachable(now_s)
--- a/acaciaspoke/gateway/slowdown/estimates.py
+++ b/acaciaspoke/gateway/slowdown/estimates.py
@@ -19,6 +19,13 @@
 # two figures of one upstream is 0.85 after 0.2 s and 0.5 after 0.8 s.
 RELAXATION_S = 0.5
 
+# Usual length of a stream. A slowdown at its start passes meanwhile, so that it
+# counts for the mean of the deviation over this time.
+STREAM_S = 2.0
+STREAM_WEIGHT = (
+    (1 - math.exp(-STREAM_S / RELAXATION_S)) * RELAXATION_S / STREAM_S
+)
+
 # The mean covers about this much time, so that it follows an upstream that is
 # moved to another machine.
 MEAN_S = 10.0
@@ -64,9 +71,14 @@
         self.last, self.reported_s = value, reported_s
 
     def at(self, now_s: float) -> float:
+        return math.exp(self.mean + self._deviation(now_s))
+
+    def during_stream(self, now_s: float) -> float:
+        return math.exp(self.mean + STREAM_WEIGHT * self._deviation(now_s))
+
+    def _deviation(self, now_s: float) -> float:
         age_s = max(0.0, now_s - self.reported_s)
-        deviation = (self.last - self.mean) * math.exp(-age_s / RELAXATION_S)
-        return math.exp(self.mean + deviation)
+        return (self.last - self.mean) * math.exp(-age_s / RELAXATION_S)
 
 
 class Slowdowns:
@@ -148,6 +160,13 @@
             for upstream, level in self._levels.items()
         }
 
+    def stream_factors(self, now_s: float) -> dict[UpstreamId, float]:
+        """Returns how many times the usual time work takes during a stream."""
+        return {
+            upstream: level.during_stream(now_s)
+            for upstream, level in self._levels.items()
+        }
+
     def mean_factors(self) -> dict[UpstreamId, float]:
         """Returns how many times the usual time work takes on average."""
         return {
--- a/test/gateway/test_slowdown.py
+++ b/test/gateway/test_slowdown.py
@@ -46,6 +46,15 @@
         slowdowns.record(U1, 150, 10.1)
         self.assertLess(slowdowns.factors(13.0)[U1], 0.65)
 
+    def test_short_slowdown_hardly_counts_for_a_stream(self):
+        # Guards against sessions that leave the engine with their prompts for
+        # each slowdown of half a second.
+        slowdowns = _slowdowns(u1=1)
+        slowdowns.record(U1, 100, 0.0)
+        slowdowns.record(U1, 100, 10.0)
+        slowdowns.record(U1, 250, 10.1)
+        self.assertLess(slowdowns.stream_factors(10.1)[U1], 1.3)
+
     def test_figures_that_come_together_do_not_outweigh_a_long_time(self):
         slowdowns = _slowdowns(u1=1)
         slowdowns.record(U1, 100, 0.0)
@@ -146,6 +155,7 @@
             Counter({UpstreamId(name): n for name, n in running.items()}),
             Counter(),
             slowdowns=self.factors if factors is None else factors,
+            stream_slowdowns=self.factors if factors is None else factors,
         )
 
     def _choose(self, loads: Loads, name: str = "q1") -> str:
@@ -168,7 +178,7 @@
     def test_slow_engine_is_used_if_the_others_are_full(self):
         self.assertEqual("u3", self._choose(self._loads(u1=40, u2=40)))
 
-    def test_short_slowdown_moves_requests(self):
+    def test_slower_engine_is_avoided(self):
         factors = {**self.factors, UpstreamId("u1"): 1.5}
         self.assertEqual("u2", self._choose(self._loads(factors)))
 
