--- a/acaciaspoke/gateway/app.py
+++ b/acaciaspoke/gateway/app.py
@@ -69,6 +69,7 @@
         is_ready: Callable[[], bool],
         is_draining: Callable[[], bool],
         is_detached: Callable[[], bool],
+        before_exposition: Callable[[], None] = lambda: None,
     ):
         self.configuration: Configuration | None = None
         self.open_requests = 0
@@ -81,6 +82,7 @@
         self._metrics_port = metrics_port
         self._internal_port = internal_port
         self._is_detached = is_detached
+        self._before_exposition = before_exposition
         self._is_ready = is_ready
         self._is_draining = is_draining
 
@@ -101,6 +103,7 @@
             status = 200 if self._is_ready() else 503
             await _answer(send, status, b"", b"text/plain")
         elif port == self._metrics_port:
+            self._before_exposition()
             body = self._metrics.exposition()
             await _answer(send, 200, body, CONTENT_TYPE.encode())
         elif port == self._internal_port:
--- a/acaciaspoke/gateway/metrics.py
+++ b/acaciaspoke/gateway/metrics.py
@@ -131,6 +131,14 @@
         self.limit_refusals = self._counter(
             "limit_refusals", "Requests refused because of a limit"
         )
+        self._slowdown = Gauge(
+            "acaciaspoke_upstream_slowdown",
+            "Mean time that work takes at an upstream, as a multiple of the"
+            " usual time",
+            ["upstream"],
+            registry=self.registry,
+        )
+        self._slowdowns: dict[UpstreamId, float] = {}
         self.quota_asks = self._counter(
             "quota_asks", "Asks for tokens of workspaces with a quota"
         )
@@ -205,6 +213,15 @@
         for upstream, limit_per_s in limits.items():
             self._limit.labels(upstream).set(limit_per_s)
 
+    def set_slowdowns(self, factors: Mapping[UpstreamId, float]) -> None:
+        """Sets the slowdowns; drops the series of upstreams without one."""
+        for upstream in self._slowdowns.keys() - factors.keys():
+            with suppress(KeyError):
+                self._slowdown.remove(upstream)
+        self._slowdowns = dict(factors)
+        for upstream, factor in factors.items():
+            self._slowdown.labels(upstream).set(round(factor, 2))
+
     def exposition(self) -> bytes:
         """Returns all metrics in the text format."""
         return generate_latest(self.registry)
--- a/acaciaspoke/gateway/process.py
+++ b/acaciaspoke/gateway/process.py
@@ -309,6 +309,9 @@
             is_ready=lambda: self.is_ready,
             is_draining=lambda: not self.drain.serving,
             is_detached=lambda: self.is_detached,
+            before_exposition=lambda: self.metrics.set_slowdowns(
+                self._dispatcher.fleet.slowdowns.mean_factors()
+            ),
         )
         self._servers = GatewayServers(self.app, settings, self.limits)
 
