Compare slowdowns with those of the same service; limit prefill by means

At high load prompts waited for the end of short slowdowns, and the limit on prefill was lowered at all engines, though their measured speed includes the usual slowdown. The average over a stream is dropped again.

--- a/acaciaspoke/gateway/balance.py
+++ b/acaciaspoke/gateway/balance.py
@@ -78,9 +78,9 @@
         speed: The measured speed of engines.
         limited: Upstreams that limit the requests that they take.
         places: Requests that this host may still send to each brittle upstream.
-        slowdowns: How many times the usual time work takes now at each
-            upstream; empty if upstreams do not report it.
-        stream_slowdowns: The same on average while a stream runs.
+        slowdowns: How many times the usual time of its service work takes now
+            at each upstream; empty if upstreams do not report it.
+        mean_slowdowns: The same on average over some seconds.
         spreads_plain: Whether plain requests are spread by free capacity, as
             many hosts with the same loads would choose the same upstream.
     """
@@ -92,7 +92,7 @@
     limited: Set[UpstreamId] = frozenset()
     places: Mapping[UpstreamId, int] = MappingProxyType({})
     slowdowns: Mapping[UpstreamId, float] = MappingProxyType({})
-    stream_slowdowns: Mapping[UpstreamId, float] = MappingProxyType({})
+    mean_slowdowns: Mapping[UpstreamId, float] = MappingProxyType({})
     spreads_plain: bool = False
 
     def slowdown(self, upstream: UpstreamId) -> float:
@@ -125,7 +125,9 @@
         return True
     tokens = loads.prefill_tokens[name] + request.prompt_tokens
     limit_tokens = prefill_limit_tokens(request, loads.speed)
-    return tokens * loads.slowdown(name) <= limit_tokens
+    # A short slowdown does not count: at high load prompts would wait for its
+    # end, and more of them would be refused.
+    return tokens * loads.mean_slowdowns.get(name, 1.0) <= limit_tokens
 
 
 def prefill_limit_tokens(request: Request, speed: EngineSpeed) -> float:
@@ -178,7 +180,7 @@
     }
 
     costs = {
-        name: loads.stream_slowdowns.get(name, 1.0) * (1 + share)
+        name: loads.slowdown(name) * (1 + share)
         for name, share in shares.items()
     }
 
--- a/acaciaspoke/gateway/dispatch.py
+++ b/acaciaspoke/gateway/dispatch.py
@@ -232,7 +232,7 @@
         self.fleet.places.begin_round()
         if not self._waiting:
             return
-        slowdowns = self.fleet.slowdowns.factors(now_s)
+        slowdowns, mean_slowdowns = self.fleet.relative_slowdowns(now_s)
         loads = Loads(
             self.fleet.loads(now_s),
             self.fleet.prefill_tokens(now_s),
@@ -241,7 +241,7 @@
             self.fleet.limits.limited().keys(),
             self.fleet.places.free(now_s),
             slowdowns,
-            self.fleet.slowdowns.stream_factors(now_s),
+            mean_slowdowns,
             bool(slowdowns) or self._has_workspaces,
         )
         unreachable = self.fleet.reachability.unreachable(now_s)
--- a/acaciaspoke/gateway/fleet.py
+++ b/acaciaspoke/gateway/fleet.py
@@ -11,7 +11,7 @@
 from acaciaspoke.gateway.messages import PlacementNotice
 from acaciaspoke.gateway.peerloads import PeerLoads
 from acaciaspoke.gateway.reachability import Reachability
-from acaciaspoke.gateway.slowdown import Slowdowns
+from acaciaspoke.gateway.slowdown import Slowdowns, to_relative
 from acaciaspoke.gateway.types import (
     Artifact,
     Request,
@@ -425,6 +425,25 @@
             *(digest.slow for digest in self.peer_loads.fresh(now_s))
         )
 
+    def relative_slowdowns(
+        self, now_s: float
+    ) -> tuple[dict[UpstreamId, float], dict[UpstreamId, float]]:
+        """Returns slowdowns relative to the upstreams' services.
+
+        Returns:
+            Those of now, and their means over some seconds.
+        """
+        means = self.slowdowns.mean_factors()
+        factors = self.slowdowns.factors(now_s)
+        return (
+            to_relative(factors, means, self._service_of),
+            to_relative(means, means, self._service_of),
+        )
+
+    def _service_of(self, upstream_id: UpstreamId) -> ServiceId | None:
+        upstream = self.upstreams.get(upstream_id)
+        return upstream.record.service if upstream else None
+
     def loads(self, now_s: float) -> Counter[UpstreamId]:
         """Returns the requests at each upstream, of all hosts."""
         loads = self.peer_loads.loads(now_s)
--- a/acaciaspoke/gateway/slowdown/__init__.py
+++ b/acaciaspoke/gateway/slowdown/__init__.py
@@ -9,6 +9,7 @@
     SlowdownReport,
     Slowdowns,
     newest_reports,
+    to_relative,
 )
 
-__all__ = ["SlowdownReport", "Slowdowns", "newest_reports"]
+__all__ = ["SlowdownReport", "Slowdowns", "newest_reports", "to_relative"]
--- a/acaciaspoke/gateway/slowdown/estimates.py
+++ b/acaciaspoke/gateway/slowdown/estimates.py
@@ -8,24 +8,19 @@
 """
 
 import math
+import statistics
+from collections import defaultdict
 from collections.abc import Callable, Iterable, Mapping
 from typing import NamedTuple
 
 import msgspec
 
-from acaciaspoke.ids import UpstreamId
+from acaciaspoke.ids import ServiceId, UpstreamId
 
 # Time in which a reported figure loses 63% of its weight: the correlation of
 # two figures of one upstream is 0.85 after 0.2 s and 0.5 after 0.8 s.
 RELAXATION_S = 0.5
 
-# Usual length of a stream. A slowdown at its start passes meanwhile, so that it
-# counts for the mean of the deviation over this time.
-STREAM_S = 2.0
-STREAM_WEIGHT = (
-    (1 - math.exp(-STREAM_S / RELAXATION_S)) * RELAXATION_S / STREAM_S
-)
-
 # The mean covers about this much time, so that it follows an upstream that is
 # moved to another machine.
 MEAN_S = 10.0
@@ -71,14 +66,9 @@
         self.last, self.reported_s = value, reported_s
 
     def at(self, now_s: float) -> float:
-        return math.exp(self.mean + self._deviation(now_s))
-
-    def during_stream(self, now_s: float) -> float:
-        return math.exp(self.mean + STREAM_WEIGHT * self._deviation(now_s))
-
-    def _deviation(self, now_s: float) -> float:
         age_s = max(0.0, now_s - self.reported_s)
-        return (self.last - self.mean) * math.exp(-age_s / RELAXATION_S)
+        deviation = (self.last - self.mean) * math.exp(-age_s / RELAXATION_S)
+        return math.exp(self.mean + deviation)
 
 
 class Slowdowns:
@@ -160,13 +150,6 @@
             for upstream, level in self._levels.items()
         }
 
-    def stream_factors(self, now_s: float) -> dict[UpstreamId, float]:
-        """Returns how many times the usual time work takes during a stream."""
-        return {
-            upstream: level.during_stream(now_s)
-            for upstream, level in self._levels.items()
-        }
-
     def mean_factors(self) -> dict[UpstreamId, float]:
         """Returns how many times the usual time work takes on average."""
         return {
@@ -182,6 +165,33 @@
         }
 
 
+def to_relative(
+    factors: Mapping[UpstreamId, float],
+    means: Mapping[UpstreamId, float],
+    service_of: Callable[[UpstreamId], ServiceId | None],
+) -> dict[UpstreamId, float]:
+    """Returns factors as multiples of the median mean of their services.
+
+    The measured speed of a service's engines includes their usual slowdown.
+
+    Args:
+        factors: The factors.
+        means: The mean factors of the same upstreams.
+        service_of: Returns the service of an upstream; None if unknown.
+    """
+    by_service: defaultdict[ServiceId | None, list[float]] = defaultdict(list)
+    for upstream, mean in means.items():
+        by_service[service_of(upstream)].append(mean)
+    medians = {
+        service: statistics.median(values)
+        for service, values in by_service.items()
+    }
+    return {
+        upstream: factor / medians[service_of(upstream)]
+        for upstream, factor in factors.items()
+    }
+
+
 def newest_reports(
     reports: Iterable[Mapping[UpstreamId, SlowdownReport]],
 ) -> dict[UpstreamId, SlowdownReport]:
--- a/test/gateway/test_slowdown.py
+++ b/test/gateway/test_slowdown.py
@@ -13,7 +13,11 @@
 from acaciaspoke.gateway.engine_speed import EngineSpeed
 from acaciaspoke.gateway.messages import DomainLoads, LoadDigest
 from acaciaspoke.gateway.peerloads import PeerLoads
-from acaciaspoke.gateway.slowdown import SlowdownReport, Slowdowns
+from acaciaspoke.gateway.slowdown import (
+    SlowdownReport,
+    Slowdowns,
+    to_relative,
+)
 from acaciaspoke.gateway.slowdown.estimates import (
     MAX_REPORT_AGE_S,
     MAX_REPORTS,
@@ -46,14 +50,14 @@
         slowdowns.record(U1, 150, 10.1)
         self.assertLess(slowdowns.factors(13.0)[U1], 0.65)
 
-    def test_short_slowdown_hardly_counts_for_a_stream(self):
-        # Guards against sessions that leave the engine with their prompts for
-        # each slowdown of half a second.
-        slowdowns = _slowdowns(u1=1)
-        slowdowns.record(U1, 100, 0.0)
-        slowdowns.record(U1, 100, 10.0)
-        slowdowns.record(U1, 250, 10.1)
-        self.assertLess(slowdowns.stream_factors(10.1)[U1], 1.3)
+    def test_factors_are_relative_to_the_service(self):
+        # Guards against prompts that wait longer at all engines because all of
+        # them report a slowdown, which their measured speed includes.
+        means = {U1: 1.2, U2: 1.2, UpstreamId("p"): 5.0}
+        relative = to_relative(
+            {**means, U1: 3.0}, means, lambda name: len(name)
+        )
+        self.assertEqual({U1: 2.5, U2: 1.0, UpstreamId("p"): 1.0}, relative)
 
     def test_figures_that_come_together_do_not_outweigh_a_long_time(self):
         slowdowns = _slowdowns(u1=1)
@@ -155,7 +159,7 @@
             Counter({UpstreamId(name): n for name, n in running.items()}),
             Counter(),
             slowdowns=self.factors if factors is None else factors,
-            stream_slowdowns=self.factors if factors is None else factors,
+            mean_slowdowns=self.factors if factors is None else factors,
         )
 
     def _choose(self, loads: Loads, name: str = "q1") -> str:
@@ -178,7 +182,7 @@
     def test_slow_engine_is_used_if_the_others_are_full(self):
         self.assertEqual("u3", self._choose(self._loads(u1=40, u2=40)))
 
-    def test_slower_engine_is_avoided(self):
+    def test_short_slowdown_moves_requests(self):
         factors = {**self.factors, UpstreamId("u1"): 1.5}
         self.assertEqual("u2", self._choose(self._loads(factors)))
 
