--- a/acaciaspoke/gateway/quotas/exchange.py
+++ b/acaciaspoke/gateway/quotas/exchange.py
@@ -12,6 +12,7 @@
 
 import anyio
 import msgspec
+import xxhash
 from loguru import logger
 
 from acaciaspoke.gateway.message_base import BaseMessage
@@ -43,6 +44,13 @@
 # Asks without an answer whose tokens are given back if it comes late.
 MAX_GIVEN_UP = 1024
 
+# Numbers of asks of one boot, in bits.
+BOOT_NUMBER_BITS = 15
+
+# Steps at which a new owner is told of recent use, as it may learn later than
+# others that it is the owner.
+REPORT_STEPS = 4
+
 # Retry-After of a request that is denied without an owner.
 UNKNOWN_WAIT_S = 0.5
 
@@ -60,7 +68,8 @@
 class _PendingAsk:
     """An ask without an answer yet."""
 
-    def __init__(self) -> None:
+    def __init__(self, workspace: WorkspaceId) -> None:
+        self.workspace = workspace
         self.answered = anyio.Event()
         self.answer: QuotaAnswer | None = None
 
@@ -103,14 +112,21 @@
         self._owner = QuotaOwner(local_host, clock())
         self._use = LocalUse()
         self._quotas: dict[WorkspaceId, Quota] = {}
+        # The owner of each bucket, and the host that is asked after it.
         self._owners: dict[WorkspaceId, HostId] = {}
+        self._seconds: dict[WorkspaceId, HostId] = {}
+        self._links_mbps: dict[HostId, float] = {}
+        # Use to be reported to a new owner, and how often.
+        self._reports: dict[WorkspaceId, tuple[float, int]] = {}
         # The owner that last answered; another one has to know of recent use.
         self._answered_by: dict[WorkspaceId, HostId] = {}
         self._pending: dict[int, _PendingAsk] = {}
         # Tokens of asks that were given up; their answers may still come.
         self._given_up: OrderedDict[int, int] = OrderedDict()
-        self._number = 0
+        # An answer to a former boot must not be taken for one to this boot.
+        self._number = xxhash.xxh32_intdigest(boot.encode()) << BOOT_NUMBER_BITS
         self._share = 1.0
+        self._settlements = 0
         self._log_due_s = 0.0
         self._wake = anyio.Event()
 
@@ -121,6 +137,8 @@
             for workspace in configuration.workspaces
             if workspace.quota is not None
         }
+        self._use.forget_others(self._quotas.keys())
+        self._links_mbps = {}
         self._choose_owners(self._clock())
 
     # For requests of this host.
@@ -150,7 +168,6 @@
         if answer.is_granted:
             self._use.record_granted(workspace, tokens, now_s)
             return None
-        self._use.record_denied(workspace, now_s)
         self._metrics.quota_denials.labels(workspace).inc()
         return Denial(answer.wait_s)
 
@@ -173,11 +190,11 @@
             tokens=tokens,
             max_wait_s=max_wait_s,
         )
-        pending = self._pending[ask.number] = _PendingAsk()
+        pending = self._pending[ask.number] = _PendingAsk(workspace)
         self._metrics.quota_asks.inc()
         try:
             for attempt in range(MAX_SENDS):
-                self._send_ask(ask, quota)
+                self._send_ask(ask, quota, attempt)
                 # An ask that waits for tokens gets its answer with them.
                 wait_s = ANSWER_TIMEOUT_S + max_wait_s * (attempt > 0)
                 with anyio.move_on_after(wait_s):
@@ -185,6 +202,10 @@
                 if pending.answer is not None:
                     break
             return pending.answer
+        except anyio.get_cancelled_exc_class():
+            if pending.answer is not None and pending.answer.is_granted:
+                self._use.give_back(workspace, tokens)
+            raise
         finally:
             del self._pending[ask.number]
             if pending.answer is None:
@@ -192,7 +213,7 @@
                 if len(self._given_up) > MAX_GIVEN_UP:
                     self._given_up.popitem(last=False)
 
-    def _send_ask(self, ask: QuotaAsk, quota: Quota) -> None:
+    def _send_ask(self, ask: QuotaAsk, quota: Quota, attempt: int) -> None:
         now_s = self._clock()
         owner = self._owners.get(ask.workspace, self._local_host)
         if self._answered_by.get(ask.workspace) != owner:
@@ -204,7 +225,10 @@
             )
             self._handle_ask(ask, now_s)
         else:
-            self._post(ask, [owner])
+            # The second host passes it on if only this host's link is lost.
+            second = self._seconds.get(ask.workspace, self._local_host)
+            is_passed = attempt > 0 and second != self._local_host
+            self._post(ask, [owner, second] if is_passed else [owner])
 
     def _decide_alone(
         self, workspace: WorkspaceId, quota: Quota, tokens: int, now_s: float
@@ -228,12 +252,7 @@
             case QuotaAnswer():
                 self._handle_answer(message)
             case QuotaSettlement():
-                self._owner.settle(
-                    message.workspace,
-                    message.returned_tokens,
-                    message.used_tokens,
-                    now_s,
-                )
+                self._owner.settle(message, now_s)
 
     def _handle_ask(self, ask: QuotaAsk, now_s: float) -> None:
         owner = self._owners.get(ask.workspace)
@@ -261,14 +280,20 @@
             passed = msgspec.structs.replace(answer, asker=None)
             self._post(passed, [answer.asker])
             return
+        now_s = self._clock()
+        self._use.record_level(answer.workspace, answer.level_share, now_s)
+        if not answer.is_granted:
+            self._use.record_denied(answer.workspace, now_s)
         pending = self._pending.get(answer.number)
-        if pending is None:
+        if pending is None or pending.answer is not None:
             tokens = self._given_up.pop(answer.number, 0)
             if tokens and answer.is_granted:
                 # The request did not wait for the answer.
                 self._metrics.quota_late_answers.inc()
                 self._use.give_back(answer.workspace, tokens)
             return
+        if pending.workspace != answer.workspace:
+            return
         self._answered_by[answer.workspace] = answer.owner
         pending.answer = answer
         pending.answered.set()
@@ -297,6 +322,8 @@
             self._answer(ask, answer)
         for workspace in self._use.unsettled():
             self._settle(workspace, now_s)
+        for workspace in list(self._reports):
+            self._report_use(workspace, now_s)
         self._log_use(now_s)
 
     def _choose_owners(self, now_s: float) -> None:
@@ -306,10 +333,9 @@
                 **self._live_links_mbps(now_s),
                 self._local_host: self._local_link_mbps,
             }
-        self._owners = {
-            workspace: rank_by_link(f"quota {workspace}", links_mbps, 1)[0]
-            for workspace in self._quotas
-        }
+        if links_mbps != self._links_mbps:
+            self._links_mbps = links_mbps
+            self._rank_hosts(now_s)
         # Both sides of a cut together stay within the quota.
         self._share = len(links_mbps) / max(
             1, len(links_mbps), self._count_hosts()
@@ -321,17 +347,64 @@
         }
         self._owner.set_quotas(owned, self._share, now_s)
 
+    def _rank_hosts(self, now_s: float) -> None:
+        former = self._owners
+        ranked = {
+            workspace: rank_by_link(f"quota {workspace}", self._links_mbps, 2)
+            for workspace in self._quotas
+        }
+        self._owners = {name: hosts[0] for name, hosts in ranked.items()}
+        self._seconds = {name: hosts[-1] for name, hosts in ranked.items()}
+        self._reports = {
+            name: report
+            for name, report in self._reports.items()
+            if name in ranked
+        }
+        for name, owner in self._owners.items():
+            if name in former and former[name] != owner:
+                recent = self._use.recent_tokens(
+                    name, self._quotas[name], now_s
+                )
+                if recent:
+                    self._reports[name] = (recent, REPORT_STEPS)
+        self._answered_by = {
+            name: owner
+            for name, owner in self._answered_by.items()
+            if name in ranked
+        }
+
+    def _report_use(self, workspace: WorkspaceId, now_s: float) -> None:
+        recent, steps = self._reports.pop(workspace)
+        if steps > 1:
+            self._reports[workspace] = (recent, steps - 1)
+        self._send_settlement(
+            QuotaSettlement(workspace=workspace, recent_tokens=recent), now_s
+        )
+
     def _settle(self, workspace: WorkspaceId, now_s: float) -> None:
         returned, used = self._use.take_settlement(workspace)
-        owner = self._owners.get(workspace)
-        if owner == self._local_host:
-            self._owner.settle(workspace, returned, used, now_s)
-        elif owner is not None:
+        if returned or used:
             settlement = QuotaSettlement(
                 workspace=workspace,
                 returned_tokens=returned,
                 used_tokens=used,
             )
+            self._send_settlement(settlement, now_s)
+
+    def _send_settlement(
+        self, settlement: QuotaSettlement, now_s: float
+    ) -> None:
+        owner = self._owners.get(settlement.workspace)
+        if owner == self._local_host:
+            self._settlements += 1
+            settlement = msgspec.structs.replace(
+                settlement,
+                host=self._local_host,
+                boot=self._boot,
+                sequence=self._settlements,
+            )
+            self._owner.settle(settlement, now_s)
+        elif owner is not None:
             self._post(settlement, [owner])
 
     def _log_use(self, now_s: float) -> None:
--- a/acaciaspoke/gateway/quotas/gate.py
+++ b/acaciaspoke/gateway/quotas/gate.py
@@ -14,17 +14,25 @@
 # Share of a request's objective that it waits for tokens.
 WAIT_OBJECTIVE_SHARE = 0.2
 
+# Share of the time left until its deadline that it waits for them at most.
+WAIT_LEFT_SHARE = 0.2
+
 # Callers that are over the quota return over this time, not at once.
 RETRY_SPREAD_S = 1.0
 
+# Numbers of tokens that every message can hold exactly.
+MAX_TOKENS = 2**53
+
 
 def quota_tokens(request: Request, quota: Quota) -> int:
     """Returns how many tokens a request counts as."""
     if not quota.counts_tokens:
         return 1
     if request.states_tokens:
-        return request.prompt_tokens + request.output_tokens
-    return quota.plain_tokens
+        tokens = request.prompt_tokens + request.output_tokens
+    else:
+        tokens = quota.plain_tokens
+    return min(tokens, MAX_TOKENS)
 
 
 class QuotaGate:
@@ -65,7 +73,7 @@
             workspace.name,
             quota,
             quota_tokens(request, quota),
-            min(max_wait_s, left_s),
+            min(max_wait_s, WAIT_LEFT_SHARE * left_s),
         )
         if denial is None:
             return None
--- a/acaciaspoke/gateway/quotas/messages.py
+++ b/acaciaspoke/gateway/quotas/messages.py
@@ -7,12 +7,13 @@
 
 import msgspec
 
-from acaciaspoke.gateway.message_base import BaseMessage, Number
+from acaciaspoke.gateway.message_base import BaseMessage, Number, Share
 from acaciaspoke.ids import BootId, HostId, WorkspaceId
 
 # Quotas are bounded by 64 bits; not-a-number is not within the bounds.
 _Tokens = Annotated[float, msgspec.Meta(ge=0.0, le=2.0**63)]
-_Seconds = Annotated[float, msgspec.Meta(ge=0.0, le=1e6)]
+MAX_WAIT_S = 1e6
+_Seconds = Annotated[float, msgspec.Meta(ge=0.0, le=MAX_WAIT_S)]
 
 
 class QuotaAsk(BaseMessage, kw_only=True):
@@ -44,6 +45,7 @@
         owner: The host that owns the bucket.
         number: The number of the ask.
         wait_s: The time until a denied request could have its tokens.
+        level_share: The part of the burst that is unused.
         asker: The host to pass it on to; None if it is for the receiver.
     """
 
@@ -52,12 +54,19 @@
     number: Number
     is_granted: bool = False
     wait_s: _Seconds = 0.0
+    level_share: Share = 1.0
     asker: HostId | None = None
 
 
 class QuotaSettlement(BaseMessage, kw_only=True):
-    """What a host gives back, and what it has used without asking."""
+    """What a host gives back, and what it has used without asking.
+
+    Attributes:
+        recent_tokens: What the host has used lately, if another owner granted
+            it; sent when the owner changes.
+    """
 
     workspace: WorkspaceId
     returned_tokens: _Tokens = 0.0
     used_tokens: _Tokens = 0.0
+    recent_tokens: _Tokens = 0.0
