Grant a tenth of quotas while a new host knows no others

Two gateways that started together granted 9 requests of a quota of 6, as each took itself for the only host. Now a host that knows no other host grants a tenth for a second.

--- a/acaciaspoke/gateway/quotas/bucket.py
+++ b/acaciaspoke/gateway/quotas/bucket.py
@@ -16,8 +16,9 @@
 MAX_DEBT_CAPACITIES = 1.0
 
 # For how long a bucket's host may not know all others yet: digests are sent ten
-# times a second, and may be lost.
-YOUNG_S = 0.5
+# times a second, and may be lost; a host that has just started waits for a
+# second until it takes itself for the only one.
+YOUNG_S = 1.2
 
 # For how long after a pause hosts report what other owners granted meanwhile.
 RESUMED_S = 2.0
--- a/acaciaspoke/gateway/quotas/exchange.py
+++ b/acaciaspoke/gateway/quotas/exchange.py
@@ -51,6 +51,11 @@
 # others that it is the owner.
 REPORT_STEPS = 4
 
+# A host that has just started and knows no other yet grants this part of the
+# quotas for a while, as there may be others.
+JOINING_S = 1.0
+JOINING_SHARE = 0.1
+
 # Retry-After of a request that is denied without an owner.
 UNKNOWN_WAIT_S = 0.5
 
@@ -126,6 +131,7 @@
         # An answer to a former boot must not be taken for one to this boot.
         self._number = xxhash.xxh32_intdigest(boot.encode()) << BOOT_NUMBER_BITS
         self._share = 1.0
+        self._configured_s: float | None = None
         self._settlements = 0
         self._log_due_s = 0.0
         self._wake = anyio.Event()
@@ -137,6 +143,8 @@
             for workspace in configuration.workspaces
             if workspace.quota is not None
         }
+        if self._configured_s is None:
+            self._configured_s = self._clock()
         self._use.forget_others(self._quotas.keys())
         self._links_mbps = {}
         self._choose_owners(self._clock())
@@ -234,7 +242,7 @@
         self, workspace: WorkspaceId, quota: Quota, tokens: int, now_s: float
     ) -> Denial | None:
         self._metrics.quota_unanswered.inc()
-        share = 1 / max(1, self._count_hosts())
+        share = self._share_of(1, now_s)
         if self._use.use_unasked(workspace, quota, tokens, share, now_s):
             self._use.record_granted(workspace, tokens, now_s)
             return None
@@ -336,10 +344,7 @@
         if links_mbps != self._links_mbps:
             self._links_mbps = links_mbps
             self._rank_hosts(now_s)
-        # Both sides of a cut together stay within the quota.
-        self._share = len(links_mbps) / max(
-            1, len(links_mbps), self._count_hosts()
-        )
+        self._share = self._share_of(len(links_mbps), now_s)
         owned = {
             workspace: quota
             for workspace, quota in self._quotas.items()
@@ -347,6 +352,16 @@
         }
         self._owner.set_quotas(owned, self._share, now_s)
 
+    def _share_of(self, hosts: int, now_s: float) -> float:
+        """Returns the part of the quotas for hosts that reach each other."""
+        registered = self._count_hosts()
+        if max(hosts, registered) <= 1:
+            since_s = self._configured_s
+            is_joining = since_s is not None and now_s - since_s < JOINING_S
+            return JOINING_SHARE if is_joining else 1.0
+        # Both sides of a cut together stay within the quota.
+        return hosts / max(hosts, registered)
+
     def _rank_hosts(self, now_s: float) -> None:
         former = self._owners
         ranked = {
--- a/test/gateway/test_quotas.py
+++ b/test/gateway/test_quotas.py
@@ -485,6 +485,18 @@
         self.assertEqual(message.recent_tokens, 500)
         self.assertEqual(hosts, ["h3"])
 
+    def test_host_that_has_just_started(self):
+        # It knows no other host yet; each must not grant a whole burst.
+        self.links_mbps = {}
+        self.hosts = 0
+        exchange = self._exchange()
+        granted = [self._run(exchange, lambda ask: None) for _ in range(3)]
+        self.assertEqual(granted.count(None), 1)
+        self.now_s = 1.0
+        exchange.step()
+        granted = [self._run(exchange, lambda ask: None) for _ in range(3)]
+        self.assertEqual(granted.count(None), 3)
+
     def test_hosts_of_the_earlier_release_own_nothing(self):
         # They are not among the links; the share counts them.
         self.links_mbps = {}
