Have owners with an older configuration grant new quotas

Requests within a quota that the owner's configuration lacked fell back to the asking host's share, after 0.16 s. Asks now name the quota until the owner has answered. Ranking and shares move to ownership.py.

--- a/acaciaspoke/gateway/quotas/exchange.py
+++ b/acaciaspoke/gateway/quotas/exchange.py
@@ -24,9 +24,9 @@
     QuotaSettlement,
 )
 from acaciaspoke.gateway.quotas.owner import QuotaOwner
+from acaciaspoke.gateway.quotas.ownership import Ownership
 from acaciaspoke.gateway.types import Configuration, Quota
 from acaciaspoke.ids import BootId, HostId, WorkspaceId
-from acaciaspoke.util.rendezvous import rank_by_link
 
 # How long an answer may take before the ask is repeated, and how often it is
 # sent. An owner on a busy machine answers within some ten milliseconds.
@@ -51,11 +51,6 @@
 # others that it is the owner.
 REPORT_STEPS = 4
 
-# A host that has just started and knows no other yet grants this part of the
-# quotas for a while, as there may be others.
-JOINING_S = 1.0
-JOINING_SHARE = 0.1
-
 # Retry-After of a request that is denied without an owner.
 UNKNOWN_WAIT_S = 0.5
 
@@ -116,11 +111,7 @@
         self._clock = clock
         self._owner = QuotaOwner(local_host, clock())
         self._use = LocalUse()
-        self._quotas: dict[WorkspaceId, Quota] = {}
-        # The owner of each bucket, and the host that is asked after it.
-        self._owners: dict[WorkspaceId, HostId] = {}
-        self._seconds: dict[WorkspaceId, HostId] = {}
-        self._links_mbps: dict[HostId, float] = {}
+        self._ownership = Ownership(local_host)
         # Use to be reported to a new owner, and how often.
         self._reports: dict[WorkspaceId, tuple[float, int]] = {}
         # The owner that last answered; another one has to know of recent use.
@@ -130,24 +121,24 @@
         self._given_up: OrderedDict[int, int] = OrderedDict()
         # An answer to a former boot must not be taken for one to this boot.
         self._number = xxhash.xxh32_intdigest(boot.encode()) << BOOT_NUMBER_BITS
-        self._share = 1.0
-        self._configured_s: float | None = None
         self._settlements = 0
         self._log_due_s = 0.0
         self._wake = anyio.Event()
 
     def set_configuration(self, configuration: Configuration) -> None:
         """Applies the quotas of a configuration."""
-        self._quotas = {
+        now_s = self._clock()
+        quotas = {
             workspace.name: workspace.quota
             for workspace in configuration.workspaces
             if workspace.quota is not None
         }
-        if self._configured_s is None:
-            self._configured_s = self._clock()
-        self._use.forget_others(self._quotas.keys())
-        self._links_mbps = {}
-        self._choose_owners(self._clock())
+        self._ownership.set_configured(quotas, now_s)
+        self._choose_owners(now_s)
+        known = self._ownership.quotas.keys()
+        self._use.forget_others(known)
+        for workspace in self._answered_by.keys() - known:
+            del self._answered_by[workspace]
 
     # For requests of this host.
 
@@ -223,7 +214,14 @@
 
     def _send_ask(self, ask: QuotaAsk, quota: Quota, attempt: int) -> None:
         now_s = self._clock()
-        owner = self._owners.get(ask.workspace, self._local_host)
+        ownership = self._ownership
+        owner = ownership.owners.get(ask.workspace, self._local_host)
+        if attempt > 0 or self._answered_by.get(ask.workspace) != owner:
+            ask = msgspec.structs.replace(
+                ask,
+                rate_per_s=quota.tokens_per_s,
+                burst_tokens=quota.burst_tokens,
+            )
         if self._answered_by.get(ask.workspace) != owner:
             recent = self._use.recent_tokens(ask.workspace, quota, now_s)
             ask = msgspec.structs.replace(ask, recent_tokens=recent)
@@ -234,7 +232,7 @@
             self._handle_ask(ask, now_s)
         else:
             # The second host passes it on if only this host's link is lost.
-            second = self._seconds.get(ask.workspace, self._local_host)
+            second = ownership.seconds.get(ask.workspace, owner)
             is_passed = attempt > 0 and second != self._local_host
             self._post(ask, [owner, second] if is_passed else [owner])
 
@@ -242,7 +240,7 @@
         self, workspace: WorkspaceId, quota: Quota, tokens: int, now_s: float
     ) -> Denial | None:
         self._metrics.quota_unanswered.inc()
-        share = self._share_of(1, now_s)
+        share = self._ownership.share_of(1, self._count_hosts(), now_s)
         if self._use.use_unasked(workspace, quota, tokens, share, now_s):
             self._use.record_granted(workspace, tokens, now_s)
             return None
@@ -263,7 +261,10 @@
                 self._owner.settle(message, now_s)
 
     def _handle_ask(self, ask: QuotaAsk, now_s: float) -> None:
-        owner = self._owners.get(ask.workspace)
+        if ask.workspace not in self._ownership.quotas:
+            self._ownership.learn(ask, now_s)
+            self._choose_owners(now_s)
+        owner = self._ownership.owners.get(ask.workspace)
         if owner == self._local_host:
             answer = self._owner.handle(ask, now_s)
             if answer is not None:
@@ -324,7 +325,7 @@
         """Grants what has accrued, and sends what is due."""
         now_s = self._clock()
         self._choose_owners(now_s)
-        if not self._quotas:
+        if not self._ownership.quotas:
             return
         for ask, answer in self._owner.grant(now_s):
             self._answer(ask, answer)
@@ -335,58 +336,34 @@
         self._log_use(now_s)
 
     def _choose_owners(self, now_s: float) -> None:
+        ownership = self._ownership
+        former = ownership.owners
         links_mbps = {}
-        if self._quotas:
+        if ownership.quotas:
             links_mbps = {
                 **self._live_links_mbps(now_s),
                 self._local_host: self._local_link_mbps,
             }
-        if links_mbps != self._links_mbps:
-            self._links_mbps = links_mbps
-            self._rank_hosts(now_s)
-        self._share = self._share_of(len(links_mbps), now_s)
-        owned = {
-            workspace: quota
-            for workspace, quota in self._quotas.items()
-            if self._owners[workspace] == self._local_host
-        }
-        self._owner.set_quotas(owned, self._share, now_s)
-
-    def _share_of(self, hosts: int, now_s: float) -> float:
-        """Returns the part of the quotas for hosts that reach each other."""
-        registered = self._count_hosts()
-        if max(hosts, registered) <= 1:
-            since_s = self._configured_s
-            is_joining = since_s is not None and now_s - since_s < JOINING_S
-            return JOINING_SHARE if is_joining else 1.0
-        # Both sides of a cut together stay within the quota.
-        return hosts / max(hosts, registered)
-
-    def _rank_hosts(self, now_s: float) -> None:
-        former = self._owners
-        ranked = {
-            workspace: rank_by_link(f"quota {workspace}", self._links_mbps, 2)
-            for workspace in self._quotas
-        }
-        self._owners = {name: hosts[0] for name, hosts in ranked.items()}
-        self._seconds = {name: hosts[-1] for name, hosts in ranked.items()}
+        ownership.update(links_mbps, self._count_hosts(), now_s)
+        if ownership.owners is not former:
+            self._note_new_owners(former, now_s)
+        self._owner.set_quotas(ownership.owned(), ownership.share, now_s)
+
+    def _note_new_owners(
+        self, former: Mapping[WorkspaceId, HostId], now_s: float
+    ) -> None:
+        ownership = self._ownership
         self._reports = {
             name: report
             for name, report in self._reports.items()
-            if name in ranked
+            if name in ownership.owners
         }
-        for name, owner in self._owners.items():
-            if name in former and former[name] != owner:
-                recent = self._use.recent_tokens(
-                    name, self._quotas[name], now_s
-                )
+        for name, owner in ownership.owners.items():
+            if former.get(name, owner) != owner:
+                quota = ownership.quotas[name]
+                recent = self._use.recent_tokens(name, quota, now_s)
                 if recent:
                     self._reports[name] = (recent, REPORT_STEPS)
-        self._answered_by = {
-            name: owner
-            for name, owner in self._answered_by.items()
-            if name in ranked
-        }
 
     def _report_use(self, workspace: WorkspaceId, now_s: float) -> None:
         recent, steps = self._reports.pop(workspace)
@@ -409,7 +386,7 @@
     def _send_settlement(
         self, settlement: QuotaSettlement, now_s: float
     ) -> None:
-        owner = self._owners.get(settlement.workspace)
+        owner = self._ownership.owners.get(settlement.workspace)
         if owner == self._local_host:
             self._settlements += 1
             settlement = msgspec.structs.replace(
@@ -435,6 +412,6 @@
                     within_s=LOG_INTERVAL_S,
                     denied=bucket.denied,
                     level_tokens=round(bucket.level_tokens),
-                    share=round(self._share, 2),
+                    share=round(self._ownership.share, 2),
                 )
             bucket.granted_tokens, bucket.denied = 0.0, 0
--- a/acaciaspoke/gateway/quotas/messages.py
+++ b/acaciaspoke/gateway/quotas/messages.py
@@ -25,6 +25,9 @@
         max_wait_s: How long the request can wait for them.
         recent_tokens: What the host has used lately, if another owner granted
             it.
+        rate_per_s: The workspace's quota, for an owner whose configuration
+            lacks it; not sent to an owner that has answered.
+        burst_tokens: As above.
         asker: The host whose ask the sender passes on; None if its own.
         asker_boot: The boot of that host's process.
     """
@@ -34,6 +37,8 @@
     tokens: _Tokens
     max_wait_s: _Seconds = 0.0
     recent_tokens: _Tokens = 0.0
+    rate_per_s: _Tokens = 0.0
+    burst_tokens: _Tokens = 0.0
     asker: HostId | None = None
     asker_boot: BootId | None = None
 
--- a/test/gateway/quota_simulation.py
+++ b/test/gateway/quota_simulation.py
@@ -187,7 +187,8 @@
     def owner_of(self, workspace: WorkspaceId) -> HostId:
         """Returns which host most hosts take for the owner."""
         owners = [
-            host.exchange._owners[workspace] for host in self.hosts.values()
+            host.exchange._ownership.owners[workspace]
+            for host in self.hosts.values()
         ]
         return max(set(owners), key=owners.count)
 
--- a/test/gateway/test_quota_with_processes.py
+++ b/test/gateway/test_quota_with_processes.py
@@ -57,9 +57,10 @@
     async def _ask_both(self, key):
         responses = {address: [] for address in self.addresses}
         for _ in range(REQUESTS):
-            for self.address in self.addresses:
+            for address in self.addresses:
+                self.address = address
                 response = await self.ask("/unsafe/x", Acaciaspoke_Key=key)
-                responses[self.address].append(response)
+                responses[address].append(response)
         return list(responses.values())
 
     async def test_workspace_over_its_quota(self):
--- a/test/gateway/test_quotas.py
+++ b/test/gateway/test_quotas.py
@@ -469,6 +469,34 @@
         results = [self._run(exchange, lambda ask: None) for _ in range(2)]
         self.assertEqual(results, [None, None])
 
+    def test_ask_names_the_quota_to_an_owner_that_may_lack_it(self):
+        # Requests within a new quota must not be refused because the owner's
+        # configuration is older.
+        exchange = self._exchange()
+        ask = _ask(
+            1,
+            workspace=WorkspaceId("w2"),
+            rate_per_s=1_000.0,
+            burst_tokens=2_000.0,
+        )
+        self.links_mbps = {}
+        exchange.step()
+        exchange.handle(ask)
+        ((answer, hosts),) = self.sent
+        self.assertTrue(answer.is_granted)
+        self.assertEqual(hosts, ["h2"])
+        self.now_s = 11.0
+        exchange.step()
+        self.assertNotIn("w2", exchange._ownership.quotas)
+
+    def test_quota_is_named_until_the_owner_answers(self):
+        exchange = self._exchange()
+        self._run(exchange, lambda ask: exchange.handle(self._answer()))
+        self.assertEqual(self.sent[0][0].rate_per_s, 1_000.0)
+        self.sent.clear()
+        self._run(exchange, lambda ask: exchange.handle(self._answer()))
+        self.assertEqual(self.sent[0][0].rate_per_s, 0.0)
+
     def test_pending_asks_are_forgotten(self):
         exchange = self._exchange()
         for _ in range(3):
