Check API keys also against outdated and odd configurations

A review of the check of API keys found: - One invalid entry of a workspace kept the whole configuration out of force. Entries and fields are decoded one by one now. - A name outside of Latin-1, or with control characters, ended each request of its workspace with status 500. It is sent in UTF-8, or percent-encoded. - Of several different keys of a request the last one counted. - Requests that waited when their key was removed were sent later. - Hosts kept the configuration with plain keys, and passed it on in datagrams. - A host that lost the store answered 401 for keys that it may have missed. It answers 503 if its configuration may be outdated, and asks other hosts for it. - Requests with keys were forwarded to hosts of the earlier release, which send keys to upstreams. The row's flag is named knows_workspaces now.

--- a/acaciaspoke/gateway/api_keys/lookup.py
+++ b/acaciaspoke/gateway/api_keys/lookup.py
@@ -20,9 +20,9 @@
 
     def __init__(self, workspaces: Iterable[Workspace] = ()):
         self._workspaces: dict[bytes, Workspace] = {}
-        self.are_required = False
+        workspaces = tuple(workspaces)
+        self.are_required = bool(workspaces)
         for workspace in workspaces:
-            self.are_required = True
             for digest in workspace.key_digests:
                 holder = self._workspaces.setdefault(digest, workspace)
                 if holder is not workspace:
--- a/acaciaspoke/gateway/app.py
+++ b/acaciaspoke/gateway/app.py
@@ -11,7 +11,7 @@
 from acaciaspoke.entry.errors import CallerError, Outcome
 from acaciaspoke.gateway import answers
 from acaciaspoke.gateway.answers import StreamBrokenError
-from acaciaspoke.gateway.api_keys import ApiKeys, fingerprint
+from acaciaspoke.gateway.api_keys import ApiKeys, refuse
 from acaciaspoke.gateway.attempt import Relay
 from acaciaspoke.gateway.exchange import RequestHandler
 from acaciaspoke.gateway.failures import Failure, FailureType, send_failure
@@ -69,6 +69,7 @@
         is_ready: Callable[[], bool],
         is_draining: Callable[[], bool],
         is_detached: Callable[[], bool],
+        may_be_outdated: Callable[[], bool],
     ):
         self.configuration: Configuration | None = None
         self.open_requests = 0
@@ -81,6 +82,7 @@
         self._metrics_port = metrics_port
         self._internal_port = internal_port
         self._is_detached = is_detached
+        self._may_be_outdated = may_be_outdated
         self._is_ready = is_ready
         self._is_draining = is_draining
 
@@ -89,6 +91,7 @@
         self.configuration = configuration
         self._routes = RouteTable(configuration.routes)
         self._api_keys = ApiKeys(configuration.workspaces)
+        self._requests.refuse_waiting(self._refusal_of)
 
     def end_unanswered(self) -> None:
         """Answers all requests that have no answer, as the host stops."""
@@ -231,20 +234,25 @@
         if route is None:
             failure = Failure(FailureType.NOT_FOUND, "no route for this path")
             raise _BadRequestError(failure)
-        return fields, route, self._authenticate(fields, route)
-
-    def _authenticate(
-        self, fields: RequestFields, route: Route
-    ) -> Workspace | None:
-        """Returns the workspace of a request; None if it needs none."""
         workspace = self._api_keys.find(fields.api_key)
-        if workspace or route.is_public or not self._api_keys.are_required:
-            return workspace
-        message = "the request has no API key"
-        if fields.api_key:
-            digits = fingerprint(fields.api_key)
-            message = f"no workspace has the API key with fingerprint {digits}"
-        raise _BadRequestError(Failure(FailureType.UNAUTHENTICATED, message))
+        refusal = self._refusal(fields.api_key, route)
+        if refusal is not None:
+            raise _BadRequestError(refusal)
+        return fields, route, workspace
+
+    def _refusal(self, key: bytes, route: Route) -> Failure | None:
+        """Returns the answer to a request without a valid API key."""
+        if route.is_public or not self._api_keys.are_required:
+            return None
+        if self._api_keys.find(key) is not None:
+            return None
+        self._metrics.unauthenticated.inc()
+        return refuse(key, self._may_be_outdated())
+
+    def _refusal_of(self, request: Request, relay: Relay) -> Failure | None:
+        """Returns the answer to a request whose API key was removed."""
+        key = decode_request(relay.caller.header_list).api_key
+        return self._refusal(key, request.route)
 
     async def _serve_until_disconnect(
         self, request: Request, relay: Relay
@@ -267,6 +275,8 @@
         if entry.is_ended and isinstance(failure, CallerDisconnectedError):
             await answers.answer_stopped(self._metrics, request, relay)
             return
+        if entry.refusal and isinstance(failure, CallerDisconnectedError):
+            raise _BadRequestError(entry.refusal)
         if isinstance(failure, CallerDisconnectedError):
             logger.info(
                 "caller closed the connection",
--- a/acaciaspoke/gateway/forwarding.py
+++ b/acaciaspoke/gateway/forwarding.py
@@ -79,6 +79,7 @@
         live: Callable[[float], Iterable[HostId]],
         detached: Callable[[float], Iterable[HostId]],
         stopping: Callable[[float], Iterable[HostId]],
+        has_workspaces: Callable[[], bool] = lambda: False,
     ):
         """Creates an object without state of its own.
 
@@ -89,6 +90,8 @@
             live: Returns the other hosts that are responsive.
             detached: Returns the hosts that take no forwarded requests now.
             stopping: Returns the hosts that take them only if no others do.
+            has_workspaces: Returns whether the configuration has workspaces.
+                Hosts that do not know these would send API keys to upstreams.
         """
         self._local_host = local_host
         self._local_domain = local_domain
@@ -96,10 +99,12 @@
         self._live = live
         self._detached = detached
         self._stopping = stopping
+        self._has_workspaces = has_workspaces
 
     def choose(self, request: Request, now_s: float) -> HostId | None:
         """Returns the host that is to serve a request; None if none can."""
         rows = self._rows()
+        has_workspaces = self._has_workspaces()
         excluded = {self._local_host, *request.tried_hosts}
         excluded.update(self._detached(now_s))
         usable = [
@@ -108,6 +113,7 @@
             if host not in excluded
             and host in rows
             and rows[host].takes_forwarded
+            and (rows[host].knows_workspaces or not has_workspaces)
         ]
         stopping = set(self._stopping(now_s))
         others = [host for host in usable if host not in stopping]
--- a/acaciaspoke/gateway/metrics.py
+++ b/acaciaspoke/gateway/metrics.py
@@ -131,6 +131,9 @@
         self.limit_refusals = self._counter(
             "limit_refusals", "Requests refused because of a limit"
         )
+        self.unauthenticated = self._counter(
+            "unauthenticated", "Requests without an API key of a workspace"
+        )
         self.quota_asks = self._counter(
             "quota_asks", "Asks for tokens of workspaces with a quota"
         )
--- a/acaciaspoke/gateway/open_requests.py
+++ b/acaciaspoke/gateway/open_requests.py
@@ -1,7 +1,7 @@
 """The requests of callers in progress, and their end when the host stops."""
 
 import time
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from contextlib import contextmanager
 
 import anyio
@@ -9,6 +9,7 @@
 from loguru import logger
 
 from acaciaspoke.gateway.attempt import Relay
+from acaciaspoke.gateway.failures import Failure
 from acaciaspoke.gateway.types import Request
 from acaciaspoke.ids import RequestId
 
@@ -19,12 +20,15 @@
     Attributes:
         scope: Cancels its work.
         is_ended: Whether it was cancelled because the host stops.
+        refusal: Its answer, if it was cancelled because a new configuration
+            does not permit it; None otherwise.
     """
 
     request: Request
     relay: Relay
     scope: anyio.CancelScope
     is_ended: bool = False
+    refusal: Failure | None = None
 
     @property
     def state(self) -> str:
@@ -69,6 +73,20 @@
             if self._requests.get(request.id) is entry:
                 del self._requests[request.id]
 
+    def refuse_waiting(
+        self, refusal_of: Callable[[Request, Relay], Failure | None]
+    ) -> None:
+        """Ends requests that were never sent and are not permitted any more.
+
+        Args:
+            refusal_of: Returns the answer to a request; None if it may go on.
+        """
+        for entry in list(self._requests.values()):
+            if entry.state == "waiting":
+                entry.refusal = refusal_of(entry.request, entry.relay)
+                if entry.refusal is not None:
+                    entry.scope.cancel()
+
     def end_unanswered(self) -> None:
         """Ends requests whose response has not begun; logs all of them.
 
--- a/acaciaspoke/gateway/peers.py
+++ b/acaciaspoke/gateway/peers.py
@@ -36,8 +36,9 @@
         link_mbps: Bandwidth of its network link; 0 if unknown.
         takes_forwarded: Whether it serves requests that other hosts forward to
             the same port over TCP. Hosts of earlier releases do not.
-        owns_quotas: Whether it can own the quotas of workspaces. Hosts of
-            earlier releases cannot.
+        knows_workspaces: Whether it checks API keys, removes them before it
+            sends requests to upstreams, and can own the quotas of workspaces.
+            Hosts of earlier releases do none of this.
     """
 
     address: str
@@ -45,7 +46,7 @@
     failure_domain: DomainId
     link_mbps: float = 0.0
     takes_forwarded: bool = False
-    owns_quotas: bool = False
+    knows_workspaces: bool = False
 
     def __post_init__(self) -> None:
         # Other text would be resolved as a name, which blocks the process, or
--- a/acaciaspoke/gateway/process.py
+++ b/acaciaspoke/gateway/process.py
@@ -45,7 +45,11 @@
 from acaciaspoke.gateway.replica_waits import MAX_GAP_S, ReplicaWaits
 from acaciaspoke.gateway.retry_budget import RetryBudget
 from acaciaspoke.gateway.rowrelay import RowRelay
-from acaciaspoke.gateway.rows import configuration_applier, upstream_applier
+from acaciaspoke.gateway.rows import (
+    configuration_applier,
+    confirmed_by_store,
+    upstream_applier,
+)
 from acaciaspoke.gateway.servers import GatewayServers
 from acaciaspoke.gateway.settings import GatewaySettings
 from acaciaspoke.gateway.stop_limit import limit_stop
@@ -61,6 +65,7 @@
     UPSTREAMS_TABLE,
     StoreClient,
 )
+from acaciaspoke.platform.workspaces import without_plain_keys
 from acaciaspoke.util.drain import Drain, stop_on_signals
 from acaciaspoke.util.log import LogWriter
 from acaciaspoke.util.net import split_address
@@ -128,6 +133,9 @@
             lambda now_s: self._loads.live(now_s),
             self._dispatcher.fleet.peer_loads.detached_hosts,
             self._dispatcher.fleet.peer_loads.stopping_hosts,
+            lambda: bool(
+                self.app.configuration and self.app.configuration.workspaces
+            ),
         )
         self._streams = StreamStore(
             self._store,
@@ -284,7 +292,9 @@
         self._followers = make_followers(
             self._store,
             {
-                OPERATOR_TABLE: apply_configuration,
+                OPERATOR_TABLE: confirmed_by_store(
+                    apply_configuration, self._configuration_lag.record_read
+                ),
                 UPSTREAMS_TABLE: upstream_applier(
                     self._registry, self._on_upstreams_changed
                 ),
@@ -306,6 +316,9 @@
             is_ready=lambda: self.is_ready,
             is_draining=lambda: not self.drain.serving,
             is_detached=lambda: self.is_detached,
+            may_be_outdated=lambda: self._configuration_lag.may_be_outdated(
+                time.monotonic()
+            ),
         )
         self._servers = GatewayServers(self.app, settings, self.limits)
 
@@ -337,7 +350,7 @@
         )
 
     def _activate(self, configuration: Configuration, value: bytes) -> None:
-        self._configuration_relay.record(value)
+        self._configuration_relay.record(without_plain_keys(value))
         self._dispatcher.set_configuration(configuration)
         self._leader.set_configuration(configuration)
         self._quotas.set_configuration(configuration)
@@ -358,8 +371,9 @@
 
     def _request_configuration(self, host: HostId) -> None:
         """Reads the configuration again, as a host has a newer one."""
-        self._followers[OPERATOR_TABLE].reread()
-        if self._store.was_restored:
+        follower = self._followers[OPERATOR_TABLE]
+        follower.reread()
+        if self._store.was_restored or follower.is_lost:
             # A sum of loads does not tell whose configuration is newer.
             self._configuration_relay.request(
                 [host]
@@ -404,7 +418,7 @@
         return {
             host: link_mbps
             for host, link_mbps in self._loads.live_links_mbps(now_s).items()
-            if host in rows and rows[host].owns_quotas
+            if host in rows and rows[host].knows_workspaces
         }
 
     def _next_sequence(self) -> int:
--- a/acaciaspoke/gateway/registration.py
+++ b/acaciaspoke/gateway/registration.py
@@ -29,7 +29,7 @@
             failure_domain=settings.domain_id,
             link_mbps=settings.link_mbps,
             takes_forwarded=True,
-            owns_quotas=True,
+            knows_workspaces=True,
         )
         self._is_registered = False
         self._is_ended = False
--- a/acaciaspoke/gateway/rows.py
+++ b/acaciaspoke/gateway/rows.py
@@ -6,6 +6,7 @@
 from loguru import logger
 
 from acaciaspoke.gateway.registry import UpstreamRegistry
+from acaciaspoke.gateway.table_follower import ApplyRows
 from acaciaspoke.gateway.types import Configuration
 from acaciaspoke.ids import UpstreamId
 from acaciaspoke.platform.documents import (
@@ -52,6 +53,23 @@
     return apply
 
 
+def confirmed_by_store(
+    apply: ApplyRows, record_read: Callable[[float], None]
+) -> ApplyRows:
+    """Returns a function that applies what the store has just answered.
+
+    Args:
+        apply: Applies the rows.
+        record_read: Called with the time of each answer, also without rows.
+    """
+
+    def apply_answer(rows: list[FeedRow], is_snapshot: bool) -> None:
+        apply(rows, is_snapshot)
+        record_read(time.monotonic())
+
+    return apply_answer
+
+
 def upstream_applier(
     registry: UpstreamRegistry, on_applied: Callable[[], None]
 ) -> Callable[[list[FeedRow], bool], None]:
--- a/acaciaspoke/gateway/table_follower.py
+++ b/acaciaspoke/gateway/table_follower.py
@@ -8,6 +8,7 @@
 from loguru import logger
 
 from acaciaspoke.clients.table import TableUnavailable
+from acaciaspoke.gateway.api_keys import may_be_outdated
 from acaciaspoke.gateway.metrics import GatewayMetrics
 from acaciaspoke.platform.store import (
     HOSTS_TABLE,
@@ -118,15 +119,28 @@
         self._newest = 0
         self._since_s = 0.0
         self._wait_s = LAG_GRACE_S
+        self._confirmed_s = float("-inf")
 
     def record_local_version(self, version: int) -> None:
         """Records the version that is in force at this host."""
         self._local = version
         self._wait_s = LAG_GRACE_S
 
+    def record_read(self, now_s: float) -> None:
+        """Records that the store has just shown its newest version."""
+        self._confirmed_s = now_s
+
+    def may_be_outdated(self, now_s: float) -> bool:
+        """Returns whether this host may lack the newest version."""
+        return may_be_outdated(
+            self._local, self._newest, now_s - self._confirmed_s
+        )
+
     def observe(self, version: int, now_s: float) -> bool:
         """Records another host's version; returns whether to read again."""
         if version <= self._local:
+            if version and version == self._local:
+                self._confirmed_s = now_s
             return False
         if self._newest <= self._local:
             self._newest, self._since_s = version, now_s
@@ -193,6 +207,11 @@
         """The version that this host knows; 0 if it has to read the table."""
         return self._version or 0
 
+    @property
+    def is_lost(self) -> bool:
+        """Whether the last call was not answered."""
+        return self._lost_since_s is not None
+
     def offer(self, after: int, page: FeedPage) -> bool:
         """Applies changes that another host has read, unless some are missing.
 
--- a/acaciaspoke/platform/documents.py
+++ b/acaciaspoke/platform/documents.py
@@ -7,7 +7,6 @@
 from loguru import logger
 
 from acaciaspoke.errors import AcaciaspokeError
-from acaciaspoke.gateway.api_keys import digest_of
 from acaciaspoke.gateway.types import (
     Artifact,
     CallerLimits,
@@ -15,14 +14,12 @@
     EngineReport,
     EngineSpec,
     ModelSpec,
-    Quota,
     Route,
     RouteKind,
     Service,
     Target,
     UpstreamRecord,
     UpstreamState,
-    Workspace,
 )
 from acaciaspoke.ids import (
     AdapterId,
@@ -32,22 +29,15 @@
     ServiceId,
     SoftwareVersion,
     UpstreamId,
-    WorkspaceId,
 )
+from acaciaspoke.platform.bounds import MAX_INTEGER, Count, Integer
+from acaciaspoke.platform.workspaces import decode_workspaces
 from acaciaspoke.util.decoding import decode_json
-from acaciaspoke.util.http import is_sendable_value
 from acaciaspoke.util.net import split_address
 
 # Slots of an upstream; a number beyond this is an error of its writer.
 MAX_SLOTS = 1_000_000
 
-# Messages between hosts carry integers of 64 bits.
-MAX_INTEGER = 2**63 - 1
-MIN_INTEGER = -(2**63)
-
-Integer = Annotated[int, msgspec.Meta(ge=MIN_INTEGER, le=MAX_INTEGER)]
-Count = Annotated[int, msgspec.Meta(ge=0)]
-Rate = Annotated[float, msgspec.Meta(ge=0.0, le=float(MAX_INTEGER))]
 Slots = Annotated[int, msgspec.Meta(ge=0, le=MAX_SLOTS)]
 
 
@@ -121,25 +111,13 @@
     idle_timeout_ms: float = 15000.0
 
 
-class _Tenant(_Document, kw_only=True):
-    name: str
-    api_keys: tuple[str, ...] = ()
-    priority: Integer | None = None
-    # What the quota counts: "requests" or "tokens".
-    unit: str = "requests"
-    # Tokens of a request that states none.
-    plain_tokens: Count = 1
-    # No quota if 0.
-    rate_per_s: Rate = 0.0
-    burst: Rate = 0.0
-
-
 class _Configuration(_Document, kw_only=True):
     version: Integer
     routes: tuple[_Route, ...] = ()
     services: tuple[_Service, ...] = ()
     limits: _Limits = _Limits()
-    tenants: tuple[_Tenant, ...] = ()
+    # Decoded one by one, so that an invalid entry does not affect the others.
+    tenants: tuple[msgspec.Raw, ...] | None = None
 
 
 class _LoadedModel(_Document, kw_only=True):
@@ -202,7 +180,7 @@
             header_timeout_s=document.limits.header_timeout_ms / 1000,
             idle_timeout_s=document.limits.idle_timeout_ms / 1000,
         ),
-        workspaces=tuple(map(_to_workspace, document.tenants)),
+        workspaces=decode_workspaces(document.tenants or ()),
     )
 
 
@@ -233,35 +211,6 @@
     )
 
 
-def _to_workspace(tenant: _Tenant) -> Workspace:
-    if not (
-        tenant.name
-        and is_sendable_value(tenant.name.encode("latin-1", "replace"))
-    ):
-        raise DocumentError(f"{tenant.name!r} is no name of a workspace")
-    return Workspace(
-        name=WorkspaceId(tenant.name),
-        key_digests=frozenset(
-            digest_of(key.encode()) for key in tenant.api_keys if key
-        ),
-        priority=tenant.priority,
-        quota=_to_quota(tenant),
-    )
-
-
-def _to_quota(tenant: _Tenant) -> Quota | None:
-    """Returns a quota; a unit that is not known counts requests."""
-    if not tenant.rate_per_s:
-        return None
-    counts_tokens = tenant.unit == "tokens"
-    return Quota(
-        tokens_per_s=tenant.rate_per_s,
-        burst_tokens=tenant.burst,
-        plain_tokens=tenant.plain_tokens if counts_tokens else 1,
-        counts_tokens=counts_tokens,
-    )
-
-
 def _to_service(service: _Service) -> Service:
     engine = service.engine
     return Service(
--- a/acaciaspoke/platform/headers.py
+++ b/acaciaspoke/platform/headers.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Iterable
 from typing import NamedTuple
+from urllib.parse import quote_from_bytes
 
 import xxhash
 
@@ -190,6 +191,7 @@
             numbers from 0 to ``MAX_TOKENS``, or the model or the adapter is
             longer than ``MAX_NAME_LENGTH``.
     """
+    headers = list(headers)
     found = dict(headers)
     text = {
         name: found.get(name, b"").decode("latin-1").strip()
@@ -215,11 +217,20 @@
         shared_parts=tuple(filter(None, shared_parts[:MAX_SHARED_PARTS])),
         continues=RequestId(text[RESUMES]),
         has_last_event=bool(text[LAST_EVENT_ID]),
-        api_key=found.get(API_KEY, b"").strip(),
+        api_key=_decode_api_key(headers),
         states_tokens=bool(text[TOKEN_COUNT]),
     )
 
 
+def _decode_api_key(headers: Iterable[tuple[bytes, bytes]]) -> bytes:
+    """Returns the key; several different ones are a list, which is no key.
+
+    RFC 9110, section 5.3.
+    """
+    keys = [value.strip() for name, value in headers if name == API_KEY]
+    return b", ".join(dict.fromkeys(filter(None, keys)))
+
+
 def _decode_tokens(text: str) -> int:
     tokens = int(text or 0)
     if not 0 <= tokens <= MAX_TOKENS:
@@ -262,7 +273,7 @@
         encoded = [pair for pair in encoded if pair[0] != LAST_EVENT_ID]
         encoded.append((LAST_EVENT_ID, last_event_id))
     if request.workspace is not None:
-        encoded.append((WORKSPACE, request.workspace.name.encode("latin-1")))
+        encoded.append((WORKSPACE, encode_name(request.workspace.name)))
     remaining_ms = max(1, int((request.deadline_s - now_s) * 1000))
     encoded.append((TIME_REMAINING_MS, str(remaining_ms).encode()))
     encoded.append((EXPECT_INSTANCE, upstream.encode("latin-1")))
@@ -279,6 +290,18 @@
     return encoded
 
 
+def encode_name(name: str) -> bytes:
+    """Returns the name of a workspace as the value of a header, in UTF-8.
+
+    Names that HTTP would not carry unchanged are percent-encoded (RFC 3986,
+    section 2.1): those with control characters, or white space around them.
+    """
+    value = name.encode()
+    if is_sendable_value(value) and value == value.strip():
+        return value
+    return quote_from_bytes(value, safe=b"").encode()
+
+
 def encode_forwarded_request(
     headers: Iterable[tuple[bytes, bytes]],
     request: Request,
