--- a/test/gateway/process_serving.py
+++ b/test/gateway/process_serving.py
@@ -20,9 +20,12 @@
     Attributes:
         process: The gateway.
         log_level: Lowest level that it logs.
+        source_folder: The folder whose code it runs; None for the tree of the
+            tests.
     """
 
     log_level = "info"
+    source_folder: Path | None = None
 
     async def start_gateway(self, settings):
         folder = Path(self.enterContext(tempfile.TemporaryDirectory()))
@@ -35,6 +38,7 @@
             *("--settings", str(path)),
             stdout=self.log,
             stderr=self.log,
+            cwd=self.source_folder,
         )
         self.addAsyncCleanup(self._end_process, self.process)
         url = f"http://{settings.address}:{READY_PORT}/ready"
@@ -59,5 +63,5 @@
 
     def read_log(self) -> str:
         """Returns what the gateway has logged."""
-        self.log.seek(0)
-        return self.log.read()
+        # The gateway shares the position in the file, so it is opened again.
+        return Path(self.log.name).read_text()
