--- a/acaciaspoke/gateway/metrics.py
+++ b/acaciaspoke/gateway/metrics.py
@@ -139,6 +139,9 @@
             registry=self.registry,
         )
         self._slowdowns: dict[UpstreamId, float] = {}
+        self.unauthenticated = self._counter(
+            "unauthenticated", "Requests without an API key of a workspace"
+        )
         self.quota_asks = self._counter(
             "quota_asks", "Asks for tokens of workspaces with a quota"
         )
