Place requests by the prompt parts that engines hold

The engine was chosen by a hash of the session among those of about equal load; nothing knew which prompt parts an engine holds. Only tokens that are not cached count as prefill load.

--- a/acaciaspoke/gateway/app.py
+++ b/acaciaspoke/gateway/app.py
@@ -303,6 +303,7 @@
         fingerprint=xxhash.xxh64_intdigest(target + b"\0" + body),
         continues=continues,
         states_tokens=fields.states_tokens,
+        prompt_parts=fields.prompt_parts if route.has_session_affinity else (),
     )
 
 
--- a/acaciaspoke/gateway/attempt_runner.py
+++ b/acaciaspoke/gateway/attempt_runner.py
@@ -72,6 +72,7 @@
         """Makes one attempt; never raises for failures of the upstream."""
         request = assignment.request
         request.starts += 1
+        self._metrics.record_prompt(request)
         relay.takeover = Takeover()
         pool = self._pool(assignment.address)
         # An upstream may repeat its response to an earlier attempt, which has
@@ -110,6 +111,7 @@
             waited_for=answers.wait_reason_text(request),
             artifact=str(request.artifact or ""),
             prompt_tokens=request.prompt_tokens,
+            cached_tokens=round(request.expected_cached_tokens),
             service=request.service,
             version=assignment.version,
             continues=request.continues or "",
--- a/acaciaspoke/gateway/balance.py
+++ b/acaciaspoke/gateway/balance.py
@@ -15,6 +15,13 @@
 import xxhash
 
 from acaciaspoke.gateway.engine_speed import EngineSpeed
+from acaciaspoke.gateway.prompts import (
+    CachedTokens,
+    Candidate,
+    Holdings,
+    engines_by_wait,
+    session_preference,
+)
 from acaciaspoke.gateway.types import (
     BackupEngine,
     Request,
@@ -82,6 +89,9 @@
             empty if upstreams do not report it.
         spreads_plain: Whether plain requests are spread by free capacity, as
             many hosts with the same loads would choose the same upstream.
+        holdings: The prompt parts that engines hold; None if they are not
+            known.
+        now_s: The time of the loads.
     """
 
     running: Counter[UpstreamId]
@@ -92,6 +102,19 @@
     places: Mapping[UpstreamId, int] = MappingProxyType({})
     slowdowns: Mapping[UpstreamId, float] = MappingProxyType({})
     spreads_plain: bool = False
+    holdings: Holdings | None = None
+    now_s: float = 0.0
+
+    def cached_tokens(
+        self, upstream: Upstream, request: Request
+    ) -> CachedTokens:
+        """Returns the tokens of a prompt that an engine need not process."""
+        if self.holdings is None or not request.has_sized_parts:
+            return CachedTokens()
+        running = self.running[upstream.record.upstream]
+        return self.holdings.cached_tokens(
+            upstream, request, running, self.now_s
+        )
 
     def slowdown(self, upstream: UpstreamId) -> float:
         """Returns how many times the usual time work takes at an upstream."""
@@ -103,7 +126,7 @@
         if upstream in self.places:
             self.places[upstream] -= 1
         if request.artifact is not None:
-            self.prefill_tokens[upstream] += request.prompt_tokens
+            self.prefill_tokens[upstream] += request.uncached_tokens
 
     def reserve(self, upstream: UpstreamId, request: Request) -> None:
         """Reserves an engine's next prefill for a waiting request."""
@@ -121,7 +144,9 @@
         return False
     if request.artifact is None or not loads.prefill_tokens[name]:
         return True
-    tokens = loads.prefill_tokens[name] + request.prompt_tokens
+    cached_tokens = loads.cached_tokens(upstream, request).confident
+    uncached_tokens = request.prompt_tokens - cached_tokens
+    tokens = loads.prefill_tokens[name] + uncached_tokens
     limit_tokens = prefill_limit_tokens(request, loads.speed)
     return tokens * loads.slowdown(name) <= limit_tokens
 
@@ -180,13 +205,21 @@
         for name, share in shares.items()
     }
 
+    least_cost = min(costs.values())
+    if loads.holdings is not None and request.has_sized_parts:
+        excess = {
+            name: max(0.0, cost - least_cost - EQUAL_LOAD_SHARE)
+            for name, cost in costs.items()
+        }
+        return _choose_by_wait(request, usable, loads, excess, now_s)
+
     def rank_engine(upstream: Upstream) -> tuple:
         name = upstream.record.upstream
         # Requests of a session go to the same engine, which may have their
         # prompt cached.
         return (
             costs[name] > least_cost + EQUAL_LOAD_SHARE,
-            -_preference(request.affinity or request.id, name),
+            -session_preference(request, name),
         )
 
     def rank_plain(upstream: Upstream) -> tuple:
@@ -199,11 +232,61 @@
             return (is_busy, not is_busy and not is_local, order)
         return (is_busy, share if is_busy else not is_local, share)
 
-    least_cost = min(costs.values())
     rank = rank_plain if request.artifact is None else rank_engine
     return min(usable, key=rank)
 
 
+def _choose_by_wait(
+    request: Request,
+    usable: list[Upstream],
+    loads: Loads,
+    excess: Mapping[UpstreamId, float],
+    now_s: float,
+) -> Upstream:
+    """Returns the engine with the least wait, by session among equal ones.
+
+    Args:
+        request: The request.
+        usable: The engines.
+        loads: The loads of the engines.
+        excess: The load of each beyond that of equal engines.
+        now_s: The current time.
+    """
+    upstreams = {upstream.record.upstream: upstream for upstream in usable}
+    candidates = [
+        Candidate(
+            name,
+            loads.prefill_tokens[name],
+            loads.cached_tokens(upstream, request).expected,
+            loads.slowdown(name),
+            excess[name],
+        )
+        for name, upstream in upstreams.items()
+    ]
+    tokens_per_s = loads.speed.prefill_tokens_per_s(request.service)
+    equal = engines_by_wait(request, candidates, tokens_per_s, now_s)
+    return upstreams[
+        max(equal, key=lambda name: session_preference(request, name))
+    ]
+
+
+def record_prompt_use(
+    request: Request,
+    chosen: Upstream,
+    holders: Iterable[Upstream],
+    loads: Loads,
+) -> None:
+    """Records what the chosen engine holds of a request's prompt."""
+    if not request.has_sized_parts:
+        return
+    cached = loads.cached_tokens(chosen, request)
+    request.expected_cached_tokens = cached.expected
+    request.cached_tokens = cached.confident
+    names = (upstream.record.upstream for upstream in holders)
+    preferred = max(names, key=lambda name: session_preference(request, name))
+    request.is_off_session = chosen.record.upstream != preferred
+
+
 def named_pause_end_s(
     request: Request, candidates: Iterable[Upstream], now_s: float
 ) -> float:
@@ -291,9 +374,6 @@
     """
     free_share = max(MIN_FREE_SHARE, PLAIN_SLOT_SHARE - share)
     weight = free_share * max(1, record.slots)
-    point = _preference(request.id, record.upstream) + 1
+    key = f"{request.id}\0{record.upstream}".encode()
+    point = xxhash.xxh32_intdigest(key) + 1
     return -math.log(point / 2**32) / weight
-
-
-def _preference(affinity: str, upstream: UpstreamId) -> int:
-    return xxhash.xxh32_intdigest(f"{affinity}\0{upstream}".encode())
--- a/acaciaspoke/gateway/dispatch.py
+++ b/acaciaspoke/gateway/dispatch.py
@@ -15,6 +15,7 @@
     Loads,
     choose_backup_engine,
     named_pause_end_s,
+    record_prompt_use,
     wait_reason_of,
 )
 from acaciaspoke.gateway.decisions import (
@@ -124,6 +125,7 @@
         """Applies a version of the configuration."""
         self._configuration = configuration
         self.versions.set_configuration(configuration)
+        self.fleet.holdings.set_configuration(configuration)
 
     def submit(self, request: Request, now_s: float) -> Refusal | None:
         """Queues a new request, or returns why it is refused."""
@@ -162,6 +164,7 @@
         if was_sent and not request.has_retry:
             self.budget(request.service).record_retry(now_s)
         request.has_retry = False
+        request.cached_tokens = request.expected_cached_tokens = 0
         self._waiting[request.id] = request
 
     def reserve_retry(self, request: Request, now_s: float) -> bool:
@@ -242,6 +245,8 @@
             self.fleet.places.free(now_s),
             slowdowns,
             bool(slowdowns) or self._has_workspaces,
+            self.fleet.holdings,
+            now_s,
         )
         unreachable = self.fleet.reachability.unreachable(now_s)
         holders: dict[tuple, list[Upstream]] = {}
@@ -287,6 +292,7 @@
         upstream = self._choose(request, holders, loads, now_s)
         if upstream is not None:
             is_alone = not loads.prefill_tokens[upstream.record.upstream]
+            record_prompt_use(request, upstream, holders, loads)
             loads.add(upstream.record.upstream, request)
             if self._needs_backup(request):
                 request.backup_engine = choose_backup_engine(
--- a/acaciaspoke/gateway/fleet.py
+++ b/acaciaspoke/gateway/fleet.py
@@ -10,6 +10,7 @@
 from acaciaspoke.gateway.links import Links
 from acaciaspoke.gateway.messages import PlacementNotice
 from acaciaspoke.gateway.peerloads import PeerLoads
+from acaciaspoke.gateway.prompts import Holdings
 from acaciaspoke.gateway.reachability import Reachability
 from acaciaspoke.gateway.slowdown import Slowdowns
 from acaciaspoke.gateway.types import (
@@ -60,7 +61,10 @@
         # restored store brings back may not show it.
         self._leaving: OrderedDict[UpstreamId, int] = OrderedDict()
         self.speed = EngineSpeed()
-        self.peer_loads = PeerLoads(self.prefill_tokens_per_s)
+        self.holdings = Holdings()
+        self.peer_loads = PeerLoads(
+            self.prefill_tokens_per_s, self.holdings.record_prefill
+        )
         self.limits = UpstreamLimits(self._started_ms)
         self.slowdowns = Slowdowns(self._started_ms)
         self.brittle = BrittleUpstreams(self.upstreams, self._started_ms)
@@ -272,8 +276,9 @@
             upstream.trial_request = request.id
         if request.artifact is not None:
             upstream.prefilling[request.id] = Prompt(
-                request.sent_s, request.prompt_tokens, is_alone
+                request.sent_s, request.uncached_tokens, is_alone
             )
+            self.holdings.record_sent(upstream, request)
 
     def record_event(
         self, upstream_id: UpstreamId, request: Request, now_s: float
@@ -303,13 +308,10 @@
         if prompt is None:
             return False
         upstream.recent_prefills.append(prompt)
+        self.holdings.learn(upstream, request, now_s)
         if prompt.is_alone:
-            self.speed.record_prefill(
-                upstream.record.service,
-                prompt.tokens,
-                now_s - prompt.sent_s,
-                now_s,
-            )
+            service, delay_s = upstream.record.service, now_s - prompt.sent_s
+            self.speed.record_prefill(service, prompt.tokens, delay_s, now_s)
         return True
 
     def _record_silence(self, now_s: float) -> None:
--- a/acaciaspoke/gateway/metrics.py
+++ b/acaciaspoke/gateway/metrics.py
@@ -12,6 +12,7 @@
 )
 from prometheus_client.exposition import CONTENT_TYPE_PLAIN_0_0_4
 
+from acaciaspoke.gateway.types import Request
 from acaciaspoke.ids import UpstreamId
 
 # From half the latency of a plain service to the longest deadline of callers.
@@ -149,6 +150,17 @@
             ["workspace"],
             registry=self.registry,
         )
+        self.prompt_tokens = Counter(
+            "acaciaspoke_prompt_tokens",
+            "Prompt tokens sent by parts, by whether the engine is expected to"
+            " hold them",
+            ["state"],
+            registry=self.registry,
+        )
+        self.off_session_tokens = self._counter(
+            "prompt_tokens_off_session",
+            "Prompt tokens sent by parts to another engine than the session's",
+        )
         self.forwarded = Counter(
             "acaciaspoke_forwarded",
             "Requests that were forwarded to another host, by their ending",
@@ -193,6 +205,18 @@
         if first_s is not None:
             self._latency.labels(route).observe(first_s)
 
+    def record_prompt(self, request: Request) -> None:
+        """Counts the prompt of a request that is placed by its parts."""
+        if not request.has_sized_parts or request.resume_at is not None:
+            return
+        cached = request.expected_cached_tokens
+        self.prompt_tokens.labels("cached").inc(cached)
+        self.prompt_tokens.labels("uncached").inc(
+            max(0.0, request.prompt_tokens - cached)
+        )
+        if request.is_off_session:
+            self.off_session_tokens.inc(request.prompt_tokens)
+
     def set_limits(self, limits: Mapping[UpstreamId, float]) -> None:
         """Sets the limits in force; drops the series of former ones."""
         if limits == self._limits:
--- a/acaciaspoke/gateway/peerloads.py
+++ b/acaciaspoke/gateway/peerloads.py
@@ -34,12 +34,16 @@
         prefill_tokens_per_s: Callable[[UpstreamId], float] = lambda _: (
             DEFAULT_PREFILL_TOKENS_PER_S
         ),
+        record_prefill: Callable[[UpstreamId, int], None] = lambda *_: None,
     ) -> None:
         """Creates an object without any loads.
 
         Args:
             prefill_tokens_per_s: Returns the prefill rate of an engine.
+            record_prefill: Called with the prompt tokens that another host
+                sends to an engine.
         """
+        self._record_prefill = record_prefill
         self._prefill_tokens_per_s = prefill_tokens_per_s
         self._digests: dict[HostId, tuple[LoadDigest, float]] = {}
         self._notices: dict[HostId, list[tuple[SendNotice, float]]] = {}
@@ -62,6 +66,7 @@
 
     def apply_send(self, notice: SendNotice, now_s: float) -> None:
         """Applies a notice of a request that a host sends to an engine."""
+        self._record_prefill(notice.upstream, notice.prompt_tokens)
         known = self._digests.get(notice.host)
         if known and not is_superseded(notice, known[0]):
             notices = self._notices.setdefault(notice.host, [])
--- a/acaciaspoke/gateway/process.py
+++ b/acaciaspoke/gateway/process.py
@@ -391,7 +391,7 @@
     def _on_sent(self, assignment: Assignment) -> None:
         notice = SendNotice(
             upstream=assignment.upstream,
-            prompt_tokens=assignment.request.prompt_tokens,
+            prompt_tokens=assignment.request.uncached_tokens,
         )
         self._loads.send(notice)
 
--- a/acaciaspoke/gateway/types.py
+++ b/acaciaspoke/gateway/types.py
@@ -67,6 +67,8 @@
         priority: Priority of the requests; 0 is the most urgent.
         max_attempts: How many upstreams may run one request.
         is_public: Whether requests need no API key.
+        has_session_affinity: Whether requests that list the parts of their
+            prompts go to engines that hold these.
     """
 
     name: str
@@ -81,6 +83,7 @@
     priority: int = 0
     max_attempts: int = 1
     is_public: bool = False
+    has_session_affinity: bool = False
 
     @property
     def idempotent(self) -> bool:
@@ -270,6 +273,17 @@
     memory: str
 
 
+class PromptPart(NamedTuple):
+    """A part of a prompt.
+
+    Attributes:
+        tokens: Its size; 0 if it is not known.
+    """
+
+    id: PartId
+    tokens: int
+
+
 class Request(msgspec.Struct, kw_only=True, eq=False):
     """A caller's request from its arrival until it ends.
 
@@ -298,6 +312,14 @@
         tried_hosts: Hosts to which it was forwarded, and that did not serve it.
         workspace: The workspace that holds its API key; None if it has none.
         states_tokens: Whether its caller has stated the numbers of tokens.
+        prompt_parts: Parts of the prompt in order; empty if the route does not
+            place requests by them.
+        prompt_chains: A hash of the parts up to each one, and its tokens; None
+            until it is needed.
+        expected_cached_tokens: Prompt tokens that the chosen engine probably
+            holds.
+        cached_tokens: Those of which that is confident.
+        is_off_session: Whether the chosen engine is not that of its session.
     """
 
     id: RequestId
@@ -327,6 +349,21 @@
     tried_hosts: set[HostId] = msgspec.field(default_factory=set)
     workspace: Workspace | None = None
     states_tokens: bool = False
+    prompt_parts: tuple[PromptPart, ...] = ()
+    prompt_chains: tuple[tuple[int, int], ...] | None = None
+    expected_cached_tokens: float = 0.0
+    cached_tokens: int = 0
+    is_off_session: bool = False
+
+    @property
+    def has_sized_parts(self) -> bool:
+        """Whether it is placed by the parts of its prompt."""
+        return self.artifact is not None and bool(self.prompt_parts)
+
+    @property
+    def uncached_tokens(self) -> int:
+        """Prompt tokens that the chosen engine has to process."""
+        return max(0, self.prompt_tokens - self.cached_tokens)
 
     @property
     def priority(self) -> int:
--- a/acaciaspoke/gateway/upstream.py
+++ b/acaciaspoke/gateway/upstream.py
@@ -2,7 +2,7 @@
 
 import itertools
 from collections import Counter, deque
-from collections.abc import Iterator
+from collections.abc import Iterator, Set
 from typing import NamedTuple
 
 from acaciaspoke.gateway.peerloads import MIN_PREFILL_S
@@ -64,6 +64,8 @@
         failures: Failed or broken connections since the last complete response
             or the upstream's restart.
         failed_s: When a connection last failed or broke.
+        prompt_epochs: Since when it holds prompt parts for each artifact (see
+            ``prompts.Holdings``).
     """
 
     def __init__(self, record: UpstreamRecord):
@@ -85,6 +87,7 @@
         self.responses = 0
         self.refusals = 0
         self.broken = 0
+        self.prompt_epochs: dict[Artifact, int] = {}
         self._announced: dict[Artifact, float] = {}
         self._withdrawn: dict[Artifact, float] = {}
 
@@ -146,6 +149,13 @@
         self._announced.pop(artifact, None)
         self._withdrawn = _valid(self._withdrawn, now_s)
         self._withdrawn[artifact] = now_s + ANNOUNCEMENT_VALID_S
+        self._end_epochs({artifact})
+
+    def _end_epochs(self, unloaded: Set[Artifact]) -> None:
+        """Forgets the prompt parts for artifacts, and for their adapters."""
+        for artifact in list(self.prompt_epochs):
+            if artifact in unloaded or artifact.base in unloaded:
+                del self.prompt_epochs[artifact]
 
     def update_record(self, record: UpstreamRecord) -> None:
         """Applies a new record; a restart clears announced artifacts."""
@@ -156,4 +166,7 @@
             self.paused_until_s = 0.0
             self.named_pause_until_s = 0.0
             self.is_on_trial = False
+            self.prompt_epochs.clear()
+        if self.prompt_epochs:
+            self._end_epochs(self.record.artifacts - record.artifacts)
         self.record = record
--- a/acaciaspoke/platform/documents.py
+++ b/acaciaspoke/platform/documents.py
@@ -83,6 +83,8 @@
     max_attempts: int = 1
     resumable: bool = False
     public: bool = False
+    # Earlier releases ignored this field, so no value of it is an error.
+    session_affinity: Any = False
 
 
 class _Model(_Document, kw_only=True):
@@ -230,6 +232,7 @@
         priority=route.priority,
         max_attempts=route.max_attempts,
         is_public=route.public,
+        has_session_affinity=bool(route.session_affinity),
     )
 
 
--- a/acaciaspoke/platform/headers.py
+++ b/acaciaspoke/platform/headers.py
@@ -5,7 +5,7 @@
 
 import xxhash
 
-from acaciaspoke.gateway.types import Artifact, Request
+from acaciaspoke.gateway.types import Artifact, PromptPart, Request
 from acaciaspoke.ids import (
     AdapterId,
     ModelId,
@@ -125,6 +125,8 @@
         has_last_event: Whether it goes on after an event of a stream.
         api_key: The key of the caller's workspace; empty if it sent none.
         states_tokens: Whether the numbers of tokens are stated.
+        prompt_parts: The first parts of the prompt, with their sizes; empty if
+            none is stated.
     """
 
     attempt_id: str
@@ -138,6 +140,7 @@
     has_last_event: bool = False
     api_key: bytes = b""
     states_tokens: bool = False
+    prompt_parts: tuple[PromptPart, ...] = ()
 
 
 class LoadReport(NamedTuple):
@@ -217,6 +220,7 @@
         has_last_event=bool(text[LAST_EVENT_ID]),
         api_key=found.get(API_KEY, b"").strip(),
         states_tokens=bool(text[TOKEN_COUNT]),
+        prompt_parts=_decode_sizes(found.get(PROMPT_PREFIX, b"")),
     )
 
 
@@ -233,6 +237,24 @@
     return [_to_part_id(part.partition(":")[0].strip()) for part in parts]
 
 
+def _decode_sizes(value: bytes) -> tuple[PromptPart, ...]:
+    """Returns the first parts of a prompt; none if no size is stated.
+
+    A part without a valid size has 0 tokens: those after it are reused only if
+    it is held too.
+    """
+    parts = []
+    for text in value.decode("latin-1").split(",", MAX_SHARED_PARTS):
+        name, _, size = text.partition(":")
+        name, size = name.strip(), size.strip()
+        if not name or len(parts) == MAX_SHARED_PARTS:
+            break
+        tokens = int(size) if is_count(size.encode("latin-1")) else 0
+        is_valid = tokens <= MAX_TOKENS
+        parts.append(PromptPart(_to_part_id(name), tokens if is_valid else 0))
+    return tuple(parts) if any(part.tokens for part in parts) else ()
+
+
 def _to_part_id(name: str) -> PartId:
     # Part ids are only compared.
     if len(name) > MAX_NAME_LENGTH:
--- a/test/platform/test_documents.py
+++ b/test/platform/test_documents.py
@@ -177,6 +177,37 @@
         found = decode_request([(b"acaciaspoke-prompt-prefix", many)])
         self.assertEqual(MAX_SHARED_PARTS, len(found.shared_parts))
 
+    def test_sizes_of_prompt_parts_are_decoded(self):
+        for value, parts in (
+            (b"5c1e:800, 91bd:410", (("5c1e", 800), ("91bd", 410))),
+            # A part without a valid size still precedes the next one.
+            (b"5c1e:x,91bd:4", (("5c1e", 0), ("91bd", 4))),
+            (b"5c1e:-1,91bd:4", (("5c1e", 0), ("91bd", 4))),
+            (b"5c1e:99999999999,91bd:4", (("5c1e", 0), ("91bd", 4))),
+            (b"5c1e:8,,91bd:4", (("5c1e", 8),)),
+            (b"5c1e,91bd", ()),
+            (b"", ()),
+        ):
+            with self.subTest(value):
+                found = decode_request([(b"acaciaspoke-prompt-prefix", value)])
+                self.assertEqual(parts, found.prompt_parts)
+        many = b",".join(b"%x:1" % n for n in range(1, 1000))
+        found = decode_request([(b"acaciaspoke-prompt-prefix", many)])
+        self.assertEqual(MAX_SHARED_PARTS, len(found.prompt_parts))
+
+    def test_session_affinity_of_a_route_is_decoded(self):
+        route = {"host": "a", "prefix": "/", "kind": "safe", "timeout-ms": 1}
+        for value, expected in ((True, True), (False, False), ("x", True)):
+            document = {
+                "version": 1,
+                "routes": [{**route, "session-affinity": value}],
+            }
+            found = decode_configuration(msgspec.json.encode(document))
+            self.assertIs(expected, found.routes[0].has_session_affinity)
+        document = {"version": 1, "routes": [route]}
+        found = decode_configuration(msgspec.json.encode(document))
+        self.assertFalse(found.routes[0].has_session_affinity)
+
     def test_reserved_headers_of_a_caller_are_dropped(self):
         sent = encode_request(
             [
