Let a host that starts wait for the version of others before it answers 401

A host that started from an old copy of the store answered 401 for a key that a newer version has: it had not yet heard of other hosts. It answers 503 now until one has told its version, for at most 1.5 s, unless it is alone.

--- a/acaciaspoke/gateway/api_keys/freshness.py
+++ b/acaciaspoke/gateway/api_keys/freshness.py
@@ -7,6 +7,25 @@
 MAX_CONFIRMED_AGE_S = 3.2
 
 
+# For this time after its start a host that knows of others waits to hear of the
+# version of one of them: the store may have been restored from an old copy.
+DISCOVERY_S = 1.5
+
+
+def is_discovering(
+    age_s: float, registered: int, has_heard_version: bool
+) -> bool:
+    """Returns whether a host has yet to hear which version others have.
+
+    Args:
+        age_s: Time since the start of its process.
+        registered: Number of hosts that have a row, with this one; 0 before the
+            hosts' table was read.
+        has_heard_version: Whether another host has told its version.
+    """
+    return age_s < DISCOVERY_S and not has_heard_version and registered != 1
+
+
 def may_be_outdated(
     local_version: int, newest_version: int, confirmed_age_s: float
 ) -> bool:
--- a/acaciaspoke/gateway/table_follower.py
+++ b/acaciaspoke/gateway/table_follower.py
@@ -112,6 +112,9 @@
 
     Messages of hosts that lag as well don't reset the wait: while the store
     rejects several hosts, their messages are as frequent as those of others.
+
+    Attributes:
+        has_heard_version: Whether another host has told its version.
     """
 
     def __init__(self) -> None:
@@ -120,6 +123,7 @@
         self._since_s = 0.0
         self._wait_s = LAG_GRACE_S
         self._confirmed_s = float("-inf")
+        self.has_heard_version = False
 
     def record_local_version(self, version: int) -> None:
         """Records the version that is in force at this host."""
@@ -138,6 +142,7 @@
 
     def observe(self, version: int, now_s: float) -> bool:
         """Records another host's version; returns whether to read again."""
+        self.has_heard_version |= version > 0
         if version <= self._local:
             if version and version == self._local:
                 self._confirmed_s = now_s
--- a/test/gateway/test_api_keys.py
+++ b/test/gateway/test_api_keys.py
@@ -7,10 +7,14 @@
     ApiKeys,
     digest_of,
     fingerprint,
+    is_discovering,
     may_be_outdated,
     refuse,
 )
-from acaciaspoke.gateway.api_keys.freshness import MAX_CONFIRMED_AGE_S
+from acaciaspoke.gateway.api_keys.freshness import (
+    DISCOVERY_S,
+    MAX_CONFIRMED_AGE_S,
+)
 from acaciaspoke.gateway.forwarding import ForwardingHosts
 from acaciaspoke.gateway.peers import HostRow
 from acaciaspoke.gateway.table_follower import ConfigurationLag
@@ -97,6 +101,20 @@
                     expected, may_be_outdated(local, newest, age_s)
                 )
 
+    def test_host_that_starts_waits_for_others(self):
+        """It read an old copy of the store, and answered 401 for a new key."""
+        for age_s, registered, has_heard, expected in (
+            (0.1, 0, False, True),
+            (0.1, 1, False, False),
+            (0.1, 2, False, True),
+            (0.1, 2, True, False),
+            (DISCOVERY_S, 2, False, False),
+        ):
+            with self.subTest(age_s, registered=registered, heard=has_heard):
+                self.assertEqual(
+                    expected, is_discovering(age_s, registered, has_heard)
+                )
+
 
 class ConfirmationTest(unittest.TestCase):
 
--- a/test/gateway/test_keys_of_requests.py
+++ b/test/gateway/test_keys_of_requests.py
@@ -23,6 +23,8 @@
 
     async def asyncSetUp(self):
         await super().asyncSetUp()
+        # A host that has yet to read the hosts' table does not answer 401.
+        await self.eventually(lambda: self.gateway._peers.rows)
         await self.configure(
             keyed_configuration(2, entry(), entry("Büro", OTHER_KEY))
         )
