--- a/acaciaspoke/gateway/process.py
+++ b/acaciaspoke/gateway/process.py
@@ -12,6 +12,7 @@
 from loguru import logger
 
 from acaciaspoke import __version__
+from acaciaspoke.gateway.api_keys import is_discovering
 from acaciaspoke.gateway.app import GatewayApp
 from acaciaspoke.gateway.bodies import MEMORY_SHARE, BodyMemory
 from acaciaspoke.gateway.configuration_relay import ConfigurationRelay
@@ -97,6 +98,7 @@
         self._log_writer = log_writer
         self._boot = BootId(uuid.uuid4().hex[:12])
         self._sequence = 0
+        self._started_s = time.monotonic()
         self._store = StoreClient(
             settings.store, STORE_TIMEOUT_S, self._on_store_restored
         )
@@ -322,9 +324,7 @@
             before_exposition=lambda: self.metrics.set_slowdowns(
                 self._dispatcher.fleet.slowdowns.mean_factors()
             ),
-            may_be_outdated=lambda: self._configuration_lag.may_be_outdated(
-                time.monotonic()
-            ),
+            may_be_outdated=self._may_be_outdated,
         )
         self._servers = GatewayServers(self.app, settings, self.limits)
 
@@ -346,6 +346,15 @@
         configuration = self.app.configuration
         return configuration.limits if configuration else CallerLimits()
 
+    def _may_be_outdated(self) -> bool:
+        """Returns whether the configuration may lack a valid API key."""
+        now_s = time.monotonic()
+        return self._configuration_lag.may_be_outdated(now_s) or is_discovering(
+            now_s - self._started_s,
+            len(self._peers.rows),
+            self._configuration_lag.has_heard_version,
+        )
+
     def _new_budget(self) -> RetryBudget:
         settings = self._settings
         return RetryBudget(
--- a/acaciaspoke/gateway/slowdown/estimates.py
+++ b/acaciaspoke/gateway/slowdown/estimates.py
@@ -31,6 +31,11 @@
 # Figures in one message, which must fit into a datagram.
 MAX_REPORTS = 128
 
+# The upstreams of a service are uneven if the slowest fifth take at least this
+# many times as long as the fastest fifth. Where all have the same usual speed,
+# avoiding the ones that are slow for half a second fills the others.
+UNEVEN_RATIO = 1.5
+
 # Factors beyond these are errors of an upstream.
 MIN_FACTOR = 0.05
 MAX_FACTOR = 100.0
@@ -173,6 +178,7 @@
     """Returns factors as multiples of the median mean of their services.
 
     The measured speed of a service's engines includes their usual slowdown.
+    Services whose upstreams are not uneven are left out.
 
     Args:
         factors: The factors.
@@ -185,13 +191,21 @@
     medians = {
         service: statistics.median(values)
         for service, values in by_service.items()
+        if _is_uneven(values)
     }
     return {
-        upstream: factor / medians[service_of(upstream)]
+        upstream: factor / medians[service]
         for upstream, factor in factors.items()
+        if (service := service_of(upstream)) in medians
     }
 
 
+def _is_uneven(means: list[float]) -> bool:
+    ranked = sorted(means)
+    fifth = len(ranked) // 5
+    return ranked[-1 - fifth] >= UNEVEN_RATIO * ranked[fifth]
+
+
 def newest_reports(
     reports: Iterable[Mapping[UpstreamId, SlowdownReport]],
 ) -> dict[UpstreamId, SlowdownReport]:
