--- a/acaciaspoke/gateway/digests.py
+++ b/acaciaspoke/gateway/digests.py
@@ -134,7 +134,7 @@
             limits=self._dispatcher.fleet.limits.reports(now_s),
             brittle=self._dispatcher.fleet.brittle.named.reports(now_s),
             slowdowns=self._dispatcher.fleet.slowdowns.reports(now_s),
-            held_parts=self._dispatcher.fleet.holdings.reports(now_s),
+            held_parts=self._dispatcher.fleet.holdings.take_reports(),
             reached=self._dispatcher.fleet.reachability.reached(now_s),
             detached=(self._host,) if self._is_detached() else (),
             stopping=(self._host,) if self._is_stopping() else (),
--- a/acaciaspoke/gateway/prompts/holdings.py
+++ b/acaciaspoke/gateway/prompts/holdings.py
@@ -175,14 +175,14 @@
         if may_report and now_s - reported_s >= REPORT_INTERVAL_S:
             started_ms = engine.record.started_ms
             held = HeldPart(artifact_hash(artifact, started_ms), chain)
-            if self._reports.add(name, held, now_s):
+            if self._reports.add(name, held):
                 reported_s = now_s
         self._parts[key] = _Use(now_s, self._sent_tokens[name], reported_s)
         self._parts.move_to_end(key)
 
-    def reports(self, now_s: float) -> dict[UpstreamId, tuple[HeldPart, ...]]:
-        """Returns the shared parts of which other hosts should know."""
-        return self._reports.recent(now_s)
+    def take_reports(self) -> dict[UpstreamId, tuple[HeldPart, ...]]:
+        """Returns the shared parts for the next message to other hosts."""
+        return self._reports.take()
 
     def apply_reports(
         self,
--- a/acaciaspoke/gateway/prompts/reports.py
+++ b/acaciaspoke/gateway/prompts/reports.py
@@ -22,8 +22,8 @@
 # Shared parts of fewer tokens in all save less than two milliseconds.
 MIN_REPORTED_TOKENS = 64
 
-# Each report is in the messages of this time, as some are lost.
-REPEAT_S = 0.15
+# Each report is in this many messages, as some are lost.
+REPEATS = 2
 
 # Parts in a host's message, and in the sum of many. One takes 15 bytes and a
 # share of the engine's name; the message must fit into a datagram.
@@ -35,28 +35,25 @@
     """The reports of one host that are being sent."""
 
     def __init__(self) -> None:
-        self._sent_s: dict[tuple[UpstreamId, HeldPart], float] = {}
+        # How many messages have still to contain each report.
+        self._remaining: dict[tuple[UpstreamId, HeldPart], int] = {}
 
-    def add(self, engine: UpstreamId, part: HeldPart, now_s: float) -> bool:
+    def add(self, engine: UpstreamId, part: HeldPart) -> bool:
         """Adds a report; returns whether there is room for it."""
-        if len(self._sent_s) >= MAX_REPORTS:
-            self._drop_sent(now_s)
-        if len(self._sent_s) >= MAX_REPORTS:
+        if len(self._remaining) >= MAX_REPORTS:
             return False
-        self._sent_s[engine, part] = now_s
+        self._remaining[engine, part] = REPEATS
         return True
 
-    def recent(self, now_s: float) -> dict[UpstreamId, tuple[HeldPart, ...]]:
-        """Returns the reports to send now, by engine."""
-        self._drop_sent(now_s)
-        return _by_engine(self._sent_s)
-
-    def _drop_sent(self, now_s: float) -> None:
-        self._sent_s = {
-            report: added_s
-            for report, added_s in self._sent_s.items()
-            if now_s - added_s <= REPEAT_S
+    def take(self) -> dict[UpstreamId, tuple[HeldPart, ...]]:
+        """Returns the reports for the next message, by engine."""
+        reports = _by_engine(self._remaining)
+        self._remaining = {
+            report: remaining - 1
+            for report, remaining in self._remaining.items()
+            if remaining > 1
         }
+        return reports
 
 
 def merge_parts(
--- a/test/gateway/prompt_simulation.py
+++ b/test/gateway/prompt_simulation.py
@@ -261,7 +261,7 @@
     def _exchange(self, now_s: float) -> None:
         """Has each host send its reports to all others."""
         fleets = [host.fleet for host in self._hosts]
-        reports = [fleet.holdings.reports(now_s) for fleet in fleets]
+        reports = [fleet.holdings.take_reports() for fleet in fleets]
         for sender, held in enumerate(reports):
             if not held:
                 continue
--- a/test/gateway/test_prompt_reports.py
+++ b/test/gateway/test_prompt_reports.py
@@ -10,7 +10,7 @@
 from acaciaspoke.gateway.prompts.reports import (
     MAX_MERGED_REPORTS,
     MAX_REPORTS,
-    REPEAT_S,
+    REPEATS,
     REPORT_INTERVAL_S,
     PartReports,
     merge_parts,
@@ -38,7 +38,7 @@
         self.local.holdings.learn(self.local.upstreams["u1"], sent, now_s)
 
     def _send(self, now_s=0.0):
-        held = self.local.holdings.reports(now_s)
+        held = self.local.holdings.take_reports()
         self.other.holdings.apply_reports(held, self.other.upstreams, now_s)
         return held
 
@@ -63,14 +63,16 @@
 
     def test_part_is_reported_by_one_host_at_intervals(self):
         self._learn(prompt("q1", "a", "s"))
-        self.assertTrue(self._send())
+        for _ in range(REPEATS):
+            self.assertTrue(self._send())
+        self.assertEqual({}, self._send())
         later_s = REPORT_INTERVAL_S / 2
         self._learn(prompt("q2", "a", "t"), later_s)
         self.assertEqual({}, self._send(later_s))
         # The other host knows that it was reported.
         upstream = self.other.upstreams["u1"]
         self.other.holdings.learn(upstream, prompt("q3", "a", "u"), later_s)
-        self.assertEqual({}, self.other.holdings.reports(later_s))
+        self.assertEqual({}, self.other.holdings.take_reports())
         later_s = REPORT_INTERVAL_S
         self._learn(prompt("q4", "a", "t"), later_s)
         self.assertTrue(self._send(later_s))
@@ -96,7 +98,7 @@
     def test_repeated_report_does_not_make_a_part_recent(self):
         self._learn(prompt("q1", "a", "s"))
         self._send(0.0)
-        self._send(REPEAT_S)
+        self._send(0.2)
         expected = self._cached(prompt("q2", "a", "t"), 20.0).expected
         self.assertAlmostEqual(100.0, expected)
 
@@ -107,12 +109,12 @@
     def test_reports_of_a_host_are_bounded(self):
         reports = PartReports()
         for number in range(MAX_REPORTS):
-            self.assertTrue(reports.add(ENGINE, HeldPart(1, number), 0.0))
-        self.assertFalse(reports.add(ENGINE, HeldPart(2, 0), 0.0))
-        self.assertEqual(MAX_REPORTS, len(reports.recent(0.0)[ENGINE]))
-        later_s = 2 * REPEAT_S
-        self.assertTrue(reports.add(ENGINE, HeldPart(2, 0), later_s))
-        self.assertEqual({ENGINE: (HeldPart(2, 0),)}, reports.recent(later_s))
+            self.assertTrue(reports.add(ENGINE, HeldPart(1, number)))
+        self.assertFalse(reports.add(ENGINE, HeldPart(2, 0)))
+        for _ in range(REPEATS):
+            self.assertEqual(MAX_REPORTS, len(reports.take()[ENGINE]))
+        self.assertTrue(reports.add(ENGINE, HeldPart(2, 0)))
+        self.assertEqual({ENGINE: (HeldPart(2, 0),)}, reports.take())
 
     def test_merged_reports_are_bounded_and_have_no_duplicates(self):
         reports = [
