Bound the estimates of cached tokens in a round of decisions

With 320 waiting requests and 8 replicas, a round took 22 ms instead of 8 ms, as what is cached was looked up for each request and engine. It is looked up only if it makes a difference, and 512 times a round at most: 9 to 12 ms, and 8 to 12 ms without parts.

--- a/acaciaspoke/gateway/balance.py
+++ b/acaciaspoke/gateway/balance.py
@@ -144,11 +144,20 @@
         return False
     if request.artifact is None or not loads.prefill_tokens[name]:
         return True
-    cached_tokens = loads.cached_tokens(upstream, request).confident
-    uncached_tokens = request.prompt_tokens - cached_tokens
-    tokens = loads.prefill_tokens[name] + uncached_tokens
     limit_tokens = prefill_limit_tokens(request, loads.speed)
-    return tokens * loads.slowdown(name) <= limit_tokens
+
+    def fits(tokens: int) -> bool:
+        total = loads.prefill_tokens[name] + tokens
+        return total * loads.slowdown(name) <= limit_tokens
+
+    if fits(request.prompt_tokens):
+        return True
+    # All waiting requests are checked often; what is cached is looked up only
+    # if it makes a difference.
+    if not request.has_sized_parts or not fits(0):
+        return False
+    cached_tokens = loads.cached_tokens(upstream, request).confident
+    return fits(request.prompt_tokens - cached_tokens)
 
 
 def prefill_limit_tokens(request: Request, speed: EngineSpeed) -> float:
--- a/acaciaspoke/gateway/prompts/holdings.py
+++ b/acaciaspoke/gateway/prompts/holdings.py
@@ -54,6 +54,11 @@
 # Weight of a new request in the mean size of requests.
 MEAN_WEIGHT = 0.05
 
+# Estimates in one round of decisions, which take 3 ms: 64 requests with 8
+# replicas each. With 320 waiting requests, rounds took 22 ms instead of 8 ms.
+# Requests are in the order of their urgency.
+MAX_ESTIMATES = 512
+
 _EPOCH_BITS = 64
 
 
@@ -105,6 +110,9 @@
         # By epoch and chain of part ids; the least recently used first.
         self._parts: OrderedDict[int, _Use] = OrderedDict()
         self._reports = PartReports()
+        # The time of the last round of decisions, and its estimates.
+        self._round_s = float("-inf")
+        self._estimates = 0
         self._sent_tokens: Counter[UpstreamId] = Counter()
         self._memory_tokens: dict[ServiceId, int] = {}
         self._mean_tokens: dict[ServiceId, float] = {}
@@ -245,6 +253,8 @@
     ) -> CachedTokens:
         """Returns the tokens of a prompt that an engine holds.
 
+        After ``MAX_ESTIMATES`` at the same time, nothing is taken as cached.
+
         Args:
             engine: The engine.
             request: The request.
@@ -254,6 +264,11 @@
         epoch = engine.prompt_epochs.get(request.artifact)
         if epoch is None or not request.has_sized_parts:
             return NOTHING_CACHED
+        if now_s != self._round_s:
+            self._round_s, self._estimates = now_s, 0
+        self._estimates += 1
+        if self._estimates > MAX_ESTIMATES:
+            return NOTHING_CACHED
         free_tokens = self._free_tokens(request, running)
         if free_tokens <= 0:
             return NOTHING_CACHED
--- a/bench/prompt_cost.py
+++ b/bench/prompt_cost.py
@@ -43,17 +43,19 @@
     for upstream in upstreams.upstreams.values():
         holdings.learn(upstream, prompt("q", "a", "b", "c", "s"), 0.0)
     holders = list(upstreams.upstreams.values())
-    loads = Loads(
-        Counter(),
-        Counter({upstream.record.upstream: 100 for upstream in holders}),
-        holdings=holdings if knows else None,
+    prefill_tokens = Counter(
+        {upstream.record.upstream: 100 for upstream in holders}
+    )
+    empty = Loads(
+        Counter(), prefill_tokens, holdings=holdings if knows else None
     )
     requests = [
         prompt(f"q{n}", "a", "b", "c", f"s{n}", part_tokens=90)
         for n in range(rounds)
     ]
     start_s = time.process_time()
-    for each in requests:
+    for number, each in enumerate(requests):
+        loads = empty._replace(now_s=1.0 + number / 1e6)
         chosen = choose_upstream(each, holders, loads, DomainId("a"), 1.0)
         if knows:
             record_prompt_use(each, chosen, holders, loads)
--- a/test/gateway/test_prompt_holdings.py
+++ b/test/gateway/test_prompt_holdings.py
@@ -6,6 +6,7 @@
     CONFIDENT_WEIGHT,
     HALF_LIFE_S,
     MAX_AGE_S,
+    MAX_ESTIMATES,
     NOTHING_CACHED,
     Holdings,
 )
@@ -145,6 +146,15 @@
         short = prompt("q2", "a", "s", prompt_tokens=50)
         self.assertEqual((50.0, 50), self._cached(short))
 
+    def test_estimates_of_a_round_are_bounded(self):
+        # With 320 waiting requests, a round of decisions took 22 ms.
+        self._learn(prompt("q1", "a", "s"))
+        again = prompt("q2", "a", "s")
+        for _ in range(MAX_ESTIMATES):
+            self.assertEqual(400, self._cached(again, now_s=1.0).confident)
+        self.assertEqual(NOTHING_CACHED, self._cached(again, now_s=1.0))
+        self.assertEqual(400, self._cached(again, now_s=1.01).confident)
+
     def test_run_that_goes_on_teaches_nothing(self):
         moved = prompt("q1", "a", "s")
         moved.resume_at = ResumePoint(UpstreamId("u1"), "10.0.0.1:80", "x")
