--- a/acaciaspoke/gateway/balance.py
+++ b/acaciaspoke/gateway/balance.py
@@ -146,13 +146,24 @@
         return False
     if request.artifact is None or not loads.prefill_tokens[name]:
         return True
-    cached_tokens = loads.cached_tokens(upstream, request).confident
-    uncached_tokens = request.prompt_tokens - cached_tokens
-    tokens = loads.prefill_tokens[name] + uncached_tokens
     limit_tokens = prefill_limit_tokens(request, loads.speed)
+
     # A short slowdown does not count: at high load prompts would wait for its
     # end, and more of them would be refused.
-    return tokens * loads.mean_slowdowns.get(name, 1.0) <= limit_tokens
+    slowdown = loads.mean_slowdowns.get(name, 1.0)
+
+    def fits(tokens: int) -> bool:
+        total = loads.prefill_tokens[name] + tokens
+        return total * slowdown <= limit_tokens
+
+    if fits(request.prompt_tokens):
+        return True
+    # All waiting requests are checked often; what is cached is looked up only
+    # if it makes a difference.
+    if not request.has_sized_parts or not fits(0):
+        return False
+    cached_tokens = loads.cached_tokens(upstream, request).confident
+    return fits(request.prompt_tokens - cached_tokens)
 
 
 def prefill_limit_tokens(request: Request, speed: EngineSpeed) -> float:
