--- a/test/gateway/test_quota_with_processes.py
+++ b/test/gateway/test_quota_with_processes.py
@@ -1,17 +1,23 @@
 """Two gateways as processes keep a workspace within its quota together."""
 
+import asyncio
+import time
+
 import msgspec
 
+from standins.gateway_documents import gateway_route
 from test.gateway.process_serving import GatewayProcessTest
 from test.gateway.serving import (
     LISTEN_PORT,
     READY_PORT,
+    TIMEOUT_S,
     configuration,
     next_ip,
 )
 
 SMALL_KEY = "key-of-small"
 LARGE_KEY = "key-of-large"
+WAITING_KEY = "key-of-waiting"
 SMALL_BURST = 6
 # Each key is used this often at each gateway.
 REQUESTS = 8
@@ -32,6 +38,13 @@
         "rate-per-s": 1e5,
         "burst": 1e5,
     },
+    {
+        "name": "waiting",
+        "api-keys": [WAITING_KEY],
+        # A second request waits for 0.8 s.
+        "rate-per-s": 1.25,
+        "burst": 1.0,
+    },
 ]
 
 
@@ -39,9 +52,14 @@
 
     async def start_gateway(self, settings):
         self.settings = settings
-        self.store.put(
-            "op", "config", configuration(version=2, tenants=TENANTS)
+        changed = configuration(version=2, tenants=TENANTS)
+        # Its requests can wait for tokens for a second.
+        changed["routes"].append(
+            gateway_route(
+                "/patient/", "unsafe", "app", **{"target-latency-ms": 5000}
+            )
         )
+        self.store.put("op", "config", changed)
         await super().start_gateway(settings)
         ip = next_ip()
         second = msgspec.structs.replace(
@@ -97,3 +115,23 @@
                 self.assertEqual(arrival.headers["acaciaspoke-tenant"], "large")
                 self.assertNotIn("acaciaspoke-key", arrival.headers)
                 self.assertNotIn(LARGE_KEY, str(arrival.headers))
+
+    async def test_stop_while_a_request_waits_for_tokens(self):
+        # The host that stops must not lose a request that has no tokens yet.
+        self.address = self.addresses[1]
+        # Two granted in a row show that the second has waited, as the host now
+        # knows the other one.
+        statuses = []
+        deadline_s = time.monotonic() + TIMEOUT_S
+        while statuses[-2:] != [200, 200]:
+            self.assertLess(time.monotonic(), deadline_s, statuses)
+            asked = await self.ask("/patient/x", Acaciaspoke_Key=WAITING_KEY)
+            statuses.append(asked.status)
+            await asyncio.sleep(0.05 * (asked.status != 200))
+        waiting = asyncio.create_task(
+            self.ask("/patient/x", Acaciaspoke_Key=WAITING_KEY)
+        )
+        await asyncio.sleep(0.05)
+        self.process.terminate()
+        self.assertEqual((await waiting).status, 200)
+        self.assertEqual(await self.process.wait(), 0)
