Make no further attempt for a request whose key was removed

A request that was sent, and that the upstream refused after its key was removed, was sent to the next upstream.

--- a/acaciaspoke/gateway/exchange.py
+++ b/acaciaspoke/gateway/exchange.py
@@ -349,8 +349,10 @@
 
     def _is_allowed(self, request: Request) -> bool:
         now_s = time.monotonic()
-        return now_s < request.deadline_s and not self.crash_guard.is_blocked(
-            request, now_s
+        return (
+            request.is_permitted
+            and now_s < request.deadline_s
+            and not self.crash_guard.is_blocked(request, now_s)
         )
 
     def _allows_attempt(self, request: Request) -> bool:
--- a/acaciaspoke/gateway/open_requests.py
+++ b/acaciaspoke/gateway/open_requests.py
@@ -76,16 +76,23 @@
     def refuse_waiting(
         self, refusal_of: Callable[[Request, Relay], Failure | None]
     ) -> None:
-        """Ends requests that were never sent and are not permitted any more.
+        """Ends requests that are not permitted any more and were never sent.
+
+        Those that were sent, but have no response yet, get no further attempt.
 
         Args:
             refusal_of: Returns the answer to a request; None if it may go on.
         """
         for entry in list(self._requests.values()):
-            if entry.state == "waiting":
-                entry.refusal = refusal_of(entry.request, entry.relay)
-                if entry.refusal is not None:
-                    entry.scope.cancel()
+            if entry.relay.caller.started:
+                continue
+            refusal = refusal_of(entry.request, entry.relay)
+            if refusal is None:
+                continue
+            entry.request.is_permitted = False
+            if not entry.request.starts:
+                entry.refusal = refusal
+                entry.scope.cancel()
 
     def end_unanswered(self) -> None:
         """Ends requests whose response has not begun; logs all of them.
--- a/acaciaspoke/gateway/process.py
+++ b/acaciaspoke/gateway/process.py
@@ -12,7 +12,6 @@
 from loguru import logger
 
 from acaciaspoke import __version__
-from acaciaspoke.gateway.api_keys import is_discovering
 from acaciaspoke.gateway.app import GatewayApp
 from acaciaspoke.gateway.bodies import MEMORY_SHARE, BodyMemory
 from acaciaspoke.gateway.candidacy import should_compete, should_hand_over
@@ -317,7 +316,9 @@
             is_ready=lambda: self.is_ready,
             is_draining=lambda: not self.drain.serving,
             is_detached=lambda: self.is_detached,
-            may_be_outdated=self._may_be_outdated,
+            may_be_outdated=lambda: self._configuration_lag.may_be_outdated(
+                time.monotonic(), self._started_s, len(self._peers.rows)
+            ),
         )
         self._servers = GatewayServers(self.app, settings, self.limits)
 
@@ -339,15 +340,6 @@
         configuration = self.app.configuration
         return configuration.limits if configuration else CallerLimits()
 
-    def _may_be_outdated(self) -> bool:
-        """Returns whether the configuration may lack a valid API key."""
-        now_s = time.monotonic()
-        return self._configuration_lag.may_be_outdated(now_s) or is_discovering(
-            now_s - self._started_s,
-            len(self._peers.rows),
-            self._configuration_lag.has_heard_version,
-        )
-
     def _new_budget(self) -> RetryBudget:
         settings = self._settings
         return RetryBudget(
--- a/acaciaspoke/gateway/table_follower.py
+++ b/acaciaspoke/gateway/table_follower.py
@@ -8,7 +8,7 @@
 from loguru import logger
 
 from acaciaspoke.clients.table import TableUnavailable
-from acaciaspoke.gateway.api_keys import may_be_outdated
+from acaciaspoke.gateway.api_keys import is_discovering, may_be_outdated
 from acaciaspoke.gateway.metrics import GatewayMetrics
 from acaciaspoke.platform.store import (
     HOSTS_TABLE,
@@ -134,9 +134,19 @@
         """Records that the store has just shown its newest version."""
         self._confirmed_s = now_s
 
-    def may_be_outdated(self, now_s: float) -> bool:
-        """Returns whether this host may lack the newest version."""
-        return may_be_outdated(
+    def may_be_outdated(
+        self, now_s: float, started_s: float, registered: int
+    ) -> bool:
+        """Returns whether this host may lack the newest version.
+
+        Args:
+            now_s: The current time.
+            started_s: When the process started.
+            registered: Number of hosts that have a row, with this one.
+        """
+        return is_discovering(
+            now_s - started_s, registered, self.has_heard_version
+        ) or may_be_outdated(
             self._local, self._newest, now_s - self._confirmed_s
         )
 
--- a/acaciaspoke/gateway/types.py
+++ b/acaciaspoke/gateway/types.py
@@ -298,6 +298,8 @@
         tried_hosts: Hosts to which it was forwarded, and that did not serve it.
         workspace: The workspace that holds its API key; None if it has none.
         states_tokens: Whether its caller has stated the numbers of tokens.
+        is_permitted: Whether the configuration in force permits further
+            attempts; otherwise its API key was removed.
     """
 
     id: RequestId
@@ -327,6 +329,7 @@
     tried_hosts: set[HostId] = msgspec.field(default_factory=set)
     workspace: Workspace | None = None
     states_tokens: bool = False
+    is_permitted: bool = True
 
     @property
     def priority(self) -> int:
--- a/test/gateway/test_api_keys.py
+++ b/test/gateway/test_api_keys.py
@@ -122,35 +122,44 @@
         self.lag = ConfigurationLag()
         self.lag.record_local_version(5)
 
+    def is_outdated(self, now_s: float, started_s: float = -9.0) -> bool:
+        return self.lag.may_be_outdated(now_s, started_s, registered=2)
+
     def test_configuration_that_nothing_confirms(self):
-        self.assertTrue(self.lag.may_be_outdated(0.0))
+        self.assertTrue(self.is_outdated(0.0))
 
     def test_store_confirms(self):
         self.lag.record_read(10.0)
-        self.assertFalse(self.lag.may_be_outdated(10.0 + MAX_CONFIRMED_AGE_S))
-        self.assertTrue(self.lag.may_be_outdated(13.5))
+        self.assertFalse(self.is_outdated(10.0 + MAX_CONFIRMED_AGE_S))
+        self.assertTrue(self.is_outdated(13.5))
 
     def test_host_with_the_same_version_confirms(self):
         self.lag.observe(5, 10.0)
-        self.assertFalse(self.lag.may_be_outdated(12.0))
+        self.assertFalse(self.is_outdated(12.0))
 
     def test_host_with_an_older_version_does_not_confirm(self):
         for version in (0, 4):
             self.lag.observe(version, 10.0)
-            self.assertTrue(self.lag.may_be_outdated(10.0))
+            self.assertTrue(self.is_outdated(10.0))
 
     def test_host_without_a_configuration_confirms_nothing(self):
         lag = ConfigurationLag()
         lag.observe(0, 10.0)
-        self.assertTrue(lag.may_be_outdated(10.0))
+        self.assertTrue(lag.may_be_outdated(10.0, 0.0, 2))
 
     def test_newer_version_counts_at_once_and_until_it_is_in_force(self):
         self.lag.record_read(10.0)
         self.lag.observe(6, 10.0)
         self.lag.record_read(10.1)
-        self.assertTrue(self.lag.may_be_outdated(10.1))
+        self.assertTrue(self.is_outdated(10.1))
         self.lag.record_local_version(6)
-        self.assertFalse(self.lag.may_be_outdated(10.2))
+        self.assertFalse(self.is_outdated(10.2))
+
+    def test_host_that_has_just_started(self):
+        self.lag.record_read(10.0)
+        self.assertTrue(self.is_outdated(10.0, started_s=9.9))
+        self.lag.observe(5, 10.1)
+        self.assertFalse(self.is_outdated(10.1, started_s=9.9))
 
 
 class ForwardingTest(unittest.TestCase):
--- a/test/gateway/test_keys_of_requests.py
+++ b/test/gateway/test_keys_of_requests.py
@@ -208,6 +208,28 @@
         self.assertEqual(24 - running, statuses.count(401))
         self.assertEqual(running, len(self.arrivals()))
 
+    async def test_request_that_is_refused_after_the_removal(self):
+        """It was sent to the next upstream."""
+        released = asyncio.Event()
+
+        async def refuse(arrival):
+            await released.wait()
+            await arrival.answer(
+                503, headers={"acaciaspoke-not-executed": "1"}, sealed=False
+            )
+
+        for app in self.apps:
+            app.script = refuse
+        asking = asyncio.create_task(self.ask("/unsafe/x", Acaciaspoke_Key=KEY))
+        await self.eventually(lambda: bool(self.arrivals()))
+        await self.remove()
+        released.set()
+        answer = await asking
+        self.assertEqual(503, answer.status)
+        self.assertEqual(1, len(self.arrivals()))
+        answer = await self.ask("/unsafe/x", Acaciaspoke_Key=KEY)
+        self.assertEqual(401, answer.status)
+
     async def test_stream_goes_on_and_its_resumption_needs_a_key(self):
         released = asyncio.Event()
 
