Promise nothing for a request that is sent as its key is removed

An assignment that was under way could be carried out while the request was ended with status 401. It gets 502 with the outcome unknown now.

test_keys_of_requests: 16 passed; the new test failed before (401).

--- a/acaciaspoke/gateway/answers.py
+++ b/acaciaspoke/gateway/answers.py
@@ -234,6 +234,21 @@
     await _answer_failure(metrics, request, relay.caller, failure)
 
 
+async def answer_revoked(
+    metrics: GatewayMetrics, request: Request, relay: Relay
+) -> None:
+    """Answers a request that was sent just as its API key was removed.
+
+    Raises:
+        StreamBrokenError: If the response has begun.
+    """
+    reason = "the API key was removed while the request was sent"
+    if relay.caller.started:
+        raise StreamBrokenError(reason)
+    failure = Failure(FailureType.UPSTREAM_FAILED, reason, Outcome.UNKNOWN)
+    await _answer_failure(metrics, request, relay.caller, failure)
+
+
 async def _answer_failure(
     metrics: GatewayMetrics, request: Request, caller: Caller, failure: Failure
 ) -> None:
--- a/acaciaspoke/gateway/app.py
+++ b/acaciaspoke/gateway/app.py
@@ -276,7 +276,10 @@
             await answers.answer_stopped(self._metrics, request, relay)
             return
         if entry.refusal and isinstance(failure, CallerDisconnectedError):
-            raise _BadRequestError(entry.refusal)
+            if not request.starts:
+                raise _BadRequestError(entry.refusal)
+            await answers.answer_revoked(self._metrics, request, relay)
+            return
         if isinstance(failure, CallerDisconnectedError):
             logger.info(
                 "caller closed the connection",
--- a/test/gateway/test_keys_of_requests.py
+++ b/test/gateway/test_keys_of_requests.py
@@ -230,6 +230,28 @@
         answer = await self.ask("/unsafe/x", Acaciaspoke_Key=KEY)
         self.assertEqual(401, answer.status)
 
+    async def test_request_that_is_sent_at_the_same_time(self):
+        """A 401 or 503 would promise that it has not run."""
+        handler = self.gateway.app._request_handler
+
+        async def send_when_cancelled(request, relay):
+            try:
+                await asyncio.Event().wait()
+            finally:
+                # An assignment that was under way is carried out first.
+                request.starts += 1
+
+        with mock.patch.object(handler, "serve", send_when_cancelled):
+            asking = asyncio.create_task(
+                self.ask("/unsafe/x", Acaciaspoke_Key=KEY)
+            )
+            requests = self.gateway.app._requests._requests
+            await self.eventually(lambda: bool(requests))
+            await self.remove()
+            answer = await asking
+        self.assertEqual(502, answer.status)
+        self.assertIn(b'"unknown"', answer.content)
+
     async def test_stream_goes_on_and_its_resumption_needs_a_key(self):
         released = asyncio.Event()
 
