--- a/test/gateway/test_keys_of_requests.py
+++ b/test/gateway/test_keys_of_requests.py
@@ -1,9 +1,11 @@
 """API keys of requests, from the caller to the upstream, in one process."""
 
 import asyncio
+import logging
 from unittest import mock
 
 import httpcore
+from loguru import logger
 
 from acaciaspoke.gateway.api_keys import ApiKeys, fingerprint
 from standins.faults import Faults
@@ -315,6 +317,37 @@
         self.store.put("op", "config", keyed_configuration(2, entry()))
         await super().start_gateway(settings)
 
+    async def test_nothing_logs_the_key(self):
+        """Neither at the lowest level, nor in the logs of libraries."""
+        lines: list[str] = []
+        # As util/log.py does; otherwise traces would have values of variables.
+        sink = logger.add(
+            lambda line: lines.append(str(line)), level=0, diagnose=False
+        )
+        self.addCleanup(logger.remove, sink)
+        logger.enable("acaciaspoke")
+        self.addCleanup(logger.disable, "acaciaspoke")
+        handler = logging.Handler()
+        handler.emit = lambda record: lines.append(record.getMessage())
+        root = logging.getLogger()
+        level = root.level
+        root.addHandler(handler)
+        root.setLevel(1)
+        self.addCleanup(root.setLevel, level)
+        self.addCleanup(root.removeHandler, handler)
+        for key, status in ((KEY, 200), (UNKNOWN_KEY, 401)):
+            answer = await self.ask("/unsafe/x", Acaciaspoke_Key=key)
+            self.assertEqual(status, answer.status)
+        # The other host fails; the key is part of what it had to serve.
+        for other in self.others:
+            other.app._check = mock.Mock(side_effect=RuntimeError("fault"))
+        await self.ask("/unsafe/x", Acaciaspoke_Key=KEY)
+        text = "".join(lines)
+        self.assertIn("forwarded to host", text)
+        self.assertIn("request failed", text)
+        self.assertNotIn(KEY, text)
+        self.assertNotIn(UNKNOWN_KEY, text)
+
     async def test_other_host_checks_the_key(self):
         answer = await self.ask(
             "/unsafe/x", Acaciaspoke_Key=KEY, Acaciaspoke_Tenant="forged"
