--- a/acaciaspoke/gateway/types.py
+++ b/acaciaspoke/gateway/types.py
@@ -333,6 +333,8 @@
             holds.
         cached_tokens: Those of which that is confident.
         is_off_session: Whether the chosen engine is not that of its session.
+        is_permitted: Whether the configuration in force permits further
+            attempts; otherwise its API key was removed.
     """
 
     id: RequestId
@@ -367,6 +369,7 @@
     expected_cached_tokens: float = 0.0
     cached_tokens: int = 0
     is_off_session: bool = False
+    is_permitted: bool = True
 
     @property
     def has_sized_parts(self) -> bool:
--- a/test/gateway/test_keys_of_requests.py
+++ b/test/gateway/test_keys_of_requests.py
@@ -1,9 +1,11 @@
 """API keys of requests, from the caller to the upstream, in one process."""
 
 import asyncio
+import logging
 from unittest import mock
 
 import httpcore
+from loguru import logger
 
 from acaciaspoke.gateway.api_keys import ApiKeys, fingerprint
 from standins.faults import Faults
@@ -208,6 +210,50 @@
         self.assertEqual(24 - running, statuses.count(401))
         self.assertEqual(running, len(self.arrivals()))
 
+    async def test_request_that_is_refused_after_the_removal(self):
+        """It was sent to the next upstream."""
+        released = asyncio.Event()
+
+        async def refuse(arrival):
+            await released.wait()
+            await arrival.answer(
+                503, headers={"acaciaspoke-not-executed": "1"}, sealed=False
+            )
+
+        for app in self.apps:
+            app.script = refuse
+        asking = asyncio.create_task(self.ask("/unsafe/x", Acaciaspoke_Key=KEY))
+        await self.eventually(lambda: bool(self.arrivals()))
+        await self.remove()
+        released.set()
+        answer = await asking
+        self.assertEqual(503, answer.status)
+        self.assertEqual(1, len(self.arrivals()))
+        answer = await self.ask("/unsafe/x", Acaciaspoke_Key=KEY)
+        self.assertEqual(401, answer.status)
+
+    async def test_request_that_is_sent_at_the_same_time(self):
+        """A 401 or 503 would promise that it has not run."""
+        handler = self.gateway.app._request_handler
+
+        async def send_when_cancelled(request, relay):
+            try:
+                await asyncio.Event().wait()
+            finally:
+                # An assignment that was under way is carried out first.
+                request.starts += 1
+
+        with mock.patch.object(handler, "serve", send_when_cancelled):
+            asking = asyncio.create_task(
+                self.ask("/unsafe/x", Acaciaspoke_Key=KEY)
+            )
+            requests = self.gateway.app._requests._requests
+            await self.eventually(lambda: bool(requests))
+            await self.remove()
+            answer = await asking
+        self.assertEqual(502, answer.status)
+        self.assertIn(b'"unknown"', answer.content)
+
     async def test_stream_goes_on_and_its_resumption_needs_a_key(self):
         released = asyncio.Event()
 
@@ -271,6 +317,37 @@
         self.store.put("op", "config", keyed_configuration(2, entry()))
         await super().start_gateway(settings)
 
+    async def test_nothing_logs_the_key(self):
+        """Neither at the lowest level, nor in the logs of libraries."""
+        lines: list[str] = []
+        # As util/log.py does; otherwise traces would have values of variables.
+        sink = logger.add(
+            lambda line: lines.append(str(line)), level=0, diagnose=False
+        )
+        self.addCleanup(logger.remove, sink)
+        logger.enable("acaciaspoke")
+        self.addCleanup(logger.disable, "acaciaspoke")
+        handler = logging.Handler()
+        handler.emit = lambda record: lines.append(record.getMessage())
+        root = logging.getLogger()
+        level = root.level
+        root.addHandler(handler)
+        root.setLevel(1)
+        self.addCleanup(root.setLevel, level)
+        self.addCleanup(root.removeHandler, handler)
+        for key, status in ((KEY, 200), (UNKNOWN_KEY, 401)):
+            answer = await self.ask("/unsafe/x", Acaciaspoke_Key=key)
+            self.assertEqual(status, answer.status)
+        # The other host fails; the key is part of what it had to serve.
+        for other in self.others:
+            other.app._check = mock.Mock(side_effect=RuntimeError("fault"))
+        await self.ask("/unsafe/x", Acaciaspoke_Key=KEY)
+        text = "".join(lines)
+        self.assertIn("forwarded to host", text)
+        self.assertIn("request failed", text)
+        self.assertNotIn(KEY, text)
+        self.assertNotIn(UNKNOWN_KEY, text)
+
     async def test_other_host_checks_the_key(self):
         answer = await self.ask(
             "/unsafe/x", Acaciaspoke_Key=KEY, Acaciaspoke_Tenant="forged"
