--- /dev/null
+++ b/acaciaspoke/gateway/backups.py
@@ -0,0 +1,39 @@
+"""Which streams get a KV backup, and which engines may go on with them."""
+
+from acaciaspoke.gateway.estimates import Estimates
+from acaciaspoke.gateway.types import Configuration, Request
+from acaciaspoke.gateway.upstream import Upstream
+
+# Requests with a shorter mean time get no KV backup, as backups are charged by
+# their size.
+MIN_BACKED_UP_SERVICE_S = 0.5
+
+
+def needs_backup(
+    request: Request, configuration: Configuration | None, estimates: Estimates
+) -> bool:
+    """Returns whether a request that is sent now gets a KV backup."""
+    # Idempotent requests can be sent again, and short ones are seldom
+    # interrupted.
+    if (
+        configuration is None
+        or request.artifact is None
+        or request.route.idempotent
+        or estimates.service_s(request) < MIN_BACKED_UP_SERVICE_S
+    ):
+        return False
+    service = configuration.services.get(request.service)
+    engine = service.engine if service else None
+    return engine is not None and engine.kv_backup_retention_s > 0
+
+
+def may_continue(
+    request: Request, upstream: Upstream | None, now_s: float
+) -> bool:
+    """Returns whether the engine with the KV backup may get the request."""
+    return (
+        upstream is not None
+        and not upstream.is_draining
+        and now_s >= upstream.named_pause_until_s
+        and request.version in (None, upstream.record.version)
+    )
--- a/acaciaspoke/gateway/dispatch.py
+++ b/acaciaspoke/gateway/dispatch.py
@@ -11,6 +11,7 @@
     plan_retry,
     refuse,
 )
+from acaciaspoke.gateway.backups import may_continue, needs_backup
 from acaciaspoke.gateway.balance import (
     Loads,
     choose_backup_engine,
@@ -27,6 +28,7 @@
 )
 from acaciaspoke.gateway.estimates import Estimates, priority_key
 from acaciaspoke.gateway.fleet import Fleet
+from acaciaspoke.gateway.late_replica import refuse_without_replica
 from acaciaspoke.gateway.limit_tokens import LimitTokens
 from acaciaspoke.gateway.limited_choice import (
     LimitedChoice,
@@ -57,11 +59,6 @@
     UpstreamId,
 )
 
-# Requests with a shorter mean time get no KV backup, as backups are charged by
-# their size.
-MIN_BACKED_UP_SERVICE_S = 0.5
-
-
 # Returns the host that serves a request at a time; None if none can.
 ChooseHost = Callable[[Request, float], HostId | None]
 
@@ -137,7 +134,7 @@
         latest_s = self.estimates.latest_start_s(request, now_s)
         refusal = admit(
             request, backlog, latest_s, now_s
-        ) or self._refuse_without_replica(request, latest_s, now_s)
+        ) or refuse_without_replica(request, self.estimates, latest_s, now_s)
         if refusal is None:
             self._waiting[request.id] = request
         return refusal
@@ -306,7 +303,9 @@
             reserve_least_loaded(request, holders, loads)
             return None
         latest_s = self.estimates.latest_start_s(request, now_s)
-        refusal = self._refuse_without_replica(request, latest_s, now_s)
+        refusal = refuse_without_replica(
+            request, self.estimates, latest_s, now_s
+        )
         if refusal is None:
             return None
         del self._waiting[request.id]
@@ -354,7 +353,7 @@
     ) -> Assignment | DroppedRequest:
         """Assigns an interrupted stream to an engine with its memory."""
         upstream = self.fleet.upstreams.get(point.upstream)
-        if not _may_continue(request, upstream, now_s):
+        if not may_continue(request, upstream, now_s):
             return self._refuse(request, "copy lost", 0.0, now_s)
         return self._assign(request, upstream, now_s)
 
@@ -362,7 +361,7 @@
         """Returns the engine with the KV backup if it may get the request."""
         backup = request.backup_engine
         upstream = backup and self.fleet.upstreams.get(backup.upstream)
-        if not _may_continue(request, upstream, now_s) or not self.budget(
+        if not may_continue(request, upstream, now_s) or not self.budget(
             request.service
         ).allows_retry(now_s):
             return None
@@ -374,24 +373,6 @@
         del self._waiting[request.id]
         return DroppedRequest(request, refuse(request, reason, wait_s, now_s))
 
-    def _refuse_without_replica(
-        self, request: Request, latest_s: float, now_s: float
-    ) -> Refusal | None:
-        """Refuses a request whose replica will be ready later than it can wait.
-
-        The request stays queued if its retry would time out too before the
-        replica is ready, unless there would be no time left to run it.
-        """
-        ready_s = self.estimates.replica_ready_s(request, now_s)
-        if ready_s is None or ready_s <= latest_s:
-            return None
-        retry = plan_retry(request, ready_s, now_s)
-        too_late_s = request.deadline_s - self.estimates.service_s(request)
-        if retry.is_in_time or ready_s >= too_late_s:
-            wait_s = retry.retry_after_s
-            return refuse(request, "copy is late", wait_s, now_s)
-        return None
-
     def _retry_after_s(self, request: Request, now_s: float) -> float:
         """Returns after how many seconds the caller should retry."""
         ready_s = self.estimates.replica_ready_s(request, now_s)
@@ -403,18 +384,7 @@
         return self.estimates.backlog(request, self._waiting.values(), now_s)
 
     def _needs_backup(self, request: Request) -> bool:
-        # Idempotent requests can be sent again, and short ones are seldom
-        # interrupted.
-        if (
-            self._configuration is None
-            or request.artifact is None
-            or request.route.idempotent
-            or self.estimates.service_s(request) < MIN_BACKED_UP_SERVICE_S
-        ):
-            return False
-        service = self._configuration.services.get(request.service)
-        engine = service.engine if service else None
-        return engine is not None and engine.kv_backup_retention_s > 0
+        return needs_backup(request, self._configuration, self.estimates)
 
     def _assign(
         self,
@@ -480,15 +450,3 @@
         return request.artifact is not None and not self.fleet.holders(
             request.service, request.artifact, now_s, request.version
         )
-
-
-def _may_continue(
-    request: Request, upstream: Upstream | None, now_s: float
-) -> bool:
-    """Returns whether the engine with the KV backup may get the request."""
-    return (
-        upstream is not None
-        and not upstream.is_draining
-        and now_s >= upstream.named_pause_until_s
-        and request.version in (None, upstream.record.version)
-    )
