Share capacity fairly among workspaces under overload

A workspace that sent six times its usual load took the room of the others, as requests went by urgency and deadline alone. Hosts now report the tokens of each workspace, and requests beyond a workspace's max-min fair share go last. Requests that no upstream can take in time are refused at once, and returns are spread.

--- a/acaciaspoke/gateway/admission.py
+++ b/acaciaspoke/gateway/admission.py
@@ -48,10 +48,15 @@
 
 
 class Refusal(NamedTuple):
-    """Why a request is refused, and when its caller should retry."""
+    """Why a request is refused, and when its caller should retry.
+
+    Attributes:
+        is_over_share: Whether it is beyond the fair share of its workspace.
+    """
 
     reason: str
     retry_after_s: float
+    is_over_share: bool = False
 
 
 class Backlog(NamedTuple):
--- a/acaciaspoke/gateway/aggregate.py
+++ b/acaciaspoke/gateway/aggregate.py
@@ -9,6 +9,12 @@
 from collections import Counter
 from collections.abc import Callable, Iterable, Iterator, Mapping
 
+from acaciaspoke.gateway.fairness.shares import (
+    subtract_counts,
+    subtract_tokens,
+    sum_counts,
+    sum_tokens,
+)
 from acaciaspoke.gateway.messages import (
     DomainLoads,
     LoadDigest,
@@ -29,7 +35,7 @@
 from acaciaspoke.gateway.slowdown import newest_reports
 from acaciaspoke.gateway.suspects import CrashSuspects
 from acaciaspoke.gateway.upstream_limits import UpstreamLimits
-from acaciaspoke.ids import DomainId, HostId, ModelId, PartId, UpstreamId
+from acaciaspoke.ids import DomainId, HostId, PartId, UpstreamId
 from acaciaspoke.util.rendezvous import rank_by_link
 
 # A host that has sent nothing to any aggregator for this time counts as
@@ -201,7 +207,7 @@
         return DomainLoads(
             in_flight=dict(self._members.loads(now_s)),
             reading=dict(+self._members.prefill_tokens(now_s)),
-            waiting=_sum_waiting(digests),
+            waiting=sum_counts(digest.waiting for digest in digests),
             unreachable=_sum_unreachable(digests),
             slow=_union(digest.slow for digest in digests),
             configuration=_newest_configuration(digests),
@@ -210,6 +216,8 @@
             limits=self._limits.reports(now_s),
             brittle=self._brittle.reports(now_s),
             slowdowns=self._members.slowdowns(now_s),
+            workspaces=self._members.workspace_tokens(now_s),
+            waiting_over=sum_counts(digest.waiting_over for digest in digests),
             reached=_union(digest.reached for digest in digests),
             detached=_union(digest.detached for digest in digests),
             stopping=_union(digest.stopping for digest in digests),
@@ -237,7 +245,7 @@
         prefill_tokens = members.prefill_tokens(now_s) + domains.prefill_tokens(
             now_s
         )
-        waiting = _sum_waiting(digests)
+        waiting = sum_counts(digest.waiting for digest in digests)
         crashes = self._member_crashes.remote_counts(now_s)
         crashes += self._domain_crashes.remote_counts(now_s)
         parts = _merge_parts(
@@ -250,6 +258,10 @@
         slowdowns = newest_reports(
             [members.slowdowns(now_s), domains.slowdowns(now_s)]
         )
+        workspaces = sum_tokens(
+            [members.workspace_tokens(now_s), domains.workspace_tokens(now_s)]
+        )
+        waiting_over = sum_counts(digest.waiting_over for digest in digests)
         reached = _union(digest.reached for digest in digests)
         detached = _union(digest.detached for digest in digests)
         stopping = _union(digest.stopping for digest in digests)
@@ -264,9 +276,7 @@
                 reading=dict(
                     prefill_tokens - members.prefill_tokens(now_s, member)
                 ),
-                waiting=_sum_waiting(others)
-                if member_digest.waiting
-                else waiting,
+                waiting=subtract_counts(waiting, member_digest.waiting),
                 unreachable=_sum_unreachable(others),
                 slow=slow,
                 configuration=newest,
@@ -275,6 +285,12 @@
                 limits=limits,
                 brittle=brittle,
                 slowdowns=slowdowns,
+                workspaces=subtract_tokens(
+                    workspaces, members.workspace_tokens(now_s, member)
+                ),
+                waiting_over=subtract_counts(
+                    waiting_over, member_digest.waiting_over
+                ),
                 reached=reached,
                 detached=detached,
                 stopping=stopping,
@@ -333,16 +349,6 @@
     return most_suspected(merge_evidence(recent))
 
 
-def _sum_waiting(
-    digests: Iterable[LoadDigest],
-) -> dict[ModelId, dict[int, int]]:
-    total: dict[ModelId, Counter[int]] = {}
-    for digest in digests:
-        for model, counts in digest.waiting.items():
-            total.setdefault(model, Counter()).update(counts)
-    return {model: dict(counts) for model, counts in total.items()}
-
-
 def _sum_unreachable(digests: Iterable[LoadDigest]) -> tuple[UpstreamId, ...]:
     """Returns each reported upstream, repeated once for each report.
 
--- a/acaciaspoke/gateway/answers.py
+++ b/acaciaspoke/gateway/answers.py
@@ -14,6 +14,7 @@
 )
 from acaciaspoke.gateway.attempt import Attempt, Relay
 from acaciaspoke.gateway.failures import Failure, FailureType, send_failure
+from acaciaspoke.gateway.fairness.returns import is_return
 from acaciaspoke.gateway.forwarded_headers import decline_header
 from acaciaspoke.gateway.metrics import GatewayMetrics
 from acaciaspoke.gateway.types import Request
@@ -62,12 +63,20 @@
     """Answers a request that is refused before any attempt."""
     if refusal.reason == LIMITED:
         metrics.limit_refusals.inc()
+    metrics.fairness.record_refusal(request, refusal, time.monotonic())
     failure = Failure(
         FailureType.OVERLOADED,
         f"no upstream is free in time ({refusal.reason})",
         retry_after_s=refusal.retry_after_s,
     )
-    await _answer_failure(metrics, request, relay.caller, failure)
+    fields = {}
+    if request.workspace is not None:
+        fields = {
+            "workspace": request.workspace.name,
+            "over_share": refusal.is_over_share,
+            "is_return": is_return(request),
+        }
+    await _answer_failure(metrics, request, relay.caller, failure, **fields)
 
 
 async def answer_over_quota(
@@ -202,6 +211,12 @@
     """
     if relay.caller.started:
         raise StreamBrokenError("the deadline passed")
+    if request.workspace is not None and not request.starts:
+        # A stall of this host, or a deadline shorter than the interval at which
+        # the queue is checked. Nothing ran, so the caller may be told so.
+        refusal = refuse(request, "expired", 0.0, time.monotonic())
+        await answer_refused(metrics, request, relay, refusal)
+        return
     failure = Failure(
         FailureType.UPSTREAM_TIMEOUT,
         "the deadline passed",
@@ -235,7 +250,11 @@
 
 
 async def _answer_failure(
-    metrics: GatewayMetrics, request: Request, caller: Caller, failure: Failure
+    metrics: GatewayMetrics,
+    request: Request,
+    caller: Caller,
+    failure: Failure,
+    **fields: str | bool,
 ) -> None:
     metrics.record_response(request.route.name, None, failure.type.value)
     logger.info(
@@ -249,6 +268,7 @@
         artifact=str(request.artifact or ""),
         waited_for=wait_reason_text(request),
         held_ms=round((time.monotonic() - request.arrived_s) * 1000),
+        **fields,
     )
     await send_failure(caller, failure)
 
--- a/acaciaspoke/gateway/digests.py
+++ b/acaciaspoke/gateway/digests.py
@@ -134,6 +134,8 @@
             limits=self._dispatcher.fleet.limits.reports(now_s),
             brittle=self._dispatcher.fleet.brittle.named.reports(now_s),
             slowdowns=self._dispatcher.fleet.slowdowns.reports(now_s),
+            workspaces=self._dispatcher.order.local_tokens(now_s),
+            waiting_over=self._dispatcher.order.waiting_over(),
             reached=self._dispatcher.fleet.reachability.reached(now_s),
             detached=(self._host,) if self._is_detached() else (),
             stopping=(self._host,) if self._is_stopping() else (),
--- a/acaciaspoke/gateway/dispatch.py
+++ b/acaciaspoke/gateway/dispatch.py
@@ -26,7 +26,9 @@
     must_decline,
     needs_other_host,
 )
-from acaciaspoke.gateway.estimates import Estimates, priority_key
+from acaciaspoke.gateway.estimates import Estimates
+from acaciaspoke.gateway.fairness.order import FairOrder
+from acaciaspoke.gateway.fairness.review import QueueReview
 from acaciaspoke.gateway.fleet import Fleet
 from acaciaspoke.gateway.late_replica import refuse_without_replica
 from acaciaspoke.gateway.limit_tokens import LimitTokens
@@ -70,6 +72,7 @@
         fleet: The upstreams and their loads.
         estimates: When requests can run and must have started.
         versions: At which software versions streams begin.
+        order: The order in which waiting requests are served.
         tokens: This host's tokens for upstreams that limit their requests.
     """
 
@@ -92,7 +95,6 @@
                 serve.
         """
         self.fleet = Fleet()
-        self.estimates = Estimates(self.fleet)
         self.versions = StreamVersions(self.fleet, store_era, view_age_s)
         self.tokens = LimitTokens(self.fleet.limits)
         self._limits = LimitedChoice(self.tokens, local_domain)
@@ -104,6 +106,11 @@
         self._waiting: dict[RequestId, Request] = {}
         self._running: dict[RequestId, tuple[Request, UpstreamId]] = {}
         self._demand = LocalDemand()
+        self.order = FairOrder(
+            self.fleet.peer_loads, self._waiting, self._running
+        )
+        self.estimates = Estimates(self.fleet, self.order)
+        self._review = QueueReview(self.fleet, self.estimates, self.order)
 
     @property
     def waiting(self) -> int:
@@ -120,6 +127,7 @@
     def set_configuration(self, configuration: Configuration) -> None:
         """Applies a version of the configuration."""
         self._configuration = configuration
+        self.order.is_active = bool(configuration.workspaces)
         self.versions.set_configuration(configuration)
 
     def submit(self, request: Request, now_s: float) -> Refusal | None:
@@ -137,7 +145,8 @@
         ) or refuse_without_replica(request, self.estimates, latest_s, now_s)
         if refusal is None:
             self._waiting[request.id] = request
-        return refusal
+            return None
+        return self.order.refused(request, refusal, backlog.wait_s, now_s)
 
     def host_for(self, request: Request, now_s: float) -> HostId | None:
         """Returns the host that has to serve a request; None for this one."""
@@ -217,10 +226,6 @@
 
     # Decisions.
 
-    @property
-    def _has_workspaces(self) -> bool:
-        return bool(self._configuration and self._configuration.workspaces)
-
     def decide(
         self, now_s: float
     ) -> Iterator[Assignment | DroppedRequest | Forward | Decline]:
@@ -238,11 +243,12 @@
             self.fleet.limits.limited().keys(),
             self.fleet.places.free(now_s),
             slowdowns,
-            bool(slowdowns) or self._has_workspaces,
+            bool(slowdowns) or self.order.is_active,
         )
+        self._review.begin_round(now_s)
         unreachable = self.fleet.reachability.unreachable(now_s)
         holders: dict[tuple, list[Upstream]] = {}
-        for request in sorted(self._waiting.values(), key=priority_key):
+        for request in self.order.sort(now_s):
             if request.resume_at is not None:
                 if self._needs_place(request, request.resume_at, loads):
                     continue
@@ -281,6 +287,9 @@
         now_s: float,
     ) -> Assignment | DroppedRequest | None:
         """Assigns or refuses a request; returns None if it has to wait."""
+        if self.order.must_yield(request, holders, loads, now_s):
+            request.wait_reason = WaitReason.SLOT
+            return None
         upstream = self._choose(request, holders, loads, now_s)
         if upstream is not None:
             is_alone = not loads.prefill_tokens[upstream.record.upstream]
@@ -292,6 +301,9 @@
             return self._assign(request, upstream, now_s, is_alone)
         request.wait_reason = wait_reason_of(request, holders, loads, now_s)
         if holders:
+            hopeless = self._review.find(request, holders, loads, now_s)
+            if hopeless is not None:
+                return self._refuse(request, *hopeless, now_s)
             pause_end_s = named_pause_end_s(request, holders, now_s)
             if pause_end_s > self.estimates.latest_start_s(request, now_s):
                 wait_s = pause_end_s - now_s
@@ -299,6 +311,7 @@
             wait_s = self._limits.wait_for_token(request, holders, loads, now_s)
             if now_s + wait_s > self.estimates.latest_start_s(request, now_s):
                 return self._refuse(request, LIMITED, wait_s, now_s)
+            self.order.record_waits(request)
             need_places(request, holders, loads, self.fleet.places, now_s)
             reserve_least_loaded(request, holders, loads)
             return None
@@ -371,7 +384,10 @@
         self, request: Request, reason: str, wait_s: float, now_s: float
     ) -> DroppedRequest:
         del self._waiting[request.id]
-        return DroppedRequest(request, refuse(request, reason, wait_s, now_s))
+        refusal = refuse(request, reason, wait_s, now_s)
+        return DroppedRequest(
+            request, self.order.refused(request, refusal, wait_s, now_s)
+        )
 
     def _retry_after_s(self, request: Request, now_s: float) -> float:
         """Returns after how many seconds the caller should retry."""
--- a/acaciaspoke/gateway/estimates.py
+++ b/acaciaspoke/gateway/estimates.py
@@ -15,6 +15,7 @@
 )
 from acaciaspoke.gateway.balance import slot_limit
 from acaciaspoke.gateway.durations import Durations
+from acaciaspoke.gateway.fairness.order import FairOrder, priority_key
 from acaciaspoke.gateway.fleet import Fleet
 from acaciaspoke.gateway.types import Request
 from acaciaspoke.gateway.upstream import Upstream
@@ -39,12 +40,14 @@
             refused.
     """
 
-    def __init__(self, fleet: Fleet):
+    def __init__(self, fleet: Fleet, order: FairOrder | None = None):
         """Creates estimates without any measured duration.
 
         Args:
             fleet: The upstreams and their loads.
+            order: The order of waiting requests; None without workspaces.
         """
+        self._order = order
         self.durations: defaultdict[str, Durations] = defaultdict(Durations)
         self.last_start_s = math.inf
         self.stop_end_s = math.inf
@@ -149,6 +152,8 @@
     def _ahead_of(
         self, request: Request, waiting: Iterable[Request], now_s: float
     ) -> int:
+        if self._order is not None and self._order.is_active:
+            return self._order.ahead_of(request, now_s)
         own_key = priority_key(request)
         model = request.artifact.model if request.artifact else None
         ahead = sum(
@@ -174,9 +179,3 @@
     slots = upstream.record.slots
     limit_per_s = limited.get(upstream.record.upstream)
     return slots if limit_per_s is None else min(slots, limit_per_s * service_s)
-
-
-def priority_key(request: Request) -> tuple[int, float]:
-    """Returns the key by which waiting requests are served."""
-    # Callers that retry have less time left, so they go first.
-    return (request.priority, request.deadline_s)
--- a/acaciaspoke/gateway/messages.py
+++ b/acaciaspoke/gateway/messages.py
@@ -12,6 +12,7 @@
 import msgspec
 
 from acaciaspoke.clients.table import Condition, Put, Transaction
+from acaciaspoke.gateway.fairness.shares import WorkspaceTokens
 from acaciaspoke.gateway.message_base import (
     BaseMessage,
     Count,
@@ -38,6 +39,7 @@
     ServiceId,
     SoftwareVersion,
     UpstreamId,
+    WorkspaceId,
 )
 from acaciaspoke.platform.versions import to_version
 
@@ -69,6 +71,8 @@
             the refusals a second that they survive in place of a limit.
         slowdowns: What upstreams have just reported about how long work takes.
             Hosts of earlier releases neither send nor read it.
+        workspaces: Tokens of requests by workspace, if there are workspaces.
+        waiting_over: Those waiting that are beyond their workspace's share.
     """
 
     in_flight: dict[UpstreamId, int] = {}
@@ -85,6 +89,8 @@
     stopping: tuple[HostId, ...] = ()
     brittle: dict[UpstreamId, LimitReport] = {}
     slowdowns: dict[UpstreamId, SlowdownReport] = {}
+    workspaces: dict[WorkspaceId, WorkspaceTokens] = {}
+    waiting_over: dict[ModelId, dict[int, int]] = {}
 
 
 class ReadProgress(NamedTuple):
--- a/acaciaspoke/gateway/metrics.py
+++ b/acaciaspoke/gateway/metrics.py
@@ -12,6 +12,7 @@
 )
 from prometheus_client.exposition import CONTENT_TYPE_PLAIN_0_0_4
 
+from acaciaspoke.gateway.fairness.metrics import FairnessMetrics
 from acaciaspoke.ids import UpstreamId
 
 # From half the latency of a plain service to the longest deadline of callers.
@@ -131,6 +132,7 @@
         self.limit_refusals = self._counter(
             "limit_refusals", "Requests refused because of a limit"
         )
+        self.fairness = FairnessMetrics(self.registry)
         self.quota_asks = self._counter(
             "quota_asks", "Asks for tokens of workspaces with a quota"
         )
--- a/acaciaspoke/gateway/peerloads.py
+++ b/acaciaspoke/gateway/peerloads.py
@@ -5,18 +5,23 @@
 from collections.abc import Callable, Iterator
 
 from acaciaspoke.gateway.engine_speed import DEFAULT_PREFILL_TOKENS_PER_S
+from acaciaspoke.gateway.fairness.shares import WorkspaceTokens, sum_tokens
 from acaciaspoke.gateway.messages import (
     LoadDigest,
     SendNotice,
     is_superseded,
 )
 from acaciaspoke.gateway.slowdown import SlowdownReport, newest_reports
-from acaciaspoke.ids import HostId, UpstreamId
+from acaciaspoke.ids import HostId, UpstreamId, WorkspaceId
 
 # Loads of a host that has sent nothing for this time no longer count; hosts
 # send theirs ten times a second.
 LOAD_MAX_AGE_S = 0.7
 
+# The use of workspaces that a host reports counts for this time; if reports
+# are lost for a moment, order and admission remain as they are.
+WORKSPACE_MAX_AGE_S = 1.0
+
 # A host that has sent nothing for this time is forgotten; no datagram of it is
 # delayed for as long.
 HOST_RETENTION_S = 60.0
@@ -113,6 +118,17 @@
             for digest, received_s in self._fresh_digests(now_s, None)
         )
 
+    def workspace_tokens(
+        self, now_s: float, host: HostId | None = None
+    ) -> dict[WorkspaceId, WorkspaceTokens]:
+        """Returns the tokens by workspace, of one host or of all."""
+        return sum_tokens(
+            digest.workspaces
+            for name, (digest, received_s) in self._digests.items()
+            if host in (None, name)
+            and now_s - received_s <= WORKSPACE_MAX_AGE_S
+        )
+
     def loads(
         self, now_s: float, host: HostId | None = None
     ) -> Counter[UpstreamId]:
