--- a/acaciaspoke/gateway/fairness/order.py
+++ b/acaciaspoke/gateway/fairness/order.py
@@ -21,7 +21,7 @@
 from acaciaspoke.gateway.fairness.unmet import UnmetTokens
 from acaciaspoke.gateway.messages import LoadDigest
 from acaciaspoke.gateway.peerloads import PeerLoads
-from acaciaspoke.gateway.types import Request
+from acaciaspoke.gateway.types import Request, WaitReason
 from acaciaspoke.gateway.upstream import Upstream
 from acaciaspoke.ids import (
     ModelId,
@@ -251,8 +251,12 @@
         return free_slots <= within
 
     def record_waits(self, request: Request) -> None:
-        """Records that a request has to wait in this round."""
-        if request.id not in self._over:
+        """Records that a request has to wait in this round.
+
+        One that reaches no upstream would not take the slots left to it.
+        """
+        is_reachable = request.wait_reason is not WaitReason.UNREACHABLE
+        if request.id not in self._over and is_reachable:
             self._awaited.add(_pool_of(request))
 
     def refused(
@@ -269,9 +273,9 @@
         if not self.is_active:
             return refusal
         self.unmet.record(request, now_s)
-        return spread_return(
-            request, refusal, wait_s, request.id in self._over, now_s
-        )
+        is_over = request.id in self._over
+        self._over.discard(request.id)
+        return spread_return(request, refusal, wait_s, is_over, now_s)
 
     def waiting_over(self) -> dict[ModelId, dict[int, int]]:
         """Counts the waiting requests beyond shares, by model and priority."""
--- a/test/gateway/test_fairness.py
+++ b/test/gateway/test_fairness.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from acaciaspoke.gateway.admission import Refusal
+from acaciaspoke.gateway.aggregate import LoadAggregator
 from acaciaspoke.gateway.decisions import Assignment, DroppedRequest
 from acaciaspoke.gateway.fairness.order import order_deadline_s
 from acaciaspoke.gateway.fairness.returns import spread_return
@@ -307,5 +308,26 @@
         self.assertEqual(sent, decoded)
 
 
+class AggregateTest(unittest.TestCase):
+
+    def test_members_get_the_tokens_of_all_others(self):
+        aggregator = LoadAggregator()
+        for name, tokens in (("h1", 10), ("h2", 20)):
+            sent = digest(
+                workspaces={"a": WorkspaceTokens(tokens, 1)},
+                waiting_over={"m1": {0: tokens}},
+            )
+            aggregator.apply_digest(
+                msgspec.structs.replace(sent, host=HostId(name)), 0.0
+            )
+        domain = aggregator.domain_loads(0.1)
+        self.assertEqual({"a": (30, 2)}, domain.workspaces)
+        self.assertEqual({"m1": {0: 30}}, domain.waiting_over)
+        summaries = dict(aggregator.summaries(["h1", "h2"], 0.1))
+        self.assertEqual({"a": (20, 1)}, summaries["h1"].workspaces)
+        self.assertEqual({"m1": {0: 20}}, summaries["h1"].waiting_over)
+        self.assertEqual({"a": (10, 1)}, summaries["h2"].workspaces)
+
+
 if __name__ == "__main__":
     unittest.main()
