Refuse requests beyond shares that cannot meet their objective

Requests beyond their share were admitted by the backlog alone and then waited until they were late, as later ones of other workspaces, and ones that could still meet their objective, went first. They are refused if the queue of their workspace takes longer than their objective at the rate of its share, or once they miss it.

--- a/acaciaspoke/gateway/admission.py
+++ b/acaciaspoke/gateway/admission.py
@@ -68,19 +68,22 @@
             whose limit does not keep them busy.
         service_s: Mean time for which a request occupies a slot.
         cold_s: Time until an upstream holds the artifact; 0 if one does.
+        share_wait_s: Time until its workspace has room in its fair share.
     """
 
     ahead: int
     slots: float
     service_s: float
     cold_s: float = 0.0
+    share_wait_s: float = 0.0
 
     @property
     def wait_s(self) -> float:
         """Estimated waiting time."""
         if not self.slots:
             return self.cold_s
-        return self.cold_s + self.ahead * self.service_s / self.slots
+        queue_s = self.ahead * self.service_s / self.slots
+        return self.cold_s + max(queue_s, self.share_wait_s)
 
 
 def patience_s(route: Route) -> float:
--- a/acaciaspoke/gateway/dispatch.py
+++ b/acaciaspoke/gateway/dispatch.py
@@ -140,8 +140,9 @@
         self._demand.record(request, now_s)
         backlog = self._backlog(request, now_s)
         latest_s = self.estimates.latest_start_s(request, now_s)
+        start_s = self.order.latest_start_s(request, backlog, latest_s)
         refusal = admit(
-            request, backlog, latest_s, now_s
+            request, backlog, start_s, now_s
         ) or refuse_without_replica(request, self.estimates, latest_s, now_s)
         if refusal is None:
             self._waiting[request.id] = request
--- a/acaciaspoke/gateway/estimates.py
+++ b/acaciaspoke/gateway/estimates.py
@@ -126,11 +126,15 @@
             for upstream in holders
         )
         ahead = self._ahead_of(request, waiting, now_s)
+        share_wait_s = 0.0
+        if ahead > free_slots and self._order is not None:
+            share_wait_s = self._order.share_wait_s(request, service_s, now_s)
         return Backlog(
             ahead=max(0, ahead - free_slots),
             slots=slots,
             service_s=service_s,
             cold_s=cold_s,
+            share_wait_s=share_wait_s,
         )
 
     def _holders_or_cold_start(
--- a/acaciaspoke/gateway/fairness/order.py
+++ b/acaciaspoke/gateway/fairness/order.py
@@ -6,6 +6,7 @@
 from acaciaspoke.gateway.admission import (
     FIRST_EVENT_S,
     MAX_RETRY_AFTER_SHARE,
+    Backlog,
     Refusal,
 )
 from acaciaspoke.gateway.balance import Loads, slot_limit
@@ -104,6 +105,7 @@
         self._remote: dict[WorkspaceId, WorkspaceTokens] = {}
         self._remote_due_s = float("-inf")
         self._shares: dict[WorkspaceId, float] = {}
+        self._local_shares: dict[WorkspaceId, float] = {}
         self._in_use: Counter[WorkspaceId] = Counter()
         self._over: set[RequestId] = set()
         self._far_over: set[RequestId] = set()
@@ -186,6 +188,51 @@
                     ahead += is_over
         return ahead + self.ahead_at_peers(request, now_s)
 
+    def latest_start_s(
+        self, request: Request, backlog: Backlog, latest_s: float
+    ) -> float:
+        """Returns until when a new request may wait for the backlog.
+
+        One beyond its share that misses its objective goes behind all that
+        arrive later, so it would wait to no avail.
+
+        Args:
+            request: The request, for which ``ahead_of`` was asked.
+            backlog: The backlog ahead of it.
+            latest_s: The latest time at which it may start.
+        """
+        if request.id not in self._over or backlog.cold_s:
+            return latest_s
+        return min(latest_s, request.objective_s)
+
+    def share_wait_s(
+        self, request: Request, service_s: float, now_s: float
+    ) -> float:
+        """Returns how long a request waits for its workspace's share.
+
+        Requests of other workspaces that arrive later go before those beyond
+        shares, so the backlog alone says too little. This host's part of a
+        share is estimated by its part of the demand.
+
+        Args:
+            request: A waiting request, or one for which ``ahead_of`` was asked.
+            service_s: Mean time for which a request occupies a slot.
+            now_s: The current time.
+        """
+        name = workspace_of(request)
+        share = self._local_shares.get(name, 0.0)
+        if request.id not in self._over or not share:
+            return 0.0
+        own_key, pool = urgency_key(request, now_s), _pool_of(request)
+        ahead = sum(
+            request_tokens(other)
+            for other in self._waiting.values()
+            if workspace_of(other) == name
+            and _pool_of(other) == pool
+            and urgency_key(other, now_s) < own_key
+        )
+        return ahead * service_s / share
+
     def _mark_new(self, request: Request, own_key: tuple, now_s: float) -> None:
         """Finds whether a new request is beyond its workspace's share."""
         self._update_shares(now_s, request)
@@ -292,7 +339,8 @@
         if now_s >= self._remote_due_s:
             self._remote_due_s = now_s + REMOTE_INTERVAL_S
             self._remote = self._peer_loads.workspace_tokens(now_s)
-        reports = [self._remote, self.local_tokens(now_s)]
+        local = self.local_tokens(now_s)
+        reports = [self._remote, local]
         if new is not None:
             added = WorkspaceTokens(unmet=request_tokens(new))
             reports.append({workspace_of(new): added})
@@ -304,6 +352,11 @@
             {name: sum(each) for name, each in tokens.items()},
             capacity_tokens(tokens),
         )
+        self._local_shares = {
+            name: self._shares[name] * sum(each) / sum(tokens[name])
+            for name, each in local.items()
+            if sum(each)
+        }
 
 
 def _count_within(
--- a/acaciaspoke/gateway/fairness/review.py
+++ b/acaciaspoke/gateway/fairness/review.py
@@ -82,6 +82,8 @@
         )
         if found is None and self._is_due:
             wait_s = self._backlog_s(request, holders, loads, now_s)
+            if self._order.is_over(request):
+                latest_s = min(latest_s, request.objective_s)
             if now_s + wait_s / WAIT_MARGIN > latest_s:
                 return Hopeless("overloaded", wait_s)
         return found
@@ -108,7 +110,10 @@
             return 0.0
         service_s = self._estimates.durations[request.service].mean_s or 0.0
         slots = sum(upstream.record.slots for upstream in holders)
-        return ahead * service_s / max(1, slots)
+        return max(
+            ahead * service_s / max(1, slots),
+            self._order.share_wait_s(request, service_s, now_s),
+        )
 
 
 def find_obstacle(
--- a/test/gateway/test_fair_service.py
+++ b/test/gateway/test_fair_service.py
@@ -97,6 +97,18 @@
             simulation.served.total(), 0.93 * unfair.served.total()
         )
 
+    def test_few_are_refused_after_a_long_wait(self):
+        # Requests beyond their share waited until they were late: half of the
+        # refusals came after more than a second, as new ones went first.
+        for hosts in (1, 6):
+            with self.subTest(hosts=hosts):
+                simulation = simulate(hosts, BURST)
+                held = sum(
+                    now_s - refused.arrived_s > 1
+                    for now_s, refused, _ in simulation.refusals
+                )
+                self.assertLess(held, 0.2 * len(simulation.refusals))
+
     def test_returns_come_in_no_wave(self):
         simulation = simulate(6, SIZES)
         times_s = sorted(
--- a/test/gateway/test_fairness.py
+++ b/test/gateway/test_fairness.py
@@ -282,6 +282,22 @@
         )
         self.assertEqual(["overloaded"], self._refusals(0.2))
 
+    def test_request_beyond_its_share_that_missed_its_objective(self):
+        # All that arrived later went first, so it waited until it was late.
+        self.dispatcher.submit(of("a", "q1"), 0.0)
+        self.dispatcher.fleet.peer_loads.apply_digest(
+            digest(
+                in_flight={UpstreamId("u1"): 5},
+                workspaces={
+                    "a": WorkspaceTokens(running=300),
+                    "b": WorkspaceTokens(running=100, unmet=900),
+                },
+            ),
+            0.0,
+        )
+        self.assertEqual([], self._refusals(0.4))
+        self.assertEqual(["overloaded"], self._refusals(0.6))
+
     def test_no_refusal_while_slots_are_free(self):
         self.dispatcher.submit(of("a", "q1"), 0.0)
         self.assertEqual(["q1"], names(self.dispatcher.decide(0.0)))
