--- a/acaciaspoke/gateway/admission.py
+++ b/acaciaspoke/gateway/admission.py
@@ -48,10 +48,15 @@
 
 
 class Refusal(NamedTuple):
-    """Why a request is refused, and when its caller should retry."""
+    """Why a request is refused, and when its caller should retry.
+
+    Attributes:
+        is_over_share: Whether it is beyond the fair share of its workspace.
+    """
 
     reason: str
     retry_after_s: float
+    is_over_share: bool = False
 
 
 class Backlog(NamedTuple):
@@ -63,19 +68,22 @@
             whose limit does not keep them busy.
         service_s: Mean time for which a request occupies a slot.
         cold_s: Time until an upstream holds the artifact; 0 if one does.
+        share_wait_s: Time until its workspace has room in its fair share.
     """
 
     ahead: int
     slots: float
     service_s: float
     cold_s: float = 0.0
+    share_wait_s: float = 0.0
 
     @property
     def wait_s(self) -> float:
         """Estimated waiting time."""
         if not self.slots:
             return self.cold_s
-        return self.cold_s + self.ahead * self.service_s / self.slots
+        queue_s = self.ahead * self.service_s / self.slots
+        return self.cold_s + max(queue_s, self.share_wait_s)
 
 
 def patience_s(route: Route) -> float:
--- a/acaciaspoke/gateway/digests.py
+++ b/acaciaspoke/gateway/digests.py
@@ -135,6 +135,8 @@
             brittle=self._dispatcher.fleet.brittle.named.reports(now_s),
             slowdowns=self._dispatcher.fleet.slowdowns.reports(now_s),
             held_parts=self._dispatcher.fleet.holdings.take_reports(),
+            workspaces=self._dispatcher.order.local_tokens(now_s),
+            waiting_over=self._dispatcher.order.waiting_over(),
             reached=self._dispatcher.fleet.reachability.reached(now_s),
             detached=(self._host,) if self._is_detached() else (),
             stopping=(self._host,) if self._is_stopping() else (),
--- a/acaciaspoke/gateway/dispatch.py
+++ b/acaciaspoke/gateway/dispatch.py
@@ -11,6 +11,7 @@
     plan_retry,
     refuse,
 )
+from acaciaspoke.gateway.backups import may_continue, needs_backup
 from acaciaspoke.gateway.balance import (
     Loads,
     choose_backup_engine,
@@ -26,8 +27,11 @@
     must_decline,
     needs_other_host,
 )
-from acaciaspoke.gateway.estimates import Estimates, priority_key
+from acaciaspoke.gateway.estimates import Estimates
+from acaciaspoke.gateway.fairness.order import FairOrder
+from acaciaspoke.gateway.fairness.review import QueueReview
 from acaciaspoke.gateway.fleet import Fleet
+from acaciaspoke.gateway.late_replica import refuse_without_replica
 from acaciaspoke.gateway.limit_tokens import LimitTokens
 from acaciaspoke.gateway.limited_choice import (
     LimitedChoice,
@@ -58,11 +62,6 @@
     UpstreamId,
 )
 
-# Requests with a shorter mean time get no KV backup, as backups are charged by
-# their size.
-MIN_BACKED_UP_SERVICE_S = 0.5
-
-
 # Returns the host that serves a request at a time; None if none can.
 ChooseHost = Callable[[Request, float], HostId | None]
 
@@ -74,6 +73,7 @@
         fleet: The upstreams and their loads.
         estimates: When requests can run and must have started.
         versions: At which software versions streams begin.
+        order: The order in which waiting requests are served.
         tokens: This host's tokens for upstreams that limit their requests.
     """
 
@@ -96,7 +96,6 @@
                 serve.
         """
         self.fleet = Fleet()
-        self.estimates = Estimates(self.fleet)
         self.versions = StreamVersions(self.fleet, store_era, view_age_s)
         self.tokens = LimitTokens(self.fleet.limits)
         self._limits = LimitedChoice(self.tokens, local_domain)
@@ -108,6 +107,11 @@
         self._waiting: dict[RequestId, Request] = {}
         self._running: dict[RequestId, tuple[Request, UpstreamId]] = {}
         self._demand = LocalDemand()
+        self.order = FairOrder(
+            self.fleet.peer_loads, self._waiting, self._running
+        )
+        self.estimates = Estimates(self.fleet, self.order)
+        self._review = QueueReview(self.fleet, self.estimates, self.order)
 
     @property
     def waiting(self) -> int:
@@ -124,6 +128,7 @@
     def set_configuration(self, configuration: Configuration) -> None:
         """Applies a version of the configuration."""
         self._configuration = configuration
+        self.order.is_active = bool(configuration.workspaces)
         self.versions.set_configuration(configuration)
         self.fleet.holdings.set_configuration(configuration)
 
@@ -137,12 +142,14 @@
         self._demand.record(request, now_s)
         backlog = self._backlog(request, now_s)
         latest_s = self.estimates.latest_start_s(request, now_s)
+        start_s = self.order.latest_start_s(request, backlog, latest_s)
         refusal = admit(
-            request, backlog, latest_s, now_s
-        ) or self._refuse_without_replica(request, latest_s, now_s)
+            request, backlog, start_s, now_s
+        ) or refuse_without_replica(request, self.estimates, latest_s, now_s)
         if refusal is None:
             self._waiting[request.id] = request
-        return refusal
+            return None
+        return self.order.refused(request, refusal, backlog.wait_s, now_s)
 
     def host_for(self, request: Request, now_s: float) -> HostId | None:
         """Returns the host that has to serve a request; None for this one."""
@@ -223,10 +230,6 @@
 
     # Decisions.
 
-    @property
-    def _has_workspaces(self) -> bool:
-        return bool(self._configuration and self._configuration.workspaces)
-
     def decide(
         self, now_s: float
     ) -> Iterator[Assignment | DroppedRequest | Forward | Decline]:
@@ -245,13 +248,14 @@
             self.fleet.places.free(now_s),
             slowdowns,
             mean_slowdowns,
-            bool(slowdowns) or self._has_workspaces,
+            bool(slowdowns) or self.order.is_active,
             self.fleet.holdings,
             now_s,
         )
+        self._review.begin_round(now_s)
         unreachable = self.fleet.reachability.unreachable(now_s)
         holders: dict[tuple, list[Upstream]] = {}
-        for request in sorted(self._waiting.values(), key=priority_key):
+        for request in self.order.sort(now_s):
             if request.resume_at is not None:
                 if self._needs_place(request, request.resume_at, loads):
                     continue
@@ -290,6 +294,9 @@
         now_s: float,
     ) -> Assignment | DroppedRequest | None:
         """Assigns or refuses a request; returns None if it has to wait."""
+        if self.order.must_yield(request, holders, loads, now_s):
+            request.wait_reason = WaitReason.SLOT
+            return None
         upstream = self._choose(request, holders, loads, now_s)
         if upstream is not None:
             is_alone = not loads.prefill_tokens[upstream.record.upstream]
@@ -302,6 +309,9 @@
             return self._assign(request, upstream, now_s, is_alone)
         request.wait_reason = wait_reason_of(request, holders, loads, now_s)
         if holders:
+            hopeless = self._review.find(request, holders, loads, now_s)
+            if hopeless is not None:
+                return self._refuse(request, *hopeless, now_s)
             pause_end_s = named_pause_end_s(request, holders, now_s)
             if pause_end_s > self.estimates.latest_start_s(request, now_s):
                 wait_s = pause_end_s - now_s
@@ -309,11 +319,14 @@
             wait_s = self._limits.wait_for_token(request, holders, loads, now_s)
             if now_s + wait_s > self.estimates.latest_start_s(request, now_s):
                 return self._refuse(request, LIMITED, wait_s, now_s)
+            self.order.record_waits(request)
             need_places(request, holders, loads, self.fleet.places, now_s)
             reserve_least_loaded(request, holders, loads)
             return None
         latest_s = self.estimates.latest_start_s(request, now_s)
-        refusal = self._refuse_without_replica(request, latest_s, now_s)
+        refusal = refuse_without_replica(
+            request, self.estimates, latest_s, now_s
+        )
         if refusal is None:
             return None
         del self._waiting[request.id]
@@ -361,7 +374,7 @@
     ) -> Assignment | DroppedRequest:
         """Assigns an interrupted stream to an engine with its memory."""
         upstream = self.fleet.upstreams.get(point.upstream)
-        if not _may_continue(request, upstream, now_s):
+        if not may_continue(request, upstream, now_s):
             return self._refuse(request, "copy lost", 0.0, now_s)
         return self._assign(request, upstream, now_s)
 
@@ -369,7 +382,7 @@
         """Returns the engine with the KV backup if it may get the request."""
         backup = request.backup_engine
         upstream = backup and self.fleet.upstreams.get(backup.upstream)
-        if not _may_continue(request, upstream, now_s) or not self.budget(
+        if not may_continue(request, upstream, now_s) or not self.budget(
             request.service
         ).allows_retry(now_s):
             return None
@@ -379,25 +392,10 @@
         self, request: Request, reason: str, wait_s: float, now_s: float
     ) -> DroppedRequest:
         del self._waiting[request.id]
-        return DroppedRequest(request, refuse(request, reason, wait_s, now_s))
-
-    def _refuse_without_replica(
-        self, request: Request, latest_s: float, now_s: float
-    ) -> Refusal | None:
-        """Refuses a request whose replica will be ready later than it can wait.
-
-        The request stays queued if its retry would time out too before the
-        replica is ready, unless there would be no time left to run it.
-        """
-        ready_s = self.estimates.replica_ready_s(request, now_s)
-        if ready_s is None or ready_s <= latest_s:
-            return None
-        retry = plan_retry(request, ready_s, now_s)
-        too_late_s = request.deadline_s - self.estimates.service_s(request)
-        if retry.is_in_time or ready_s >= too_late_s:
-            wait_s = retry.retry_after_s
-            return refuse(request, "copy is late", wait_s, now_s)
-        return None
+        refusal = refuse(request, reason, wait_s, now_s)
+        return DroppedRequest(
+            request, self.order.refused(request, refusal, wait_s, now_s)
+        )
 
     def _retry_after_s(self, request: Request, now_s: float) -> float:
         """Returns after how many seconds the caller should retry."""
@@ -410,18 +408,7 @@
         return self.estimates.backlog(request, self._waiting.values(), now_s)
 
     def _needs_backup(self, request: Request) -> bool:
-        # Idempotent requests can be sent again, and short ones are seldom
-        # interrupted.
-        if (
-            self._configuration is None
-            or request.artifact is None
-            or request.route.idempotent
-            or self.estimates.service_s(request) < MIN_BACKED_UP_SERVICE_S
-        ):
-            return False
-        service = self._configuration.services.get(request.service)
-        engine = service.engine if service else None
-        return engine is not None and engine.kv_backup_retention_s > 0
+        return needs_backup(request, self._configuration, self.estimates)
 
     def _assign(
         self,
@@ -487,15 +474,3 @@
         return request.artifact is not None and not self.fleet.holders(
             request.service, request.artifact, now_s, request.version
         )
-
-
-def _may_continue(
-    request: Request, upstream: Upstream | None, now_s: float
-) -> bool:
-    """Returns whether the engine with the KV backup may get the request."""
-    return (
-        upstream is not None
-        and not upstream.is_draining
-        and now_s >= upstream.named_pause_until_s
-        and request.version in (None, upstream.record.version)
-    )
--- a/acaciaspoke/gateway/messages.py
+++ b/acaciaspoke/gateway/messages.py
@@ -12,6 +12,7 @@
 import msgspec
 
 from acaciaspoke.clients.table import Condition, Put, Transaction
+from acaciaspoke.gateway.fairness.shares import WorkspaceTokens
 from acaciaspoke.gateway.message_base import (
     BaseMessage,
     Count,
@@ -38,6 +39,7 @@
     ServiceId,
     SoftwareVersion,
     UpstreamId,
+    WorkspaceId,
 )
 from acaciaspoke.platform.versions import to_version
 
@@ -71,6 +73,8 @@
             Hosts of earlier releases neither send nor read it.
         held_parts: Shared prompt parts that engines have just processed. Hosts
             of earlier releases neither send nor read it.
+        workspaces: Tokens of requests by workspace, if there are workspaces.
+        waiting_over: Those waiting that are beyond their workspace's share.
     """
 
     in_flight: dict[UpstreamId, int] = {}
@@ -88,6 +92,8 @@
     brittle: dict[UpstreamId, LimitReport] = {}
     slowdowns: dict[UpstreamId, SlowdownReport] = {}
     held_parts: dict[UpstreamId, tuple[HeldPart, ...]] = {}
+    workspaces: dict[WorkspaceId, WorkspaceTokens] = {}
+    waiting_over: dict[ModelId, dict[int, int]] = {}
 
 
 class ReadProgress(NamedTuple):
--- a/acaciaspoke/gateway/metrics.py
+++ b/acaciaspoke/gateway/metrics.py
@@ -12,6 +12,7 @@
 )
 from prometheus_client.exposition import CONTENT_TYPE_PLAIN_0_0_4
 
+from acaciaspoke.gateway.fairness.metrics import FairnessMetrics
 from acaciaspoke.gateway.types import Request
 from acaciaspoke.ids import UpstreamId
 
@@ -143,6 +144,7 @@
         self.unauthenticated = self._counter(
             "unauthenticated", "Requests without an API key of a workspace"
         )
+        self.fairness = FairnessMetrics(self.registry)
         self.quota_asks = self._counter(
             "quota_asks", "Asks for tokens of workspaces with a quota"
         )
