--- a/test/gateway/test_untrusted_clients.py
+++ b/test/gateway/test_untrusted_clients.py
@@ -152,6 +152,16 @@
             self.address, 8, lambda: blocks(CHUNKED + IDS + b"\r\n", chunk)
         )
 
+    async def test_large_bodies_without_end(self):
+        # Each is within the configured limit, but not all of them together.
+        limits = {"max-body-bytes": 4 << 20}
+        self.store.put("op", "config", configuration(3, limits=limits))
+        start = b"POST /safe/x HTTP/1.1\r\nHost: a.example\r\n" + IDS
+        start += b"Content-Length: %d\r\n\r\n" % (4 << 20)
+        body = [start, *63 * [b"x" * 65_536]]
+        await asyncio.sleep(1)
+        await self._send(self.address, 40, lambda: body)
+
     async def test_slow_senders(self):
         head = b"POST /safe/x HTTP/1.1\r\nHost: a\r\nContent-Length: 9\r\n\r\n"
         await self._send(
