Bound what clients' connections can make a process hold

Trailers were appended to a request's headers; all of what a read of 256 KiB had brought was parsed, up to 16,000 requests, and reading went on after each response; nothing limited the number of connections.

- datagrams of more than 4,096 hosts without a row are ignored, and invalid ones are logged every 5 s at most.

--- a/acaciaspoke/gateway/metrics.py
+++ b/acaciaspoke/gateway/metrics.py
@@ -167,6 +167,18 @@
         self.declined = self._counter(
             "declined", "Forwarded requests that this host declined"
         )
+        self.connection_limits = Counter(
+            "acaciaspoke_connection_limits",
+            "Connections that reached a bound, by which one",
+            ["limit"],
+            registry=self.registry,
+        )
+        self.connections = self._gauge(
+            "connections", "Open connections of all listeners"
+        )
+        self.connection_bytes = self._gauge(
+            "connection_bytes", "Input and unread output of connections"
+        )
         self.faults = self._counter("faults", "Unexpected errors")
         self.log_lines_dropped = self._gauge(
             "log_lines_dropped", "Log lines dropped for lack of room"
--- a/acaciaspoke/gateway/peers.py
+++ b/acaciaspoke/gateway/peers.py
@@ -27,6 +27,12 @@
 # before they are sent.
 MAX_QUEUED_DATAGRAMS = 256
 
+# Hosts without a row that are heard of at the same time. Anyone who reaches the
+# port can send datagrams under names without end.
+MAX_UNREGISTERED_HOSTS = 4096
+
+INVALID_LOG_INTERVAL_S = 5.0
+
 
 class HostRow(msgspec.Struct, frozen=True, kw_only=True):
     """A host's row in the store, with its address for datagrams.
@@ -87,6 +93,8 @@
         # Live hosts whose rows the store lacks.
         self._unregistered: set[HostId] = set()
         self._last_seen_s: dict[HostId, float] = {}
+        self._invalid_datagrams = 0
+        self._invalid_log_due_s = 0.0
         self._outbox, self._queue = anyio.create_memory_object_stream[
             tuple[bytes, str, int]
         ](MAX_QUEUED_DATAGRAMS)
@@ -112,7 +120,7 @@
         try:
             message = decode(data)
         except msgspec.MsgspecError as error:
-            logger.warning("invalid datagram ignored: {}", error)
+            self._log_invalid(str(error))
             return
         now_s = time.monotonic()
         if message.host not in self._last_seen_s:
@@ -120,9 +128,27 @@
                 host: self._last_seen_s[host]
                 for host in self._heard_of(now_s, UNREGISTERED_MAX_AGE_S)
             }
+            max_hosts = len(self.rows) + MAX_UNREGISTERED_HOSTS
+            is_full = len(self._last_seen_s) >= max_hosts
+            if is_full and message.host not in self.rows:
+                self._log_invalid("too many hosts without a row")
+                return
         self._last_seen_s[message.host] = now_s
         self._handle(message)
 
+    def _log_invalid(self, reason: str) -> None:
+        self._invalid_datagrams += 1
+        now_s = time.monotonic()
+        if now_s < self._invalid_log_due_s:
+            return
+        self._invalid_log_due_s = now_s + INVALID_LOG_INTERVAL_S
+        logger.warning(
+            "invalid datagram ignored: {}",
+            reason,
+            times=self._invalid_datagrams,
+        )
+        self._invalid_datagrams = 0
+
     def post(self, message: Message, hosts: Iterable[HostId]) -> None:
         """Queues a message to some hosts; drops it if the queue is full."""
         data = encode(message)
--- a/acaciaspoke/gateway/process.py
+++ b/acaciaspoke/gateway/process.py
@@ -307,7 +307,9 @@
             is_draining=lambda: not self.drain.serving,
             is_detached=lambda: self.is_detached,
         )
-        self._servers = GatewayServers(self.app, settings, self.limits)
+        self._servers = GatewayServers(
+            self.app, settings, self.limits, self.metrics
+        )
 
     @property
     def is_ready(self) -> bool:
--- a/acaciaspoke/gateway/protocol.py
+++ b/acaciaspoke/gateway/protocol.py
@@ -7,6 +7,7 @@
 
 from acaciaspoke.entry.caller import BODY_TIMEOUT_S
 from acaciaspoke.gateway.types import CallerLimits
+from acaciaspoke.util.connections import ConnectionLimiter
 from acaciaspoke.util.http_protocol import HttpProtocol
 from acaciaspoke.util.net import has_unread_data
 
@@ -25,13 +26,19 @@
 
 
 def limited_protocol(
-    limits: Callable[[], CallerLimits],
+    limits: Callable[[], CallerLimits], connections: ConnectionLimiter
 ) -> type[HttpProtocol]:
-    """Returns a protocol class that applies the current ``limits``."""
+    """Returns a protocol class that applies the current ``limits``.
+
+    Args:
+        limits: Returns the limits in force.
+        connections: Bounds what connections hold.
+    """
 
     class LimitedProtocol(HttpProtocol):
         """Limits the size and time of headers, and idle connections."""
 
+        limiter = connections
         _idle_since_s = 0.0
         _in_header = False
         _header_since_s = 0.0
@@ -48,10 +55,10 @@
             self._stop_header_timer()
             super().connection_lost(exc)
 
-        def data_received(self, data: bytes) -> None:
+        def parse(self, data: bytes) -> None:
             was_in_message = self._in_message
             self._begun_in_read = 0
-            super().data_received(data)
+            super().parse(data)
             if not self._in_header:
                 self._watch_rest()
                 return
--- a/acaciaspoke/gateway/servers.py
+++ b/acaciaspoke/gateway/servers.py
@@ -8,9 +8,15 @@
 from acaciaspoke.entry.pool import KEEPALIVE_S
 from acaciaspoke.gateway.app import GatewayApp
 from acaciaspoke.gateway.forwarded_headers import MAX_ADDED_BYTES
+from acaciaspoke.gateway.metrics import GatewayMetrics
 from acaciaspoke.gateway.protocol import limited_protocol
 from acaciaspoke.gateway.settings import GatewaySettings
 from acaciaspoke.gateway.types import CallerLimits
+from acaciaspoke.util.connections import (
+    ConnectionLimiter,
+    derive_bounds,
+    max_descriptors,
+)
 from acaciaspoke.util.server import HttpServer
 
 
@@ -35,6 +41,7 @@
         app: GatewayApp,
         settings: GatewaySettings,
         limits: Callable[[], CallerLimits],
+        metrics: GatewayMetrics,
     ):
         """Configures the servers without listening.
 
@@ -42,18 +49,28 @@
             app: The application.
             settings: The addresses.
             limits: Returns the limits for callers.
+            metrics: Count connections at their bounds.
         """
+        memory_bytes = settings.memory_mb * 1024 * 1024
+        connections = ConnectionLimiter(
+            derive_bounds(memory_bytes, max_descriptors()),
+            lambda limit: metrics.connection_limits.labels(limit).inc(),
+        )
+        metrics.connections.set_function(lambda: len(connections))
+        metrics.connection_bytes.set_function(lambda: connections.held_bytes)
         self._for_callers = HttpServer(
             app,
             settings.listen,
             settings.ready_listen,
             f"{settings.address}:{settings.metrics_port}",
-            protocol=limited_protocol(limits),
+            protocol=limited_protocol(limits, connections),
         )
         self._for_hosts = HttpServer(
             app,
             f"{settings.address}:{settings.peer_port}",
-            protocol=limited_protocol(lambda: host_limits(limits())),
+            protocol=limited_protocol(
+                lambda: host_limits(limits()), connections
+            ),
         )
 
     async def start(self, tasks: anyio.abc.TaskGroup) -> None:
--- a/acaciaspoke/util/server.py
+++ b/acaciaspoke/util/server.py
@@ -19,6 +19,13 @@
 
 LATE_CONNECTIONS_INTERVAL_S = 0.1
 
+# Connections that wait in the kernel.
+LISTEN_BACKLOG = 2048
+
+# asyncio accepts as many connections as its backlog before it calls the
+# protocol, which closes some at the limit. 2,048 exhausted the descriptors.
+ACCEPTED_AT_ONCE = 8
+
 
 class ServerError(ListenError):
     """The server cannot listen on its address."""
@@ -68,6 +75,7 @@
             uvicorn.Config(
                 app,
                 access_log=False,
+                backlog=ACCEPTED_AT_ONCE,
                 date_header=False,
                 http=protocol,
                 lifespan="off",
@@ -87,13 +95,19 @@
         """
         sockets = [_listen(address) for address in self._addresses]
         async with anyio.create_task_group() as tasks:
-            tasks.start_soon(self._report_start, task_status)
+            tasks.start_soon(self._report_start, sockets, task_status)
             await self._server.serve(sockets)
             tasks.cancel_scope.cancel()
 
-    async def _report_start(self, task_status) -> None:
+    async def _report_start(
+        self, sockets: list[socket.socket], task_status
+    ) -> None:
         while not self._server.started:
             await anyio.sleep(START_CHECK_INTERVAL_S)
+        for listener in sockets:
+            # uvicorn listens with the number that is accepted at once.
+            with contextlib.suppress(OSError):
+                listener.listen(LISTEN_BACKLOG)
         task_status.started()
 
     def stop(self) -> None:
