--- a/acaciaspoke/gateway/process.py
+++ b/acaciaspoke/gateway/process.py
@@ -327,7 +327,9 @@
                 time.monotonic(), self._started_s, len(self._peers.rows)
             ),
         )
-        self._servers = GatewayServers(self.app, settings, self.limits)
+        self._servers = GatewayServers(
+            self.app, settings, self.limits, self.metrics
+        )
 
     @property
     def is_ready(self) -> bool:
--- a/acaciaspoke/gateway/protocol.py
+++ b/acaciaspoke/gateway/protocol.py
@@ -7,6 +7,7 @@
 
 from acaciaspoke.entry.caller import BODY_TIMEOUT_S
 from acaciaspoke.gateway.types import CallerLimits
+from acaciaspoke.util.connections import ConnectionLimiter
 from acaciaspoke.util.http_protocol import HttpProtocol
 from acaciaspoke.util.net import has_unread_data
 
@@ -25,13 +26,19 @@
 
 
 def limited_protocol(
-    limits: Callable[[], CallerLimits],
+    limits: Callable[[], CallerLimits], connections: ConnectionLimiter
 ) -> type[HttpProtocol]:
-    """Returns a protocol class that applies the current ``limits``."""
+    """Returns a protocol class that applies the current ``limits``.
+
+    Args:
+        limits: Returns the limits in force.
+        connections: Bounds what connections hold.
+    """
 
     class LimitedProtocol(HttpProtocol):
         """Limits the size and time of headers, and idle connections."""
 
+        limiter = connections
         _idle_since_s = 0.0
         _in_header = False
         _header_since_s = 0.0
@@ -48,10 +55,10 @@
             self._stop_header_timer()
             super().connection_lost(exc)
 
-        def data_received(self, data: bytes) -> None:
+        def parse(self, data: bytes) -> None:
             was_in_message = self._in_message
             self._begun_in_read = 0
-            super().data_received(data)
+            super().parse(data)
             if not self._in_header:
                 self._watch_rest()
                 return
@@ -68,7 +75,7 @@
             self._begun_in_read += 1
             self._header_bytes = 0
             self._header_timer = self.loop.call_later(
-                limits().header_timeout_s, self._refuse_head, _TIMEOUT
+                limits().header_timeout_s, self._on_header_timeout
             )
 
         def on_headers_complete(self) -> None:
@@ -150,6 +157,15 @@
                 wait_s, self.timeout_keep_alive_handler
             )
 
+        def _on_header_timeout(self) -> None:
+            if self.flow.is_held:
+                # The rest may have arrived, but is not parsed yet.
+                self._header_timer = self.loop.call_later(
+                    limits().header_timeout_s, self._on_header_timeout
+                )
+            else:
+                self._refuse_head(_TIMEOUT)
+
         def _refuse_head(self, status: bytes) -> None:
             self._in_header = False
             self._stop_header_timer()
