--- a/acaciaspoke/gateway/demand.py
+++ b/acaciaspoke/gateway/demand.py
@@ -5,11 +5,11 @@
 from collections.abc import Mapping
 from typing import NamedTuple
 
+from acaciaspoke.gateway.message_base import is_superseded
 from acaciaspoke.gateway.messages import (
     ArtifactDemand,
     DemandDigest,
     VersionDemand,
-    is_superseded,
 )
 from acaciaspoke.gateway.types import Artifact
 from acaciaspoke.gateway.unserved import UnservedTimes
--- a/acaciaspoke/gateway/dispatch.py
+++ b/acaciaspoke/gateway/dispatch.py
@@ -238,7 +238,7 @@
         self.fleet.places.begin_round()
         if not self._waiting:
             return
-        slowdowns, mean_slowdowns = self.fleet.relative_slowdowns(now_s)
+        slowdowns, mean_slowdowns = self.fleet.slowdowns.relative_factors(now_s)
         loads = Loads(
             self.fleet.loads(now_s),
             self.fleet.prefill_tokens(now_s),
--- a/acaciaspoke/gateway/fleet.py
+++ b/acaciaspoke/gateway/fleet.py
@@ -12,7 +12,7 @@
 from acaciaspoke.gateway.peerloads import PeerLoads
 from acaciaspoke.gateway.prompts import Holdings
 from acaciaspoke.gateway.reachability import Reachability
-from acaciaspoke.gateway.slowdown import Slowdowns, to_relative
+from acaciaspoke.gateway.slowdown import Slowdowns
 from acaciaspoke.gateway.types import (
     Artifact,
     Request,
@@ -66,7 +66,7 @@
             self.prefill_tokens_per_s, self.holdings.record_prefill
         )
         self.limits = UpstreamLimits(self._started_ms)
-        self.slowdowns = Slowdowns(self._started_ms)
+        self.slowdowns = Slowdowns(self._started_ms, self._service_of)
         self.brittle = BrittleUpstreams(self.upstreams, self._started_ms)
         self.places = HostPlaces(self.brittle)
         self.links = Links()
@@ -427,21 +427,6 @@
             *(digest.slow for digest in self.peer_loads.fresh(now_s))
         )
 
-    def relative_slowdowns(
-        self, now_s: float
-    ) -> tuple[dict[UpstreamId, float], dict[UpstreamId, float]]:
-        """Returns slowdowns relative to the upstreams' services.
-
-        Returns:
-            Those of now, and their means over some seconds.
-        """
-        means = self.slowdowns.mean_factors()
-        factors = self.slowdowns.factors(now_s)
-        return (
-            to_relative(factors, means, self._service_of),
-            to_relative(means, means, self._service_of),
-        )
-
     def _service_of(self, upstream_id: UpstreamId) -> ServiceId | None:
         upstream = self.upstreams.get(upstream_id)
         return upstream.record.service if upstream else None
--- a/acaciaspoke/gateway/loadexchange.py
+++ b/acaciaspoke/gateway/loadexchange.py
@@ -14,6 +14,7 @@
     LoadAggregator,
     rank_aggregators,
 )
+from acaciaspoke.gateway.message_base import is_superseded
 from acaciaspoke.gateway.messages import (
     DomainLoads,
     LoadDigest,
@@ -22,7 +23,6 @@
     ReadProgress,
     SendBatch,
     SendNotice,
-    is_superseded,
 )
 from acaciaspoke.gateway.peers import Peers
 from acaciaspoke.ids import DomainId, HostId, UpstreamId
--- a/acaciaspoke/gateway/message_base.py
+++ b/acaciaspoke/gateway/message_base.py
@@ -31,3 +31,8 @@
     host: HostId = HostId("")
     boot: BootId = BootId("")
     sequence: int = 0
+
+
+def is_superseded(message: BaseMessage, known: BaseMessage) -> bool:
+    """Returns whether a known message of the same boot is as new or newer."""
+    return known.boot == message.boot and known.sequence >= message.sequence
--- a/acaciaspoke/gateway/messages.py
+++ b/acaciaspoke/gateway/messages.py
@@ -409,11 +409,6 @@
     is_scarce: bool = False
 
 
-def is_superseded(message: BaseMessage, known: BaseMessage) -> bool:
-    """Returns whether a known message of the same boot is as new or newer."""
-    return known.boot == message.boot and known.sequence >= message.sequence
-
-
 Message = (
     LoadDigest
     | DomainLoads
--- a/acaciaspoke/gateway/peerloads.py
+++ b/acaciaspoke/gateway/peerloads.py
@@ -6,10 +6,10 @@
 
 from acaciaspoke.gateway.engine_speed import DEFAULT_PREFILL_TOKENS_PER_S
 from acaciaspoke.gateway.fairness.shares import WorkspaceTokens, sum_tokens
+from acaciaspoke.gateway.message_base import is_superseded
 from acaciaspoke.gateway.messages import (
     LoadDigest,
     SendNotice,
-    is_superseded,
 )
 from acaciaspoke.gateway.slowdown import SlowdownReport, newest_reports
 from acaciaspoke.ids import HostId, UpstreamId, WorkspaceId
--- a/acaciaspoke/gateway/process.py
+++ b/acaciaspoke/gateway/process.py
@@ -23,8 +23,7 @@
 from acaciaspoke.gateway.known_leader import KnownLeader
 from acaciaspoke.gateway.leader import Leader
 from acaciaspoke.gateway.leader_eligibility import LeaderEligibility
-from acaciaspoke.gateway.limit_exchange import LimitExchange
-from acaciaspoke.gateway.link_prober import SILENCE_S, LinkProber
+from acaciaspoke.gateway.link_prober import LinkProber
 from acaciaspoke.gateway.load_reports import waiting_by_model
 from acaciaspoke.gateway.loadexchange import LoadExchange
 from acaciaspoke.gateway.message_router import MessageRouter
@@ -36,8 +35,7 @@
 from acaciaspoke.gateway.metrics import GatewayMetrics
 from acaciaspoke.gateway.peer_lease_table import PeerLeaseTable
 from acaciaspoke.gateway.peers import Peers
-from acaciaspoke.gateway.place_exchange import PlaceExchange
-from acaciaspoke.gateway.quotas import QuotaExchange, QuotaGate
+from acaciaspoke.gateway.quotas import QuotaGate
 from acaciaspoke.gateway.registration import Registration
 from acaciaspoke.gateway.registry import UpstreamRegistry
 from acaciaspoke.gateway.reload import log_reloads
@@ -51,12 +49,13 @@
 )
 from acaciaspoke.gateway.servers import GatewayServers
 from acaciaspoke.gateway.settings import GatewaySettings
+from acaciaspoke.gateway.sharing import make_sharing
 from acaciaspoke.gateway.stop_limit import limit_stop
 from acaciaspoke.gateway.stream_store import StreamStore
 from acaciaspoke.gateway.supervision import run_supervised
 from acaciaspoke.gateway.table_follower import ConfigurationLag
 from acaciaspoke.gateway.types import CallerLimits, Configuration
-from acaciaspoke.gateway.upstream_notices import count_upstreams
+from acaciaspoke.gateway.upkeep import Upkeep
 from acaciaspoke.ids import BootId, HostId
 from acaciaspoke.platform.store import (
     HOSTS_TABLE,
@@ -71,9 +70,6 @@
 
 STORE_TIMEOUT_S = 1.0
 
-# How often deadlines, unresponsive engines and removed upstreams are checked.
-TICK_S = 0.05
-
 # Hosts that are asked at once for a newer configuration.
 MAX_ASKED_HOSTS = 3
 
@@ -94,7 +90,6 @@
         self._settings_path = settings_path
         self.metrics = GatewayMetrics()
         self._settings = settings
-        self._log_writer = log_writer
         self._boot = BootId(uuid.uuid4().hex[:12])
         self._sequence = 0
         self._started_s = time.monotonic()
@@ -158,8 +153,8 @@
             self._forwarder,
             suspect_links=lambda: self._link_prober.suspect(),
             quotas=QuotaGate(
-                lambda *ask: self._quotas.ask(*ask),
-                lambda *tokens: self._quotas.give_back(*tokens),
+                lambda *ask: self._sharing.quotas.ask(*ask),
+                lambda *tokens: self._sharing.quotas.give_back(*tokens),
                 random.random,
             ),
         )
@@ -227,32 +222,26 @@
             lease_holder=lambda: self._leader.lease.holder,
             is_ready=lambda: self.is_ready,
         )
-        self._limits = LimitExchange(
-            settings.host_id,
-            self._dispatcher,
-            self.metrics,
-            self._post,
-            self._loads.live,
-            count_hosts=lambda: len(self._peers.rows),
-            on_tokens=self._request_handler.dispatch,
-        )
-        self._quotas = QuotaExchange(
-            settings.host_id,
+        self._sharing = make_sharing(
+            settings,
             self._boot,
+            self._dispatcher,
             self.metrics,
             self._post,
-            self._quota_hosts,
-            count_hosts=lambda: len(self._peers.rows),
-            local_link_mbps=settings.link_mbps,
+            self._peers,
+            self._loads,
+            self._request_handler.dispatch,
         )
-        self._places = PlaceExchange(
-            settings.host_id,
+        self._upkeep = Upkeep(
             self._dispatcher,
+            self._request_handler,
+            self._registry,
+            self._peers,
+            self._link_prober,
+            self._forwarder,
+            self._eligibility.is_own_loss,
             self.metrics,
-            self._post,
-            self._loads.live,
-            count_hosts=lambda: len(self._peers.rows),
-            on_places=self._request_handler.dispatch,
+            log_writer,
         )
         self._row_relay = RowRelay(
             settings.drain_ms / 1000,
@@ -268,9 +257,9 @@
             leader=self._leader,
             known_leader=self._known_leader,
             loads=self._loads,
-            limits=self._limits,
-            places=self._places,
-            quotas=self._quotas,
+            limits=self._sharing.limits,
+            places=self._sharing.places,
+            quotas=self._sharing.quotas,
             row_relay=self._row_relay,
             configuration_relay=self._configuration_relay,
             peer_lease_table=self._peer_lease_table,
@@ -362,7 +351,7 @@
         self._configuration_relay.record(without_plain_keys(value))
         self._dispatcher.set_configuration(configuration)
         self._leader.set_configuration(configuration)
-        self._quotas.set_configuration(configuration)
+        self._sharing.quotas.set_configuration(configuration)
         self.app.set_configuration(configuration)
         self._configuration_lag.record_local_version(configuration.version)
         self.metrics.configuration.set(configuration.version)
@@ -422,14 +411,6 @@
         live = self._loads.live(time.monotonic())
         return random.sample(live, min(count, len(live)))
 
-    def _quota_hosts(self, now_s: float) -> dict[HostId, float]:
-        rows = self._peers.rows
-        return {
-            host: link_mbps
-            for host, link_mbps in self._loads.live_links_mbps(now_s).items()
-            if host in rows and rows[host].knows_workspaces
-        }
-
     def _next_sequence(self) -> int:
         self._sequence += 1
         return self._sequence
@@ -439,27 +420,6 @@
 
     # Tasks.
 
-    async def tick(self) -> None:
-        """Checks deadlines, unresponsive engines and removed upstreams."""
-        while True:
-            await anyio.sleep(TICK_S)
-            self._registry.drop_lapsed(time.monotonic())
-            self._peers.drop_unregistered(time.monotonic())
-            self._request_handler.attempts.stall_watch.record_stalls()
-            if self._dispatcher.is_silent(SILENCE_S, time.monotonic()):
-                self._link_prober.suspect()
-            self._request_handler.crash_guard.review(
-                self._dispatcher.fleet.links,
-                self._eligibility.is_own_loss(time.monotonic()),
-                time.monotonic(),
-            )
-            self._request_handler.dispatch()
-            self.metrics.log_lines_dropped.set(self._log_writer.dropped)
-            self.metrics.waiting.set(self._dispatcher.waiting)
-            count_upstreams(self.metrics, self._dispatcher.fleet)
-            await self._request_handler.attempts.close_unused()
-            await self._forwarder.close_unused()
-
     def _others_can_lead(self, now_s: float) -> bool:
         """Returns whether another host has links to upstreams and goes on."""
         return self._eligibility.others_can_lead(now_s)
@@ -511,14 +471,14 @@
             "calls for peers": self._peer_lease_table.run,
             "digests": self._digests.run,
             "loads": self._loads.run,
-            "limits": self._limits.run,
-            "places": self._places.run,
-            "quotas": self._quotas.run,
+            "limits": self._sharing.limits.run,
+            "places": self._sharing.places.run,
+            "quotas": self._sharing.quotas.run,
             "links": self._link_prober.run,
             "replica waits": self._replica_waits.run,
             "streams": self._streams.run,
             "abandoned runs": self._request_handler.attempts.abandoned_runs.run,
-            "tick": self.tick,
+            "upkeep": self._upkeep.run,
             "stop limit": functools.partial(
                 limit_stop,
                 self.drain,
--- a/acaciaspoke/gateway/slowdown/estimates.py
+++ b/acaciaspoke/gateway/slowdown/estimates.py
@@ -82,14 +82,17 @@
     def __init__(
         self,
         get_started_ms: Callable[[UpstreamId], int | None] = lambda _: None,
+        service_of: Callable[[UpstreamId], ServiceId | None] = lambda _: None,
     ):
         """Creates an object without any figure.
 
         Args:
             get_started_ms: Returns the start of an upstream's process by its
                 record; None if the upstream is not known.
+            service_of: Returns the service of an upstream, likewise.
         """
         self._get_started_ms = get_started_ms
+        self._service_of = service_of
         self._levels: dict[UpstreamId, _Level] = {}
         # What responses to this host said, and when; others know the rest.
         self._local: dict[UpstreamId, tuple[int, float]] = {}
@@ -162,6 +165,20 @@
             for upstream, level in self._levels.items()
         }
 
+    def relative_factors(
+        self, now_s: float
+    ) -> tuple[dict[UpstreamId, float], dict[UpstreamId, float]]:
+        """Returns factors relative to the upstreams' services.
+
+        Returns:
+            Those of now, and their means over some seconds.
+        """
+        means = self.mean_factors()
+        return (
+            to_relative(self.factors(now_s), means, self._service_of),
+            to_relative(means, means, self._service_of),
+        )
+
     def _forget_removed(self) -> None:
         self._levels = {
             upstream: level
