Bound what repeats add to the demand of a workspace

Each refusal of a repeat counted as demand and raised the workspace's lower bound. Unmet tokens now count up to 9 times the running ones or an equal share.

--- a/acaciaspoke/gateway/fairness/order.py
+++ b/acaciaspoke/gateway/fairness/order.py
@@ -14,6 +14,7 @@
 from acaciaspoke.gateway.fairness.shares import (
     WorkspaceTokens,
     capacity_tokens,
+    demands_of,
     fair_shares,
     request_tokens,
     sum_tokens,
@@ -348,10 +349,8 @@
         self._in_use = Counter(
             {name: each.running for name, each in tokens.items()}
         )
-        self._shares = fair_shares(
-            {name: sum(each) for name, each in tokens.items()},
-            capacity_tokens(tokens),
-        )
+        capacity = capacity_tokens(tokens)
+        self._shares = fair_shares(demands_of(tokens, capacity), capacity)
         self._local_shares = {
             name: self._shares[name] * sum(each) / sum(tokens[name])
             for name, each in local.items()
--- a/acaciaspoke/gateway/fairness/shares.py
+++ b/acaciaspoke/gateway/fairness/shares.py
@@ -18,6 +18,11 @@
 # for delayed reports.
 PROPORTIONAL_PART = 0.3
 
+# Unmet tokens count up to this multiple. Repeats of the same request count each
+# time that they are refused, and would raise the lower bound of a workspace
+# above the shares of others. One that is served a tenth of the time is within.
+MAX_UNMET = 9
+
 # Tokens of a request that states none, as in quotas.
 PLAIN_TOKENS = 200
 
@@ -119,6 +124,25 @@
     return running or sum(each.unmet for each in tokens.values()) / 2
 
 
+def demands_of(
+    tokens: Mapping[WorkspaceId, WorkspaceTokens], capacity: float
+) -> dict[WorkspaceId, float]:
+    """Returns the demand of each workspace, in tokens.
+
+    What is unmet counts up to a multiple of what runs, or of an equal share.
+
+    Args:
+        tokens: The tokens of each workspace.
+        capacity: The tokens that upstreams run at a time.
+    """
+    equal = capacity / max(1, len(tokens))
+    return {
+        name: each.running
+        + min(each.unmet, MAX_UNMET * max(each.running, equal))
+        for name, each in tokens.items()
+    }
+
+
 def fair_shares(
     demands: Mapping[WorkspaceId, float], capacity: float
 ) -> dict[WorkspaceId, float]:
--- a/test/gateway/test_fairness.py
+++ b/test/gateway/test_fairness.py
@@ -11,6 +11,7 @@
 from acaciaspoke.gateway.fairness.returns import spread_return
 from acaciaspoke.gateway.fairness.shares import (
     WorkspaceTokens,
+    demands_of,
     fair_shares,
     subtract_counts,
     subtract_tokens,
@@ -75,6 +76,16 @@
             for name, share in shares.items():
                 self.assertLessEqual(share, demands[name] + 1e-9)
 
+    def test_repeats_raise_a_demand_only_so_far(self):
+        # Each repeat counted, so the workspace's lower bound grew with them.
+        tokens = {
+            "a": WorkspaceTokens(running=10, unmet=9000),
+            "b": WorkspaceTokens(running=10, unmet=30),
+        }
+        self.assertEqual({"a": 100, "b": 40}, demands_of(tokens, 20))
+        tokens["a"] = WorkspaceTokens(unmet=9000)
+        self.assertEqual(45, demands_of(tokens, 10)["a"])
+
     def test_sum_without_a_part(self):
         one, two = WorkspaceTokens(1, 2), WorkspaceTokens(3, 4)
         total = sum_tokens([{"a": one}, {"a": two, "b": one}])
