--- a/acaciaspoke/gateway/api_keys/freshness.py
+++ b/acaciaspoke/gateway/api_keys/freshness.py
@@ -7,7 +7,7 @@
 MAX_CONFIRMED_AGE_S = 3.2
 
 
-# For this time after its start a host that knows of others waits to hear of the
+# For this time after its start a host that knows of others waits to learn the
 # version of one of them: the store may have been restored from an old copy.
 DISCOVERY_S = 1.5
 
@@ -15,7 +15,7 @@
 def is_discovering(
     age_s: float, registered: int, has_heard_version: bool
 ) -> bool:
-    """Returns whether a host has yet to hear which version others have.
+    """Returns whether a host has yet to learn which version others have.
 
     Args:
         age_s: Time since the start of its process.
--- a/acaciaspoke/gateway/fleet.py
+++ b/acaciaspoke/gateway/fleet.py
@@ -76,9 +76,11 @@
 
     def prefill_tokens_per_s(self, upstream_id: UpstreamId) -> float:
         """Returns the prefill rate of an engine."""
+        return self.speed.prefill_tokens_per_s(self._service_of(upstream_id))
+
+    def _service_of(self, upstream_id: UpstreamId) -> ServiceId | None:
         upstream = self.upstreams.get(upstream_id)
-        service = upstream.record.service if upstream else None
-        return self.speed.prefill_tokens_per_s(service)
+        return upstream.record.service if upstream else None
 
     def _started_ms(self, upstream_id: UpstreamId) -> int | None:
         upstream = self.upstreams.get(upstream_id)
@@ -427,10 +429,6 @@
             *(digest.slow for digest in self.peer_loads.fresh(now_s))
         )
 
-    def _service_of(self, upstream_id: UpstreamId) -> ServiceId | None:
-        upstream = self.upstreams.get(upstream_id)
-        return upstream.record.service if upstream else None
-
     def loads(self, now_s: float) -> Counter[UpstreamId]:
         """Returns the requests at each upstream, of all hosts."""
         loads = self.peer_loads.loads(now_s)
--- a/acaciaspoke/gateway/leader_eligibility.py
+++ b/acaciaspoke/gateway/leader_eligibility.py
@@ -38,7 +38,7 @@
             fleet: Knows the links to upstreams and the hosts without any.
             peers: Knows the registered hosts.
             loads: Knows the responsive hosts.
-            known_leader: Knows whether a leader is heard of.
+            known_leader: Knows whether there is an active leader.
             lease_holder: Returns the holder in the row of the lease.
             is_ready: Whether this host is ready for requests.
             clock: Returns the time.
--- a/acaciaspoke/gateway/peers.py
+++ b/acaciaspoke/gateway/peers.py
@@ -27,7 +27,7 @@
 # before they are sent.
 MAX_QUEUED_DATAGRAMS = 256
 
-# Hosts without a row that are heard of at the same time. Anyone who reaches the
+# Hosts without a row that are tracked at the same time. Anyone who reaches the
 # port can send datagrams under names without end.
 MAX_UNREGISTERED_HOSTS = 4096
 
