Explain where a request would go now

Operators could not tell why a host chose an upstream, or refused. The new command asks POST /explain on the port for metrics. The dispatcher's own code answers on copies of its state, so that nothing is queued, counted or used.

--- a/acaciaspoke/gateway/app.py
+++ b/acaciaspoke/gateway/app.py
@@ -1,7 +1,7 @@
 """The ASGI application for callers, the readiness check and the metrics."""
 
 import time
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 
 import anyio
 import xxhash
@@ -14,6 +14,7 @@
 from acaciaspoke.gateway.api_keys import ApiKeys, refuse
 from acaciaspoke.gateway.attempt import Relay
 from acaciaspoke.gateway.exchange import RequestHandler
+from acaciaspoke.gateway.explain.document import EXPLAIN_PATH
 from acaciaspoke.gateway.failures import Failure, FailureType, send_failure
 from acaciaspoke.gateway.forwarded_headers import (
     ForwardedFields,
@@ -42,12 +43,17 @@
 NOT_READY_RETRY_AFTER_S = 0.5
 
 
-class _BadRequestError(Exception):
-    """A request that is rejected before it is queued."""
+class BadRequestError(Exception):
+    """A request that is rejected before it is queued.
 
-    def __init__(self, failure: Failure):
+    Attributes:
+        route: Its route, if it has one.
+    """
+
+    def __init__(self, failure: Failure, route: Route | None = None):
         super().__init__(failure.message)
         self.failure = failure
+        self.route = route
 
 
 class GatewayApp:
@@ -56,6 +62,7 @@
     Attributes:
         configuration: The configuration in force; None before the first one.
         open_requests: Number of callers' requests in progress.
+        explain: Serves ``EXPLAIN_PATH`` on the port for metrics.
     """
 
     def __init__(
@@ -74,6 +81,7 @@
     ):
         self.configuration: Configuration | None = None
         self.open_requests = 0
+        self.explain: Callable[..., Awaitable[None]] | None = None
         self._requests = OpenRequests()
         self._routes = RouteTable(())
         self._api_keys = ApiKeys()
@@ -105,6 +113,12 @@
         if port == self._ready_port:
             status = 200 if self._is_ready() else 503
             await _answer(send, status, b"", b"text/plain")
+        elif (
+            port == self._metrics_port
+            and scope["path"] == EXPLAIN_PATH
+            and self.explain is not None
+        ):
+            await self.explain(scope, receive, send)
         elif port == self._metrics_port:
             self._before_exposition()
             body = self._metrics.exposition()
@@ -141,7 +155,7 @@
             await self._serve(
                 caller, scope["target"], path, arrived_s, forwarded
             )
-        except _BadRequestError as error:
+        except BadRequestError as error:
             if forwarded is not None:
                 await self._decline(caller, forwarded, str(error))
                 return
@@ -188,7 +202,7 @@
         arrived_s: float,
         forwarded: ForwardedFields | None,
     ) -> None:
-        self._check(caller, path)
+        self.check(caller, path)
         limits = self.configuration.limits
         try:
             body = await caller.read_body(limits.max_body_bytes)
@@ -200,15 +214,15 @@
             )
             raise
         except CallerError as error:
-            raise _BadRequestError(
+            raise BadRequestError(
                 Failure(FailureType.TOO_LARGE, str(error))
             ) from error
         # A newer configuration may have become active while the body arrived.
-        fields, route, workspace = self._check(caller, path)
+        fields, route, workspace = self.check(caller, path)
         if forwarded is not None and self._is_detached():
             await self._decline(caller, forwarded, "this host is detached")
             return
-        request = _to_request(caller, fields, route, target, body, arrived_s)
+        request = to_request(caller, fields, route, target, body, arrived_s)
         request.workspace = workspace
         if forwarded is not None:
             _apply_forwarded(request, forwarded)
@@ -216,11 +230,21 @@
         relay = Relay(caller, target, body, self._request_handler.body_memory)
         await self._serve_until_disconnect(request, relay)
 
-    def _check(
-        self, caller: Caller, path: str
+    def check(
+        self, caller: Caller, path: str, *, counts: bool = True
     ) -> tuple[RequestFields, Route, Workspace | None]:
+        """Returns the fields, the route and the workspace of a request.
+
+        Args:
+            caller: The request.
+            path: Its path as it was sent.
+            counts: Whether metrics count a request without a valid API key.
+
+        Raises:
+            BadRequestError: If it is rejected.
+        """
         if self.configuration is None:
-            raise _BadRequestError(
+            raise BadRequestError(
                 Failure(
                     FailureType.NOT_READY,
                     "this host has no configuration yet",
@@ -236,20 +260,23 @@
         route = self._routes.match(caller.header("host"), path)
         if route is None:
             failure = Failure(FailureType.NOT_FOUND, "no route for this path")
-            raise _BadRequestError(failure)
+            raise BadRequestError(failure)
         workspace = self._api_keys.find(fields.api_key)
-        refusal = self._refusal(fields.api_key, route)
+        refusal = self._refusal(fields.api_key, route, counts)
         if refusal is not None:
-            raise _BadRequestError(refusal)
+            raise BadRequestError(refusal, route)
         return fields, route, workspace
 
-    def _refusal(self, key: bytes, route: Route) -> Failure | None:
+    def _refusal(
+        self, key: bytes, route: Route, counts: bool = True
+    ) -> Failure | None:
         """Returns the answer to a request without a valid API key."""
         if route.is_public or not self._api_keys.are_required:
             return None
         if self._api_keys.find(key) is not None:
             return None
-        self._metrics.unauthenticated.inc()
+        if counts:
+            self._metrics.unauthenticated.inc()
         return refuse(key, self._may_be_outdated())
 
     def _refusal_of(self, request: Request, relay: Relay) -> Failure | None:
@@ -280,7 +307,7 @@
             return
         if entry.refusal and isinstance(failure, CallerDisconnectedError):
             if not request.starts:
-                raise _BadRequestError(entry.refusal)
+                raise BadRequestError(entry.refusal)
             await answers.answer_revoked(self._metrics, request, relay)
             return
         if isinstance(failure, CallerDisconnectedError):
@@ -292,7 +319,7 @@
             raise failure
 
 
-def _to_request(
+def to_request(
     caller: Caller,
     fields: RequestFields,
     route: Route,
@@ -300,6 +327,7 @@
     body: bytes,
     arrived_s: float,
 ) -> Request:
+    """Returns the request of a caller whose headers are valid."""
     wait_s = route.timeout_s
     if fields.remaining_s is not None:
         wait_s = min(wait_s, fields.remaining_s)
@@ -342,8 +370,8 @@
     return fields.continues
 
 
-def _bad_request(message: str) -> _BadRequestError:
-    return _BadRequestError(Failure(FailureType.BAD_REQUEST, message))
+def _bad_request(message: str) -> BadRequestError:
+    return BadRequestError(Failure(FailureType.BAD_REQUEST, message))
 
 
 async def _cancel_on_disconnect(
--- a/acaciaspoke/gateway/dispatch.py
+++ b/acaciaspoke/gateway/dispatch.py
@@ -19,6 +19,7 @@
     record_prompt_use,
     wait_reason_of,
 )
+from acaciaspoke.gateway.current_loads import current_loads
 from acaciaspoke.gateway.decisions import (
     Assignment,
     Decline,
@@ -238,20 +239,7 @@
         self.fleet.places.begin_round()
         if not self._waiting:
             return
-        slowdowns, mean_slowdowns = self.fleet.relative_slowdowns(now_s)
-        loads = Loads(
-            self.fleet.loads(now_s),
-            self.fleet.prefill_tokens(now_s),
-            self.fleet.slow(now_s),
-            self.fleet.speed,
-            self.fleet.limits.limited().keys(),
-            self.fleet.places.free(now_s),
-            slowdowns,
-            mean_slowdowns,
-            bool(slowdowns) or self.order.is_active,
-            self.fleet.holdings,
-            now_s,
-        )
+        loads = current_loads(self.fleet, self.order.is_active, now_s)
         self._review.begin_round(now_s)
         unreachable = self.fleet.reachability.unreachable(now_s)
         holders: dict[tuple, list[Upstream]] = {}
--- a/acaciaspoke/gateway/fairness/order.py
+++ b/acaciaspoke/gateway/fairness/order.py
@@ -1,5 +1,6 @@
 """The order of waiting requests in a deployment with workspaces."""
 
+import copy
 from collections import Counter
 from collections.abc import Collection, Iterable, Mapping
 
@@ -112,6 +113,20 @@
         # For which services and models requests within shares wait.
         self._awaited: set[tuple[ServiceId, ModelId | None]] = set()
 
+    def copy(
+        self,
+        waiting: Mapping[RequestId, Request],
+        running: Mapping[RequestId, tuple[Request, UpstreamId]],
+    ) -> "FairOrder":
+        """Returns a copy, for copies of the requests, that changes alone."""
+        copied = copy.copy(self)
+        copied._waiting, copied._running = waiting, running
+        copied.unmet = copy.deepcopy(self.unmet)
+        copied._over = self._over.copy()
+        copied._far_over = self._far_over.copy()
+        copied._awaited = self._awaited.copy()
+        return copied
+
     def local_tokens(self, now_s: float) -> dict[WorkspaceId, WorkspaceTokens]:
         """Returns the tokens of this host's requests, for its digest."""
         if not self.is_active:
--- a/acaciaspoke/gateway/host_places.py
+++ b/acaciaspoke/gateway/host_places.py
@@ -48,6 +48,12 @@
         self._grants: dict[ServiceId, _Grant] = {}
         self._waiting: dict[UpstreamId, Counter[int]] = {}
 
+    def copy(self) -> "HostPlaces":
+        """Returns a copy without waiting requests, which asks nobody."""
+        copied = HostPlaces(self._brittle)
+        copied._grants = self._grants.copy()
+        return copied
+
     # Used by the dispatcher.
 
     def begin_round(self) -> None:
--- a/acaciaspoke/gateway/limit_tokens.py
+++ b/acaciaspoke/gateway/limit_tokens.py
@@ -99,6 +99,20 @@
         self._limits = limits
         self._shares: dict[UpstreamId, _Share] = {}
 
+    def copy(self) -> "LimitTokens":
+        """Returns a copy whose use changes nothing here and asks nobody."""
+        copied = LimitTokens(self._limits)
+        copied._shares = {
+            name: msgspec.structs.replace(
+                share,
+                tokens_until_s=share.tokens_until_s.copy(),
+                preferred_s=share.preferred_s.copy(),
+                needed=share.needed.copy(),
+            )
+            for name, share in self._shares.items()
+        }
+        return copied
+
     # Used by the dispatcher.
 
     def begin_round(self) -> None:
--- a/acaciaspoke/gateway/process.py
+++ b/acaciaspoke/gateway/process.py
@@ -18,6 +18,7 @@
 from acaciaspoke.gateway.digests import DigestSender
 from acaciaspoke.gateway.dispatch import Assignment, Dispatcher
 from acaciaspoke.gateway.exchange import RequestHandler
+from acaciaspoke.gateway.explain.handler import Explainer
 from acaciaspoke.gateway.followers import make_followers
 from acaciaspoke.gateway.forwarding import Forwarder, ForwardingHosts
 from acaciaspoke.gateway.known_leader import KnownLeader
@@ -327,6 +328,13 @@
                 time.monotonic(), self._started_s, len(self._peers.rows)
             ),
         )
+        self.app.explain = Explainer(
+            settings.host_id,
+            self.app,
+            self._dispatcher,
+            self._request_handler.crash_guard.parts,
+            self._quotas.owner,
+        )
         self._servers = GatewayServers(
             self.app, settings, self.limits, self.metrics
         )
--- a/acaciaspoke/gateway/quotas/exchange.py
+++ b/acaciaspoke/gateway/quotas/exchange.py
@@ -140,6 +140,10 @@
         for workspace in self._answered_by.keys() - known:
             del self._answered_by[workspace]
 
+    def owner(self, workspace: WorkspaceId) -> HostId | None:
+        """Returns the owner of a workspace's bucket, if it is known."""
+        return self._ownership.owners.get(workspace)
+
     # For requests of this host.
 
     async def ask(
--- a/acaciaspoke/ui/__init__.py
+++ b/acaciaspoke/ui/__init__.py
@@ -12,6 +12,7 @@
     "config": "config",
     "control": "serve",
     "entry": "serve",
+    "explain": "explain",
     "gateway": "serve",
     "report": "report",
     "settings": "serve",
