--- a/test/gateway/test_explain.py
+++ b/test/gateway/test_explain.py
@@ -88,6 +88,8 @@
         for name in ("r1", "r2"):
             dispatcher.submit(request(name, route=low), 0.9)
             list(dispatcher.decide(0.9))
+        (waiting,) = dispatcher.waiting_requests
+        waiting.wait_reason = None
         result = self.check_same(
             dispatcher, lambda: request("q", 1.0, route=low)
         )
@@ -133,15 +135,22 @@
         )
         asks = []
         limit(dispatcher, "u1", now_s=0.9)
+        busy = dispatcher.fleet.upstreams[UpstreamId("u2")]
+        dispatcher.fleet.record_sent(busy, request("r1"))
+        dispatcher.tokens.need(UpstreamId("u1"), 0)
+        dispatcher.fleet.places.need(UpstreamId("u1"), 0)
         dispatcher.tokens.on_needed = lambda: asks.append(1)
-        for tokens in (0, 1):
+        dispatcher.fleet.places.on_needed = lambda: asks.append(1)
+        for tokens, choice in ((0, "u2"), (1, "u1")):
             dispatcher.tokens.add(UpstreamId("u1"), tokens, {}, 0.95)
             before = state_of(dispatcher)
             result = try_request(dispatcher, request("q", 1.0), 1.0)
             self.check_unchanged(before, dispatcher)
             self.assertEqual([], asks)
+            self.assertEqual(choice, result.decided.upstream)
             lacks = {each.upstream: each.lacks for each in result.candidates}
             self.assertEqual([] if tokens else ["token"], lacks["u1"])
+        self.check_same(dispatcher, lambda: request("q", 1.0))
 
     def test_cached_prompt(self):
         """Guards against figures without the cached tokens."""
