Keep the name of the gateway's check of requests

ForwardedKeysTest.test_nothing_logs_the_key replaces GatewayApp._check, which had become public; it failed. The explanation gets a method of its own that no metric counts.

KeysOfRequestsTest, ForwardedKeysTest and LostStoreTest pass (11 tests).

--- a/acaciaspoke/gateway/app.py
+++ b/acaciaspoke/gateway/app.py
@@ -202,7 +202,7 @@
         arrived_s: float,
         forwarded: ForwardedFields | None,
     ) -> None:
-        self.check(caller, path)
+        self._check(caller, path)
         limits = self.configuration.limits
         try:
             body = await caller.read_body(limits.max_body_bytes)
@@ -218,7 +218,7 @@
                 Failure(FailureType.TOO_LARGE, str(error))
             ) from error
         # A newer configuration may have become active while the body arrived.
-        fields, route, workspace = self.check(caller, path)
+        fields, route, workspace = self._check(caller, path)
         if forwarded is not None and self._is_detached():
             await self._decline(caller, forwarded, "this host is detached")
             return
@@ -231,18 +231,24 @@
         await self._serve_until_disconnect(request, relay)
 
     def check(
-        self, caller: Caller, path: str, *, counts: bool = True
+        self, caller: Caller, path: str
     ) -> tuple[RequestFields, Route, Workspace | None]:
         """Returns the fields, the route and the workspace of a request.
 
+        No metric counts it.
+
         Args:
             caller: The request.
             path: Its path as it was sent.
-            counts: Whether metrics count a request without a valid API key.
 
         Raises:
             BadRequestError: If it is rejected.
         """
+        return self._check(caller, path, counts=False)
+
+    def _check(
+        self, caller: Caller, path: str, counts: bool = True
+    ) -> tuple[RequestFields, Route, Workspace | None]:
         if self.configuration is None:
             raise BadRequestError(
                 Failure(
--- a/acaciaspoke/gateway/explain/candidates.py
+++ b/acaciaspoke/gateway/explain/candidates.py
@@ -1,6 +1,6 @@
 """Collects the figures of the upstreams that hold a request's artifact."""
 
-from collections.abc import Callable, Set
+from collections.abc import Callable, Mapping, Set
 
 from acaciaspoke.gateway.balance import (
     UNRESPONSIVE_S,
@@ -109,7 +109,17 @@
     return [name for name, is_lacking in checks.items() if is_lacking]
 
 
-def order_key(candidate: CandidateFigures) -> tuple:
-    """Returns the key by which candidates are listed."""
-    rank = MAX_RANKS + 1 if candidate.rank is None else candidate.rank
-    return (rank, bool(candidate.lacks), candidate.running, candidate.upstream)
+def list_order(
+    upstream: Upstream,
+    loads: Loads,
+    ranks: Mapping[UpstreamId, int],
+    now_s: float,
+) -> tuple:
+    """Returns the key by which upstreams are listed."""
+    name = upstream.record.upstream
+    return (
+        ranks.get(name, MAX_RANKS + 1),
+        not upstream.accepts(now_s),
+        loads.running[name],
+        name,
+    )
--- a/acaciaspoke/gateway/explain/handler.py
+++ b/acaciaspoke/gateway/explain/handler.py
@@ -173,7 +173,7 @@
         now_s = self._clock()
         try:
             fields, route, workspace = self._app.check(
-                parsed.caller, parsed.path, counts=False
+                parsed.caller, parsed.path
             )
         except BadRequestError as error:
             failure = error.failure
--- a/acaciaspoke/gateway/explain/trial.py
+++ b/acaciaspoke/gateway/explain/trial.py
@@ -19,7 +19,7 @@
     MAX_CANDIDATES,
     figures_of,
     find_lacks,
-    order_key,
+    list_order,
     rank_upstreams,
 )
 from acaciaspoke.gateway.explain.document import Admission, CandidateFigures
@@ -132,12 +132,11 @@
             # The decision did not depend on the loads.
             loads = current_loads(self.fleet, self.order.is_active, now_s)
             self._candidates = self._list(holders, holders, loads, now_s)
-        self._candidates.sort(key=order_key)
         return TrialResult(
             decided,
             self._is_yielding,
             admission,
-            self._candidates[:MAX_CANDIDATES],
+            self._candidates,
             len(holders),
         )
 
@@ -186,6 +185,9 @@
             usable,
             lambda upstreams: self._choose(request, upstreams, loads, now_s),
         )
+        listed = sorted(
+            known, key=lambda each: list_order(each, loads, ranks, now_s)
+        )
         return [
             figures_of(
                 request,
@@ -197,7 +199,7 @@
                 ranks.get(upstream.record.upstream),
                 now_s,
             )
-            for upstream in known
+            for upstream in listed[:MAX_CANDIDATES]
         ]
 
     def _assign(
