Check API keys, quotas and untrusted clients in the soak

The soak had no workspaces and no clients that break limits, so that these parts were tested without faults. Workers print the workspace of each request. A gateway that ends by itself is a violation in each run. Plans of known seeds stay as they are.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -1,22 +1,24 @@
 """Runs the soak test: ``python -m soak --seed 1 --minutes 1 --processes 8``."""
 
 import asyncio
+import itertools
 import random
 import shutil
 import signal
 import sys
 import tempfile
 import time
+from collections import Counter
 from collections.abc import Iterator
 from pathlib import Path
 
 import click
 import httpcore
 
-from soak import falls, lost_links
+from soak import falls, lost_links, workspaces
 from soak import takeovers as takeover_checks
 from soak.callers import DEADLINE_S, Callers, Kind
-from soak.deployment import Deployment
+from soak.deployment import MEMORY_MB, Deployment
 from soak.faults import FaultInjector
 from soak.joins import count_shares, find_refused, find_stream_violations
 from soak.plan import MIN_PROCESSES, Plan, make_plan
@@ -102,6 +104,10 @@
         violations = [
             line async for line in _check_recovery(deployment, callers)
         ]
+        if plan.has_workspaces:
+            violations += [
+                line async for line in _check_keys(deployment, callers)
+            ]
         violations += find_violations(
             callers.outcomes,
             deployment.runs(),
@@ -116,6 +122,11 @@
         if plan.has_takeovers or plan.has_lost_links:
             violations += _check_takeovers(deployment, injector, backed)
         violations += _check_falls(deployment)
+        violations += _check_ends(deployment)
+        if plan.untrusted:
+            violations += _check_untrusted(deployment)
+        if plan.has_workspaces:
+            violations += _check_workspaces(deployment, callers)
         if plan.has_lost_links:
             violations += _check_served(deployment, callers)
         answered = sum(one.status == 200 for one in callers.outcomes)
@@ -133,12 +144,13 @@
     paths = [(kind, kind.value) for kind in Kind]
     deadline_s = time.monotonic() + RECOVERY_S
     newest = (Kind.SAFE, f"/version-{deployment.version}/")
+    kept = workspaces.kept(workspaces.OPEN)
     async with httpcore.AsyncConnectionPool() as pool:
         for gateway in range(len(deployment.gateway_addresses)):
             for kind, path in [*paths, newest]:
                 while True:
                     outcome = await callers.send_request(
-                        pool, gateway, kind, path
+                        *(pool, gateway, kind, path, kept)
                     )
                     if outcome.status == 200:
                         break
@@ -190,6 +202,65 @@
     ]
 
 
+async def _check_keys(deployment: Deployment, callers: Callers):
+    """Yields keys that are not answered as the newest version says."""
+    name, version = workspaces.OPEN, deployment.version
+    keys = [(workspaces.of_version(name, version), 200)]
+    if (removed := version - workspaces.HELD_VERSIONS) > 0:
+        keys.append((workspaces.of_version(name, removed), 401))
+    deadline_s = time.monotonic() + RECOVERY_S
+    async with httpcore.AsyncConnectionPool() as pool:
+        for gateway, (key, status) in itertools.product(
+            deployment.gateways, keys
+        ):
+            while True:
+                outcome = await callers.send_request(
+                    *(pool, gateway, Kind.SAFE, Kind.SAFE.value, key)
+                )
+                if outcome.status == status:
+                    break
+                if time.monotonic() > deadline_s:
+                    yield f"gateway{gateway} {key}: {outcome}"
+                    break
+                await asyncio.sleep(0.2)
+
+
+def _check_workspaces(
+    deployment: Deployment, callers: Callers
+) -> Iterator[str]:
+    """Yields what was wrong with keys and quotas; prints numbers."""
+    lines = itertools.chain.from_iterable(deployment.worker_lines().values())
+    records = list(workspaces.read_records(lines))
+    line = workspaces.describe(callers.outcomes, records)
+    print(f"seed {deployment.plan.seed}: {line}", flush=True)
+    yield from workspaces.find_key_violations(callers.outcomes, records)
+    yield from workspaces.find_quota_violations(records)
+
+
+def _check_ends(deployment: Deployment) -> Iterator[str]:
+    """Yields gateways whose processes have ended by themselves."""
+    for number in deployment.gateways:
+        deployment.record_unexpected_end(number)
+    for name, status in deployment.unexpected_ends:
+        yield f"{name} ended by itself with status {status}"
+
+
+def _check_untrusted(deployment: Deployment) -> Iterator[str]:
+    """Yields gateways with too much memory; prints what clients sent."""
+    lines = deployment.read_log("untrusted").splitlines()
+    sent = dict(Counter(line.split()[0] for line in lines))
+    peaks_mb = [deployment.peak_mb(number) for number in deployment.gateways]
+    print(
+        f"seed {deployment.plan.seed}: untrusted clients sent {sent}; gateways"
+        f" had up to {max(peaks_mb):.0f} MB",
+        flush=True,
+    )
+    if max(peaks_mb) > MEMORY_MB:
+        yield f"gateways had up to {peaks_mb} MB of {MEMORY_MB} MB"
+    if deployment.processes["untrusted"].poll() is not None:
+        yield "the untrusted clients have ended by themselves"
+
+
 def _check_falls(deployment: Deployment) -> Iterator[str]:
     """Yields times in which too many workers fell over; prints numbers."""
     workers = len(deployment.plan.plain_workers)
@@ -254,12 +325,14 @@
     takeovers: int = 0,
     stranded: int = 0,
     brittle: int = 0,
+    has_workspaces: bool = False,
+    untrusted: int = 0,
 ) -> list[str]:
     """Runs one seed; keeps its logs if a guarantee was violated."""
     folder = Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
     plan = make_plan(
         *(seed, length_s, processes, restores, releases, takeovers),
-        *(stranded, brittle),
+        *(stranded, brittle, has_workspaces, untrusted),
     )
     violations = asyncio.run(_run(plan, folder))
     if violations:
@@ -325,6 +398,19 @@
     show_default=True,
     help="How often plain workers fall over if they refuse too many requests.",
 )
+@click.option(
+    "--workspaces",
+    "has_workspaces",
+    is_flag=True,
+    help="Requests need keys of workspaces.",
+)
+@click.option(
+    "--untrusted",
+    type=click.IntRange(0, 100),
+    default=0,
+    show_default=True,
+    help="How many clients keep to no limit.",
+)
 def main(
     seed: int | None,
     minutes: float,
@@ -336,12 +422,16 @@
     takeovers: int,
     stranded: int,
     brittle: int,
+    has_workspaces: bool,
+    untrusted: int,
 ) -> None:
     """Runs seeds one after the other; fails if a guarantee was violated."""
     if releases and takeovers:
         raise click.UsageError("--releases and --takeovers exclude each other")
     if stranded and takeovers:
         raise click.UsageError("--stranded and --takeovers exclude each other")
+    if stranded and has_workspaces:
+        raise click.UsageError("--stranded and --workspaces exclude each other")
     # Unwinds like an interrupt, so that the started processes are killed.
     signal.signal(signal.SIGTERM, signal.default_int_handler)
     if regressions:
@@ -360,6 +450,7 @@
             run_seed(
                 *(seed, length_s, processes),
                 *(restores, releases, takeovers, stranded, brittle),
+                *(has_workspaces, untrusted),
             )
         )
         seed += 1
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -10,6 +10,7 @@
 
 import httpcore
 
+from soak import workspaces
 from soak.configuration import MIN_IDLE_MS
 from soak.deployment import Deployment
 
@@ -67,6 +68,7 @@
         status: 0 if there was no complete answer.
         problem: Why there was no complete answer although the request was
             sent.
+        key: The key that it had, if requests need keys.
     """
 
     id: str
@@ -78,6 +80,7 @@
     body: bytes = b""
     problem: str = ""
     connection: ConnectionUse = ConnectionUse()
+    key: workspaces.KeyUse | None = None
 
 
 class _ConnectionTrace:
@@ -121,6 +124,7 @@
         self.outcomes: list[Outcome] = []
         self._deployment = deployment
         self._rng = random.Random(seed)
+        self._key_rng = random.Random(f"keys of {seed}")
         self._ids = map("q{}".format, itertools.count())
         self._is_stopped = False
         # The connection of each caller's pool to a gateway.
@@ -164,9 +168,20 @@
                 )
 
     async def send_request(
-        self, pool, gateway: int, kind: Kind, path: str
+        self,
+        pool,
+        gateway: int,
+        kind: Kind,
+        path: str,
+        key: workspaces.KeyUse | None = None,
     ) -> Outcome:
-        """Sends one request and records its outcome."""
+        """Sends one request and records its outcome; draws a missing key."""
+        if not self._deployment.plan.has_workspaces:
+            key = None
+        elif key is None:
+            key = workspaces.choose(
+                self._key_rng, self._deployment.version, time.monotonic()
+            )
         request_id = next(self._ids)
         sent_s = time.monotonic()
         status, body, problem = 0, b"", ""
@@ -177,6 +192,7 @@
         }
         if kind is Kind.STREAM:
             headers["Acaciaspoke-Model"] = self._rng.choice(["m1", "m2"])
+        headers |= key.headers() if key else {}
         last = self._uses.get((pool, gateway), ConnectionUse())
         trace = _ConnectionTrace(last)
         try:
@@ -194,14 +210,14 @@
             status, body = answer.status, answer.content
         except httpcore.ConnectError:
             # The process is down or stopping; nothing was sent.
-            return self._record(request_id, kind, gateway, sent_s, 0, b"", "")
+            return self._record(request_id, kind, gateway, sent_s, 0)
         except (httpcore.NetworkError, httpcore.ProtocolError) as error:
             problem = f"{type(error).__name__}: {error}"
         except TimeoutError:
             problem = f"no answer within {ANSWER_TIMEOUT_S} s"
         return self._record(
             *(request_id, kind, gateway, sent_s, status, body, problem),
-            trace.use,
+            *(trace.use, key),
         )
 
     def _body(self, body: bytes, headers: dict[str, str]):
--- a/soak/configuration.py
+++ b/soak/configuration.py
@@ -2,6 +2,7 @@
 
 import random
 
+from soak import workspaces
 from standins.gateway_documents import engine_spec, gateway_route
 from standins.kv_engine import PREFIX, RETENTION_S
 
@@ -28,6 +29,7 @@
     has_resumable: bool = False,
     has_backups: bool = False,
     has_long: bool = False,
+    has_workspaces: bool = False,
 ) -> dict:
     """Returns a version of the configuration, with a route of its own.
 
@@ -40,6 +42,7 @@
         has_backups: Whether there is a route with long streams that may run
             only once, and engines have KV backups.
         has_long: Whether there is that route; engines have no backups then.
+        has_workspaces: Whether requests need keys of workspaces.
     """
     rng = random.Random(version)
     slots = SLOTS_OF_LONG if has_long else SLOTS
@@ -79,9 +82,11 @@
             route(f"/more-{number}/", "safe", "app")
             for number in range(rng.choice([0, 0, 2000]))
         ]
+    keyed = {"tenants": workspaces.documents(version)}
     return {
         "version": version,
         "routes": routes,
         "services": [{"name": "app"}, {"name": "llm", "engine": engine}],
         "limits": limits,
+        **(keyed if has_workspaces else {}),
     }
--- a/soak/deployment.py
+++ b/soak/deployment.py
@@ -41,6 +41,9 @@
 
 STOP_GRACE_S = 8
 
+# Of a gateway's process.
+MEMORY_MB = 256
+
 # Each third worker does not look for closed connections.
 WORKS_ON_STEP = 3
 
@@ -125,6 +128,7 @@
         link_losses: When gateways had lost their links to workers.
         brittle_times: When plain workers were brittle.
         version: Current version of the configuration.
+        unexpected_ends: Gateways that ended by themselves, with the status.
         processes: The latest process of each name.
         software: The software version of each worker.
         worker_ids: The id of each worker, which changes with a release.
@@ -148,6 +152,9 @@
         self.link_losses: list[LinkLoss] = []
         self.brittle_times: list[BrittleTime] = []
         self.version = 1
+        self.unexpected_ends: list[tuple[str, int]] = []
+        # Processes that were told to end.
+        self._told_to_end: set[subprocess.Popen] = set()
         self._folder = folder
         self.processes: dict[str, subprocess.Popen] = {}
         self._operator_lock = asyncio.Lock()
@@ -214,6 +221,10 @@
             self.start_gateway(number)
         for number in self.gateways:
             await self.wait_until_ready(number)
+        if self.plan.untrusted:
+            numbers = (self.plan.seed, self.plan.untrusted)
+            command = ("soak.untrusted", *map(str, numbers))
+            self._start("untrusted", *command, *self.gateway_addresses)
         return self
 
     async def __aexit__(self, *error) -> None:
@@ -293,6 +304,7 @@
 
     def start_gateway(self, number: int) -> None:
         """Starts a gateway."""
+        self.record_unexpected_end(number)
         ip = self.gateway_addresses[number].split(":")[0]
         settings = {
             "host": f"gateway{number}",
@@ -304,6 +316,7 @@
             "store": self.store_proxies[number].address,
             "metrics_port": PEER_PORT + 2,
             "stop_grace_s": STOP_GRACE_S,
+            "memory_mb": MEMORY_MB,
             "log_level": "debug",
         }
         path = self._folder / f"gateway{number}.json"
@@ -343,8 +356,27 @@
         """Sends a signal to a process, unless it has ended."""
         process = self.processes[name]
         if process.poll() is None:
+            if number in (signal.SIGKILL, signal.SIGTERM):
+                self._told_to_end.add(process)
             process.send_signal(number)
 
+    def peak_mb(self, number: int) -> float:
+        """Returns the largest memory of a gateway's process, if it lives."""
+        process = self.processes[f"gateway{number}"]
+        if process.poll() is not None:
+            return 0.0
+        status = Path(f"/proc/{process.pid}/status").read_text()
+        lines = dict(line.split(":", 1) for line in status.splitlines())
+        return int(lines["VmHWM"].split()[0]) / 1024
+
+    def record_unexpected_end(self, number: int) -> None:
+        """Records if a gateway's process has ended by itself."""
+        process = self.processes.get(f"gateway{number}")
+        if process is None or process in self._told_to_end:
+            return
+        if (status := process.poll()) is not None:
+            self.unexpected_ends.append((f"gateway{number}", status))
+
     async def write_configuration(self) -> None:
         """Writes the current configuration as the operator."""
         async with self._operator_lock:
@@ -353,6 +385,7 @@
                 has_resumable=self.plan.has_releases,
                 has_backups=self.plan.has_takeovers,
                 has_long=self.plan.has_lost_links,
+                has_workspaces=self.plan.has_workspaces,
             )
             body = client.encode_row("op", "config", document)
             await self.post_to_store("/rows-tx", body)
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -88,6 +88,10 @@
 # Share of the processes that are gateways; one other process is the store.
 GATEWAY_SHARE = 0.4
 
+# Changes of the configuration that are added to those of other runs if it has
+# workspaces.
+KEY_CHANGES = 3
+
 MIN_PROCESSES = 7
 
 
@@ -103,6 +107,8 @@
         has_takeovers: Whether streams go on at other engines from copies.
         has_lost_links: Whether gateways lose their links to workers.
         added_plain: Plain workers that are added if these are brittle.
+        has_workspaces: Whether requests need keys of workspaces.
+        untrusted: Clients that keep to no limit.
     """
 
     seed: int
@@ -115,6 +121,8 @@
     has_takeovers: bool = False
     has_lost_links: bool = False
     added_plain: int = 0
+    has_workspaces: bool = False
+    untrusted: int = 0
 
     @property
     def all_workers(self) -> range:
@@ -146,6 +154,8 @@
     takeovers: int = 0,
     stranded: int = 0,
     brittle: int = 0,
+    workspaces: bool = False,
+    untrusted: int = 0,
 ) -> Plan:
     """Returns the plan of a seed.
 
@@ -161,6 +171,8 @@
         takeovers: How many faults make streams go on at other engines.
         stranded: How often gateways lose their links, before the last phase.
         brittle: How often plain workers are brittle.
+        workspaces: Whether requests need keys of workspaces.
+        untrusted: Clients that keep to no limit.
     """
     rng = random.Random(f"{seed} {length_s} {processes}")
     gateways = max(2, round(GATEWAY_SHARE * processes))
@@ -191,7 +203,10 @@
         has_takeovers=takeovers > 0,
         has_lost_links=stranded > 0,
         added_plain=ADDED_PLAIN if brittle else 0,
+        has_workspaces=workspaces,
+        untrusted=untrusted,
     )
+    faults += _make_key_changes(plan)
     faults += _make_brittle(plan, brittle)
     faults += _make_link_losses(plan, stranded)
     faults += _make_releases(plan, releases)
@@ -217,6 +232,19 @@
         )
 
 
+def _make_key_changes(plan: Plan) -> Iterator[Fault]:
+    """Yields changes of the configuration, so that keys are removed."""
+    rng = random.Random(f"keys of {plan.seed}")
+    for _ in range(KEY_CHANGES * plan.has_workspaces):
+        duration_s = rng.uniform(0.1, MAX_FAULT_S)
+        yield Fault(
+            at_s=rng.uniform(0.0, max(0.1, plan.length_s - duration_s)),
+            kind=FaultKind.CHANGE_CONFIGURATION,
+            target=0,
+            duration_s=duration_s,
+        )
+
+
 def _make_releases(plan: Plan, count: int) -> Iterator[Fault]:
     """Yields releases, and the breaks of streams around each of them."""
     rng = random.Random(f"releases of {plan.seed}")
--- a/soak/promises.py
+++ b/soak/promises.py
@@ -41,7 +41,10 @@
             yield f"{one.id} ran {counts[one.id]} times"
         if one.status in NOT_RUN_STATUSES and counts[one.id]:
             yield f"{one.id} ran, but was answered {one.status}"
-        if one.status and one.status not in ALLOWED_STATUSES:
+        # Which keys are answered so is checked in soak/workspaces.py.
+        is_unknown_key = one.status == 401 and one.key is not None
+        is_allowed = one.status in ALLOWED_STATUSES or is_unknown_key
+        if one.status and not is_allowed:
             yield f"{one.id} was answered {one.status}: {one.body[:80]!r}"
         if one.status == 200 and one.body != _expected(one):
             yield f"{one.id} got {one.body[:200]!r}"
--- a/soak/streams.py
+++ b/soak/streams.py
@@ -9,6 +9,7 @@
 import httpcore
 import msgspec
 
+from soak import workspaces
 from soak.callers import MAX_PAUSE_S
 from soak.configuration import RESUMABLE_TIMEOUT_MS
 from soak.deployment import Deployment
@@ -176,6 +177,8 @@
             "Acaciaspoke-Time-Remaining-Ms": str(int(left_s * 1000)),
             "Acaciaspoke-Model": "m1",
         }
+        if self._deployment.plan.has_workspaces:
+            headers |= workspaces.kept(workspaces.OPEN).headers()
         if one.last_event:
             headers["Last-Event-Id"] = str(one.last_event)
             headers["Resumes"] = one.resumes
--- a/standins/worker_process.py
+++ b/standins/worker_process.py
@@ -1,12 +1,13 @@
 """Runs one worker as a process; the arguments are those of ``_main``.
 
-It echoes requests, prints a line for each run and renews its row in a metadata
-store. Events of resumable streams name its software version; like workers of
-the platform it goes on after an event of any version. At SIGUSR1 it reports
-that it drains; at the next one it is ready, and says that its process has
-started again, as a process that has drained ends. Streams of ``kv_engine`` go
-on at other engines from copies. A worker whose requests may wait has only so
-much room, and ``POST /standin/brittle`` makes it brittle (see ``room``).
+It echoes requests, prints a line for each run, and one with the workspace of
+each request, and renews its row in a metadata store. Events of resumable
+streams name its software version; like workers of the platform it goes on after
+an event of any version. At SIGUSR1 it reports that it drains; at the next one
+it is ready, and says that its process has started again, as a process that has
+drained ends. Streams of ``kv_engine`` go on at other engines from copies. A
+worker whose requests may wait has only so much room, and
+``POST /standin/brittle`` makes it brittle (see ``room``).
 """
 
 import asyncio
@@ -18,6 +19,7 @@
 import random
 import signal
 import sys
+import time
 
 import msgspec
 
@@ -31,6 +33,9 @@
 
 EVENTS = 6
 
+# Of the ids in bodies; other bodies may be large.
+MAX_ID_CHARS = 64
+
 # With limited room workers are slower, so that it can be full.
 LIMITED_WORK_S = 0.2
 
@@ -86,13 +91,14 @@
         not_executed = {"Acaciaspoke-Not-Executed": "1"}
         await arrival.answer(421, b"", not_executed)
         return
+    _record(arrival)
     if engine is not None and await engine.handle(arrival):
         return
     if arrival.target.startswith(RESUMABLE_PREFIX):
         await _run_resumable(worker, arrival)
         return
     text = arrival.body.decode()
-    print(f"ran {text}", flush=True)
+    print(f"ran {text[:MAX_ID_CHARS]}", flush=True)
     if not arrival.target.startswith("/stream"):
         await asyncio.sleep(work_s)
         await arrival.answer(body=arrival.body)
@@ -109,6 +115,18 @@
     await arrival.writer.drain()
 
 
+def _record(arrival: Arrival) -> None:
+    """Prints the id, the workspace, whether a key arrived, and the time."""
+    if not arrival.id or arrival.target == "/kv-move":
+        return
+    workspace = arrival.headers.get("acaciaspoke-tenant", "")
+    has_key = int("acaciaspoke-key" in arrival.headers)
+    print(
+        f"request {arrival.id} {workspace} {has_key} {time.monotonic()}",
+        flush=True,
+    )
+
+
 async def _run_resumable(worker: Worker, arrival: Arrival) -> None:
     # The body is that of the stream, over all requests for it.
     print(f"ran {arrival.id}", flush=True)
