--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -110,33 +110,11 @@
             streams.stop()
             backed.stop()
         violations = [
-            line async for line in _check_recovery(deployment, callers)
+            line
+            async for line in _check_all(
+                deployment, injector, callers, streams, backed
+            )
         ]
-        if plan.has_workspaces:
-            violations += [
-                line async for line in _check_keys(deployment, callers)
-            ]
-        violations += find_violations(
-            callers.outcomes,
-            deployment.runs(),
-            deployment.outages,
-            _broken_s(deployment),
-        )
-        if plan.has_releases:
-            violations += [
-                line
-                async for line in _check_streams(deployment, injector, streams)
-            ]
-        if plan.has_takeovers or plan.has_lost_links:
-            violations += _check_takeovers(deployment, injector, backed)
-        violations += _check_falls(deployment)
-        violations += _check_ends(deployment)
-        if plan.untrusted:
-            violations += _check_untrusted(deployment)
-        if plan.has_workspaces:
-            violations += _check_workspaces(deployment, callers)
-        if plan.has_lost_links:
-            violations += _check_served(deployment, callers)
         answered = sum(one.status == 200 for one in callers.outcomes)
         print(
             f"seed {plan.seed}: {len(plan.faults)} faults,"
@@ -147,6 +125,43 @@
         return violations
 
 
+async def _check_all(
+    deployment: Deployment,
+    injector: FaultInjector,
+    callers: Callers,
+    streams: StreamCallers,
+    backed: StreamCallers,
+):
+    """Yields a line for each violated guarantee; prints numbers."""
+    plan = deployment.plan
+    async for line in _check_recovery(deployment, callers):
+        yield line
+    if plan.has_workspaces:
+        async for line in _check_keys(deployment, callers):
+            yield line
+    for line in find_violations(
+        callers.outcomes,
+        deployment.runs(),
+        deployment.outages,
+        _broken_s(deployment),
+    ):
+        yield line
+    if plan.has_releases:
+        async for line in _check_streams(deployment, injector, streams):
+            yield line
+    checks = [_check_falls(deployment), _check_ends(deployment)]
+    if plan.has_takeovers or plan.has_lost_links:
+        checks.append(_check_takeovers(deployment, injector, backed))
+    if plan.untrusted:
+        checks.append(_check_untrusted(deployment))
+    if plan.has_workspaces:
+        checks.append(_check_workspaces(deployment, callers))
+    if plan.has_lost_links:
+        checks.append(_check_served(deployment, callers))
+    for line in itertools.chain.from_iterable(checks):
+        yield line
+
+
 async def _check_recovery(deployment: Deployment, callers: Callers):
     """Yields the requests that still fail after ``RECOVERY_S``."""
     paths = [(kind, kind.value) for kind in Kind]
