--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -7,29 +7,21 @@
 import sys
 import tempfile
 import time
-from collections.abc import Iterator
 from pathlib import Path
 
 import click
-import httpcore
 
-from soak import falls, lost_links
-from soak import takeovers as takeover_checks
-from soak.callers import DEADLINE_S, Callers, Kind
+from soak import workspaces
+from soak.callers import Callers
+from soak.checks import check_all
 from soak.deployment import Deployment
 from soak.faults import FaultInjector
-from soak.joins import count_shares, find_refused, find_stream_violations
 from soak.plan import MIN_PROCESSES, Plan, make_plan
-from soak.promises import find_violations
 from soak.streams import StreamCallers
 from standins import kv_engine
 
 LENGTH_S = 12.0
 
-# Every route must answer through every gateway within this time after the last
-# fault.
-RECOVERY_S = 15.0
-
 CALLERS_PER_GATEWAY = 4
 
 # In runs with lost links, of which the last seconds count.
@@ -88,6 +80,14 @@
                     tasks.create_task(streams.run_caller())
             if plan.added_plain:
                 tasks.create_task(callers.run_steady_caller())
+            if plan.has_workspaces:
+                tasks.create_task(
+                    callers.run_steady_caller(
+                        workspaces.LIMITED_TURN_PER_S,
+                        workspaces.kept(workspaces.LIMITED),
+                        workspaces.is_limited_turn,
+                    )
+                )
             for _ in range(backed_callers * plan.gateways):
                 tasks.create_task(backed.run_caller())
             async with asyncio.TaskGroup() as faults:
@@ -100,24 +100,11 @@
             streams.stop()
             backed.stop()
         violations = [
-            line async for line in _check_recovery(deployment, callers)
+            line
+            async for line in check_all(
+                deployment, injector, callers, streams, backed
+            )
         ]
-        violations += find_violations(
-            callers.outcomes,
-            deployment.runs(),
-            deployment.outages,
-            _broken_s(deployment),
-        )
-        if plan.has_releases:
-            violations += [
-                line
-                async for line in _check_streams(deployment, injector, streams)
-            ]
-        if plan.has_takeovers or plan.has_lost_links:
-            violations += _check_takeovers(deployment, injector, backed)
-        violations += _check_falls(deployment)
-        if plan.has_lost_links:
-            violations += _check_served(deployment, callers)
         answered = sum(one.status == 200 for one in callers.outcomes)
         print(
             f"seed {plan.seed}: {len(plan.faults)} faults,"
@@ -128,123 +115,6 @@
         return violations
 
 
-async def _check_recovery(deployment: Deployment, callers: Callers):
-    """Yields the requests that still fail after ``RECOVERY_S``."""
-    paths = [(kind, kind.value) for kind in Kind]
-    deadline_s = time.monotonic() + RECOVERY_S
-    newest = (Kind.SAFE, f"/version-{deployment.version}/")
-    async with httpcore.AsyncConnectionPool() as pool:
-        for gateway in range(len(deployment.gateway_addresses)):
-            for kind, path in [*paths, newest]:
-                while True:
-                    outcome = await callers.send_request(
-                        pool, gateway, kind, path
-                    )
-                    if outcome.status == 200:
-                        break
-                    if time.monotonic() > deadline_s:
-                        yield f"gateway{gateway} {path}: {outcome}"
-                        break
-                    # Routes may be unknown until the gateway has the newest
-                    # configuration; such answers are not violations.
-                    callers.outcomes.remove(outcome)
-                    await asyncio.sleep(0.2)
-
-
-async def _check_streams(
-    deployment: Deployment, injector: FaultInjector, callers: StreamCallers
-):
-    """Yields what was wrong with resumable streams; prints their shares."""
-    shares = count_shares(
-        callers.streams, injector.injected, deployment.engines
-    )
-    print(f"seed {deployment.plan.seed}: {shares}", flush=True)
-    for line in find_refused(shares):
-        yield line
-    deadline_s = time.monotonic() + RECOVERY_S
-    for gateway in range(len(deployment.gateway_addresses)):
-        while not (await callers.read([gateway])).is_complete:
-            if time.monotonic() > deadline_s:
-                yield f"gateway{gateway}: no resumable stream is complete"
-                break
-    for line in find_stream_violations(
-        callers.streams,
-        deployment.runs(),
-        deployment.outages,
-        _broken_s(deployment),
-    ):
-        yield line
-
-
-def _broken_s(deployment: Deployment) -> list[float]:
-    """Returns when connections broke over which streams may have come."""
-    return deployment.broken_s + [
-        outage.begin_s
-        for outage in deployment.outages
-        if not outage.is_stop
-        and any(
-            # The gateway may have served requests of those without links.
-            loss.begin_s <= outage.begin_s <= loss.end_s + DEADLINE_S
-            for loss in deployment.link_losses
-        )
-    ]
-
-
-def _check_falls(deployment: Deployment) -> Iterator[str]:
-    """Yields times in which too many workers fell over; prints numbers."""
-    workers = len(deployment.plan.plain_workers)
-    for period in deployment.brittle_times:
-        line = falls.describe(period, workers)
-        print(f"seed {deployment.plan.seed}: {line}", flush=True)
-        if falls.has_too_many(period, workers):
-            yield f"{line}: {period}"
-
-
-def _check_served(deployment: Deployment, callers: Callers) -> Iterator[str]:
-    """Yields losses of links in which too few were served; prints shares."""
-    for loss in deployment.link_losses:
-        served = lost_links.count_served(
-            loss, callers.outcomes, deployment.outages
-        )
-        print(f"seed {deployment.plan.seed}: {served}", flush=True)
-        if served.is_too_low:
-            yield f"{served}, {loss}"
-    forwarded = sum(
-        deployment.read_log(f"gateway{number}").count("forwarded to host")
-        for number in deployment.gateways
-    )
-    print(f"seed {deployment.plan.seed}: {forwarded} forwarded", flush=True)
-
-
-def _check_takeovers(
-    deployment: Deployment, injector: FaultInjector, callers: StreamCallers
-) -> Iterator[str]:
-    """Yields what was wrong with streams with copies; prints their numbers."""
-    runs = takeover_checks.group_by_id(
-        takeover_checks.read_runs(
-            deployment.worker_lines(), deployment.kills, time.monotonic()
-        )
-    )
-    cuts = [takeover_checks.Cut(*cut) for cut in deployment.cuts]
-    summary = takeover_checks.summarize(callers.streams, runs, cuts)
-    print(f"seed {deployment.plan.seed}: {summary}", flush=True)
-    yield from takeover_checks.find_takeover_violations(
-        callers.streams,
-        runs,
-        deployment.outages,
-        cuts,
-    )
-    if not deployment.plan.has_lost_links:
-        return
-    closes = list(
-        lost_links.find_closes(
-            callers.streams, injector.injected, deployment.link_losses
-        )
-    )
-    print(f"seed {deployment.plan.seed}: {len(closes)} closes", flush=True)
-    yield from lost_links.find_late_stops(closes, runs, deployment.works_on)
-
-
 def run_seed(
     seed: int,
     length_s: float,
@@ -254,12 +124,14 @@
     takeovers: int = 0,
     stranded: int = 0,
     brittle: int = 0,
+    has_workspaces: bool = False,
+    untrusted: int = 0,
 ) -> list[str]:
     """Runs one seed; keeps its logs if a guarantee was violated."""
     folder = Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
     plan = make_plan(
         *(seed, length_s, processes, restores, releases, takeovers),
-        *(stranded, brittle),
+        *(stranded, brittle, has_workspaces, untrusted),
     )
     violations = asyncio.run(_run(plan, folder))
     if violations:
@@ -325,6 +197,19 @@
     show_default=True,
     help="How often plain workers fall over if they refuse too many requests.",
 )
+@click.option(
+    "--workspaces",
+    "has_workspaces",
+    is_flag=True,
+    help="Requests need keys of workspaces.",
+)
+@click.option(
+    "--untrusted",
+    type=click.IntRange(0, 100),
+    default=0,
+    show_default=True,
+    help="How many clients keep to no limit.",
+)
 def main(
     seed: int | None,
     minutes: float,
@@ -336,12 +221,16 @@
     takeovers: int,
     stranded: int,
     brittle: int,
+    has_workspaces: bool,
+    untrusted: int,
 ) -> None:
     """Runs seeds one after the other; fails if a guarantee was violated."""
     if releases and takeovers:
         raise click.UsageError("--releases and --takeovers exclude each other")
     if stranded and takeovers:
         raise click.UsageError("--stranded and --takeovers exclude each other")
+    if stranded and has_workspaces:
+        raise click.UsageError("--stranded and --workspaces exclude each other")
     # Unwinds like an interrupt, so that the started processes are killed.
     signal.signal(signal.SIGTERM, signal.default_int_handler)
     if regressions:
@@ -360,6 +249,7 @@
             run_seed(
                 *(seed, length_s, processes),
                 *(restores, releases, takeovers, stranded, brittle),
+                *(has_workspaces, untrusted),
             )
         )
         seed += 1
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -4,12 +4,14 @@
 import itertools
 import random
 import time
+from collections.abc import Callable
 from datetime import UTC, datetime
 from enum import Enum
 from typing import NamedTuple
 
 import httpcore
 
+from soak import workspaces
 from soak.configuration import MIN_IDLE_MS
 from soak.deployment import Deployment
 
@@ -67,6 +69,7 @@
         status: 0 if there was no complete answer.
         problem: Why there was no complete answer although the request was
             sent.
+        key: The key that it had, if requests need keys.
     """
 
     id: str
@@ -78,6 +81,7 @@
     body: bytes = b""
     problem: str = ""
     connection: ConnectionUse = ConnectionUse()
+    key: workspaces.KeyUse | None = None
 
 
 class _ConnectionTrace:
@@ -121,6 +125,7 @@
         self.outcomes: list[Outcome] = []
         self._deployment = deployment
         self._rng = random.Random(seed)
+        self._key_rng = random.Random(f"keys of {seed}")
         self._ids = map("q{}".format, itertools.count())
         self._is_stopped = False
         # The connection of each caller's pool to a gateway.
@@ -144,8 +149,19 @@
                 await self.send_request(pool, gateway, kind, kind.value)
                 await asyncio.sleep(self._rng.uniform(0, MAX_PAUSE_S))
 
-    async def run_steady_caller(self) -> None:
-        """Sends plain requests at a steady rate, whatever is answered."""
+    async def run_steady_caller(
+        self,
+        requests_per_s: float = STEADY_REQUESTS_PER_S,
+        key: workspaces.KeyUse | None = None,
+        is_turn: Callable[[float], bool] = lambda _now_s: True,
+    ) -> None:
+        """Sends plain requests at a steady rate, whatever is answered.
+
+        Args:
+            requests_per_s: The rate.
+            key: The key of all requests; drawn for each without it.
+            is_turn: Returns whether requests are sent at a time.
+        """
         gateways = len(self._deployment.gateway_addresses)
         async with (
             httpcore.AsyncConnectionPool(
@@ -156,17 +172,27 @@
             while not self._is_stopped:
                 kind = self._rng.choice([Kind.SAFE, Kind.UNSAFE])
                 gateway = self._rng.randrange(gateways)
-                tasks.create_task(
-                    self.send_request(pool, gateway, kind, kind.value)
-                )
-                await asyncio.sleep(
-                    self._rng.expovariate(STEADY_REQUESTS_PER_S)
-                )
+                if is_turn(time.monotonic()):
+                    tasks.create_task(
+                        self.send_request(pool, gateway, kind, kind.value, key)
+                    )
+                await asyncio.sleep(self._rng.expovariate(requests_per_s))
 
     async def send_request(
-        self, pool, gateway: int, kind: Kind, path: str
+        self,
+        pool,
+        gateway: int,
+        kind: Kind,
+        path: str,
+        key: workspaces.KeyUse | None = None,
     ) -> Outcome:
-        """Sends one request and records its outcome."""
+        """Sends one request and records its outcome; draws a missing key."""
+        if not self._deployment.plan.has_workspaces:
+            key = None
+        elif key is None:
+            key = workspaces.choose(
+                self._key_rng, self._deployment.version, time.monotonic()
+            )
         request_id = next(self._ids)
         sent_s = time.monotonic()
         status, body, problem = 0, b"", ""
@@ -177,6 +203,7 @@
         }
         if kind is Kind.STREAM:
             headers["Acaciaspoke-Model"] = self._rng.choice(["m1", "m2"])
+        headers |= key.headers() if key else {}
         last = self._uses.get((pool, gateway), ConnectionUse())
         trace = _ConnectionTrace(last)
         try:
@@ -194,14 +221,14 @@
             status, body = answer.status, answer.content
         except httpcore.ConnectError:
             # The process is down or stopping; nothing was sent.
-            return self._record(request_id, kind, gateway, sent_s, 0, b"", "")
+            return self._record(request_id, kind, gateway, sent_s, 0)
         except (httpcore.NetworkError, httpcore.ProtocolError) as error:
             problem = f"{type(error).__name__}: {error}"
         except TimeoutError:
             problem = f"no answer within {ANSWER_TIMEOUT_S} s"
         return self._record(
             *(request_id, kind, gateway, sent_s, status, body, problem),
-            trace.use,
+            *(trace.use, key),
         )
 
     def _body(self, body: bytes, headers: dict[str, str]):
