Apply shares only between workspaces that compete

The merged tests of API keys showed it: with one workspace, requests that could wait were refused as beyond its share.

--- a/acaciaspoke/gateway/fairness/order.py
+++ b/acaciaspoke/gateway/fairness/order.py
@@ -1,6 +1,7 @@
 """The order of waiting requests in a deployment with workspaces."""
 
 import copy
+import math
 from collections import Counter
 from collections.abc import Collection, Iterable, Mapping
 
@@ -364,6 +365,12 @@
         self._in_use = Counter(
             {name: each.running for name, each in tokens.items()}
         )
+        is_alone = sum(any(each) for each in tokens.values()) < 2
+        if is_alone and not self._peers_see_shares(now_s):
+            # A workspace that competes with no other one may use everything.
+            self._shares = dict.fromkeys(tokens, math.inf)
+            self._local_shares = {}
+            return
         capacity = capacity_tokens(tokens)
         self._shares = fair_shares(demands_of(tokens, capacity), capacity)
         self._local_shares = {
@@ -372,6 +379,12 @@
             if sum(each)
         }
 
+    def _peers_see_shares(self, now_s: float) -> bool:
+        """Returns whether requests beyond shares wait at other hosts."""
+        return any(
+            digest.waiting_over for digest in self._peer_loads.fresh(now_s)
+        )
+
 
 def _count_within(
     digests: Collection[LoadDigest],
--- a/acaciaspoke/gateway/process.py
+++ b/acaciaspoke/gateway/process.py
@@ -322,7 +322,7 @@
             self.app,
             self._dispatcher,
             self._request_handler.crash_guard.parts,
-            self._quotas.owner,
+            self._sharing.quotas.owner,
         )
         self._servers = GatewayServers(
             self.app, settings, self.limits, self.metrics
--- a/test/gateway/test_fairness.py
+++ b/test/gateway/test_fairness.py
@@ -160,6 +160,19 @@
             ["a", "b"], [each.id for each in dispatcher.order.sort(1.1)]
         )
 
+    def test_workspace_without_competitors_has_no_share(self):
+        # Requests of the only workspace with demand were refused early, as they
+        # were beyond a share that nobody else could use.
+        dispatcher = fair_dispatcher(record("u1", "m1", slots=1))
+        refusals = [
+            dispatcher.submit(of("a", f"a{number}"), 0.0) for number in range(4)
+        ]
+        self.assertEqual([None] * 4, refusals)
+        dispatcher.order.sort(0.0)
+        self.assertFalse(
+            any(map(dispatcher.order.is_over, dispatcher.waiting_requests))
+        )
+
     def test_backlog_of_others_above_their_share_does_not_count(self):
         # A burst of one workspace had requests of others refused at admission.
         dispatcher = fair_dispatcher(record("u1", "m1", slots=1))
