Bound what datagrams under forged names make a process keep

Each name without a row was kept for a minute with its last digests, up to 4,096 of them, and each limit of an upstream that no record names as well.

--- a/acaciaspoke/gateway/peers.py
+++ b/acaciaspoke/gateway/peers.py
@@ -27,9 +27,13 @@
 # before they are sent.
 MAX_QUEUED_DATAGRAMS = 256
 
-# Hosts without a row that are tracked at the same time. Anyone who reaches the
-# port can send datagrams under names without end.
-MAX_UNREGISTERED_HOSTS = 4096
+# Anyone who reaches the port can send datagrams under names without end, and a
+# decoded datagram takes up to 40 times its size. Hosts without a row are
+# therefore few, each counts for as long as its digests are kept, and their
+# datagrams are small. Hosts that start have rows after a second or so.
+MAX_UNREGISTERED_HOSTS = 64
+MAX_UNREGISTERED_BYTES = 8192
+UNREGISTERED_RETENTION_S = 60.0
 
 INVALID_LOG_INTERVAL_S = 5.0
 
@@ -94,6 +98,8 @@
         # Live hosts whose rows the store lacks.
         self._unregistered: set[HostId] = set()
         self._last_seen_s: dict[HostId, float] = {}
+        # When each host that never had a row has last sent a message.
+        self._rowless_s: dict[HostId, float] = {}
         self._invalid_datagrams = 0
         self._invalid_log_due_s = 0.0
         self._outbox, self._queue = anyio.create_memory_object_stream[
@@ -124,19 +130,38 @@
             self._log_invalid(str(error))
             return
         now_s = time.monotonic()
+        refusal = self._refusal(message.host, len(data), now_s)
+        if refusal is not None:
+            self._log_invalid(refusal)
+            return
         if message.host not in self._last_seen_s:
             self._last_seen_s = {
                 host: self._last_seen_s[host]
                 for host in self._heard_of(now_s, UNREGISTERED_MAX_AGE_S)
             }
-            max_hosts = len(self.rows) + MAX_UNREGISTERED_HOSTS
-            is_full = len(self._last_seen_s) >= max_hosts
-            if is_full and message.host not in self.rows:
-                self._log_invalid("too many hosts without a row")
-                return
         self._last_seen_s[message.host] = now_s
         self._handle(message)
 
+    def _refusal(
+        self, host: HostId, size_bytes: int, now_s: float
+    ) -> str | None:
+        """Returns why a datagram is ignored; records hosts without a row."""
+        if host in self.rows:
+            return None
+        if size_bytes > MAX_UNREGISTERED_BYTES:
+            return "large datagram of a host without a row"
+        if host not in self._rowless_s:
+            self._rowless_s = {
+                other: seen_s
+                for other, seen_s in self._rowless_s.items()
+                if now_s - seen_s <= UNREGISTERED_RETENTION_S
+                and other not in self.rows
+            }
+            if len(self._rowless_s) >= MAX_UNREGISTERED_HOSTS:
+                return "too many hosts without a row"
+        self._rowless_s[host] = now_s
+        return None
+
     def _log_invalid(self, reason: str) -> None:
         self._invalid_datagrams += 1
         now_s = time.monotonic()
--- a/acaciaspoke/gateway/upstream_limits.py
+++ b/acaciaspoke/gateway/upstream_limits.py
@@ -29,6 +29,9 @@
 # Limits in one message, which must fit into a datagram.
 MAX_REPORTS = 128
 
+# Limits of upstreams whose records are not known yet. Reports may name any.
+MAX_UNKNOWN_LIMITS = 1024
+
 
 class LimitReport(NamedTuple):
     """What a host knows of an upstream's limit; ages are as of the message.
@@ -236,6 +239,8 @@
         named_s = sent_at_s - report.named_age_s
         since_s = sent_at_s - report.since_age_s
         limit = self._limits.get(upstream)
+        if limit is None and not self._has_room_for(upstream):
+            return None
         if limit is None or limit.started_ms < report.started_ms:
             limit = self._limits[upstream] = _Limit(
                 report.started_ms, report.limit_per_s, since_s, named_s
@@ -259,6 +264,14 @@
                 age_s = report.unlimited_age_s
         return self._change(upstream, before_per_s, age_s)
 
+    def _has_room_for(self, upstream: UpstreamId) -> bool:
+        if self._get_started_ms(upstream) is not None:
+            return True
+        if len(self._limits) < MAX_UNKNOWN_LIMITS:
+            return True
+        known = map(self._get_started_ms, self._limits)
+        return sum(each is None for each in known) < MAX_UNKNOWN_LIMITS
+
     def _change(
         self, upstream: UpstreamId, before_per_s: float | None, age_s: float
     ) -> LimitChange | None:
