Refuse stalled bodies first, and keep fewer copies of large ones

At the memory bound the largest request that was being read was refused, so that stalled bodies kept out each larger upload. Those whose body has grown by less than 16 KiB in 1 s now go first.

--- a/acaciaspoke/gateway/app.py
+++ b/acaciaspoke/gateway/app.py
@@ -350,13 +350,20 @@
         shared_parts=fields.shared_parts,
         prompt_tokens=fields.prompt_tokens,
         output_tokens=fields.output_tokens,
-        fingerprint=xxhash.xxh64_intdigest(target + b"\0" + body),
+        fingerprint=_fingerprint(target, body),
         continues=continues,
         states_tokens=fields.states_tokens,
         prompt_parts=fields.prompt_parts if route.has_session_affinity else (),
     )
 
 
+def _fingerprint(target: bytes, body: bytes) -> int:
+    digest = xxhash.xxh64(target + b"\0")
+    # Without a copy of the body.
+    digest.update(body)
+    return digest.intdigest()
+
+
 def _apply_forwarded(request: Request, forwarded: ForwardedFields) -> None:
     request.forwarded_by = forwarded.host
     request.starts = request.starts_elsewhere = forwarded.starts
--- a/acaciaspoke/gateway/attempt.py
+++ b/acaciaspoke/gateway/attempt.py
@@ -18,6 +18,7 @@
     MAX_ERROR_BODY_BYTES,
     BodyMemory,
     discard_body,
+    in_parts,
     read_body,
 )
 from acaciaspoke.gateway.dispatch import Assignment
@@ -310,7 +311,7 @@
             method=self.caller.method.encode(),
             url=f"http://{address}/",
             headers=headers,
-            content=self.body,
+            content=in_parts(self.body),
             extensions={
                 "target": self.target,
                 "timeout": {"connect": CONNECT_TIMEOUT_S},
--- a/acaciaspoke/gateway/bodies.py
+++ b/acaciaspoke/gateway/bodies.py
@@ -1,11 +1,11 @@
-"""Reads bodies of upstreams' responses within bounds on size and memory.
+"""Reads and sends bodies within bounds on size and memory.
 
 A faulty upstream may send bytes without end. A body or an event that is
 buffered until it is complete therefore has a limit of its own, and all of them
 share the memory that the host has for them.
 """
 
-from collections.abc import Iterator
+from collections.abc import AsyncIterable, AsyncIterator, Iterator
 from contextlib import contextmanager
 
 import anyio
@@ -23,10 +23,32 @@
 # do not make small ones fail.
 UNRESERVED_BYTES = 64 * 1024
 
+# How much of a caller's body is passed to a transport at once.
+SENT_PART_BYTES = 64 * 1024
+
 # Share of the host's memory for all that is buffered together.
 MEMORY_SHARE = 0.25
 
 
+def in_parts(body: bytes) -> bytes | AsyncIterable[bytes]:
+    """Returns the content of a request that is sent a part at a time.
+
+    A transport copies what the upstream has not read yet, of a large body
+    nearly all.
+    """
+    return body if len(body) <= SENT_PART_BYTES else _Parts(body)
+
+
+class _Parts:
+
+    def __init__(self, body: bytes):
+        self._body = body
+
+    async def __aiter__(self) -> AsyncIterator[bytes]:
+        for start in range(0, len(self._body), SENT_PART_BYTES):
+            yield self._body[start : start + SENT_PART_BYTES]
+
+
 class BodyMemory:
     """The memory that buffered bodies and events share.
 
--- a/acaciaspoke/util/connections/limiter.py
+++ b/acaciaspoke/util/connections/limiter.py
@@ -18,6 +18,13 @@
 MIN_CLOSED_BYTES = 16 * 1024
 
 
+# A request whose body grows by less in this time is refused before others at
+# the bound of the process, so that bodies that are never completed do not keep
+# out those that are. Links of 5 Mbit/s bring 40 times as much.
+PROGRESS_BYTES = 16 * 1024
+PROGRESS_S = 1.0
+
+
 class Limit(enum.StrEnum):
     """A bound that was reached."""
 
@@ -65,7 +72,7 @@
         Args:
             bounds: The bounds.
             on_limit: Called each time that a bound is reached.
-            clock: Returns the time in seconds, for the log.
+            clock: Returns the time in seconds.
         """
         self.bounds = bounds
         self.held_bytes = 0
@@ -74,6 +81,8 @@
         # What each holds, with the one that has sent nothing for the longest
         # time first.
         self._held_bytes: dict[BoundedConnection, int] = {}
+        # What each held when it had last grown by ``PROGRESS_BYTES``, and when.
+        self._progress: dict[BoundedConnection, tuple[int, float]] = {}
         self._unlogged: Counter[Limit] = Counter()
         self._log_due_s: dict[Limit, float] = {}
 
@@ -92,6 +101,7 @@
     def remove(self, connection: BoundedConnection) -> None:
         """Removes a connection that was closed."""
         self.held_bytes -= self._held_bytes.pop(connection, 0)
+        self._progress.pop(connection, None)
 
     def touch(self, connection: BoundedConnection) -> None:
         """Records that a connection has sent something."""
@@ -106,6 +116,7 @@
             return
         self._held_bytes[connection] = held_bytes
         self.held_bytes += held_bytes - earlier_bytes
+        self._record_progress(connection, held_bytes)
         is_growing = held_bytes > earlier_bytes
         while is_growing and self.held_bytes > self.bounds.process_bytes:
             if not self._close_largest():
@@ -137,8 +148,26 @@
             )
         )
 
+    def _record_progress(
+        self, connection: BoundedConnection, held_bytes: int
+    ) -> None:
+        base_bytes, _ = self._progress.get(connection, (0, 0.0))
+        if held_bytes < PROGRESS_BYTES:
+            self._progress.pop(connection, None)
+        elif not base_bytes <= held_bytes < base_bytes + PROGRESS_BYTES:
+            self._progress[connection] = held_bytes, self._clock()
+
+    def _stalled(self) -> list[BoundedConnection]:
+        """Returns those whose only request has not grown for a while."""
+        before_s = self._clock() - PROGRESS_S
+        return [
+            connection
+            for connection, (_, grown_s) in self._progress.items()
+            if grown_s <= before_s and connection.is_receiving()
+        ]
+
     def _close_largest(self) -> bool:
-        """Closes the connection that holds the most.
+        """Closes the connection that holds the most, first of stalled ones.
 
         What a running request needs does not count, as it goes on. A request
         that is still being read is refused.
@@ -146,13 +175,15 @@
         Returns:
             Whether there was any that holds ``MIN_CLOSED_BYTES``.
         """
-        largest = max(self._held_bytes, key=self._freed_bytes)
+        candidates = self._stalled() or self._held_bytes
+        largest = max(candidates, key=self._freed_bytes)
         if self._freed_bytes(largest) < MIN_CLOSED_BYTES:
             return False
         self.record(Limit.MEMORY)
         if largest.is_receiving():
             self.held_bytes -= self._held_bytes[largest]
             self._held_bytes[largest] = 0
+            self._progress.pop(largest, None)
             largest.refuse_for_memory()
         else:
             self.remove(largest)
--- a/acaciaspoke/util/http_protocol.py
+++ b/acaciaspoke/util/http_protocol.py
@@ -24,9 +24,9 @@
 # connection.
 LINGER_S = 3.0
 
-# asyncio reads up to 256 KiB at once by default, and each connection may hold
-# as much unparsed.
-READ_BYTES = 64 * 1024
+# asyncio reads up to 256 KiB at once by default. Each connection that sends may
+# hold several copies of what is read until its request takes it.
+READ_BYTES = 16 * 1024
 
 # A closed connection is aborted if its peer reads nothing for this time, as
 # its unread output keeps its descriptor and memory.
--- a/test/util/test_connection_limiter.py
+++ b/test/util/test_connection_limiter.py
@@ -10,6 +10,7 @@
     Limit,
     derive_bounds,
 )
+from acaciaspoke.util.connections.limiter import PROGRESS_BYTES, PROGRESS_S
 
 KIB = 1024
 
@@ -43,10 +44,11 @@
 
     def setUp(self):
         self.limits = []
+        self.now_s = 0.0
         self.limiter = ConnectionLimiter(
             ConnectionBounds(process_bytes=100 * KIB, max_connections=2),
             self.limits.append,
-            clock=lambda: 0.0,
+            clock=lambda: self.now_s,
         )
 
     def _add(self, held_bytes=0, **options):
@@ -81,6 +83,34 @@
         receiving = self._add(100 * KIB, is_receiving=True)
         self.assertEqual((None, "refused"), (stream.ending, receiving.ending))
 
+    def test_stalled_request_is_refused_before_a_larger_one(self):
+        # Stalled bodies kept the memory, and each larger upload was refused.
+        stalled = self._add(40 * KIB, is_receiving=True)
+        self.now_s = PROGRESS_S
+        upload = self._add(70 * KIB, is_receiving=True)
+        self.assertEqual(("refused", None), (stalled.ending, upload.ending))
+
+    def test_request_that_grows_slowly_is_refused_first(self):
+        # A byte now and then does not count as progress.
+        slow = self._add(40 * KIB, is_receiving=True)
+        steady = self._add(45 * KIB, is_receiving=True)
+        self.now_s = PROGRESS_S
+        self.limiter.update(slow, 40 * KIB + 1)
+        self.limiter.update(steady, 45 * KIB + PROGRESS_BYTES)
+        self.assertEqual(("refused", None), (slow.ending, steady.ending))
+
+    def test_stalled_requests_stay_below_the_bound(self):
+        stalled = self._add(60 * KIB, is_receiving=True)
+        self.now_s = 20 * PROGRESS_S
+        small = self._add(20 * KIB, is_receiving=True)
+        self.assertEqual((None, None), (stalled.ending, small.ending))
+
+    def test_running_request_is_not_stalled(self):
+        running = self._add(40 * KIB)
+        self.now_s = PROGRESS_S
+        upload = self._add(70 * KIB, is_receiving=True)
+        self.assertEqual((None, "refused"), (running.ending, upload.ending))
+
     def test_longest_unused_connection_is_closed_first(self):
         first = self._add(is_idle=True)
         second = self._add(is_idle=True)
