--- a/test/gateway/test_untrusted_bodies.py
+++ b/test/gateway/test_untrusted_bodies.py
@@ -9,7 +9,8 @@
 MAX_BODY_BYTES = 4 << 20
 PIECE_BYTES = 64 * 1024
 
-HEAD = b"POST /safe/x HTTP/1.1\r\nHost: a.example\r\nAcaciaspoke-Attempt-Id: q\r\n"
+HEAD = b"POST /safe/x HTTP/1.1\r\nHost: a.example\r\n"
+HEAD += b"Acaciaspoke-Attempt-Id: q\r\n"
 HEAD += b"Acaciaspoke-Time-Remaining-Ms: 60000\r\n"
 
 
--- a/test/gateway/test_untrusted_datagrams.py
+++ b/test/gateway/test_untrusted_datagrams.py
@@ -38,9 +38,7 @@
         await self._flood(os.urandom(size % 1400) for size in itertools.count())
 
     async def test_messages_under_names_without_end(self):
-        row = HostRow(
-            address="127.0.0.1", port=9, failure_domain=DomainId("a")
-        )
+        row = HostRow(address="127.0.0.1", port=9, failure_domain=DomainId("a"))
         self.store.put("hosts", HOST, msgspec.to_builtins(row))
         await asyncio.sleep(1)
         await self._flood(forged_datagrams(HOST))
