Retry a store that turns a host away less often in large deployments

Each call to the store is billed. With more than 16 hosts the pause now doubles up to 1 s, except for rows of upstreams and for a host that has never read the table; a table that is reached again ends the pauses of the others. Newer configurations come from other hosts meanwhile, as before. Test (virtual time): 35 or more calls in 9 s before, 11 or fewer after.

--- a/acaciaspoke/gateway/followers.py
+++ b/acaciaspoke/gateway/followers.py
@@ -9,6 +9,7 @@
     TableFollower,
     feed_wait_s,
     pause_s,
+    retry_pause_s,
 )
 from acaciaspoke.platform.store import UPSTREAMS_TABLE, StoreClient
 
@@ -57,6 +58,9 @@
             metrics,
             lambda: pause_s(table, count_hosts(), drain_s, is_reader()),
             lambda: feed_wait_s(table, count_hosts(), drain_s, is_reader()),
+            retry_s=lambda failures: retry_pause_s(
+                table, count_hosts(), failures
+            ),
             **(relay_callbacks if table == UPSTREAMS_TABLE else {}),
         )
 
--- a/acaciaspoke/gateway/table_follower.py
+++ b/acaciaspoke/gateway/table_follower.py
@@ -25,6 +25,11 @@
 FEED_WAIT_S = 3.0
 RETRY_S = 0.25
 
+# Longest pause between retries in a large deployment. A host that the store
+# turns away makes billed calls in vain, and gets newer configurations and rows
+# of upstreams from other hosts.
+MAX_RETRY_S = 1.0
+
 # Interval of the log lines about a table that stays lost; the reason may have
 # changed.
 LOST_LOG_INTERVAL_S = 2.0
@@ -107,6 +112,19 @@
 ApplyRows = Callable[[list[FeedRow], bool], None]
 
 
+def retry_pause_s(table: str, hosts: int, failures: int) -> float:
+    """Returns the pause between a failed call and the next one.
+
+    Args:
+        table: The table.
+        hosts: Number of hosts that follow it.
+        failures: How many calls have failed since the last response.
+    """
+    if table == UPSTREAMS_TABLE or hosts <= MAX_UNSCALED_HOSTS:
+        return RETRY_S
+    return min(MAX_RETRY_S, RETRY_S * 2 ** min(failures - 1, 8))
+
+
 class ConfigurationLag:
     """Detects that other hosts have a newer configuration.
 
@@ -182,6 +200,7 @@
         wait_s: Callable[[], float],
         on_page: Callable[[int | None, FeedPage], None] = lambda *_: None,
         is_delegated: Callable[[int], bool] = lambda _: False,
+        retry_s: Callable[[int], float] = lambda failures: RETRY_S,
     ):
         """Creates a follower that has not read the table.
 
@@ -198,6 +217,8 @@
             on_page: Called with each requested version and its response.
             is_delegated: Whether another host reads for this one, given the
                 version that this host knows.
+            retry_s: Returns the pause after some failed calls in a row. A host
+                that has never read the table retries after ``RETRY_S``.
         """
         self._store = store
         self._table = table
@@ -209,6 +230,8 @@
         self._wait_s = wait_s
         self._on_page = on_page
         self._is_delegated = is_delegated
+        self._retry_s = retry_s
+        self._failures = 0
         self._version: int | None = None
         # The version of the last change that was applied, also while earlier
         # ones may be missing; None before the first reading.
@@ -278,7 +301,16 @@
                 self._version = None
             except TableUnavailable as error:
                 self._record_failure(error)
-                await anyio.sleep(RETRY_S)
+                await self._pause_before_retry()
+
+    async def _pause_before_retry(self) -> None:
+        self._failures += 1
+        is_new = self._applied_version is None
+        pause_s = RETRY_S if is_new else self._retry_s(self._failures)
+        # A table that is reached again ends the pauses of the others.
+        self._call = anyio.CancelScope()
+        with self._call:
+            await anyio.sleep(pause_s)
 
     async def _step(self) -> None:
         if self._version is None:
@@ -304,6 +336,7 @@
                 lost_ms=round((time.monotonic() - self._lost_since_s) * 1000),
             )
             self._lost_since_s = None
+            self._failures = 0
             self._on_recovery()
         self._on_page(after, page)
         if self._version == after:
--- a/test/gateway/test_table_follower.py
+++ b/test/gateway/test_table_follower.py
@@ -2,16 +2,29 @@
 
 import unittest
 
+import anyio
+
+from acaciaspoke.clients.table import TableUnavailable
+from acaciaspoke.gateway.metrics import GatewayMetrics
 from acaciaspoke.gateway.table_follower import (
     FEED_WAIT_S,
     LAG_GRACE_S,
+    MAX_RETRY_S,
     MAX_UNSCALED_HOSTS,
     PAUSES_S,
+    RETRY_S,
     ConfigurationLag,
+    TableFollower,
     feed_wait_s,
     pause_s,
+    retry_pause_s,
+)
+from acaciaspoke.platform.store import (
+    OPERATOR_TABLE,
+    UPSTREAMS_TABLE,
+    FeedPage,
 )
-from acaciaspoke.platform.store import OPERATOR_TABLE, UPSTREAMS_TABLE
+from test.virtualtime import run
 
 
 class ConfigurationLagTest(unittest.TestCase):
@@ -63,6 +76,69 @@
         self.assertTrue(lag.observe(3, 10.01 + LAG_GRACE_S))
 
 
+class _RejectingStore:
+    """Answers the first call, and turns away later ones until a time."""
+
+    def __init__(self, until_s: float):
+        self.calls_s = []
+        self._until_s = until_s
+
+    async def read_table(self, table):
+        return FeedPage([], 1)
+
+    async def follow(self, table, after, wait_s):
+        self.calls_s.append(anyio.current_time())
+        if anyio.current_time() < self._until_s:
+            raise TableUnavailable("status 503")
+        await anyio.sleep(wait_s)
+        return FeedPage([], after)
+
+
+class RejectedHostTest(unittest.TestCase):
+    """The store turns some hosts away for seconds; each call is billed."""
+
+    def _calls_s(self, hosts: int, until_s: float, end_s: float) -> list[float]:
+        store = _RejectingStore(until_s)
+
+        def retry_s(failures):
+            return retry_pause_s(OPERATOR_TABLE, hosts, failures)
+
+        async def follow():
+            follower = TableFollower(
+                store,
+                OPERATOR_TABLE,
+                apply=lambda *_: None,
+                on_failure=lambda: None,
+                on_recovery=lambda: None,
+                metrics=GatewayMetrics(),
+                pause_s=lambda: 0.1,
+                wait_s=lambda: 3.0,
+                retry_s=retry_s,
+            )
+            with anyio.move_on_after(end_s):
+                await follower.run()
+
+        run(follow)
+        return store.calls_s
+
+    def test_calls_of_many_hosts_become_rarer(self):
+        # Each retried the two tables 66 to 70 times in vain within 9 s.
+        self.assertLessEqual(len(self._calls_s(90, 9.0, 9.0)), 11)
+        self.assertGreaterEqual(len(self._calls_s(9, 9.0, 9.0)), 35)
+
+    def test_host_reads_soon_after_it_is_served_again(self):
+        calls_s = self._calls_s(90, 5.0, 6.5)
+        self.assertLessEqual(calls_s[-1], 5.0 + MAX_RETRY_S)
+
+    def test_retries_are_frequent_again_after_a_response(self):
+        self.assertEqual(RETRY_S, retry_pause_s(OPERATOR_TABLE, 90, 1))
+        self.assertEqual(MAX_RETRY_S, retry_pause_s(OPERATOR_TABLE, 90, 2000))
+
+    def test_rows_of_upstreams_are_asked_for_as_before(self):
+        # They tell which upstreams leave.
+        self.assertEqual(RETRY_S, retry_pause_s(UPSTREAMS_TABLE, 90, 9))
+
+
 class PauseTest(unittest.TestCase):
     """Many hosts follow rows that change with each order to an engine."""
 
