--- a/acaciaspoke/gateway/leader.py
+++ b/acaciaspoke/gateway/leader.py
@@ -375,7 +375,6 @@
             ),
             version_demand=version_demand,
             replaces_slow_unloads=self._fleet.slowdowns.is_uneven(service),
-            has_predecessor=self._led_epoch > 1,
         )
         assigned = {order.upstream for order in orders}
         orders.extend(
--- a/acaciaspoke/gateway/placement.py
+++ b/acaciaspoke/gateway/placement.py
@@ -110,7 +110,6 @@
     on_unplaced: Callable[[Unplaced], None] = lambda unplaced: None,
     version_demand: Collection[VersionDemand] = (),
     replaces_slow_unloads: bool = False,
-    has_predecessor: bool = False,
 ) -> list[PlannedOrder]:
     """Returns the model orders to send now.
 
@@ -129,7 +128,6 @@
         version_demand: Requests that wait for engines of their version.
         replaces_slow_unloads: Whether a model may get another engine while the
             one that makes room for it takes longer than a load.
-        has_predecessor: Whether another leader has placed models before.
     """
     replicas = Replicas(
         engines,
@@ -139,7 +137,6 @@
         prefill_tokens_per_s,
         observed_s,
         replaces_slow_unloads,
-        has_predecessor,
     )
     available = {
         engine.name: engine for engine in engines if engine.accepts_model_order
@@ -270,9 +267,6 @@
         )
         if not is_waited_for and replicas.is_urgent(victim):
             continue
-        is_unrequested = model not in replicas.priority
-        if is_unrequested and victim is not None and replicas.is_inherited:
-            continue
         costs = _replica_cost(
             gain,
             engine,
--- a/acaciaspoke/gateway/replicas.py
+++ b/acaciaspoke/gateway/replicas.py
@@ -72,10 +72,6 @@
 # become idle, and a single replica is soon full or unreachable.
 SECOND_REPLICA_COSTS_PER_LOAD_S = (0.75, 0.5, 0.0)
 
-# A leader that has seen less demand than this does not know which models are
-# used: of those with a request each second it has seen 95%.
-MIN_OBSERVED_S = 3.0
-
 # Gain of a second replica for fault tolerance, as a share of the demand, and
 # the smallest demand that gets one.
 SPARE_REPLICA_SHARE = 0.1
@@ -118,11 +114,8 @@
         prefill_tokens_per_s: float,
         observed_s: float,
         replaces_slow_unloads: bool = False,
-        has_predecessor: bool = False,
     ):
         self.now_s = now_s
-        # Others placed the models, by demand that this leader has not seen.
-        self.is_inherited = has_predecessor and observed_s < MIN_OBSERVED_S
         # The chance that a model without requests so far gets one, as a share
         # of the chance at the start (rule of succession).
         self.unrequested_share = UNREQUESTED_HALF_TIME_S / (
@@ -341,8 +334,7 @@
                 return math.inf
             cost += LAST_REPLICA_COST * weight * self.rate[model]
             return cost + self._last_replica_cost(model)
-        is_unknown = self.is_inherited and model not in self.priority
-        if len(other_holders) == 1 or is_unknown:
+        if len(other_holders) == 1:
             cost += self._second_replica_cost(model)
         if model not in self.priority:
             return cost
