--- a/acaciaspoke/gateway/answers.py
+++ b/acaciaspoke/gateway/answers.py
@@ -12,7 +12,8 @@
     Refusal,
     refuse,
 )
-from acaciaspoke.gateway.attempt import Attempt, Relay
+from acaciaspoke.gateway.attempt import Relay
+from acaciaspoke.gateway.attempt_result import Attempt
 from acaciaspoke.gateway.failures import Failure, FailureType, send_failure
 from acaciaspoke.gateway.fairness.returns import is_return
 from acaciaspoke.gateway.forwarded_headers import decline_header
--- a/acaciaspoke/gateway/attempt.py
+++ b/acaciaspoke/gateway/attempt.py
@@ -4,15 +4,14 @@
 import time
 from collections.abc import Awaitable, Callable, Iterator
 from contextlib import contextmanager
-from enum import Enum
 
 import anyio
 import h11
 import httpcore
-import msgspec
 
 from acaciaspoke.entry.caller import Caller
 from acaciaspoke.entry.pool import Connection
+from acaciaspoke.gateway.attempt_result import Attempt, Ending
 from acaciaspoke.gateway.bodies import (
     MAX_BODY_BYTES,
     MAX_ERROR_BODY_BYTES,
@@ -34,7 +33,6 @@
 from acaciaspoke.platform.engine import CONNECT_TIMEOUT_S
 from acaciaspoke.platform.headers import (
     Headers,
-    LoadReport,
     ResponseFields,
     decode_response,
     encode_request,
@@ -76,58 +74,6 @@
     """A stream may not begin, as nobody could be told where."""
 
 
-class Ending(Enum):
-    """How an attempt ended.
-
-    ``ANSWERED``: a complete response was sent to the caller. ``NOT_EXECUTED``:
-    the upstream declares that it ran nothing. ``MISDIRECTED``: the server is
-    not the intended upstream, or does not hold the artifact. ``NOT_SENT``: no
-    byte reached the upstream. After all others the request may have run:
-    ``BROKEN`` is a lost connection, ``MISMATCHED`` a response that is not a
-    valid one to this request, ``FAILED`` an error status, ``UNRECORDED`` a
-    stream that may not begin.
-    """
-
-    ANSWERED = "answered"
-    NOT_EXECUTED = "not_executed"
-    MISDIRECTED = "elsewhere"
-    NOT_SENT = "not_sent"
-    BROKEN = "broken"
-    MISMATCHED = "foreign"
-    FAILED = "failed"
-    UNRECORDED = "unrecorded"
-
-
-# Endings after which the upstream has certainly not run the request.
-NOTHING_RAN = frozenset(
-    {Ending.NOT_EXECUTED, Ending.MISDIRECTED, Ending.NOT_SENT}
-)
-
-
-class Attempt(msgspec.Struct, kw_only=True):
-    """The result of an attempt.
-
-    Attributes:
-        status: Status of the upstream's response, if there was one.
-        load: The upstream's load, if the response reports it.
-        has_invalid_load: Whether it reports one that cannot be decoded.
-        is_closed: Whether the upstream closed the connection of a request that
-            it had, before the end of its response.
-        is_unreachable: Whether the upstream's host had not answered, so that
-            its connection was given up; the upstream may still run.
-        failure: An error of the upstream to forward to the caller.
-    """
-
-    ending: Ending
-    status: int = 0
-    detail: str = ""
-    load: LoadReport | None = None
-    has_invalid_load: bool = False
-    is_closed: bool = False
-    is_unreachable: bool = False
-    failure: tuple[int, Headers, bytes] | None = None
-
-
 class Relay:
     """The caller's side of a request over all its attempts.
 
--- a/acaciaspoke/gateway/attempt_runner.py
+++ b/acaciaspoke/gateway/attempt_runner.py
@@ -10,7 +10,8 @@
 from acaciaspoke.entry.pool import Connection, ConnectionPool
 from acaciaspoke.gateway import answers
 from acaciaspoke.gateway.abandoned_runs import AbandonedRuns
-from acaciaspoke.gateway.attempt import Attempt, Ending, Relay
+from acaciaspoke.gateway.attempt import Relay
+from acaciaspoke.gateway.attempt_result import Attempt, Ending
 from acaciaspoke.gateway.dispatch import Assignment, Dispatcher
 from acaciaspoke.gateway.lost_attempts import LostAttempts
 from acaciaspoke.gateway.metrics import GatewayMetrics
--- a/acaciaspoke/gateway/crash_guard.py
+++ b/acaciaspoke/gateway/crash_guard.py
@@ -4,7 +4,7 @@
 
 from loguru import logger
 
-from acaciaspoke.gateway.attempt import Attempt, Ending
+from acaciaspoke.gateway.attempt_result import Attempt, Ending
 from acaciaspoke.gateway.dispatch import Assignment
 from acaciaspoke.gateway.links import Links
 from acaciaspoke.gateway.part_suspects import (
--- a/acaciaspoke/gateway/exchange.py
+++ b/acaciaspoke/gateway/exchange.py
@@ -7,12 +7,8 @@
 from loguru import logger
 
 from acaciaspoke.gateway import answers
-from acaciaspoke.gateway.attempt import (
-    NOTHING_RAN,
-    Attempt,
-    Ending,
-    Relay,
-)
+from acaciaspoke.gateway.attempt import Relay
+from acaciaspoke.gateway.attempt_result import NOTHING_RAN, Attempt, Ending
 from acaciaspoke.gateway.attempt_runner import AttemptRunner, run_of
 from acaciaspoke.gateway.bodies import BodyMemory
 from acaciaspoke.gateway.crash_guard import CrashGuard
--- a/acaciaspoke/gateway/forwarding.py
+++ b/acaciaspoke/gateway/forwarding.py
@@ -15,12 +15,8 @@
 from loguru import logger
 
 from acaciaspoke.entry.pool import ConnectionPool
-from acaciaspoke.gateway.attempt import (
-    NOTHING_RAN,
-    Attempt,
-    Ending,
-    Relay,
-)
+from acaciaspoke.gateway.attempt import Relay
+from acaciaspoke.gateway.attempt_result import NOTHING_RAN, Attempt, Ending
 from acaciaspoke.gateway.forwarded_headers import encode_forwarded
 from acaciaspoke.gateway.host_attempt import attempt_at_host
 from acaciaspoke.gateway.metrics import GatewayMetrics
--- a/acaciaspoke/gateway/host_attempt.py
+++ b/acaciaspoke/gateway/host_attempt.py
@@ -9,11 +9,10 @@
 from acaciaspoke.entry.pool import Connection
 from acaciaspoke.gateway.attempt import (
     UNEXECUTED_STATUSES,
-    Attempt,
-    Ending,
     Relay,
     forwarded_headers,
 )
+from acaciaspoke.gateway.attempt_result import Attempt, Ending
 from acaciaspoke.gateway.bodies import (
     MAX_BODY_BYTES,
     MAX_ERROR_BODY_BYTES,
--- a/acaciaspoke/gateway/lost_attempts.py
+++ b/acaciaspoke/gateway/lost_attempts.py
@@ -8,7 +8,8 @@
 
 import anyio
 
-from acaciaspoke.gateway.attempt import Attempt, Ending, Relay
+from acaciaspoke.gateway.attempt import Relay
+from acaciaspoke.gateway.attempt_result import Attempt, Ending
 from acaciaspoke.gateway.types import Request
 
 # Attempts that have received something within this time go on: established
--- a/test/gateway/brittle_simulation.py
+++ b/test/gateway/brittle_simulation.py
@@ -8,7 +8,7 @@
 
 import msgspec
 
-from acaciaspoke.gateway.attempt import Ending
+from acaciaspoke.gateway.attempt_result import Ending
 from acaciaspoke.gateway.dispatch import Assignment, DroppedRequest
 from acaciaspoke.gateway.load_reports import local_loads
 from acaciaspoke.gateway.messages import LoadDigest, Message
--- a/test/gateway/test_last_attempt_ended_on_lost_links.py
+++ b/test/gateway/test_last_attempt_ended_on_lost_links.py
@@ -4,7 +4,8 @@
 
 import anyio
 
-from acaciaspoke.gateway.attempt import Attempt, Ending, Relay
+from acaciaspoke.gateway.attempt import Relay
+from acaciaspoke.gateway.attempt_result import Attempt, Ending
 from acaciaspoke.gateway.bodies import BodyMemory
 from acaciaspoke.gateway.lost_attempts import LostAttempts
 from acaciaspoke.gateway.types import RouteKind
--- a/test/gateway/test_lost_links_counted_as_crashes.py
+++ b/test/gateway/test_lost_links_counted_as_crashes.py
@@ -8,7 +8,7 @@
 
 import anyio
 
-from acaciaspoke.gateway.attempt import Attempt, Ending
+from acaciaspoke.gateway.attempt_result import Attempt, Ending
 from acaciaspoke.gateway.crash_guard import (
     MAX_UNCONFIRMED_S,
     MIN_CUT_OFF_S,
--- a/test/gateway/test_timed_out_link_counted_as_crash.py
+++ b/test/gateway/test_timed_out_link_counted_as_crash.py
@@ -7,7 +7,8 @@
 from types import SimpleNamespace
 
 from acaciaspoke.entry.transport import UpstreamBackend
-from acaciaspoke.gateway.attempt import Attempt, Ending, Relay
+from acaciaspoke.gateway.attempt import Relay
+from acaciaspoke.gateway.attempt_result import Attempt, Ending
 from acaciaspoke.gateway.bodies import BodyMemory
 from acaciaspoke.gateway.crash_guard import CrashGuard
 from acaciaspoke.gateway.dispatch import Assignment
