Log and count how checks of silent engines and broken streams end

It did not say how long a stream had been silent when its run was stopped, when the answer was asked for on which the order was based, or since when the engine had answered; a broken stream had no reason that could be counted.

Change: `run at U is silent; its end` and `stream aborted` have these fields, with the version of the configuration when the request arrived and now; metrics acaciaspoke_silent_runs_total and acaciaspoke_broken_streams_total. No decision changes.

--- a/acaciaspoke/gateway/answers.py
+++ b/acaciaspoke/gateway/answers.py
@@ -1,6 +1,7 @@
 """Ends requests: answers their callers, and counts and logs the answers."""
 
 import time
+from enum import Enum
 
 from loguru import logger
 
@@ -13,7 +14,7 @@
     refuse,
 )
 from acaciaspoke.gateway.attempt import Relay
-from acaciaspoke.gateway.attempt_result import Attempt
+from acaciaspoke.gateway.attempt_result import NOTHING_RAN, Attempt
 from acaciaspoke.gateway.failures import Failure, FailureType, send_failure
 from acaciaspoke.gateway.fairness.returns import is_return
 from acaciaspoke.gateway.forwarded_headers import decline_header
@@ -31,8 +32,57 @@
 )
 
 
+class BreakReason(Enum):
+    """Why a stream that has begun cannot be finished.
+
+    ``REFUSED``: the last engine that was asked to go on with it did not run it.
+    ``UPSTREAM``: its attempt at an upstream ended otherwise. ``NO_ENGINE``: no
+    engine can be asked to go on with it.
+    """
+
+    REFUSED = "refused"
+    UPSTREAM = "upstream"
+    NO_ENGINE = "no_engine"
+    NOT_RESUMABLE = "not_resumable"
+    BLOCKED = "blocked"
+    DEADLINE = "deadline"
+    HOST_STOPS = "host_stops"
+    KEY_REMOVED = "key_removed"
+
+
 class StreamBrokenError(Exception):
-    """A stream that has begun cannot be finished."""
+    """A stream that has begun cannot be finished.
+
+    Attributes:
+        log_fields: What the log tells of it.
+    """
+
+    def __init__(self, message: str, log_fields: dict[str, str | int]):
+        super().__init__(message)
+        self.log_fields = log_fields
+
+
+def _broken(
+    metrics: GatewayMetrics,
+    request: Request,
+    relay: Relay,
+    reason: BreakReason,
+    message: str,
+) -> StreamBrokenError:
+    """Counts a stream that cannot be finished; returns the error to raise."""
+    metrics.broken_streams.labels(reason.value).inc()
+    now_s = time.monotonic()
+    return StreamBrokenError(
+        message,
+        {
+            "reason": reason.value,
+            "upstream": relay.upstream or "",
+            "attempts": request.starts,
+            "silent_ms": round((now_s - relay.last_event_s) * 1000),
+            "total_ms": round((now_s - request.arrived_s) * 1000),
+            "left_ms": round((request.deadline_s - now_s) * 1000),
+        },
+    )
 
 
 def record_answer(
@@ -101,7 +151,9 @@
         StreamBrokenError: If the response has begun.
     """
     if relay.caller.started:
-        raise StreamBrokenError(obstacle)
+        raise _broken(
+            metrics, request, relay, BreakReason.NOT_RESUMABLE, obstacle
+        )
     failure = Failure(
         FailureType.NOT_RESUMABLE,
         obstacle,
@@ -124,7 +176,8 @@
         StreamBrokenError: If the response has begun.
     """
     if relay.caller.started:
-        raise StreamBrokenError("no upstream is free to resume at")
+        message = "no upstream is free to resume at"
+        raise _broken(metrics, request, relay, BreakReason.NO_ENGINE, message)
     if request.starts:
         failure = Failure(
             FailureType.UPSTREAM_FAILED,
@@ -158,7 +211,8 @@
         StreamBrokenError: If the response has begun.
     """
     if relay.caller.started:
-        raise StreamBrokenError(_BLOCKED.message)
+        message = _BLOCKED.message
+        raise _broken(metrics, request, relay, BreakReason.BLOCKED, message)
     failure = _BLOCKED
     if request.starts:
         failure = failure._replace(outcome=Outcome.UNKNOWN)
@@ -174,7 +228,11 @@
         StreamBrokenError: If the response has begun.
     """
     if relay.caller.started:
-        raise StreamBrokenError(attempt.detail or attempt.ending.value)
+        reason = BreakReason.UPSTREAM
+        if attempt.ending in NOTHING_RAN:
+            reason = BreakReason.REFUSED
+        message = attempt.detail or attempt.ending.value
+        raise _broken(metrics, request, relay, reason, message)
     if attempt.failure is not None:
         status, headers, body = attempt.failure
         metrics.record_response(request.route.name, None, "upstream_error")
@@ -211,7 +269,8 @@
         StreamBrokenError: If the response has begun.
     """
     if relay.caller.started:
-        raise StreamBrokenError("the deadline passed")
+        message = "the deadline passed"
+        raise _broken(metrics, request, relay, BreakReason.DEADLINE, message)
     if request.workspace is not None and not request.starts:
         # A stall of this host, or a deadline shorter than the interval at which
         # the queue is checked. Nothing ran, so the caller may be told so.
@@ -235,7 +294,8 @@
         StreamBrokenError: If the response has begun.
     """
     if relay.caller.started:
-        raise StreamBrokenError("the host stops")
+        message = "the host stops"
+        raise _broken(metrics, request, relay, BreakReason.HOST_STOPS, message)
     failure = Failure(
         FailureType.UPSTREAM_FAILED,
         "the host stops before the upstream has answered",
@@ -258,10 +318,10 @@
     Raises:
         StreamBrokenError: If the response has begun.
     """
-    reason = "the API key was removed while the request was sent"
+    message = "the API key was removed while the request was sent"
     if relay.caller.started:
-        raise StreamBrokenError(reason)
-    failure = Failure(FailureType.UPSTREAM_FAILED, reason, Outcome.UNKNOWN)
+        raise _broken(metrics, request, relay, BreakReason.KEY_REMOVED, message)
+    failure = Failure(FailureType.UPSTREAM_FAILED, message, Outcome.UNKNOWN)
     await _answer_failure(metrics, request, relay.caller, failure)
 
 
--- a/acaciaspoke/gateway/app.py
+++ b/acaciaspoke/gateway/app.py
@@ -138,6 +138,7 @@
         self, scope, receive, send, forwarded: ForwardedFields | None = None
     ) -> None:
         arrived_s = time.monotonic()
+        arrived_version = self._version
         request_id = attempt_id_of(scope["headers"])
         # A request behind this one has been read, and is answered as well.
         caller = Caller(
@@ -171,7 +172,12 @@
         except StreamBrokenError as error:
             # The server closes the connection of an unfinished response.
             logger.warning(
-                "stream aborted: {}", error, request_id=caller.request_id
+                "stream aborted: {}",
+                error,
+                request_id=caller.request_id,
+                arrived_configuration=arrived_version,
+                configuration=self._version,
+                **error.log_fields,
             )
         except Exception:
             self._metrics.faults.inc()
@@ -181,6 +187,10 @@
         finally:
             self.open_requests -= 1
 
+    @property
+    def _version(self) -> int | None:
+        return self.configuration and self.configuration.version
+
     async def _decline(
         self, caller: Caller, forwarded: ForwardedFields, reason: str
     ) -> None:
--- a/acaciaspoke/gateway/attempt_runner.py
+++ b/acaciaspoke/gateway/attempt_runner.py
@@ -232,6 +232,7 @@
             pool.acknowledgement_age_s,
             order_stop,
             request.deadline_s,
+            lambda end: self._metrics.silent_runs.labels(end).inc(),
         )
 
     async def end_lost_run(
--- a/acaciaspoke/gateway/metrics.py
+++ b/acaciaspoke/gateway/metrics.py
@@ -44,6 +44,18 @@
         self.continued = self._counter(
             "continued", "Streams that went on from a copy of their run"
         )
+        self.silent_runs = Counter(
+            "acaciaspoke_silent_runs",
+            "Runs of silent engines that were checked, by how they ended",
+            ["end"],
+            registry=self.registry,
+        )
+        self.broken_streams = Counter(
+            "acaciaspoke_broken_streams",
+            "Streams that had begun and were not finished, by reason",
+            ["reason"],
+            registry=self.registry,
+        )
         self.stream_records = self._counter(
             "stream_records", "Streams that began at another version"
         )
--- a/acaciaspoke/gateway/run_calls.py
+++ b/acaciaspoke/gateway/run_calls.py
@@ -11,6 +11,7 @@
 
 from loguru import logger
 
+from acaciaspoke.gateway.responsiveness import Responsiveness
 from acaciaspoke.gateway.takeover import (
     EngineCalls,
     EngineConnections,
@@ -39,6 +40,7 @@
     acknowledgement_age_s: Callable[[], float | None],
     order_stop: OrderStop,
     deadline_s: float,
+    on_end: Callable[[str], None],
 ) -> RunStop:
     """Ends a run whose engine is silent; waits until that is certain.
 
@@ -49,10 +51,40 @@
             acknowledged anything to this one; None if it is not known.
         order_stop: Sends a stop order.
         deadline_s: When the request must be answered.
+        on_end: Called with how it ended.
     """
+    responsiveness = Responsiveness(time.monotonic)
     calls = _calls(run, deadline_s, order_stop)
+    calls = calls._replace(check=_recorded(calls.check, responsiveness))
     ending = end_silent_run(calls, silent_s, acknowledgement_age_s)
-    return await _end(run, "silent", ending)
+
+    def describe(end: str) -> dict[str, int | None]:
+        on_end(end)
+        return {
+            "silent_ms": _to_ms(silent_s()),
+            "responsive_ms": _to_ms(responsiveness.duration_s),
+            "asked_ms_ago": _age_ms(responsiveness.asked_s),
+            "answered_ms_ago": _age_ms(responsiveness.answered_s),
+        }
+
+    return await _end(run, "silent", ending, describe)
+
+
+def _recorded(
+    check: Callable[[], Awaitable[StopOutcome]], responsiveness: Responsiveness
+) -> Callable[[], Awaitable[StopOutcome]]:
+    """Returns a check whose answers are recorded."""
+
+    async def check_and_record() -> StopOutcome:
+        asked_s = time.monotonic()
+        outcome = await check()
+        if outcome is StopOutcome.ANSWERED:
+            responsiveness.record_answer(asked_s)
+        else:
+            responsiveness.record_failure()
+        return outcome
+
+    return check_and_record
 
 
 async def end_lost(
@@ -71,7 +103,12 @@
     return await _end(run, "lost", end_lost_run(calls, connections))
 
 
-async def _end(run: Run, problem: str, ending: Awaitable[RunStop]) -> RunStop:
+async def _end(
+    run: Run,
+    problem: str,
+    ending: Awaitable[RunStop],
+    describe: Callable[[str], dict[str, int | None]] = lambda end: {},
+) -> RunStop:
     started_s = time.monotonic()
     stop, result = None, "not certain"
     try:
@@ -86,11 +123,20 @@
             request_id=run.request_id,
             destination=run.destination.upstream,
             is_copied=stop is not None and stop.is_copied,
-            took_ms=round((time.monotonic() - started_s) * 1000),
+            took_ms=_age_ms(started_s),
+            **describe(result),
         )
     return stop
 
 
+def _to_ms(time_s: float) -> int:
+    return round(time_s * 1000)
+
+
+def _age_ms(at_s: float | None) -> int | None:
+    return None if at_s is None else _to_ms(time.monotonic() - at_s)
+
+
 def _calls(run: Run, deadline_s: float, order_stop: OrderStop) -> EngineCalls:
     return EngineCalls(
         functools.partial(check, run.upstream, run.address, deadline_s),
