Reproduce streams that are cut after a silence

The three tests fail: the engine answers a call 0.15 s before its next event, as one does that wakes; it holds events back for 1.4 s and answers calls; or the other engine has no room for the run. In each the run is stopped after 1.2 s, and both engines refuse to go on with it. The stand-in stopped runs on any /kv-move; it now does so only with `last`, and may have no room.

--- a/standins/worker.py
+++ b/standins/worker.py
@@ -122,6 +122,8 @@
         before_control: Awaited before these responses.
         stops_runs: Whether stop orders end scripts; otherwise these get them.
         running: The requests whose scripts run, by id.
+        has_room: Whether engines can copy runs to others.
+        copied: The ids of runs that were copied while they ran.
         stops: The ids of runs that orders have stopped.
         limit: The requests a second that all responses name, if any.
         common_headers: Returns further headers of all responses.
@@ -157,6 +159,8 @@
         self.before_control: Callable[[], Awaitable[None]] | None = None
         self.stops_runs = True
         self.running: dict[str, Arrival] = {}
+        self.has_room = True
+        self.copied: list[str] = []
         self.stops: list[str] = []
         self.limit: str | None = None
         self.common_headers: Callable[[], dict[str, str]] = dict
@@ -232,7 +236,7 @@
             arrival.server_headers["server-limit"] = self.limit
         match arrival.target:
             case "/kv-move" if self.stops_runs:
-                await self._stop(arrival)
+                await self._move(arrival)
             case "/report":
                 report = {
                     "seq": len(self.orders),
@@ -259,18 +263,31 @@
                     if self.running.get(arrival.id) is arrival:
                         del self.running[arrival.id]
 
-    async def _stop(self, arrival: Arrival) -> None:
-        """Stops a run: its stream is closed without its end."""
+    async def _move(self, arrival: Arrival) -> None:
+        """Copies a run; stops it if this is the last copy."""
         order = msgspec.json.decode(arrival.body)
-        run = self.running.pop(order["id"], None)
+        run = self.running.get(order["id"])
         if run is None:
             await arrival.answer(404, b"")
             return
+        if order.get("last"):
+            self._stop(run)
+        else:
+            self.copied.append(run.id)
+        handle = f"moved-{run.id}"
+        if self.has_room:
+            moved = {"handle": handle, "created": run.events}
+            await arrival.answer(200, msgspec.json.encode(moved))
+            return
+        document = {"handle": handle} if order.get("last") else {}
+        await arrival.answer(503, msgspec.json.encode(document))
+
+    def _stop(self, run: Arrival) -> None:
+        """Stops a run: its stream is closed without its end."""
+        del self.running[run.id]
         self.stops.append(run.id)
         self.stopped_s[run.id] = time.monotonic()
         run.writer.transport.abort()
-        moved = {"handle": f"moved-{run.id}", "created": run.events}
-        await arrival.answer(200, msgspec.json.encode(moved))
 
     def _apply_order(self, body: bytes) -> int:
         order = msgspec.json.decode(body)
--- a/test/gateway/kv_engines.py
+++ b/test/gateway/kv_engines.py
@@ -29,6 +29,8 @@
         spans: When engines worked on requests.
         silence_s: How long the engine of a run is silent after two events.
         answers_calls: Whether it answers control calls meanwhile.
+        event_delay_s: How much later than these calls its next event comes if
+            it does not.
         is_other_silent: Whether the other one answers no control calls.
         loses_connection: Whether it resets the stream and works on instead.
         at_start: Answers requests that begin.
@@ -40,6 +42,7 @@
         self.spans: list[WorkSpan] = []
         self.silence_s = 0.0
         self.answers_calls = False
+        self.event_delay_s = 0.0
         self.is_other_silent = False
         self.loses_connection = False
         self.at_start: Script = self._begin
@@ -93,6 +96,7 @@
         self._awake.clear()
         await asyncio.sleep(self.silence_s)
         self._awake.set()
+        await asyncio.sleep(self.event_delay_s)
         await send_rest(arrival, 2)
 
     async def go_on(self, arrival: Arrival) -> None:
