Run calls that outlast requests in a module of their own

Stops of abandoned runs had a queue and a task group of their own. Calls that copy runs need the same.

--- a/acaciaspoke/gateway/abandoned_runs.py
+++ b/acaciaspoke/gateway/abandoned_runs.py
@@ -4,15 +4,15 @@
 engine that its stream goes on at. It is stopped once the engine can be reached.
 """
 
-import math
+import functools
 import time
 from typing import NamedTuple
 
 import anyio
-from anyio.abc import TaskGroup
 from loguru import logger
 
 from acaciaspoke.gateway import run_calls
+from acaciaspoke.gateway.background_calls import BackgroundCalls
 from acaciaspoke.gateway.takeover import ENDED, RETRY_INTERVAL_S, Run
 from acaciaspoke.ids import UpstreamId
 from acaciaspoke.platform.engine import RunStop, StopOutcome
@@ -37,11 +37,9 @@
 class AbandonedRuns:
     """The runs of this host that may go on at engines it could not reach."""
 
-    def __init__(self) -> None:
+    def __init__(self, background: BackgroundCalls) -> None:
+        self._background = background
         self._waiting: dict[_Engine, list[_AbandonedRun]] = {}
-        self._send, self._receive = anyio.create_memory_object_stream[_Engine](
-            math.inf
-        )
 
     def add(self, run: Run, stop: RunStop, deadline_s: float) -> None:
         """Has a run stopped whose stream goes on elsewhere.
@@ -56,25 +54,17 @@
         engine = _Engine(run.upstream, run.address)
         if engine not in self._waiting:
             self._waiting[engine] = []
-            self._send.send_nowait(engine)
+            self._background.start(functools.partial(self._stop_all, engine))
         self._waiting[engine].append(_AbandonedRun(run, deadline_s))
 
-    async def run(self) -> None:
-        """Stops runs until cancelled."""
-        async with anyio.create_task_group() as tasks:
-            # The stream would be closed for a later task.
-            while True:
-                engine = await self._receive.receive()
-                tasks.start_soon(self._stop_all, engine, tasks)
-
-    async def _stop_all(self, engine: _Engine, tasks: TaskGroup) -> None:
+    async def _stop_all(self, engine: _Engine) -> None:
         is_reached = False
         try:
             is_reached = await self._wait_until_reached(engine)
         finally:
             abandoned = self._waiting.pop(engine)
         for one in abandoned if is_reached else ():
-            tasks.start_soon(_stop, one)
+            self._background.start(functools.partial(_stop, one))
 
     async def _wait_until_reached(self, engine: _Engine) -> bool:
         """Returns whether the process of the runs can be reached in time."""
--- a/acaciaspoke/gateway/attempt_runner.py
+++ b/acaciaspoke/gateway/attempt_runner.py
@@ -12,6 +12,7 @@
 from acaciaspoke.gateway.abandoned_runs import AbandonedRuns
 from acaciaspoke.gateway.attempt import Relay
 from acaciaspoke.gateway.attempt_result import Attempt, Ending
+from acaciaspoke.gateway.background_calls import BackgroundCalls
 from acaciaspoke.gateway.dispatch import Assignment, Dispatcher
 from acaciaspoke.gateway.lost_attempts import LostAttempts
 from acaciaspoke.gateway.metrics import GatewayMetrics
@@ -37,6 +38,7 @@
     Attributes:
         stall_watch: Finds streams whose engines are unresponsive.
         lost_attempts: Ends attempts once this host's links are lost.
+        background: Calls to upstreams that outlast requests.
         abandoned_runs: Stops runs that may go on at engines without contact.
     """
 
@@ -64,7 +66,8 @@
         self._on_event = on_event
         self.stall_watch = StallWatch(dispatcher.fleet)
         self.lost_attempts = LostAttempts()
-        self.abandoned_runs = AbandonedRuns()
+        self.background = BackgroundCalls()
+        self.abandoned_runs = AbandonedRuns(self.background)
         self._notices = NoticeRecorder(dispatcher.fleet, metrics)
         self._pools: dict[str, ConnectionPool] = {}
         self._logged_invalid_loads: set[UpstreamId] = set()
--- a/acaciaspoke/gateway/process.py
+++ b/acaciaspoke/gateway/process.py
@@ -485,7 +485,7 @@
             "links": self._link_prober.run,
             "replica waits": self._replica_waits.run,
             "streams": self._streams.run,
-            "abandoned runs": self._request_handler.attempts.abandoned_runs.run,
+            "background calls": self._request_handler.attempts.background.run,
             "upkeep": self._upkeep.run,
             "stop limit": functools.partial(
                 limit_stop,
