Stop the run of a silent engine only where it can go on for certain

Cause: 1.2 s after the last event a run was stopped at an engine that answered calls. An engine that wakes answers the call that has waited in its socket before it writes its next events, so that each such silence looked like that. A stop cannot be undone, and whether another engine would go on was asked only afterwards. If it had no room or copy, or was late, the stream was lost.

Change: the step is undoable until it is certain. The engine has to have answered promptly for 0.25 s without an event before its run is copied to the engine with the KV backup (/kv-move without `last`), which then keeps a slot and memory for it; the copy is freed as soon as an event comes. A call that was answered late starts that time anew, as the engine stood still. The run is stopped only while the copy is there, after 0.4 s of prompt answers, and 0.4 s before callers leave (1.6 s after the last event where they leave after 2 s). An event of any stream of the engine counts, not only of this one.

Tests of takeovers: end_silent_run asks for a copy besides the answer of the other engine, so that the test that the run stays without that answer stays and one for the copy is added. The stop time is an argument; short silences are checked against it as before.

--- a/acaciaspoke/gateway/attempt_runner.py
+++ b/acaciaspoke/gateway/attempt_runner.py
@@ -17,6 +17,7 @@
 from acaciaspoke.gateway.lost_attempts import LostAttempts
 from acaciaspoke.gateway.metrics import GatewayMetrics
 from acaciaspoke.gateway.run_calls import end_lost, end_silent
+from acaciaspoke.gateway.run_copy import RunCopy
 from acaciaspoke.gateway.stall_watch import StallWatch
 from acaciaspoke.gateway.stream_store import StreamStore
 from acaciaspoke.gateway.takeover import (
@@ -25,6 +26,7 @@
     Run,
     Takeover,
     caller_patience_s,
+    stop_after_s,
 )
 from acaciaspoke.gateway.types import Request
 from acaciaspoke.gateway.upstream_notices import NoticeRecorder
@@ -215,7 +217,8 @@
         self, assignment: Assignment, relay: Relay, pool: ConnectionPool
     ) -> RunStop:
         """Ends the run of a silent engine, once another one could go on."""
-        request = assignment.request
+        request, run = assignment.request, run_of(assignment)
+        copy = RunCopy(run, request.deadline_s, self.background)
 
         async def order_stop(
             order: Callable[[], Awaitable[RunStop]],
@@ -225,18 +228,31 @@
                 assignment.upstream
             ) or not self._dispatcher.reserve_retry(request, time.monotonic()):
                 return RunStop(StopOutcome.UNKNOWN)
-            return await relay.takeover.order_stop(order)
+            stop = await relay.takeover.order_stop(order)
+            if stop.outcome is StopOutcome.STOPPED:
+                copy.keep()
+            return stop
 
         while self._dispatcher.usable_backup(request, time.monotonic()) is None:
             await anyio.sleep(RETRY_INTERVAL_S)
-        return await end_silent(
-            run_of(assignment),
-            lambda: time.monotonic() - relay.reading_since_s,
-            pool.acknowledgement_age_s,
-            order_stop,
-            request.deadline_s,
-            lambda end: self._metrics.silent_runs.labels(end).inc(),
+        with copy:
+            return await end_silent(
+                run,
+                functools.partial(self._silent_s, assignment, relay),
+                pool.acknowledgement_age_s,
+                copy.make,
+                order_stop,
+                stop_after_s(request.route),
+                request.deadline_s,
+                lambda end: self._metrics.silent_runs.labels(end).inc(),
+            )
+
+    def _silent_s(self, assignment: Assignment, relay: Relay) -> float:
+        """Returns the time since the last event of any stream of an engine."""
+        last_event_s = self._dispatcher.fleet.last_event_s(
+            assignment.upstream, relay.reading_since_s
         )
+        return time.monotonic() - last_event_s
 
     async def end_lost_run(
         self, assignment: Assignment, relay: Relay
--- a/acaciaspoke/gateway/run_calls.py
+++ b/acaciaspoke/gateway/run_calls.py
@@ -8,14 +8,20 @@
 import functools
 import time
 from collections.abc import AsyncIterator, Awaitable, Callable
+from typing import TypeVar
 
+import anyio
 from loguru import logger
 
-from acaciaspoke.gateway.responsiveness import Responsiveness
+from acaciaspoke.gateway.responsiveness import (
+    PROMPT_ANSWER_S,
+    Responsiveness,
+)
 from acaciaspoke.gateway.takeover import (
     EngineCalls,
     EngineConnections,
     Run,
+    Silence,
     end_lost_run,
     end_silent_run,
 )
@@ -25,11 +31,14 @@
     RunStop,
     StopOutcome,
     check_engine,
+    copy_run,
     free_run_memory,
     stop_run,
 )
 from acaciaspoke.util.http import HttpClient
 
+T = TypeVar("T")
+
 # Sends a stop order, and returns the answer.
 OrderStop = Callable[[Callable[[], Awaitable[RunStop]]], Awaitable[RunStop]]
 
@@ -38,7 +47,9 @@
     run: Run,
     silent_s: Callable[[], float],
     acknowledgement_age_s: Callable[[], float | None],
+    make_copy: Callable[[], Awaitable[bool]],
     order_stop: OrderStop,
+    stop_after_s: float,
     deadline_s: float,
     on_end: Callable[[str], None],
 ) -> RunStop:
@@ -49,14 +60,27 @@
         silent_s: Returns the time since the last event.
         acknowledgement_age_s: Returns how long ago the engine's host has
             acknowledged anything to this one; None if it is not known.
+        make_copy: Copies the run to the other engine; returns whether that one
+            has the copy.
         order_stop: Sends a stop order.
+        stop_after_s: Time without an event after which the run may be stopped.
         deadline_s: When the request must be answered.
         on_end: Called with how it ended.
     """
     responsiveness = Responsiveness(time.monotonic)
-    calls = _calls(run, deadline_s, order_stop)
-    calls = calls._replace(check=_recorded(calls.check, responsiveness))
-    ending = end_silent_run(calls, silent_s, acknowledgement_age_s)
+    silence = Silence(
+        silent_s, lambda: responsiveness.duration_s, acknowledgement_age_s
+    )
+    calls = EngineCalls(
+        _recorded(
+            functools.partial(check, run.upstream, run.address, deadline_s),
+            lambda outcome: outcome is StopOutcome.ANSWERED,
+            responsiveness,
+        ),
+        functools.partial(_check_promptly, *run.destination, deadline_s),
+        _recorded(make_copy, bool, responsiveness),
+        functools.partial(order_stop, functools.partial(stop, run, deadline_s)),
+    )
 
     def describe(end: str) -> dict[str, int | None]:
         on_end(end)
@@ -67,24 +91,35 @@
             "answered_ms_ago": _age_ms(responsiveness.answered_s),
         }
 
+    ending = end_silent_run(calls, silence, stop_after_s)
     return await _end(run, "silent", ending, describe)
 
 
+async def _check_promptly(
+    upstream: UpstreamId, address: str, deadline_s: float
+) -> StopOutcome:
+    with anyio.move_on_after(PROMPT_ANSWER_S):
+        return await check(upstream, address, deadline_s)
+    return StopOutcome.UNKNOWN
+
+
 def _recorded(
-    check: Callable[[], Awaitable[StopOutcome]], responsiveness: Responsiveness
-) -> Callable[[], Awaitable[StopOutcome]]:
-    """Returns a check whose answers are recorded."""
+    call: Callable[[], Awaitable[T]],
+    is_answered: Callable[[T], bool],
+    responsiveness: Responsiveness,
+) -> Callable[[], Awaitable[T]]:
+    """Returns a call whose answers are recorded."""
 
-    async def check_and_record() -> StopOutcome:
+    async def call_and_record() -> T:
         asked_s = time.monotonic()
-        outcome = await check()
-        if outcome is StopOutcome.ANSWERED:
+        result = await call()
+        if is_answered(result):
             responsiveness.record_answer(asked_s)
         else:
             responsiveness.record_failure()
-        return outcome
+        return result
 
-    return check_and_record
+    return call_and_record
 
 
 async def end_lost(
@@ -99,8 +134,8 @@
         connections: Returns the other connections to the engine.
         deadline_s: When the request must be answered.
     """
-    calls = _calls(run, deadline_s, lambda order: order())
-    return await _end(run, "lost", end_lost_run(calls, connections))
+    order_stop = functools.partial(stop, run, deadline_s)
+    return await _end(run, "lost", end_lost_run(order_stop, connections))
 
 
 async def _end(
@@ -137,14 +172,6 @@
     return None if at_s is None else _to_ms(time.monotonic() - at_s)
 
 
-def _calls(run: Run, deadline_s: float, order_stop: OrderStop) -> EngineCalls:
-    return EngineCalls(
-        functools.partial(check, run.upstream, run.address, deadline_s),
-        functools.partial(check, *run.destination, deadline_s),
-        functools.partial(order_stop, functools.partial(stop, run, deadline_s)),
-    )
-
-
 async def check(
     upstream: UpstreamId,
     address: str,
@@ -182,8 +209,28 @@
         )
 
 
+async def copy(run: Run, deadline_s: float) -> str:
+    """Has the engine of a run copy it to the other engine.
+
+    Args:
+        run: The run, which goes on.
+        deadline_s: Until when to wait for the answer.
+
+    Returns:
+        The name of the copy; empty if there is none.
+    """
+    async with _client(run.address) as http:
+        return await copy_run(
+            http,
+            run.upstream,
+            run.request_id,
+            run.destination.address,
+            _timeout_s(deadline_s),
+        )
+
+
 async def free_memory(run: Run, handle: str, deadline_s: float) -> None:
-    """Frees the memory of a stopped run, also where it was copied to.
+    """Frees the copies of a run's memory at both engines.
 
     Args:
         run: The run.
--- a/acaciaspoke/gateway/takeover.py
+++ b/acaciaspoke/gateway/takeover.py
@@ -5,6 +5,9 @@
 connection the run may go on. So the run is ended by a stop order that the
 engine has answered, or its process is known to have ended, or this host cannot
 reach it.
+
+A stop order cannot be undone. A silent engine gets it as late as callers allow,
+and only once another engine has a copy of the run and room to go on with it.
 """
 
 from collections.abc import Awaitable, Callable, Iterator
@@ -34,9 +37,19 @@
 # How long an engine that has stopped a run may take to close its stream.
 CLOSE_TIMEOUT_S = 0.2
 
-# Time without an event after which a run is stopped at an engine that answers
-# calls. Sound engines pause for up to about a second.
-STOP_AFTER_S = 1.2
+# For how long a silent engine has answered calls before its run is copied.
+# Sound engines that stood still send events within this time.
+COPY_AFTER_S = 0.25
+
+# The same before its run is stopped.
+MIN_RESPONSIVE_S = 0.4
+
+# How long a stop, the request to the other engine and its first event take at
+# most, so that callers are still there.
+TAKEOVER_TIME_S = 0.4
+
+# Time without an event after which runs are stopped at the latest.
+MAX_STOP_AFTER_S = 3.0
 
 # Callers leave a stream after the longest of these times without an event (the
 # platform's protocol, "Requests").
@@ -59,6 +72,11 @@
     )
 
 
+def stop_after_s(route: Route) -> float:
+    """Returns after which time without an event a run may be stopped."""
+    return min(MAX_STOP_AFTER_S, caller_patience_s(route) - TAKEOVER_TIME_S)
+
+
 _ENDED_WHILE_OPEN = ENDED - {StopOutcome.NO_RUN}
 
 
@@ -93,19 +111,42 @@
 
     Attributes:
         check: Calls the engine of the run; changes nothing there.
-        check_destination: The same for the engine that has the KV backup.
+        check_destination: The same for the engine that has the KV backup, which
+            has to answer promptly.
+        copy: Has the engine of the run copy it to the other one; returns
+            whether that one has the copy.
         stop: Orders the engine of the run to stop it.
     """
 
     check: Callable[[], Awaitable[StopOutcome]]
     check_destination: Callable[[], Awaitable[StopOutcome]]
+    copy: Callable[[], Awaitable[bool]]
     stop: Callable[[], Awaitable[RunStop]]
 
 
+class Silence(NamedTuple):
+    """What is known of a silent engine.
+
+    Attributes:
+        silent_s: Returns the time since the last event.
+        responsive_s: Returns for how long it has answered calls promptly.
+        acknowledgement_age_s: Returns how long ago its host has acknowledged
+            anything on any connection; None if it is not known.
+    """
+
+    silent_s: Callable[[], float]
+    responsive_s: Callable[[], float]
+    acknowledgement_age_s: Callable[[], float | None]
+
+    def awake_s(self) -> float:
+        """Returns for how long it has been silent without standing still."""
+        return min(self.silent_s(), self.responsive_s())
+
+
 async def end_silent_run(
     calls: EngineCalls,
-    silent_s: Callable[[], float],
-    acknowledgement_age_s: Callable[[], float | None],
+    silence: Silence,
+    stop_after_s: float,
     sleep: Callable[[float], Awaitable[None]] = anyio.sleep,
 ) -> RunStop:
     """Ends a run whose engine is silent; waits until that is certain.
@@ -114,48 +155,65 @@
     order when it goes on, and its streams with it. The connection of the stream
     is open, so that a process that refuses connections has not ended, one that
     takes none may stand still, and a run that is not known may be preempted.
-    A run is stopped only if the other engine answers calls.
 
     Args:
-        calls: Calls to the engines.
-        silent_s: Returns the time since the last event.
-        acknowledgement_age_s: Returns how long ago the engine's host has
-            acknowledged anything on any connection; None if it is not known.
+        calls: Calls to the engine.
+        silence: What is known of it.
+        stop_after_s: Time without an event after which the run may be stopped.
         sleep: Waits for some seconds.
     """
-    timeouts = 0
+    timeouts, has_copy = 0, False
     while True:
         outcome = await calls.check()
         if outcome is StopOutcome.OTHER_PROCESS:
             return RunStop(outcome)
-        if (
-            outcome is StopOutcome.ANSWERED
-            and silent_s() >= STOP_AFTER_S
-            and await calls.check_destination() is StopOutcome.ANSWERED
-        ):
-            stop = await calls.stop()
-            if stop.outcome in _ENDED_WHILE_OPEN:
-                return stop
+        if outcome is StopOutcome.ANSWERED:
+            if not has_copy and silence.awake_s() >= COPY_AFTER_S:
+                has_copy = await calls.copy()
+            elif (
+                has_copy
+                and silence.awake_s() >= MIN_RESPONSIVE_S
+                and silence.silent_s() >= stop_after_s
+                and await calls.check_destination() is StopOutcome.ANSWERED
+            ):
+                stop = await calls.stop()
+                if stop.outcome in _ENDED_WHILE_OPEN:
+                    return stop
         timeouts = _count_timeouts(timeouts, outcome)
         if timeouts >= MAX_CONNECT_TIMEOUTS and _is_unacknowledged(
-            acknowledgement_age_s()
+            silence.acknowledgement_age_s()
         ):
             return RunStop(StopOutcome.UNREACHABLE)
-        if timeouts:
-            await sleep(RETRY_INTERVAL_S)
-        else:
-            await sleep(max(CHECK_INTERVAL_S, STOP_AFTER_S - silent_s()))
+        await sleep(
+            RETRY_INTERVAL_S
+            if timeouts
+            else _check_pause_s(silence, has_copy, stop_after_s)
+        )
+
+
+def _check_pause_s(
+    silence: Silence, has_copy: bool, stop_after_s: float
+) -> float:
+    """Returns the time until the next step, but at most until a check."""
+    if has_copy:
+        step_s = max(
+            MIN_RESPONSIVE_S - silence.awake_s(),
+            stop_after_s - silence.silent_s(),
+        )
+    else:
+        step_s = COPY_AFTER_S - silence.awake_s()
+    return min(CHECK_INTERVAL_S, step_s if step_s > 0 else RETRY_INTERVAL_S)
 
 
 async def end_lost_run(
-    calls: EngineCalls,
+    order_stop: Callable[[], Awaitable[RunStop]],
     connections: Callable[[], EngineConnections],
     sleep: Callable[[float], Awaitable[None]] = anyio.sleep,
 ) -> RunStop:
     """Ends a run whose connection is lost; waits until that is certain.
 
     Args:
-        calls: Calls to the engines.
+        order_stop: Orders the engine of the run to stop it.
         connections: Returns the other connections to the engine. If any
             exists, it runs though it refuses new ones; if it acknowledges, it
             can be reached though new ones are not established.
@@ -163,7 +221,7 @@
     """
     timeouts = 0
     while True:
-        stop = await calls.stop()
+        stop = await order_stop()
         if stop.outcome in ENDED:
             return stop
         is_refused = stop.outcome is StopOutcome.REFUSED
--- a/acaciaspoke/platform/engine.py
+++ b/acaciaspoke/platform/engine.py
@@ -12,7 +12,7 @@
 from acaciaspoke.ids import FencingToken, HostId, RequestId, UpstreamId
 from acaciaspoke.platform.documents import DocumentError, decode_report
 from acaciaspoke.platform.notices import UpstreamNotice, decode_notice
-from acaciaspoke.util.http import HttpClient, HttpError
+from acaciaspoke.util.http import HttpClient, HttpError, HttpResponse
 
 # Engines are a few milliseconds away; an unreachable one never responds.
 CONNECT_TIMEOUT_S = 0.35
@@ -143,19 +143,8 @@
         timeout_s: How long to wait for the answer.
     """
     body = {"id": request_id, "to": destination, "last": True}
-    headers = {
-        "Content-Type": "application/json",
-        "Acaciaspoke-Expect-Instance": upstream,
-    }
     try:
-        response = await http.request(
-            "POST",
-            "/kv-move",
-            msgspec.json.encode(body),
-            headers,
-            timeout_s=timeout_s,
-            connect_timeout_s=CONNECT_TIMEOUT_S,
-        )
+        response = await _move(http, upstream, body, timeout_s)
     except HttpError as error:
         return RunStop(_unanswered(error))
     if response.status == 404:
@@ -171,13 +160,62 @@
     return RunStop(StopOutcome.STOPPED, handle, response.status == 200)
 
 
+async def copy_run(
+    http: HttpClient,
+    upstream: UpstreamId,
+    request_id: RequestId,
+    destination: str,
+    timeout_s: float,
+) -> str:
+    """Has an engine copy the memory of a run, which goes on.
+
+    The other engine keeps a slot and memory for it.
+
+    Args:
+        http: Client of the engine, without connections.
+        upstream: The engine.
+        request_id: The request that runs.
+        destination: Address of the engine that gets the copy.
+        timeout_s: How long to wait for the answer.
+
+    Returns:
+        The name of the copy; empty if there is none.
+    """
+    body = {"id": request_id, "to": destination}
+    try:
+        response = await _move(http, upstream, body, timeout_s)
+    except HttpError:
+        return ""
+    return _decode_handle(response.body) if response.status == 200 else ""
+
+
+async def _move(
+    http: HttpClient,
+    upstream: UpstreamId,
+    body: dict[str, str | bool],
+    timeout_s: float,
+) -> HttpResponse:
+    headers = {
+        "Content-Type": "application/json",
+        "Acaciaspoke-Expect-Instance": upstream,
+    }
+    return await http.request(
+        "POST",
+        "/kv-move",
+        msgspec.json.encode(body),
+        headers,
+        timeout_s=timeout_s,
+        connect_timeout_s=CONNECT_TIMEOUT_S,
+    )
+
+
 async def free_run_memory(
     http: HttpClient, upstream: UpstreamId, handle: str, timeout_s: float
 ) -> None:
-    """Frees the memory of a stopped run; it lapses if the call fails.
+    """Frees the copies of a run's memory; they lapse if the call fails.
 
     Args:
-        http: Client of the engine that stopped the run.
+        http: Client of the engine of the run.
         upstream: The engine.
         handle: The name of the memory.
         timeout_s: How long to wait for the answer.
--- a/test/gateway/test_takeover.py
+++ b/test/gateway/test_takeover.py
@@ -4,10 +4,11 @@
 import unittest
 
 from acaciaspoke.gateway.takeover import (
-    STOP_AFTER_S,
+    MIN_RESPONSIVE_S,
     EngineCalls,
     EngineConnections,
     Run,
+    Silence,
     end_lost_run,
     end_silent_run,
     resume_points,
@@ -15,6 +16,8 @@
 from acaciaspoke.gateway.types import BackupEngine
 from acaciaspoke.platform.engine import RunStop, StopOutcome
 
+STOP_AFTER_S = 1.6
+
 STOPPED = RunStop(StopOutcome.STOPPED, "h", is_copied=True)
 
 RUN = Run("q", "u1", "10.0.0.1:80", BackupEngine("u2", "10.0.0.2:80"))
@@ -36,17 +39,6 @@
     return call
 
 
-def _calls(check=(), stop=(), destination=()):
-    destination = itertools.chain(
-        destination, itertools.repeat(StopOutcome.ANSWERED)
-    )
-    return EngineCalls(
-        _answers(check),
-        _answers(destination),
-        _answers(map(_to_stop, stop)),
-    )
-
-
 def _to_stop(result):
     return result if isinstance(result, RunStop) else RunStop(result)
 
@@ -58,27 +50,36 @@
 class EndOfRunTest(unittest.IsolatedAsyncioTestCase):
 
     async def _end_silent(
-        self, check, stop=(), silent_s=9.0, age_s=9.0, **calls
+        self,
+        check,
+        stop=(),
+        silent_s=9.0,
+        age_s=9.0,
+        copies=(),
+        destination=(),
+        responsive_s=9.0,
     ):
-        return await end_silent_run(
-            _calls(check, stop, **calls),
-            lambda: silent_s,
-            lambda: age_s,
-            _skip,
+        copies = itertools.chain(copies, itertools.repeat(True))
+        destination = itertools.chain(
+            destination, itertools.repeat(StopOutcome.ANSWERED)
+        )
+        calls = EngineCalls(
+            *map(_answers, (check, destination, copies, map(_to_stop, stop)))
         )
+        silence = Silence(lambda: silent_s, lambda: responsive_s, lambda: age_s)
+        return await end_silent_run(calls, silence, STOP_AFTER_S, _skip)
 
     async def _end_lost(self, stop, others=(), age_s=None):
         others = itertools.chain(others, itertools.repeat(False))
         return await end_lost_run(
-            _calls(stop=stop),
+            _answers(map(_to_stop, stop)),
             lambda: EngineConnections(next(others), age_s),
             _skip,
         )
 
     async def test_silent_engine_that_answers_calls_is_told_to_stop(self):
-        self.assertEqual(
-            STOPPED, await self._end_silent([StopOutcome.ANSWERED], [STOPPED])
-        )
+        answered = [StopOutcome.ANSWERED] * 2
+        self.assertEqual(STOPPED, await self._end_silent(answered, [STOPPED]))
 
     async def test_short_silence_is_waited_for(self):
         with self.assertRaises(_NoEndError):
@@ -86,13 +87,34 @@
                 [StopOutcome.ANSWERED] * 9, [STOPPED], STOP_AFTER_S - 0.1
             )
 
+    async def test_engine_that_has_just_woken_goes_on(self):
+        # It has answered the check that waited, and no event has come yet.
+        with self.assertRaises(_NoEndError):
+            await self._end_silent(
+                [StopOutcome.ANSWERED] * 9,
+                [STOPPED],
+                responsive_s=MIN_RESPONSIVE_S - 0.1,
+            )
+
     async def test_run_stays_while_the_other_engine_is_silent(self):
         outcomes = (StopOutcome.UNKNOWN, StopOutcome.UNREACHABLE)
         with self.assertRaises(_NoEndError):
             await self._end_silent(
-                [StopOutcome.ANSWERED] * 2, [STOPPED], destination=outcomes
+                [StopOutcome.ANSWERED] * 3, [STOPPED], destination=outcomes
+            )
+
+    async def test_run_stays_while_the_other_engine_has_no_copy(self):
+        with self.assertRaises(_NoEndError):
+            await self._end_silent(
+                [StopOutcome.ANSWERED] * 9, [STOPPED], copies=[False] * 9
             )
 
+    async def test_run_is_stopped_once_the_other_engine_has_a_copy(self):
+        stop = await self._end_silent(
+            [StopOutcome.ANSWERED] * 9, [STOPPED], copies=[False, False, True]
+        )
+        self.assertEqual(STOPPED, stop)
+
     async def test_open_connection_and_refused_ones_are_no_end(self):
         with self.assertRaises(_NoEndError):
             await self._end_silent([StopOutcome.REFUSED] * 9)
@@ -120,7 +142,7 @@
         for outcome in unclear:
             with self.subTest(outcome), self.assertRaises(_NoEndError):
                 await self._end_silent(
-                    [StopOutcome.ANSWERED] * 2, [outcome] * 2
+                    [StopOutcome.ANSWERED] * 3, [outcome] * 2
                 )
 
     async def test_lost_run_ends_with_the_answer_to_a_stop_order(self):
--- a/test/gateway/test_unreachable_engine_found_late.py
+++ b/test/gateway/test_unreachable_engine_found_late.py
@@ -7,6 +7,7 @@
     CLOSE_TIMEOUT_S,
     MIN_CALLER_PATIENCE_S,
     EngineCalls,
+    Silence,
     end_silent_run,
 )
 from acaciaspoke.platform.engine import CONNECT_TIMEOUT_S, StopOutcome
@@ -32,9 +33,9 @@
             now_s += pause_s
 
         stop = await end_silent_run(
-            EngineCalls(check, check, check),
-            lambda: now_s,
-            lambda: now_s,
+            EngineCalls(check, check, check, check),
+            Silence(lambda: now_s, lambda: 0.0, lambda: now_s),
+            MIN_CALLER_PATIENCE_S,
             sleep,
         )
         self.assertIs(StopOutcome.UNREACHABLE, stop.outcome)
