Test that copies that are not used are freed

A copy keeps a slot at the other engine until it lapses. Four cases: the engine goes on, also while the copy is being made; the caller leaves; the run is stopped and goes on with the copy, which is kept.

--- a/standins/worker.py
+++ b/standins/worker.py
@@ -123,6 +123,7 @@
         stops_runs: Whether stop orders end scripts; otherwise these get them.
         running: The requests whose scripts run, by id.
         has_room: Whether engines can copy runs to others.
+        before_copy: Awaited before runs are copied while they go on.
         copied: The ids of runs that were copied while they ran.
         stops: The ids of runs that orders have stopped.
         limit: The requests a second that all responses name, if any.
@@ -160,6 +161,7 @@
         self.stops_runs = True
         self.running: dict[str, Arrival] = {}
         self.has_room = True
+        self.before_copy: Callable[[], Awaitable[None]] | None = None
         self.copied: list[str] = []
         self.stops: list[str] = []
         self.limit: str | None = None
@@ -273,6 +275,8 @@
         if order.get("last"):
             self._stop(run)
         else:
+            if self.before_copy is not None:
+                await self.before_copy()
             self.copied.append(run.id)
         handle = f"moved-{run.id}"
         if self.has_room:
