--- a/acaciaspoke/gateway/run_copy.py
+++ b/acaciaspoke/gateway/run_copy.py
@@ -10,6 +10,7 @@
 from types import TracebackType
 
 import anyio
+from loguru import logger
 
 from acaciaspoke.gateway import run_calls
 from acaciaspoke.gateway.background_calls import BackgroundCalls
@@ -65,10 +66,20 @@
         self._handle = ""
 
     async def _make(self, answered: anyio.Event) -> None:
+        started_s = time.monotonic()
         try:
             self._handle = await run_calls.copy(self._run, self._deadline_s)
         finally:
             answered.set()
+        logger.info(
+            "copy of the run at {} to {}: {}",
+            self._run.upstream,
+            self._run.destination.upstream,
+            "made" if self._handle else "not made",
+            request_id=self._run.request_id,
+            took_ms=round((time.monotonic() - started_s) * 1000),
+            is_needed=self._is_needed,
+        )
         if self._handle and not self._is_needed:
             await self._free()
 
