Stop a silent run only while its request may be sent again

What callers saw: a stream was cut after a silence of its engine, though the engine and the one with the copy were sound.

Cause: a run was stopped without regard to whether its request may get a further attempt, which is asked afterwards. It may not if its API key was removed before the first event, or if other runs of the request, or of a part of its prompt, have crashed engines meanwhile. So the stopped run had nowhere to go on. It is the class of this incident: a step that cannot be undone, before it is certain that the next one can be taken.

Change: the permission is asked before the stop order.

Evidence: test_stopped_without_permission failed 2 of 2 before (`attempt 1 ended: broken`, incomplete response) and passes.

--- a/acaciaspoke/gateway/attempt_runner.py
+++ b/acaciaspoke/gateway/attempt_runner.py
@@ -50,6 +50,7 @@
         metrics: GatewayMetrics,
         streams: StreamStore,
         on_event: Callable[[Request], None],
+        is_allowed: Callable[[Request], bool],
         suspect_links: Callable[[], None] = lambda: None,
     ):
         """Creates a runner without any connection.
@@ -59,6 +60,7 @@
             metrics: Counts retries and invalid loads.
             streams: Records at which versions streams begin.
             on_event: Called at each event of a stream.
+            is_allowed: Whether a request may get a further attempt.
             suspect_links: Called if a connection failed or broke.
         """
         self._suspect_links = suspect_links
@@ -66,6 +68,7 @@
         self._metrics = metrics
         self._stream_store = streams
         self._on_event = on_event
+        self._is_allowed = is_allowed
         self.stall_watch = StallWatch(dispatcher.fleet)
         self.lost_attempts = LostAttempts()
         self.background = BackgroundCalls()
@@ -224,9 +227,11 @@
             order: Callable[[], Awaitable[RunStop]],
         ) -> RunStop:
             # The run could not come back to an engine that leaves.
-            if self._dispatcher.fleet.is_leaving(
-                assignment.upstream
-            ) or not self._dispatcher.reserve_retry(request, time.monotonic()):
+            if (
+                self._dispatcher.fleet.is_leaving(assignment.upstream)
+                or not self._is_allowed(request)
+                or not self._dispatcher.reserve_retry(request, time.monotonic())
+            ):
                 return RunStop(StopOutcome.UNKNOWN)
             stop = await relay.takeover.order_stop(order)
             if stop.outcome is StopOutcome.STOPPED:
--- a/acaciaspoke/gateway/exchange.py
+++ b/acaciaspoke/gateway/exchange.py
@@ -110,6 +110,7 @@
             metrics,
             streams,
             self._on_event,
+            self._is_allowed,
             suspect_links or (lambda: None),
         )
 
