Judge waiting requests by the route in force as keys are removed

What callers saw: status 401 for a request that waited while a configuration removed its API key and made its route public, though both configurations permit it. Callers do not retry after 401.

Cause: `_refusal_of` asked the route that the request had at its arrival.

Change: it asks the route that the new configuration has for the request, and the former one only if there is none.

Evidence: test_route_becomes_public_as_the_key_is_removed failed before (401) and passes.

--- a/acaciaspoke/gateway/app.py
+++ b/acaciaspoke/gateway/app.py
@@ -4,6 +4,7 @@
 from collections.abc import Awaitable, Callable
 
 import anyio
+import httptools
 import xxhash
 from loguru import logger
 
@@ -297,8 +298,12 @@
 
     def _refusal_of(self, request: Request, relay: Relay) -> Failure | None:
         """Returns the answer to a request whose API key was removed."""
-        key = decode_request(relay.caller.header_list).api_key
-        return self._refusal(key, request.route)
+        caller = relay.caller
+        key = decode_request(caller.header_list).api_key
+        path = httptools.parse_url(relay.target).path.decode("latin-1")
+        # Its route may have become public.
+        route = self._routes.match(caller.header("host"), path)
+        return self._refusal(key, route or request.route)
 
     async def _serve_until_disconnect(
         self, request: Request, relay: Relay
--- a/test/gateway/test_keys_of_requests.py
+++ b/test/gateway/test_keys_of_requests.py
@@ -210,6 +210,37 @@
         self.assertEqual(24 - running, statuses.count(401))
         self.assertEqual(running, len(self.arrivals()))
 
+    async def test_route_becomes_public_as_the_key_is_removed(self):
+        """Requests that waited were answered 401, though they are permitted."""
+        released = asyncio.Event()
+
+        async def answer_late(arrival):
+            await released.wait()
+            await arrival.answer()
+
+        for app in self.apps:
+            app.script = answer_late
+        asking = [
+            asyncio.create_task(
+                self.ask("/unsafe/x", body=b"%d" % n, Acaciaspoke_Key=KEY)
+            )
+            for n in range(24)
+        ]
+        dispatcher = self.gateway._dispatcher
+        await self.eventually(
+            lambda: len(dispatcher._running) + dispatcher.waiting == 24
+        )
+        self.assertGreater(dispatcher.waiting, 0)
+        routes = [
+            {**route, "public": True} for route in configuration()["routes"]
+        ]
+        await self.configure(
+            keyed_configuration(3, entry("alpha", OTHER_KEY), routes=routes)
+        )
+        released.set()
+        answers = await asyncio.gather(*asking)
+        self.assertEqual({200}, {answer.status for answer in answers})
+
     async def test_request_that_is_refused_after_the_removal(self):
         """It was sent to the next upstream."""
         released = asyncio.Event()
