Ask before a stop order whether both engines may still get the run

What callers saw: a stream was cut after a silence of its engine, as the engine with the copy had begun to leave, or had asked for a pause.

Cause: whether the other engine may get the request was asked before the copy, up to seconds before the stop order, and not again. An engine that asks for a pause does not get its own run back either, which was not asked at all.

Change: both are asked just before the stop order, which is left out if either may not get the run. A retry that is reserved already counts as allowed.

--- a/acaciaspoke/gateway/attempt_runner.py
+++ b/acaciaspoke/gateway/attempt_runner.py
@@ -13,6 +13,7 @@
 from acaciaspoke.gateway.attempt import Relay
 from acaciaspoke.gateway.attempt_result import Attempt, Ending
 from acaciaspoke.gateway.background_calls import BackgroundCalls
+from acaciaspoke.gateway.backups import may_continue
 from acaciaspoke.gateway.dispatch import Assignment, Dispatcher
 from acaciaspoke.gateway.lost_attempts import LostAttempts
 from acaciaspoke.gateway.metrics import GatewayMetrics
@@ -226,12 +227,7 @@
         async def order_stop(
             order: Callable[[], Awaitable[RunStop]],
         ) -> RunStop:
-            # The run could not come back to an engine that leaves.
-            if (
-                self._dispatcher.fleet.is_leaving(assignment.upstream)
-                or not self._is_allowed(request)
-                or not self._dispatcher.reserve_retry(request, time.monotonic())
-            ):
+            if not self._can_go_on(assignment):
                 return RunStop(StopOutcome.UNKNOWN)
             stop = await relay.takeover.order_stop(order)
             if stop.outcome is StopOutcome.STOPPED:
@@ -252,6 +248,21 @@
                 lambda end: self._metrics.silent_runs.labels(end).inc(),
             )
 
+    def _can_go_on(self, assignment: Assignment) -> bool:
+        """Returns whether a run can go on once it is stopped.
+
+        Otherwise than at the engine with the copy, it can go on at its own one.
+        Reserves the retry for that.
+        """
+        request, now_s = assignment.request, time.monotonic()
+        own = self._dispatcher.fleet.upstreams.get(assignment.upstream)
+        return (
+            may_continue(request, own, now_s)
+            and self._dispatcher.usable_backup(request, now_s) is not None
+            and self._is_allowed(request)
+            and self._dispatcher.reserve_retry(request, now_s)
+        )
+
     def _silent_s(self, assignment: Assignment, relay: Relay) -> float:
         """Returns the time since the last event of any stream of an engine."""
         last_event_s = self._dispatcher.fleet.last_event_s(
--- a/acaciaspoke/gateway/dispatch.py
+++ b/acaciaspoke/gateway/dispatch.py
@@ -370,9 +370,10 @@
         """Returns the engine with the KV backup if it may get the request."""
         backup = request.backup_engine
         upstream = backup and self.fleet.upstreams.get(backup.upstream)
-        if not may_continue(request, upstream, now_s) or not self.budget(
+        has_retry = request.has_retry or self.budget(
             request.service
-        ).allows_retry(now_s):
+        ).allows_retry(now_s)
+        if not has_retry or not may_continue(request, upstream, now_s):
             return None
         return upstream
 
