--- a/acaciaspoke/gateway/attempt_runner.py
+++ b/acaciaspoke/gateway/attempt_runner.py
@@ -13,7 +13,7 @@
 from acaciaspoke.gateway.attempt import Relay
 from acaciaspoke.gateway.attempt_result import Attempt, Ending
 from acaciaspoke.gateway.background_calls import BackgroundCalls
-from acaciaspoke.gateway.backups import may_continue
+from acaciaspoke.gateway.backups import may_continue, usable_backup
 from acaciaspoke.gateway.dispatch import Assignment, Dispatcher
 from acaciaspoke.gateway.lost_attempts import LostAttempts
 from acaciaspoke.gateway.metrics import GatewayMetrics
@@ -234,7 +234,7 @@
                 copy.keep()
             return stop
 
-        while self._dispatcher.usable_backup(request, time.monotonic()) is None:
+        while not self._may_take_over(request):
             await anyio.sleep(RETRY_INTERVAL_S)
         with copy:
             return await end_silent(
@@ -248,6 +248,13 @@
                 lambda end: self._metrics.silent_runs.labels(end).inc(),
             )
 
+    def _may_take_over(self, request: Request) -> bool:
+        """Returns whether the engine with the KV backup may get a request."""
+        fleet = self._dispatcher.fleet
+        budget = self._dispatcher.budget(request.service)
+        backup = usable_backup(request, fleet, budget, time.monotonic())
+        return backup is not None
+
     def _can_go_on(self, assignment: Assignment) -> bool:
         """Returns whether a run can go on once it is stopped.
 
@@ -258,7 +265,7 @@
         own = self._dispatcher.fleet.upstreams.get(assignment.upstream)
         return (
             may_continue(request, own, now_s)
-            and self._dispatcher.usable_backup(request, now_s) is not None
+            and self._may_take_over(request)
             and self._is_allowed(request)
             and self._dispatcher.reserve_retry(request, now_s)
         )
--- a/acaciaspoke/gateway/backups.py
+++ b/acaciaspoke/gateway/backups.py
@@ -1,6 +1,8 @@
 """Which streams get a KV backup, and which engines may go on with them."""
 
 from acaciaspoke.gateway.estimates import Estimates
+from acaciaspoke.gateway.fleet import Fleet
+from acaciaspoke.gateway.retry_budget import RetryBudget
 from acaciaspoke.gateway.types import Configuration, Request
 from acaciaspoke.gateway.upstream import Upstream
 
@@ -37,3 +39,15 @@
         and now_s >= upstream.named_pause_until_s
         and request.version in (None, upstream.record.version)
     )
+
+
+def usable_backup(
+    request: Request, fleet: Fleet, budget: RetryBudget, now_s: float
+) -> Upstream | None:
+    """Returns the engine with the KV backup if it may get the request."""
+    backup = request.backup_engine
+    upstream = backup and fleet.upstreams.get(backup.upstream)
+    has_retry = request.has_retry or budget.allows_retry(now_s)
+    if not has_retry or not may_continue(request, upstream, now_s):
+        return None
+    return upstream
--- a/acaciaspoke/gateway/dispatch.py
+++ b/acaciaspoke/gateway/dispatch.py
@@ -366,17 +366,6 @@
             return self._refuse(request, "copy lost", 0.0, now_s)
         return self._assign(request, upstream, now_s)
 
-    def usable_backup(self, request: Request, now_s: float) -> Upstream | None:
-        """Returns the engine with the KV backup if it may get the request."""
-        backup = request.backup_engine
-        upstream = backup and self.fleet.upstreams.get(backup.upstream)
-        has_retry = request.has_retry or self.budget(
-            request.service
-        ).allows_retry(now_s)
-        if not has_retry or not may_continue(request, upstream, now_s):
-            return None
-        return upstream
-
     def _refuse(
         self, request: Request, reason: str, wait_s: float, now_s: float
     ) -> DroppedRequest:
