Stop a run only while the other engine has a place for it

What callers see where this acts: a stream of a brittle service is stopped after a silence and waits for a place at the engine with the copy, until they leave. Not seen in a run; read in the code, and shown by a test of the decision.

Cause: a request that goes on at a brittle engine needs one of this host's places there. Whether one is free was asked after the run had been stopped.

Change: an engine without a free place cannot take a run over. A run that is silent for good then stays, too, until there is a place; nothing asks for one.

Evidence: test_run_is_not_stopped_without_a_place_at_the_other_engine failed before and passes.

--- a/acaciaspoke/gateway/backups.py
+++ b/acaciaspoke/gateway/backups.py
@@ -50,4 +50,6 @@
     has_retry = request.has_retry or budget.allows_retry(now_s)
     if not has_retry or not may_continue(request, upstream, now_s):
         return None
-    return upstream
+    # At a brittle engine the request would wait for a place.
+    has_place = fleet.places.free(now_s).get(backup.upstream) != 0
+    return upstream if has_place else None
--- a/test/gateway/test_brittle_dispatch.py
+++ b/test/gateway/test_brittle_dispatch.py
@@ -2,9 +2,10 @@
 
 import unittest
 
+from acaciaspoke.gateway.backups import usable_backup
 from acaciaspoke.gateway.dispatch import Assignment
 from acaciaspoke.gateway.host_places import UNGRANTED_S
-from acaciaspoke.gateway.types import ResumePoint, WaitReason
+from acaciaspoke.gateway.types import BackupEngine, ResumePoint, WaitReason
 from acaciaspoke.ids import UpstreamId
 from test.gateway.builders import (
     SERVICE,
@@ -75,6 +76,20 @@
         self._submit()
         self.assertEqual([("q1", U1)], self._decide())
 
+    def test_run_is_not_stopped_without_a_place_at_the_other_engine(self):
+        """It was stopped, and waited for a place until its caller left."""
+        stream = self._submit()
+        self._grant(u1=1)
+        self.assertEqual([("q1", U1)], self._decide())
+        stream.backup_engine = BackupEngine(U2, "10.0.0.2:80")
+        self.assertIsNone(self._usable_backup(stream))
+        self._grant(u1=1, u2=1)
+        self.assertIsNotNone(self._usable_backup(stream))
+
+    def _usable_backup(self, stream):
+        budget = self.dispatcher.budget(SERVICE)
+        return usable_backup(stream, self.fleet, budget, self.now_s)
+
     def test_takeover_waits_for_a_place(self):
         stream = self._submit()
         stream.resume_at = ResumePoint(U2, "10.0.0.2:80", "memory")
