Move runs only between engines that hold their models

What callers see where this acts: a stream is cut after a silence, as its model is being unloaded at its engine or at the one with the copy.

Cause: the leader unloads models and adapters without regard to copies of runs, and an unload waits for runs, but not for one that was stopped. Such an engine answers 421 to the request that goes on. It was not asked whether the engines still hold the model.

Change: a run is copied and stopped only while both engines are known to hold its model or adapter. A run that has ended is still tried wherever it can be.

--- a/acaciaspoke/gateway/attempt_runner.py
+++ b/acaciaspoke/gateway/attempt_runner.py
@@ -13,7 +13,7 @@
 from acaciaspoke.gateway.attempt import Relay
 from acaciaspoke.gateway.attempt_result import Attempt, Ending
 from acaciaspoke.gateway.background_calls import BackgroundCalls
-from acaciaspoke.gateway.backups import may_continue, usable_backup
+from acaciaspoke.gateway.backups import may_move, usable_backup
 from acaciaspoke.gateway.dispatch import Assignment, Dispatcher
 from acaciaspoke.gateway.lost_attempts import LostAttempts
 from acaciaspoke.gateway.metrics import GatewayMetrics
@@ -264,7 +264,7 @@
         request, now_s = assignment.request, time.monotonic()
         own = self._dispatcher.fleet.upstreams.get(assignment.upstream)
         return (
-            may_continue(request, own, now_s)
+            may_move(request, own, now_s)
             and self._may_take_over(request)
             and self._is_allowed(request)
             and self._dispatcher.reserve_retry(request, now_s)
--- a/acaciaspoke/gateway/backups.py
+++ b/acaciaspoke/gateway/backups.py
@@ -41,6 +41,16 @@
     )
 
 
+def may_move(request: Request, upstream: Upstream | None, now_s: float) -> bool:
+    """Returns whether a run that still goes on may be moved to an engine.
+
+    What the engine holds is known late; a run that has ended is worth a try.
+    """
+    return may_continue(request, upstream, now_s) and upstream.holds(
+        request.artifact, now_s
+    )
+
+
 def usable_backup(
     request: Request, fleet: Fleet, budget: RetryBudget, now_s: float
 ) -> Upstream | None:
@@ -48,7 +58,7 @@
     backup = request.backup_engine
     upstream = backup and fleet.upstreams.get(backup.upstream)
     has_retry = request.has_retry or budget.allows_retry(now_s)
-    if not has_retry or not may_continue(request, upstream, now_s):
+    if not has_retry or not may_move(request, upstream, now_s):
         return None
     # At a brittle engine the request would wait for a place.
     has_place = fleet.places.free(now_s).get(backup.upstream) != 0
--- a/test/gateway/test_stopped_with_nowhere_to_go.py
+++ b/test/gateway/test_stopped_with_nowhere_to_go.py
@@ -3,6 +3,8 @@
 import asyncio
 import time
 
+from acaciaspoke.gateway.types import Artifact
+from acaciaspoke.ids import ModelId
 from test.gateway.kv_engines import EVENTS, KvEngines, refuse
 from test.gateway.serving import GatewayTest
 
@@ -18,7 +20,7 @@
         self.gateway._dispatcher.estimates.durations["stream"].mean_s = 2.0
         self.kv = KvEngines(self.engines)
         self.kv.at_backup = self.kv.at_source = refuse
-        self.kv.silence_s, self.kv.answers_calls = 3.0, True
+        self.kv.silence_s, self.kv.answers_calls = 2.2, True
 
     async def _check_stays(self, on_copy):
         asking = asyncio.create_task(
@@ -48,3 +50,14 @@
 
     async def test_engine_of_the_run_wants_no_requests_for_a_while(self):
         await self._check_stays(lambda source, _: self._pause(source))
+
+    async def test_other_engine_unloads_the_model(self):
+        await self._check_stays(lambda _, other: self._unload(other))
+
+    async def test_engine_of_the_run_unloads_the_model(self):
+        """It waits for the run to end, and cannot get it back."""
+        await self._check_stays(lambda source, _: self._unload(source))
+
+    def _unload(self, engine):
+        upstream = self.gateway._dispatcher.fleet.upstreams[engine.name]
+        upstream.withdraw(Artifact(ModelId("m1")), time.monotonic())
