Free copies of runs before the process of a stopped host ends

What operators see: an engine keeps a slot and memory for a copy of a run that has ended, until the copy lapses, as the host stopped meanwhile.

Cause: the process cancels calls to upstreams as soon as its last request has ended. The call that makes a copy tells its name only when it is complete, so that a copy in progress was never freed.

Change: the process waits for these calls, for a second at most. Requests have ended by then, so that no answer comes later.

Evidence: test_copy_kept_by_stopped_host failed before (no copy freed) and passes. test_planned_stop, test_end_of_grace and test_abandoned_run_works_on pass.

--- a/acaciaspoke/gateway/process.py
+++ b/acaciaspoke/gateway/process.py
@@ -77,6 +77,9 @@
 # The balancer checks each second and stops sending after two failures.
 DRAIN_NOTICE_S = 2.3
 
+# How long the end of the process waits for calls that free copies of runs.
+LAST_CALLS_S = 1.0
+
 
 class GatewayProcess:
     """Creates the parts of a gateway, and runs them."""
@@ -462,6 +465,8 @@
                 await self.drain.run(DRAIN_NOTICE_S, self._servers.stop)
             await self._leader.release_lease()
             await self._registration.remove()
+            with anyio.move_on_after(LAST_CALLS_S):
+                await self._request_handler.attempts.background.finish()
             self.drain.record_idle()
             logger.info("stopped")
             tasks.cancel_scope.cancel()
