Count no run that this host has stopped as a crash

What callers saw: streams were cut after a silence of their engine, though their runs could go on elsewhere (`its end: stopped`, then `stream aborted` without `goes on at`).

Cause: an attempt whose run was stopped by order ends like one whose engine has crashed, and counted as a crash of its request. After three, all requests with the same path and body are blocked for 30 s at all hosts, also those whose runs have just been stopped: they got no attempt to go on.

Change: an attempt says whether this host had its run stopped. Such a one is no evidence against its request.

Evidence: test_stopped_runs_counted_as_crashes failed before (2 of 4 streams incomplete) and passes.

--- a/acaciaspoke/gateway/attempt_result.py
+++ b/acaciaspoke/gateway/attempt_result.py
@@ -46,6 +46,7 @@
             it had, before the end of its response.
         is_unreachable: Whether the upstream's host had not answered, so that
             its connection was given up; the upstream may still run.
+        is_stopped: Whether this host had the upstream stop the run.
         failure: An error of the upstream to forward to the caller.
     """
 
@@ -56,4 +57,5 @@
     has_invalid_load: bool = False
     is_closed: bool = False
     is_unreachable: bool = False
+    is_stopped: bool = False
     failure: tuple[int, Headers, bytes] | None = None
--- a/acaciaspoke/gateway/attempt_runner.py
+++ b/acaciaspoke/gateway/attempt_runner.py
@@ -209,6 +209,9 @@
                         if takeover.stop is not None:
                             # The engine has not ended it by itself.
                             attempt.is_closed = False
+                            attempt.is_stopped = (
+                                takeover.stop.outcome is StopOutcome.STOPPED
+                            )
                 except Exception as error:
                     # Raised outside the task group, which would wrap it.
                     failure = error
--- a/acaciaspoke/gateway/crash_guard.py
+++ b/acaciaspoke/gateway/crash_guard.py
@@ -116,7 +116,11 @@
         request = assignment.request
         if attempt.ending is Ending.ANSWERED:
             self.requests.record_success(request.fingerprint)
-        if attempt.ending is not Ending.BROKEN or attempt.is_unreachable:
+        if (
+            attempt.ending is not Ending.BROKEN
+            or attempt.is_unreachable
+            or attempt.is_stopped
+        ):
             return
         is_confirmed = not self._checks_links
         self.requests.record_crash(request.fingerprint, now_s, is_confirmed)
