Let the engines of test_stopping_process be silent as a whole

The test failed since, 3 of 3 plays: no run was ever stopped, which it checks. The engines now send nothing at all from SIGTERM on for the same time as before, also to streams that begin meanwhile. No check is changed.

--- a/test/gateway/test_stopping_process.py
+++ b/test/gateway/test_stopping_process.py
@@ -8,9 +8,12 @@
 from test.gateway.kv_engines import EVENTS, refuse, send_rest
 from test.gateway.process_serving import GatewayProcessTest
 
-# Longer than the time after which the run of a silent stream is stopped.
+# Longer than the time after which the run of a silent engine is stopped.
 SILENCE_S = 1.8
 
+# Streams go on for longer than a request that needs no KV backup.
+WORK_S = 0.8
+
 # The balancer sends new connections until two of its checks have failed.
 BALANCER_S = 2.0
 
@@ -24,7 +27,8 @@
 
     async def test_streams_of_engines_that_are_silent_for_a_while(self):
         # They were cut, as the engines with their KV backups refused them.
-        asked_for_copy = 0
+        asked_for_copy, awake = 0, asyncio.Event()
+        awake.set()
 
         async def script(engine, arrival):
             nonlocal asked_for_copy
@@ -36,10 +40,17 @@
                 else:
                     await refuse(arrival)
                 return
+            await awake.wait()
             await arrival.stream(*EVENTS[:2], end=False)
-            await asyncio.sleep(SILENCE_S)
+            await asyncio.sleep(WORK_S)
+            await awake.wait()
             await send_rest(arrival, 2)
 
+        async def pause():
+            awake.clear()
+            await asyncio.sleep(SILENCE_S)
+            awake.set()
+
         for engine in self.engines:
             engine.script = functools.partial(script, engine)
         # Only streams of a route whose requests take long get a KV backup.
@@ -49,10 +60,12 @@
         await asyncio.sleep(0.2)
         self.process.send_signal(signal.SIGTERM)
         stopped_s = time.monotonic()
+        pausing = asyncio.create_task(pause())
         while time.monotonic() < stopped_s + BALANCER_S:
             tasks.append(self._stream())
             await asyncio.sleep(0.3)
         answers = await asyncio.gather(*tasks)
+        await pausing
         whole = [answer for answer in answers if answer.status == 200]
         self.assertLessEqual({answer.status for answer in answers}, {200, 503})
         self.assertGreaterEqual(len(whole), 3)
