--- a/acaciaspoke/gateway/attempt_runner.py
+++ b/acaciaspoke/gateway/attempt_runner.py
@@ -13,6 +13,7 @@
 from acaciaspoke.gateway.attempt import Relay
 from acaciaspoke.gateway.attempt_result import Attempt, Ending
 from acaciaspoke.gateway.background_calls import BackgroundCalls
+from acaciaspoke.gateway.backups import may_move, usable_backup
 from acaciaspoke.gateway.dispatch import Assignment, Dispatcher
 from acaciaspoke.gateway.lost_attempts import LostAttempts
 from acaciaspoke.gateway.metrics import GatewayMetrics
@@ -49,6 +50,7 @@
         metrics: GatewayMetrics,
         streams: StreamStore,
         on_event: Callable[[Request], None],
+        is_allowed: Callable[[Request], bool],
         suspect_links: Callable[[], None] = lambda: None,
     ):
         """Creates a runner without any connection.
@@ -58,6 +60,7 @@
             metrics: Counts retries and invalid loads.
             streams: Records at which versions streams begin.
             on_event: Called at each event of a stream.
+            is_allowed: Whether a request may get a further attempt.
             suspect_links: Called if a connection failed or broke.
         """
         self._suspect_links = suspect_links
@@ -65,6 +68,7 @@
         self._metrics = metrics
         self._stream_store = streams
         self._on_event = on_event
+        self._is_allowed = is_allowed
         self.stall_watch = StallWatch(dispatcher.fleet)
         self.lost_attempts = LostAttempts()
         self.background = BackgroundCalls()
@@ -204,6 +208,9 @@
                         if takeover.stop is not None:
                             # The engine has not ended it by itself.
                             attempt.is_closed = False
+                            attempt.is_stopped = (
+                                takeover.stop.outcome is StopOutcome.STOPPED
+                            )
                 except Exception as error:
                     # Raised outside the task group, which would wrap it.
                     failure = error
@@ -222,17 +229,14 @@
         async def order_stop(
             order: Callable[[], Awaitable[RunStop]],
         ) -> RunStop:
-            # The run could not come back to an engine that leaves.
-            if self._dispatcher.fleet.is_leaving(
-                assignment.upstream
-            ) or not self._dispatcher.reserve_retry(request, time.monotonic()):
+            if not self._can_go_on(assignment):
                 return RunStop(StopOutcome.UNKNOWN)
             stop = await relay.takeover.order_stop(order)
             if stop.outcome is StopOutcome.STOPPED:
                 copy.keep()
             return stop
 
-        while self._dispatcher.usable_backup(request, time.monotonic()) is None:
+        while not self._may_take_over(request):
             await anyio.sleep(RETRY_INTERVAL_S)
         with copy:
             return await end_silent(
@@ -246,6 +250,28 @@
                 lambda end: self._metrics.silent_runs.labels(end).inc(),
             )
 
+    def _may_take_over(self, request: Request) -> bool:
+        """Returns whether the engine with the KV backup may get a request."""
+        fleet = self._dispatcher.fleet
+        budget = self._dispatcher.budget(request.service)
+        backup = usable_backup(request, fleet, budget, time.monotonic())
+        return backup is not None
+
+    def _can_go_on(self, assignment: Assignment) -> bool:
+        """Returns whether a run can go on once it is stopped.
+
+        Otherwise than at the engine with the copy, it can go on at its own one.
+        Reserves the retry for that.
+        """
+        request, now_s = assignment.request, time.monotonic()
+        own = self._dispatcher.fleet.upstreams.get(assignment.upstream)
+        return (
+            may_move(request, own, now_s)
+            and self._may_take_over(request)
+            and self._is_allowed(request)
+            and self._dispatcher.reserve_retry(request, now_s)
+        )
+
     def _silent_s(self, assignment: Assignment, relay: Relay) -> float:
         """Returns the time since the last event of any stream of an engine."""
         last_event_s = self._dispatcher.fleet.last_event_s(
