--- a/acaciaspoke/gateway/exchange.py
+++ b/acaciaspoke/gateway/exchange.py
@@ -4,7 +4,6 @@
 from collections.abc import Callable
 
 import anyio
-from loguru import logger
 
 from acaciaspoke.gateway import answers
 from acaciaspoke.gateway.attempt import Relay
@@ -22,11 +21,10 @@
 from acaciaspoke.gateway.forwarding import Forwarder
 from acaciaspoke.gateway.metrics import GatewayMetrics
 from acaciaspoke.gateway.quotas import QuotaGate
+from acaciaspoke.gateway.resumption import plan_resumption, resume_next
 from acaciaspoke.gateway.stream_store import StreamStore
-from acaciaspoke.gateway.takeover import resume_points
-from acaciaspoke.gateway.types import BackupEngine, Request
+from acaciaspoke.gateway.types import Request
 from acaciaspoke.ids import HostId, RequestId
-from acaciaspoke.platform.engine import RunStop, StopOutcome
 
 Decision = Assignment | DroppedRequest | Forward | Decline
 
@@ -39,20 +37,6 @@
         self.decision: Decision | None = None
 
 
-def _plan_resumption(assignment: Assignment, stop: RunStop) -> None:
-    """Sets where a request can go on whose run has ended."""
-    request = assignment.request
-    points = resume_points(run_of(assignment), stop)
-    is_first_stop = request.backup_engine is not None
-    if is_first_stop or stop.outcome is StopOutcome.STOPPED:
-        request.resume_later_at = points
-    request.stopped_at = None
-    if is_first_stop and len(points) > 1:
-        source = assignment.upstream, assignment.address
-        request.stopped_at = BackupEngine(*source)
-    request.backup_engine = None
-
-
 def _lacks_version(request: Request, relay: Relay) -> bool:
     """Returns whether a stream goes on and may do so at one version only."""
     is_begun = request.continues is not None or bool(relay.splitter.last_id)
@@ -203,7 +187,7 @@
         while True:
             decision = await self._wait_for_decision(request)
             if isinstance(decision, DroppedRequest):
-                if self._resume_next(request):
+                if resume_next(request):
                     self._dispatcher.resubmit(request, time.monotonic())
                     continue
                 await answers.answer_dropped(
@@ -301,7 +285,7 @@
         if attempt.ending in NOTHING_RAN and request.resume_at is not None:
             # Its run has been stopped for this, so that the budget for retries
             # does not keep it from its other engine.
-            return self._is_allowed(request) and self._resume_next(request)
+            return self._is_allowed(request) and resume_next(request)
         may_run = {Ending.BROKEN}
         if request.stopped_at is not None:
             # The engine that has stopped the run still has its memory.
@@ -325,23 +309,8 @@
         self.attempts.abandoned_runs.add(
             run_of(assignment), stop, request.deadline_s
         )
-        _plan_resumption(assignment, stop)
-        return self._resume_next(request)
-
-    def _resume_next(self, request: Request) -> bool:
-        """Chooses the next engine that can go on; returns whether one can."""
-        if not request.resume_later_at:
-            return False
-        request.resume_at, *request.resume_later_at = request.resume_later_at
-        if not request.resume_later_at:
-            request.stopped_at = None
-        logger.info(
-            "goes on at {} with its memory",
-            request.resume_at.upstream,
-            request_id=request.id,
-            memory=request.resume_at.memory,
-        )
-        return True
+        plan_resumption(assignment, stop)
+        return resume_next(request)
 
     def _is_allowed(self, request: Request) -> bool:
         now_s = time.monotonic()
