Ask engines that refuse a stopped run again while its caller waits

Cause: each engine was asked once. A refusal for lack of room, a connection that is not made, or a pause that an engine names, lasts for a moment; it was taken for good.

Change: engines that have not taken the stream are asked again, in turn, after 0.1, 0.2, 0.4 s and so on, until the caller leaves (its patience after the last event) or the deadline. Each further ask reserves a retry of the budget, so that without one the stream ends. Only engines that may still take it are asked: not one that is another process, leaves, limits its requests, or has refused while its memory is not known to be there (after a crash most refusals mean that there is no copy, and would only use up the budget). An engine that names a pause is asked after it. A point says to which engine the run can come back from it, so that this holds in later turns, too.

--- a/acaciaspoke/gateway/exchange.py
+++ b/acaciaspoke/gateway/exchange.py
@@ -21,8 +21,14 @@
 from acaciaspoke.gateway.forwarding import Forwarder
 from acaciaspoke.gateway.metrics import GatewayMetrics
 from acaciaspoke.gateway.quotas import QuotaGate
-from acaciaspoke.gateway.resumption import plan_resumption, resume_next
+from acaciaspoke.gateway.resumption import (
+    plan_resumption,
+    record_refusal,
+    resume_next,
+    wait_to_ask_again,
+)
 from acaciaspoke.gateway.stream_store import StreamStore
+from acaciaspoke.gateway.takeover import caller_patience_s
 from acaciaspoke.gateway.types import Request
 from acaciaspoke.ids import HostId, RequestId
 
@@ -187,7 +193,9 @@
         while True:
             decision = await self._wait_for_decision(request)
             if isinstance(decision, DroppedRequest):
-                if resume_next(request):
+                if request.resume_at is not None:
+                    record_refusal(request, Ending.NOT_SENT)
+                if await self._resume_next(request, relay):
                     self._dispatcher.resubmit(request, time.monotonic())
                     continue
                 await answers.answer_dropped(
@@ -283,9 +291,8 @@
         """
         request = assignment.request
         if attempt.ending in NOTHING_RAN and request.resume_at is not None:
-            # Its run has been stopped for this, so that the budget for retries
-            # does not keep it from its other engine.
-            return self._is_allowed(request) and resume_next(request)
+            record_refusal(request, attempt.ending)
+            return await self._resume_next(request, relay)
         may_run = {Ending.BROKEN}
         if request.stopped_at is not None:
             # The engine that has stopped the run still has its memory.
@@ -310,7 +317,23 @@
             run_of(assignment), stop, request.deadline_s
         )
         plan_resumption(assignment, stop)
-        return resume_next(request)
+        return await self._resume_next(request, relay)
+
+    async def _resume_next(self, request: Request, relay: Relay) -> bool:
+        """Chooses the next engine that can go on; returns whether one can.
+
+        The run has been stopped for this, so that the budget for retries does
+        not keep it from the engines that have not been asked.
+        """
+        leaves_s = relay.last_event_s + caller_patience_s(request.route)
+        if not request.resume_later_at and not await wait_to_ask_again(
+            request,
+            self._dispatcher.fleet,
+            min(request.deadline_s, leaves_s),
+            lambda: self._dispatcher.reserve_retry(request, time.monotonic()),
+        ):
+            return False
+        return self._is_allowed(request) and resume_next(request)
 
     def _is_allowed(self, request: Request) -> bool:
         now_s = time.monotonic()
--- a/acaciaspoke/gateway/takeover.py
+++ b/acaciaspoke/gateway/takeover.py
@@ -254,10 +254,11 @@
     if stop.outcome is not StopOutcome.STOPPED or not stop.handle:
         return [backup]
     memory = f"{run.address}/{stop.handle}"
-    source = ResumePoint(run.upstream, run.address, memory)
+    source = ResumePoint(run.upstream, run.address, memory, is_confirmed=True)
     if stop.is_copied:
-        backup = backup._replace(memory=memory)
-    return [backup, source]
+        backup = backup._replace(memory=memory, is_confirmed=True)
+    returns_to = BackupEngine(run.upstream, run.address)
+    return [backup._replace(returns_to=returns_to), source]
 
 
 class Takeover:
--- a/acaciaspoke/gateway/types.py
+++ b/acaciaspoke/gateway/types.py
@@ -266,11 +266,16 @@
     Attributes:
         memory: Address of an engine and the name under which it has the memory
             of the run.
+        returns_to: The engine that has stopped the run and has its memory, too,
+            so that it can come back from this one; None if it cannot.
+        is_confirmed: Whether that one has said that the memory is there.
     """
 
     upstream: UpstreamId
     address: str
     memory: str
+    returns_to: BackupEngine | None = None
+    is_confirmed: bool = False
 
 
 class PromptPart(NamedTuple):
@@ -315,6 +320,8 @@
             on with it.
         resume_at: The engine at which it goes on with its run.
         resume_later_at: Other engines for this, in order of preference.
+        resume_again_at: Engines that have not taken it, and may do so later.
+        resume_pauses: How often it has waited to ask one of them again.
         version: The software version that began its stream, and the only one
             that can go on with it; None before its first event.
         continues: The caller's earlier request that brought the first event of
@@ -357,6 +364,8 @@
     stopped_at: BackupEngine | None = None
     resume_at: ResumePoint | None = None
     resume_later_at: list[ResumePoint] = msgspec.field(default_factory=list)
+    resume_again_at: list[ResumePoint] = msgspec.field(default_factory=list)
+    resume_pauses: int = 0
     version: SoftwareVersion | None = None
     continues: RequestId | None = None
     forwarded_by: HostId | None = None
