--- a/acaciaspoke/gateway/fleet.py
+++ b/acaciaspoke/gateway/fleet.py
@@ -28,14 +28,6 @@
     UpstreamId,
 )
 
-# Pause after an upstream refused a request because it was full.
-REFUSAL_PAUSE_S = 0.1
-
-# Pause after a connection to an upstream failed; doubles with each consecutive
-# failure.
-FAILURE_PAUSE_S = 0.25
-MAX_FAILURE_PAUSE_S = 2.0
-
 # Events of several streams pause for this time only if this host was suspended
 # or its links were lost meanwhile.
 MAX_COMMON_GAP_S = 0.3
@@ -378,20 +370,13 @@
         """Records that an upstream refused a request because it was full."""
         upstream = self.upstreams.get(upstream_id)
         if upstream is not None:
-            upstream.paused_until_s = max(
-                upstream.paused_until_s, now_s + REFUSAL_PAUSE_S
-            )
-            upstream.refusals += 1
+            upstream.record_refusal(now_s)
 
     def record_failure(self, upstream_id: UpstreamId, now_s: float) -> None:
         """Records that a connection to an upstream broke or was not made."""
         upstream = self.upstreams.get(upstream_id)
         if upstream is not None:
-            pause_s = FAILURE_PAUSE_S * 2**upstream.failures
-            upstream.failures += 1
-            upstream.failed_s = now_s
-            upstream.broken += 1
-            upstream.paused_until_s = now_s + min(pause_s, MAX_FAILURE_PAUSE_S)
+            upstream.record_failure(now_s)
 
     def forget_failures(self, since_s: float, now_s: float) -> None:
         """Ends pauses after failures that were due to this host's links.
@@ -403,8 +388,7 @@
         lost = self.links.lost(now_s)
         for name, upstream in self.upstreams.items():
             if upstream.failed_s >= since_s and name not in lost:
-                upstream.failures = 0
-                upstream.paused_until_s = min(upstream.paused_until_s, now_s)
+                upstream.forget_failures(now_s)
 
     # What the leader announces, and loads of all hosts.
 
--- a/acaciaspoke/gateway/upstream.py
+++ b/acaciaspoke/gateway/upstream.py
@@ -13,6 +13,14 @@
 # records are renewed every 1.2 s.
 ANNOUNCEMENT_VALID_S = 3.0
 
+# Pause after an upstream refused a request because it was full.
+REFUSAL_PAUSE_S = 0.1
+
+# Pause after a connection to an upstream failed; doubles with each consecutive
+# failure.
+FAILURE_PAUSE_S = 0.25
+MAX_FAILURE_PAUSE_S = 2.0
+
 
 class Prompt(NamedTuple):
     """A prompt that was sent to an engine.
@@ -101,6 +109,24 @@
             return False
         return not self.is_on_trial or self.trial_request is None
 
+    def record_refusal(self, now_s: float) -> None:
+        """Pauses it, as it refused a request because it was full."""
+        self.paused_until_s = max(self.paused_until_s, now_s + REFUSAL_PAUSE_S)
+        self.refusals += 1
+
+    def record_failure(self, now_s: float) -> None:
+        """Pauses it, as a connection to it broke or was not made."""
+        pause_s = FAILURE_PAUSE_S * 2**self.failures
+        self.failures += 1
+        self.failed_s = now_s
+        self.broken += 1
+        self.paused_until_s = now_s + min(pause_s, MAX_FAILURE_PAUSE_S)
+
+    def forget_failures(self, now_s: float) -> None:
+        """Ends its pause after failures."""
+        self.failures = 0
+        self.paused_until_s = min(self.paused_until_s, now_s)
+
     def local_prefill_tokens(self, now_s: float) -> int:
         """Returns the prompt tokens of local requests in or just after prefill.
 
--- a/test/gateway/test_faulty_upstream.py
+++ b/test/gateway/test_faulty_upstream.py
@@ -10,8 +10,8 @@
 from acaciaspoke.entry.pool import MAX_HEAD_BYTES
 from acaciaspoke.gateway import bodies
 from acaciaspoke.gateway.events import MAX_EVENT_BYTES
-from acaciaspoke.gateway.fleet import REFUSAL_PAUSE_S
 from acaciaspoke.gateway.orders import MAX_RESPONSE_BYTES
+from acaciaspoke.gateway.upstream import REFUSAL_PAUSE_S
 from standins.worker import ID_HEADER, SEAL_HEADER
 from test.gateway.serving import GatewayTest
 
--- a/test/gateway/test_pauses_after_lost_links.py
+++ b/test/gateway/test_pauses_after_lost_links.py
@@ -3,7 +3,7 @@
 import unittest
 
 from acaciaspoke.gateway.dispatch import Assignment
-from acaciaspoke.gateway.fleet import MAX_FAILURE_PAUSE_S
+from acaciaspoke.gateway.upstream import MAX_FAILURE_PAUSE_S
 from acaciaspoke.ids import UpstreamId
 from test.gateway.builders import new_dispatcher, record, request
 
