End the pause of an upstream once it can be reached again

What callers saw: after all upstreams of a service had stood still for 1.2 s with full accept queues, requests waited 1.3 to 1.6 s more or were refused as late, though the upstreams had woken.

Cause: connections that time out together count as consecutive failures, so that four requests of one moment bring the longest pause, 2 s. The pause ended only with its time, although the link prober had connected to the upstream since; only a host that had lost all its links forgot its failures then.

Change: a probe or request that connects to an upstream whose latest connection had failed ends its pause and its count of failures. Pauses after connections that broke stay, unless new ones failed meanwhile. The prober pauses only for the rest of 0.3 s after a round (rounds whose probes hang took 0.7 s, now 0.45 s), and probes all other lost links once one is back, as upstreams that stood still together go on together.

Evidence: test_avoided_after_a_silence failed before, 2 of 2 (1.35 s and 1.57 s, 0.8 s allowed; load average 16), and passes 6 of 6 runs. 113 of 113 tests of links, pauses, forwarding and dispatch.

--- a/acaciaspoke/gateway/fleet.py
+++ b/acaciaspoke/gateway/fleet.py
@@ -61,7 +61,7 @@
         self.slowdowns = Slowdowns(self._started_ms, self._service_of)
         self.brittle = BrittleUpstreams(self.upstreams, self._started_ms)
         self.places = HostPlaces(self.brittle)
-        self.links = Links()
+        self.links = Links(self._end_failure_pause)
         self.reachability = Reachability(
             self.upstreams, self.peer_loads, self.links
         )
@@ -390,6 +390,14 @@
             if upstream.failed_s >= since_s and name not in lost:
                 upstream.forget_failures(now_s)
 
+    def _end_failure_pause(
+        self, upstream_id: UpstreamId, connected_s: float
+    ) -> None:
+        """Ends the pause of an upstream that can be reached again."""
+        upstream = self.upstreams.get(upstream_id)
+        if upstream is not None and upstream.failed_s <= connected_s:
+            upstream.forget_failures(connected_s)
+
     # What the leader announces, and loads of all hosts.
 
     def apply_notice(self, notice: PlacementNotice, now_s: float) -> None:
--- a/acaciaspoke/gateway/link_prober.py
+++ b/acaciaspoke/gateway/link_prober.py
@@ -36,9 +36,12 @@
 # that is down is not taken for lost links.
 OTHER_PROBES = 2
 
-# Pause between two rounds while links are lost or suspected.
+# Time between two rounds while links are lost or suspected.
 INTERVAL_S = 0.3
 
+# Pause after a round that took longer.
+MIN_PAUSE_S = 0.05
+
 # A check begins this time after a connection was lost, as the links of a host
 # may not all be lost in the same moment.
 SETTLE_S = 0.05
@@ -134,13 +137,21 @@
             self._suspected = anyio.Event()
             if is_suspected:
                 await anyio.sleep(SETTLE_S)
+            began_s = self._clock()
             await self._probe_round(is_suspected)
-            if self._was_cut_off and not self._links.is_cut_off(self._clock()):
-                # Those that are still lost must not be tried by requests.
-                await self._probe(self._links.lost(self._clock()))
+            is_regained = self._was_cut_off and not self._links.is_cut_off(
+                self._clock()
+            )
+            lost = self._links.lost(self._clock())
+            if is_regained or self._lost - lost:
+                # Those that are still lost must not be tried by requests, and
+                # upstreams that stood still together go on together.
+                await self._probe(lost)
+            if is_regained:
                 self._on_regained(self._intact_s, self._clock())
             self._report()
-            await anyio.sleep(INTERVAL_S)
+            elapsed_s = self._clock() - began_s
+            await anyio.sleep(max(MIN_PAUSE_S, INTERVAL_S - elapsed_s))
 
     async def _wait_for_doubt(self) -> None:
         """Waits until a link may be lost, at most for ``IDLE_INTERVAL_S``."""
--- a/acaciaspoke/gateway/links.py
+++ b/acaciaspoke/gateway/links.py
@@ -10,7 +10,7 @@
 Only new connections count: established ones may stay open while new ones fail.
 """
 
-from collections.abc import Collection, Set
+from collections.abc import Callable, Collection, Set
 
 from acaciaspoke.ids import UpstreamId
 
@@ -30,7 +30,17 @@
         checked_s: When the latest check began that found an upstream.
     """
 
-    def __init__(self) -> None:
+    def __init__(
+        self,
+        on_regained: Callable[[UpstreamId, float], None] = lambda *_: None,
+    ) -> None:
+        """Creates an object without results.
+
+        Args:
+            on_regained: Called with an upstream whose latest connection had
+                failed, and with when the one began that was established.
+        """
+        self._on_regained = on_regained
         self.received_s = float("-inf")
         self.intact_s = float("-inf")
         self.checked_s = float("-inf")
@@ -61,10 +71,12 @@
         self._connected_s[upstream] = max(
             now_s, self._connected_s.get(upstream, now_s)
         )
-        self._failed_s.pop(upstream, None)
+        was_lost = self._failed_s.pop(upstream, None) is not None
         self.intact_s = max(self.intact_s, now_s)
         if self._cut_off_s is not None and now_s >= self._cut_off_s:
             self._cut_off_s = None
+        if was_lost:
+            self._on_regained(upstream, now_s)
 
     def record_failed(self, upstream: UpstreamId, now_s: float) -> None:
         """Records a connection that was not established."""
