Send a request again to upstreams that could not be reached before

What callers saw: a request that came while both upstreams of its service stood still with full accept queues got 503 as late, 0.6 s (a stream) or 3.6 s (5 s left) after they had woken, though nothing had ever been sent anywhere.

Cause: an upstream to which a connection was not made counted as tried, for the rest of the request's time. With each upstream tried, none was left.

Change: such an upstream is left out only while this host's latest connection to it has failed; once one is made, it gets the request if no other one can. What was sent may have run, so that upstreams stay tried after all other endings.

--- a/acaciaspoke/gateway/balance.py
+++ b/acaciaspoke/gateway/balance.py
@@ -93,6 +93,7 @@
         holdings: The prompt parts that engines hold; None if they are not
             known.
         now_s: The time of the loads.
+        lost: Upstreams to which the latest connection of this host failed.
     """
 
     running: Counter[UpstreamId]
@@ -106,6 +107,7 @@
     spreads_plain: bool = False
     holdings: Holdings | None = None
     now_s: float = 0.0
+    lost: Set[UpstreamId] = frozenset()
 
     def cached_tokens(
         self, upstream: Upstream, request: Request
@@ -192,20 +194,24 @@
         local_domain: The failure domain of this host.
         now_s: The current time.
     """
+    unreachable = request.unreached & loads.lost
     usable = [
         upstream
         for upstream in candidates
         if upstream.accepts(now_s)
         and upstream.record.upstream not in request.tried
+        and upstream.record.upstream not in unreachable
         and has_capacity(upstream, request, loads)
     ]
     if not usable:
         return None
-    # A slow or unresponsive engine gets new work only if there is no other one.
+    # A slow or unresponsive engine gets new work only if there is no other one,
+    # as does one that could not be reached for the request before.
     preferred = [
         upstream
         for upstream in usable
         if upstream.record.upstream not in loads.slow
+        and upstream.record.upstream not in request.unreached
         and not upstream.is_unresponsive(UNRESPONSIVE_S, now_s)
     ]
     usable = preferred or usable
--- a/acaciaspoke/gateway/current_loads.py
+++ b/acaciaspoke/gateway/current_loads.py
@@ -25,4 +25,5 @@
         bool(slowdowns) or has_workspaces,
         fleet.holdings,
         now_s,
+        fleet.links.lost(now_s),
     )
--- a/acaciaspoke/gateway/exchange.py
+++ b/acaciaspoke/gateway/exchange.py
@@ -371,7 +371,10 @@
                     known.withdraw(request.artifact, now_s)
                 else:
                     request.tried.add(upstream)
-            case Ending.NOT_SENT | Ending.BROKEN:
+            case Ending.NOT_SENT:
+                request.unreached.add(upstream)
+                fleet.record_failure(upstream, now_s)
+            case Ending.BROKEN:
                 request.tried.add(upstream)
                 fleet.record_failure(upstream, now_s)
             case Ending.MISMATCHED | Ending.FAILED:
--- a/acaciaspoke/gateway/types.py
+++ b/acaciaspoke/gateway/types.py
@@ -312,6 +312,8 @@
         affinity: Key of the session or shared prompt prefix.
         shared_parts: Parts of the prompt that other requests may share.
         tried: Upstreams that did not serve it.
+        unreached: Upstreams to which it could not be sent; once they can be
+            reached, they get it if no other one can.
         starts: Number of upstreams that may have run it.
         has_retry: Whether a retry of it is counted already.
         wait_reason: Why it waits, or waited last.
@@ -356,6 +358,7 @@
     output_tokens: int = 0
     fingerprint: int = 0
     tried: set[UpstreamId] = msgspec.field(default_factory=set)
+    unreached: set[UpstreamId] = msgspec.field(default_factory=set)
     starts: int = 0
     has_retry: bool = False
     sent_s: float = 0.0
