Leave a stream at an engine without contact while no other may get it

What callers saw: a stream of a sound engine that this host could not reach for 1.8 s was cut 1.55 s after its last event, though its engine went on.

Cause: an engine that takes no connections and acknowledges nothing was given up at once: the stream's connection was closed, and only then was it found that no retry was left, that the other engine leaves, or that it is silent as well. Runs that are told to stop have had these checks.

Change: the connection is closed only once the other engine has answered a call promptly, may get the run, and a retry is reserved. Otherwise the checks go on, and an event of the engine ends them, as before.

What is left: the other engine may still refuse for lack of a copy.

--- a/acaciaspoke/gateway/attempt_runner.py
+++ b/acaciaspoke/gateway/attempt_runner.py
@@ -233,7 +233,13 @@
                 copy.keep()
             return stop
 
-        while self._dispatcher.usable_backup(request, time.monotonic()) is None:
+        def reserve_retry() -> bool:
+            now_s = time.monotonic()
+            return self._has_usable_backup(
+                request
+            ) and self._dispatcher.reserve_retry(request, now_s)
+
+        while not self._has_usable_backup(request):
             await anyio.sleep(RETRY_INTERVAL_S)
         with copy:
             return await end_silent(
@@ -242,11 +248,16 @@
                 pool.acknowledgement_age_s,
                 copy.make,
                 order_stop,
+                reserve_retry,
                 stop_after_s(request.route),
                 request.deadline_s,
                 lambda end: self._metrics.silent_runs.labels(end).inc(),
             )
 
+    def _has_usable_backup(self, request: Request) -> bool:
+        now_s = time.monotonic()
+        return self._dispatcher.usable_backup(request, now_s) is not None
+
     def _silent_s(self, assignment: Assignment, relay: Relay) -> float:
         """Returns the time since the last event of any stream of an engine."""
         last_event_s = self._dispatcher.fleet.last_event_s(
--- a/acaciaspoke/gateway/run_calls.py
+++ b/acaciaspoke/gateway/run_calls.py
@@ -49,6 +49,7 @@
     acknowledgement_age_s: Callable[[], float | None],
     make_copy: Callable[[], Awaitable[bool]],
     order_stop: OrderStop,
+    reserve_retry: Callable[[], bool],
     stop_after_s: float,
     deadline_s: float,
     on_end: Callable[[str], None],
@@ -63,6 +64,8 @@
         make_copy: Copies the run to the other engine; returns whether that one
             has the copy.
         order_stop: Sends a stop order.
+        reserve_retry: Reserves a retry; returns whether the other engine may
+            get the run.
         stop_after_s: Time without an event after which the run may be stopped.
         deadline_s: When the request must be answered.
         on_end: Called with how it ended.
@@ -71,15 +74,26 @@
     silence = Silence(
         silent_s, lambda: responsiveness.duration_s, acknowledgement_age_s
     )
+    check_destination = functools.partial(
+        _check_promptly, *run.destination, deadline_s
+    )
+
+    async def may_go_on() -> bool:
+        return (
+            await check_destination() is StopOutcome.ANSWERED
+            and reserve_retry()
+        )
+
     calls = EngineCalls(
         _recorded(
             functools.partial(check, run.upstream, run.address, deadline_s),
             lambda outcome: outcome is StopOutcome.ANSWERED,
             responsiveness,
         ),
-        functools.partial(_check_promptly, *run.destination, deadline_s),
+        check_destination,
         _recorded(make_copy, bool, responsiveness),
         functools.partial(order_stop, functools.partial(stop, run, deadline_s)),
+        may_go_on,
     )
 
     def describe(end: str) -> dict[str, int | None]:
--- a/acaciaspoke/gateway/takeover.py
+++ b/acaciaspoke/gateway/takeover.py
@@ -106,6 +106,10 @@
     acknowledgement_age_s: float | None
 
 
+async def _always() -> bool:
+    return True
+
+
 class EngineCalls(NamedTuple):
     """Calls that end a run.
 
@@ -116,12 +120,15 @@
         copy: Has the engine of the run copy it to the other one; returns
             whether that one has the copy.
         stop: Orders the engine of the run to stop it.
+        may_go_on: Returns whether the other engine may get the run now, and
+            answers promptly.
     """
 
     check: Callable[[], Awaitable[StopOutcome]]
     check_destination: Callable[[], Awaitable[StopOutcome]]
     copy: Callable[[], Awaitable[bool]]
     stop: Callable[[], Awaitable[RunStop]]
+    may_go_on: Callable[[], Awaitable[bool]] = _always
 
 
 class Silence(NamedTuple):
@@ -180,8 +187,11 @@
                 if stop.outcome in _ENDED_WHILE_OPEN:
                     return stop
         timeouts = _count_timeouts(timeouts, outcome)
-        if timeouts >= MAX_CONNECT_TIMEOUTS and _is_unacknowledged(
-            silence.acknowledgement_age_s()
+        if (
+            timeouts >= MAX_CONNECT_TIMEOUTS
+            and _is_unacknowledged(silence.acknowledgement_age_s())
+            # It may be reachable again later, and its stream go on.
+            and await calls.may_go_on()
         ):
             return RunStop(StopOutcome.UNREACHABLE)
         await sleep(
