--- a/acaciaspoke/gateway/run_calls.py
+++ b/acaciaspoke/gateway/run_calls.py
@@ -49,6 +49,7 @@
     acknowledgement_age_s: Callable[[], float | None],
     make_copy: Callable[[], Awaitable[bool]],
     order_stop: OrderStop,
+    reserve_retry: Callable[[], bool],
     stop_after_s: float,
     deadline_s: float,
     on_end: Callable[[str], None],
@@ -63,6 +64,8 @@
         make_copy: Copies the run to the other engine; returns whether that one
             has the copy.
         order_stop: Sends a stop order.
+        reserve_retry: Reserves a retry at the other engine; returns whether
+            that one may get the run.
         stop_after_s: Time without an event after which the run may be stopped.
         deadline_s: When the request must be answered.
         on_end: Called with how it ended.
@@ -71,13 +74,20 @@
     silence = Silence(
         silent_s, lambda: responsiveness.duration_s, acknowledgement_age_s
     )
+
+    async def may_take_over() -> bool:
+        with anyio.move_on_after(PROMPT_ANSWER_S):
+            outcome = await check(*run.destination, deadline_s)
+            return outcome is StopOutcome.ANSWERED and reserve_retry()
+        return False
+
     calls = EngineCalls(
         _recorded(
             functools.partial(check, run.upstream, run.address, deadline_s),
             lambda outcome: outcome is StopOutcome.ANSWERED,
             responsiveness,
         ),
-        functools.partial(_check_promptly, *run.destination, deadline_s),
+        may_take_over,
         _recorded(make_copy, bool, responsiveness),
         functools.partial(order_stop, functools.partial(stop, run, deadline_s)),
     )
@@ -95,14 +105,6 @@
     return await _end(run, "silent", ending, describe)
 
 
-async def _check_promptly(
-    upstream: UpstreamId, address: str, deadline_s: float
-) -> StopOutcome:
-    with anyio.move_on_after(PROMPT_ANSWER_S):
-        return await check(upstream, address, deadline_s)
-    return StopOutcome.UNKNOWN
-
-
 def _recorded(
     call: Callable[[], Awaitable[T]],
     is_answered: Callable[[T], bool],
--- a/acaciaspoke/gateway/takeover.py
+++ b/acaciaspoke/gateway/takeover.py
@@ -111,15 +111,15 @@
 
     Attributes:
         check: Calls the engine of the run; changes nothing there.
-        check_destination: The same for the engine that has the KV backup, which
-            has to answer promptly.
+        may_take_over: Returns whether the engine that has the KV backup answers
+            promptly and may get the run; reserves a retry.
         copy: Has the engine of the run copy it to the other one; returns
             whether that one has the copy.
         stop: Orders the engine of the run to stop it.
     """
 
     check: Callable[[], Awaitable[StopOutcome]]
-    check_destination: Callable[[], Awaitable[StopOutcome]]
+    may_take_over: Callable[[], Awaitable[bool]]
     copy: Callable[[], Awaitable[bool]]
     stop: Callable[[], Awaitable[RunStop]]
 
@@ -174,14 +174,17 @@
                 has_copy
                 and silence.awake_s() >= MIN_RESPONSIVE_S
                 and silence.silent_s() >= stop_after_s
-                and await calls.check_destination() is StopOutcome.ANSWERED
+                and await calls.may_take_over()
             ):
                 stop = await calls.stop()
                 if stop.outcome in _ENDED_WHILE_OPEN:
                     return stop
         timeouts = _count_timeouts(timeouts, outcome)
-        if timeouts >= MAX_CONNECT_TIMEOUTS and _is_unacknowledged(
-            silence.acknowledgement_age_s()
+        if (
+            timeouts >= MAX_CONNECT_TIMEOUTS
+            and _is_unacknowledged(silence.acknowledgement_age_s())
+            # It may be reachable again later, and its stream go on.
+            and await calls.may_take_over()
         ):
             return RunStop(StopOutcome.UNREACHABLE)
         await sleep(
@@ -254,10 +257,11 @@
     if stop.outcome is not StopOutcome.STOPPED or not stop.handle:
         return [backup]
     memory = f"{run.address}/{stop.handle}"
-    source = ResumePoint(run.upstream, run.address, memory)
+    source = ResumePoint(run.upstream, run.address, memory, is_confirmed=True)
     if stop.is_copied:
-        backup = backup._replace(memory=memory)
-    return [backup, source]
+        backup = backup._replace(memory=memory, is_confirmed=True)
+    returns_to = BackupEngine(run.upstream, run.address)
+    return [backup._replace(returns_to=returns_to), source]
 
 
 class Takeover:
--- a/test/gateway/test_takeover.py
+++ b/test/gateway/test_takeover.py
@@ -60,9 +60,7 @@
         responsive_s=9.0,
     ):
         copies = itertools.chain(copies, itertools.repeat(True))
-        destination = itertools.chain(
-            destination, itertools.repeat(StopOutcome.ANSWERED)
-        )
+        destination = itertools.chain(destination, itertools.repeat(True))
         calls = EngineCalls(
             *map(_answers, (check, destination, copies, map(_to_stop, stop)))
         )
@@ -97,12 +95,16 @@
             )
 
     async def test_run_stays_while_the_other_engine_is_silent(self):
-        outcomes = (StopOutcome.UNKNOWN, StopOutcome.UNREACHABLE)
         with self.assertRaises(_NoEndError):
             await self._end_silent(
-                [StopOutcome.ANSWERED] * 3, [STOPPED], destination=outcomes
+                [StopOutcome.ANSWERED] * 9, [STOPPED], destination=[False] * 9
             )
 
+    async def test_run_without_contact_stays_while_the_other_is_silent(self):
+        unreachable = [StopOutcome.UNREACHABLE] * 9
+        with self.assertRaises(_NoEndError):
+            await self._end_silent(unreachable, destination=[False] * 9)
+
     async def test_run_stays_while_the_other_engine_has_no_copy(self):
         with self.assertRaises(_NoEndError):
             await self._end_silent(
