Stand-in engines keep a slot for the copy of a run

The engine stand-in took every copy that /kv-move ordered, kept it for handle_s without a slot, ignored DELETE /kv-handle, and let the memory of a stopped run be used once at either end.

A copy now holds a slot at its destination until it is used, freed (at both ends if the source is asked) or has lapsed, each with a line; without a slot the answer is 503, with the handle only for the last copy. A handle is used once at both ends together. The answer comes when the copy is complete, after those that are sent before it, and while the destination stands still it waits. `no_room_s` makes an engine refuse copies and backups for a time. What an engine keeps is a module of its own (kv_copies).

--- a/soak/configuration.py
+++ b/soak/configuration.py
@@ -4,7 +4,8 @@
 
 from soak import workspaces
 from standins.gateway_documents import engine_spec, gateway_route
-from standins.kv_engine import PREFIX, RETENTION_S
+from standins.kv_copies import RETENTION_S
+from standins.kv_engine import PREFIX
 
 # So few that requests wait.
 SLOTS = 2
--- a/standins/kv_engine.py
+++ b/standins/kv_engine.py
@@ -1,9 +1,10 @@
 """An engine whose streams go on at another engine from a copy of their memory.
 
 It implements what the platform says about ``Acaciaspoke-Kv-Backup``,
-``Kv-From`` and ``POST /kv-move``. Instead of memory, engines send each other
-how many events a run has made. Each run prints a line when it begins and when
-it ends, with the time of the machine's steady clock, which all processes share:
+``Kv-From``, ``POST /kv-move`` and ``DELETE /kv-handle``. Instead of memory,
+engines send each other how many events a run has made. Each run prints a line
+when it begins and when it ends, with the time of the machine's steady clock,
+which all processes share (``kv_copies`` has the lines of copies):
 
     began SERIAL ID afresh|copy ENGINE SECONDS
     ended SERIAL ID ENGINE SECONDS
@@ -15,12 +16,13 @@
 import random
 import time
 from collections import defaultdict
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Coroutine, Iterator
 from enum import Enum
 
 import msgspec
 
 from standins import client
+from standins.kv_copies import KvCopies
 from standins.worker import Arrival, Worker
 
 # Streams below this path have copies.
@@ -36,11 +38,14 @@
 # How long an event takes that a copy lacks.
 READ_S = 0.005
 
-# How long a copy is kept after its last part (``handle_s``).
-RETENTION_S = 5.0
+# How long an event takes that is copied as ordered.
+MOVE_S = 0.0005
 
 CALL_TIMEOUT_S = 1.0
 
+# How long an engine that stands still may delay a copy to it.
+MOVE_TIMEOUT_S = 2.0
+
 NOT_EXECUTED = {"Acaciaspoke-Not-Executed": "1"}
 
 
@@ -72,6 +77,7 @@
         kv_from: What happens to requests that go on from a copy.
         kv_from_s: For how long.
         delay_s: How late these are answered.
+        no_room_s: How long there is no room for copies of other runs.
     """
 
     silent_s: float = 0.0
@@ -79,6 +85,15 @@
     kv_from: KvFromFault | None = None
     kv_from_s: float = 0.0
     delay_s: float = 0.0
+    no_room_s: float = 0.0
+
+
+class _Move(msgspec.Struct):
+    """A copy that was ordered, the body of ``POST /standin/kv-moves``."""
+
+    name: str
+    id: str
+    made: int
 
 
 class _Run:
@@ -89,6 +104,7 @@
         self.serial = serial
         self.text = arrival.body.decode()
         self.made = int(arrival.headers.get("last-event-id", 0))
+        self.moved = 0
         self.sent = self.made
         self.total = count_events(self.text)
         self.backup = arrival.headers.get("acaciaspoke-kv-backup", "")
@@ -129,13 +145,17 @@
         self._log = log
         self._serials = map(f"{worker.born}.{{}}".format, itertools.count())
         self._runs: list[_Run] = []
-        # The events made and the expiry, by the value of ``Kv-From``.
-        self._copies: dict[str, tuple[int, float]] = {}
+        self._copies = KvCopies(worker.name, log)
+        # Where copies of runs are, by handle.
+        self._destinations: dict[str, str] = {}
+        self._link = asyncio.Lock()
+        self._calls: set[asyncio.Task] = set()
         self._completed: list[_Run] = []
         self._sending: dict[str, asyncio.Task] = {}
         self._silent_until_s = 0.0
         self._faults = EngineFaults()
         self._kv_from_until_s = 0.0
+        self._no_room_until_s = 0.0
 
     async def handle(self, arrival: Arrival) -> bool:
         """Answers a request if it is for runs with copies."""
@@ -143,7 +163,14 @@
             case "/kv-move":
                 await self._move(arrival)
             case "/standin/kv-copies":
-                self._keep(msgspec.json.decode(arrival.body))
+                self._keep_backups(msgspec.json.decode(arrival.body))
+                await arrival.answer(body=b"{}")
+            case "/standin/kv-moves":
+                move = msgspec.json.decode(arrival.body, type=_Move)
+                is_kept = self._keep_ordered(move)
+                await arrival.answer(200 if is_kept else 503, b"{}")
+            case target if target.startswith("/kv-handle/"):
+                await self._free(target.removeprefix("/kv-handle/"))
                 await arrival.answer(body=b"{}")
             case "/standin/engine-faults":
                 self._begin_faults(arrival.body)
@@ -164,6 +191,8 @@
         now_s = time.monotonic()
         if faults.silent_s:
             self._silent_until_s = now_s + faults.silent_s
+        if faults.no_room_s:
+            self._no_room_until_s = now_s + faults.no_room_s
         if faults.kv_from is not None:
             self._faults = faults
             self._kv_from_until_s = now_s + faults.kv_from_s
@@ -181,10 +210,11 @@
             if time.monotonic() < self._kv_from_until_s:
                 fault = self._faults.kv_from
             is_refused = fault is KvFromFault.REFUSE
-            copied = None if is_refused else self._take(source)
+            copied = None if is_refused else self._copies.take(source)
             if copied is None:
                 await arrival.answer(503, b"", NOT_EXECUTED)
                 return
+            self._free_other_end(source)
         run = _Run(arrival, next(self._serials))
         if fault is KvFromFault.LATE:
             run.head_due_s = time.monotonic() + self._faults.delay_s
@@ -274,23 +304,52 @@
 
     # Copies.
 
-    def _keep(self, parts: dict[str, int | None]) -> None:
-        expiry_s = time.monotonic() + RETENTION_S
-        for source, made in parts.items():
+    @property
+    def _has_room(self) -> bool:
+        return time.monotonic() >= self._no_room_until_s
+
+    def _keep_backups(self, parts: dict[str, int | None]) -> None:
+        """Keeps the parts of backups; None means that the run is complete."""
+        for name, made in parts.items():
             if made is None:
-                self._copies.pop(source, None)
-            else:
-                self._copies[source] = (made, expiry_s)
+                self._copies.take(name)
+            elif self._has_room:
+                self._copies.keep_backup(name, made)
+
+    def _keep_ordered(self, move: _Move) -> bool:
+        """Keeps a copy if there is a slot for it."""
+        taken = len(self._runs) + self._copies.held_slots
+        has_slot = self._has_room and taken < self._worker.slots
+        if move.name not in self._copies and not has_slot:
+            return False
+        self._copies.keep_ordered(move.name, move.id, move.made)
+        return True
 
-    def _take(self, source: str) -> int | None:
-        """Returns the events of a copy, which can be used once."""
-        made, expiry_s = self._copies.pop(source, (None, 0.0))
-        return made if time.monotonic() < expiry_s else None
+    async def _free(self, handle: str) -> None:
+        """Frees the memory of a run, at both ends if it ran here."""
+        self._copies.free(handle)
+        destination = self._destinations.pop(handle, "")
+        if destination:
+            await _send(destination, "DELETE", f"/kv-handle/{handle}")
+
+    def _free_other_end(self, source: str) -> None:
+        """Frees the memory at the engine that does not go on with a run."""
+        address, _, handle = source.rpartition("/")
+        if address == self._address:
+            self._start(self._free(handle))
+        else:
+            self._start(_send(address, "DELETE", f"/kv-handle/{handle}"))
+
+    def _start(self, call: Coroutine[None, None, object]) -> None:
+        task = asyncio.create_task(call)
+        self._calls.add(task)
+        task.add_done_callback(self._calls.discard)
 
     async def send_copies(self) -> None:
         """Sends the parts of copies at each interval until cancelled."""
         while True:
             await asyncio.sleep(PART_INTERVAL_S)
+            self._copies.remove_lapsed()
             parts: dict[str, dict[str, int | None]] = defaultdict(dict)
             for run in self._runs:
                 if run.backup and not run.ended.is_set():
@@ -303,7 +362,7 @@
                 task = self._sending.get(address)
                 if task is None or task.done():
                     self._sending[address] = asyncio.create_task(
-                        _send_copies(address, copies)
+                        _send(address, "POST", "/standin/kv-copies", copies)
                     )
 
     async def _move(self, arrival: Arrival) -> None:
@@ -317,28 +376,54 @@
             return
         run = runs[-1]
         handle = f"{run.serial}-{run.id}"
-        source = f"{self._address}/{handle}"
+        name = f"{self._address}/{handle}"
         run.is_moving = True
         is_last = bool(call.get("last"))
         if is_last:
             for stopped in runs:
                 stopped.stopping.set()
                 await stopped.ended.wait()
-            self._keep({source: run.made})
-        is_sent = await _send_copies(call["to"], {source: run.made})
+            self._copies.keep_stopped(name, run.made)
+        created = run.made
+        is_copied = await self._copy_to(call["to"], run, name)
         run.is_moving = False
-        document = {"handle": handle, "created": run.made}
-        if not is_sent:
+        document = {"handle": handle, "created": created}
+        if not is_copied:
             document = {"handle": handle} if is_last else {}
-        status = 200 if is_sent else 503
+        status = 200 if is_copied else 503
         await arrival.answer(status, msgspec.json.encode(document))
 
-
-async def _send_copies(address: str, copies: dict[str, int | None]) -> bool:
+    async def _copy_to(self, address: str, run: _Run, name: str) -> bool:
+        """Copies what is new in a run; returns whether the copy is complete."""
+        made = run.made
+        async with self._link:
+            await asyncio.sleep(MOVE_S * (made - run.moved))
+        move = _Move(name, run.id, made)
+        is_copied = await _send(
+            *(address, "POST", "/standin/kv-moves", move),
+            timeout_s=MOVE_TIMEOUT_S,
+        )
+        handle = name.rpartition("/")[2]
+        if is_copied:
+            run.moved = made
+            self._destinations[handle] = address
+        elif not run.moved:
+            # The engine may get the copy when it goes on.
+            self._start(_send(address, "DELETE", f"/kv-handle/{handle}"))
+        return is_copied
+
+
+async def _send(
+    address: str,
+    method: str,
+    path: str,
+    document: object = None,
+    timeout_s: float = CALL_TIMEOUT_S,
+) -> bool:
     answer = await asyncio.to_thread(
         client.request,
-        *(address, "POST", "/standin/kv-copies"),
-        msgspec.json.encode(copies),
-        timeout_s=CALL_TIMEOUT_S,
+        *(address, method, path),
+        msgspec.json.encode(document),
+        timeout_s=timeout_s,
     )
     return answer is not None and answer.status == 200
--- a/standins/worker.py
+++ b/standins/worker.py
@@ -120,7 +120,8 @@
         script: Answers requests.
         control_headers: Headers of the responses to reports and orders.
         before_control: Awaited before these responses.
-        stops_runs: Whether stop orders end scripts; otherwise these get them.
+        stops_runs: Whether stop orders end scripts; otherwise these get them,
+            and calls that free memory.
         running: The requests whose scripts run, by id.
         has_room: Whether engines can copy runs to others.
         copied: The ids of runs that were copied while they ran.
@@ -251,7 +252,7 @@
                 await arrival.answer(
                     self._apply_order(arrival.body), b"", self.control_headers
                 )
-            case target if target.startswith("/kv-handle/"):
+            case target if self.stops_runs and target.startswith("/kv-handle/"):
                 self.freed.append(target.removeprefix("/kv-handle/"))
                 await arrival.answer(body=b"")
             case _:
--- a/test/standins/test_kv_engine.py
+++ b/test/standins/test_kv_engine.py
@@ -16,6 +16,8 @@
 from standins.worker import Worker
 from test.gateway.serving import next_ip
 
+SLOTS = 4
+
 
 class KvEngineTest(unittest.IsolatedAsyncioTestCase):
 
@@ -28,7 +30,7 @@
         self.total = count_events(self.text)
 
     async def _serve(self, name: str, **options) -> str:
-        worker = Worker(name, "llm", f"{next_ip()}:7400")
+        worker = Worker(name, "llm", f"{next_ip()}:7400", slots=SLOTS)
         engine = KvEngine(
             worker,
             worker.address,
@@ -134,7 +136,8 @@
         move = {"id": "a", "to": self.second, "last": True}
         answer = await self._call(self.first, "/kv-move", move)
         self.assertEqual(200, answer.status)
-        self.assertEqual("ended", self.lines[-1][0])
+        kinds = [words[0] for words in self._words("a")]
+        self.assertEqual(["began", "ended", "copied"], kinds)
         moved = json.loads(answer.body)
         stopped = await reading
         self.assertFalse(stopped.complete)
@@ -165,6 +168,74 @@
         self.assertEqual(200, answer.status)
         self.assertEqual(self._events(1), (await reading).body)
 
+    async def _copy(self) -> str:
+        """Begins a run and copies it; returns the name of the copy."""
+        self._read(self.first, "a")
+        await asyncio.sleep(0.3)
+        move = {"id": "a", "to": self.second}
+        answer = await self._call(self.first, "/kv-move", move)
+        return f"{self.first}/{json.loads(answer.body)['handle']}"
+
+    def _releases(self) -> list[tuple[str, ...]]:
+        return [
+            (line[1], line[2]) for line in self.lines if line[0] == "released"
+        ]
+
+    async def test_copy_holds_a_slot_until_it_is_freed_at_the_source(self):
+        name = await self._copy()
+        for _ in range(SLOTS - 1):
+            self._read(self.second, "other")
+        await asyncio.sleep(0.1)
+        self._read(self.first, "b")
+        await asyncio.sleep(0.1)
+        for body, has_handle in (
+            ({"id": "b", "to": self.second}, False),
+            ({"id": "b", "to": self.second, "last": True}, True),
+        ):
+            answer = await self._call(self.first, "/kv-move", body)
+            self.assertEqual(503, answer.status)
+            self.assertEqual(has_handle, "handle" in json.loads(answer.body))
+        again = {"id": "a", "to": self.second}
+        answer = await self._call(self.first, "/kv-move", again)
+        self.assertEqual(200, answer.status)
+        handle = name.rpartition("/")[2]
+        await self._free(self.first, handle)
+        self.assertEqual([(name, "freed")], self._releases())
+        answer = await self._call(self.first, "/kv-move", again)
+        self.assertEqual(200, answer.status)
+
+    async def _free(self, address: str, handle: str) -> None:
+        await asyncio.to_thread(
+            client.request, address, "DELETE", f"/kv-handle/{handle}"
+        )
+
+    async def test_handle_works_once_at_both_engines(self):
+        for name, used in (("a", self.second), ("b", self.first)):
+            self._read(self.first, name)
+            await asyncio.sleep(0.3)
+            move = {"id": name, "to": self.second, "last": True}
+            answer = await self._call(self.first, "/kv-move", move)
+            self.assertEqual(200, answer.status)
+            source = f"{self.first}/{json.loads(answer.body)['handle']}"
+            self._go_on(used, name, source, 4)
+            await asyncio.sleep(0.3)
+            for address in (self.first, self.second):
+                again = await self._go_on(address, name, source, 4)
+                self.assertEqual(503, again.status)
+        hows = [how for _, how in self._releases()]
+        self.assertEqual(["used", "freed"], hows)
+
+    async def test_engine_without_room_for_copies(self):
+        self._read(self.first, "a")
+        await self._begin_faults(self.second, no_room_s=0.6)
+        await asyncio.sleep(0.3)
+        move = {"id": "a", "to": self.second}
+        answer = await self._call(self.first, "/kv-move", move)
+        self.assertEqual((503, b"{}"), (answer.status, answer.body))
+        await asyncio.sleep(0.4)
+        answer = await self._call(self.first, "/kv-move", move)
+        self.assertEqual(200, answer.status)
+
     async def test_move_of_an_unknown_run(self):
         move = {"id": "a", "to": self.second, "last": True}
         answer = await self._call(self.first, "/kv-move", move)
