Soak: silences of sound engines may not cut streams

Drawn apart; of the seed's other faults only those remain over which no stream may break, among them gateways that are told to stop. New promise: a stream that was answered 200 ends whole, unless its request's deadline has passed; a caller that left after 2 s without an event is excused only if its engine was silent for all but 0.2 s of these. The run tells how long the callers' process stood still.

The test that all kinds of faults occur draws plans with silences as well.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -16,7 +16,9 @@
 from soak.checks import check_all
 from soak.deployment import Deployment
 from soak.faults import FaultInjector
+from soak.loop_lag import LoopLag
 from soak.plan import MIN_PROCESSES, Plan, make_plan
+from soak.silence_plan import max_silences
 from soak.streams import StreamCallers
 from standins import kv_engine
 
@@ -70,10 +72,12 @@
             else CALLERS_PER_GATEWAY
         )
         backed_callers = (
-            BACKED_CALLERS_PER_GATEWAY * plan.has_takeovers
+            BACKED_CALLERS_PER_GATEWAY * plan.has_backups
             + LEAVING_CALLERS_PER_GATEWAY * plan.has_lost_links
         )
+        lag = LoopLag()
         async with asyncio.TaskGroup() as tasks:
+            watching = tasks.create_task(lag.watch())
             for _ in range(callers_per_gateway * plan.gateways):
                 tasks.create_task(callers.run_caller())
                 if plan.has_releases:
@@ -99,6 +103,7 @@
             callers.stop()
             streams.stop()
             backed.stop()
+            watching.cancel()
         violations = [
             line
             async for line in check_all(
@@ -109,7 +114,8 @@
         print(
             f"seed {plan.seed}: {len(plan.faults)} faults,"
             f" {len(callers.outcomes)} requests, {answered} answered,"
-            f" {len(violations)} promises broken",
+            f" {len(violations)} promises broken; callers stood still for up"
+            f" to {lag.longest_s:.2f} s",
             flush=True,
         )
         return violations
@@ -126,12 +132,13 @@
     brittle: int = 0,
     has_workspaces: bool = False,
     untrusted: int = 0,
+    silences: int = 0,
 ) -> list[str]:
     """Runs one seed; keeps its logs if a guarantee was violated."""
     folder = Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
     plan = make_plan(
         *(seed, length_s, processes, restores, releases, takeovers),
-        *(stranded, brittle, has_workspaces, untrusted),
+        *(stranded, brittle, has_workspaces, untrusted, silences),
     )
     violations = asyncio.run(_run(plan, folder))
     if violations:
@@ -210,6 +217,13 @@
     show_default=True,
     help="How many clients keep to no limit.",
 )
+@click.option(
+    "--silences",
+    type=click.IntRange(0, 100),
+    default=0,
+    show_default=True,
+    help="How often sound engines are silent together in each run.",
+)
 def main(
     seed: int | None,
     minutes: float,
@@ -223,6 +237,7 @@
     brittle: int,
     has_workspaces: bool,
     untrusted: int,
+    silences: int,
 ) -> None:
     """Runs seeds one after the other; fails if a guarantee was violated."""
     if releases and takeovers:
@@ -231,6 +246,13 @@
         raise click.UsageError("--stranded and --takeovers exclude each other")
     if stranded and has_workspaces:
         raise click.UsageError("--stranded and --workspaces exclude each other")
+    if silences and (releases or takeovers or stranded or brittle):
+        raise click.UsageError(
+            "--silences excludes --releases, --takeovers, --stranded and"
+            " --brittle"
+        )
+    if silences > (most := max_silences(length_s)):
+        raise click.UsageError(f"{length_s} s have room for {most} silences")
     # Unwinds like an interrupt, so that the started processes are killed.
     signal.signal(signal.SIGTERM, signal.default_int_handler)
     if regressions:
@@ -249,7 +271,7 @@
             run_seed(
                 *(seed, length_s, processes),
                 *(restores, releases, takeovers, stranded, brittle),
-                *(has_workspaces, untrusted),
+                *(has_workspaces, untrusted, silences),
             )
         )
         seed += 1
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -8,7 +8,7 @@
 
 import httpcore
 
-from soak import falls, lost_links, workspaces
+from soak import falls, lost_links, silences, workspaces
 from soak import takeovers as takeover_checks
 from soak.callers import DEADLINE_S, Callers, Kind
 from soak.deployment import MEMORY_MB, Deployment
@@ -47,7 +47,7 @@
         async for line in _check_streams(deployment, injector, streams):
             yield line
     checks = [_check_falls(deployment), _check_ends(deployment)]
-    if plan.has_takeovers or plan.has_lost_links:
+    if plan.has_backups or plan.has_lost_links:
         checks.append(_check_takeovers(deployment, injector, backed))
     if plan.untrusted:
         checks.append(_check_untrusted(deployment))
@@ -219,6 +219,8 @@
     cuts = [takeover_checks.Cut(*cut) for cut in deployment.cuts]
     summary = takeover_checks.summarize(callers.streams, runs, cuts)
     print(f"seed {deployment.plan.seed}: {summary}", flush=True)
+    if deployment.plan.has_silences:
+        yield from _check_silences(deployment, injector, callers, runs)
     yield from takeover_checks.find_takeover_violations(
         callers.streams,
         runs,
@@ -234,3 +236,16 @@
     )
     print(f"seed {deployment.plan.seed}: {len(closes)} closes", flush=True)
     yield from lost_links.find_late_stops(closes, runs, deployment.works_on)
+
+
+def _check_silences(
+    deployment: Deployment,
+    injector: FaultInjector,
+    callers: StreamCallers,
+    runs: takeover_checks.Runs,
+) -> Iterator[str]:
+    """Yields streams of sound engines that were cut; prints numbers."""
+    found = silences.find_silences(injector.injected)
+    line = silences.summarize(callers.streams, runs, found)
+    print(f"seed {deployment.plan.seed}: {line}", flush=True)
+    yield from silences.find_cut_streams(callers.streams, runs, found)
--- a/soak/deployment.py
+++ b/soak/deployment.py
@@ -263,7 +263,7 @@
         service, models = ("llm", ["m1"]) if is_engine else ("app", [])
         proxy = self.worker_proxies[number]
         name, born = f"worker{number}", str(next(self.boot_numbers))
-        has_long = self.plan.has_takeovers or (
+        has_long = self.plan.has_backups or (
             is_engine and self.plan.has_lost_links
         )
         slots = SLOTS_OF_LONG if has_long else SLOTS
@@ -385,7 +385,7 @@
             document = configuration(
                 self.version,
                 has_resumable=self.plan.has_releases,
-                has_backups=self.plan.has_takeovers,
+                has_backups=self.plan.has_backups,
                 has_long=self.plan.has_lost_links,
                 has_workspaces=self.plan.has_workspaces,
             )
--- a/soak/fault_kinds.py
+++ b/soak/fault_kinds.py
@@ -38,6 +38,8 @@
     DELAY_KV_FROM = "engines answer late to requests that go on from copies"
     FAIL_KV_FROM = "engines answer 500 to requests that go on from copies"
     REFUSE_KV_FROM = "engines refuse requests that go on from copies"
+    STAND_STILL = "an engine stands still, then answers calls before it streams"
+    REFUSE_COPIES = "engines have no room for copies"
 
 
 # Kinds that ``Plan.faults`` has only with an option.
@@ -54,6 +56,8 @@
         FaultKind.DELAY_KV_FROM,
         FaultKind.FAIL_KV_FROM,
         FaultKind.REFUSE_KV_FROM,
+        FaultKind.STAND_STILL,
+        FaultKind.REFUSE_COPIES,
     ]
 )
 COMMON_KINDS = [kind for kind in FaultKind if kind not in _OPTIONAL_KINDS]
@@ -71,6 +75,30 @@
     FaultKind.FAIL_KV_FROM,
     FaultKind.REFUSE_KV_FROM,
 )
+
+# Silences of engines that are sound, and what may be beside them.
+SILENCE_KINDS = (
+    FaultKind.PAUSE_ENGINE,
+    FaultKind.HOLD_EVENTS,
+    FaultKind.STAND_STILL,
+)
+BESIDE_SILENCES_KINDS = (*KV_FROM_KINDS, FaultKind.REFUSE_COPIES)
+
+# Faults over which no stream that has begun may break.
+KINDS_WITHOUT_BREAKS = frozenset(
+    [
+        FaultKind.STOP_GATEWAY,
+        FaultKind.RELOAD_GATEWAY,
+        FaultKind.DELAY_STORE,
+        FaultKind.RESET_STORE,
+        FaultKind.SILENCE_STORE,
+        FaultKind.PAUSE_STORE,
+        FaultKind.LOSE_ANSWERS,
+        FaultKind.CHANGE_CONFIGURATION,
+        FaultKind.RESTORE_STORE,
+    ]
+)
+
 GATEWAY_KINDS = (
     FaultKind.KILL_GATEWAY,
     FaultKind.STOP_GATEWAY,
@@ -89,7 +117,7 @@
         copy_age_s: Age of the copy when the store goes away.
         version: Software version to which a release takes engines.
         engines: How many engines a release takes there.
-        delay_s: How late engines answer.
+        delay_s: How late engines answer, or send events after they answer.
         gateways: The gateways that lose their links.
         how: What happens to their connections.
     """
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -287,6 +287,13 @@
     async def _pause_engine(self, fault: Fault) -> None:
         await self._pause(f"worker{fault.target}", fault.duration_s)
 
+    async def _stand_still(self, fault: Fault) -> None:
+        # The process answers calls when it goes on, and still holds its events.
+        silent_s = fault.duration_s + fault.delay_s
+        await self._send_engine_faults(fault.target, silent_s=silent_s)
+        await self._pause_engine(fault)
+        await asyncio.sleep(fault.delay_s)
+
     async def _send_engine_faults(self, number: int, **faults) -> None:
         # Past the proxy; an engine that is down has no streams.
         await asyncio.to_thread(
@@ -305,17 +312,20 @@
         self._target.broken_s.append(time.monotonic())
         await self._send_engine_faults(fault.target, breaks_off=True)
 
-    async def _fault_kv_from(self, fault: Fault, kind: KvFromFault) -> None:
+    async def _send_to_engines(self, **faults) -> None:
         async with asyncio.TaskGroup() as tasks:
             for number in self._target.plan.engines:
-                tasks.create_task(
-                    self._send_engine_faults(
-                        number,
-                        kv_from=kind.value,
-                        kv_from_s=fault.duration_s,
-                        delay_s=fault.delay_s,
-                    )
-                )
+                tasks.create_task(self._send_engine_faults(number, **faults))
+
+    async def _fault_kv_from(self, fault: Fault, kind: KvFromFault) -> None:
+        await self._send_to_engines(
+            kv_from=kind.value,
+            kv_from_s=fault.duration_s,
+            delay_s=fault.delay_s,
+        )
+
+    async def _refuse_copies(self, fault: Fault) -> None:
+        await self._send_to_engines(no_room_s=fault.duration_s)
 
     async def _delay_kv_from(self, fault: Fault) -> None:
         await self._fault_kv_from(fault, KvFromFault.LATE)
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -8,12 +8,14 @@
 from soak.fault_kinds import (
     COMMON_KINDS,
     GATEWAY_KINDS,
+    KINDS_WITHOUT_BREAKS,
     KV_FROM_KINDS,
     TAKEOVER_KINDS,
     Fault,
     FaultKind,
 )
 from soak.links import LinkFault
+from soak.silence_plan import make_silences
 
 # A run of 12 s with 8 processes has about 20 faults, which overlap.
 FAULTS_PER_PROCESS_PER_S = 0.2
@@ -105,6 +107,8 @@
         added_engines: Engines that are added for releases or takeovers.
         has_releases: Whether engines get other software versions.
         has_takeovers: Whether streams go on at other engines from copies.
+        has_silences: Whether sound engines are silent, and no fault may break a
+            stream.
         has_lost_links: Whether gateways lose their links to workers.
         added_plain: Plain workers that are added if these are brittle.
         has_workspaces: Whether requests need keys of workspaces.
@@ -119,11 +123,17 @@
     added_engines: int = 0
     has_releases: bool = False
     has_takeovers: bool = False
+    has_silences: bool = False
     has_lost_links: bool = False
     added_plain: int = 0
     has_workspaces: bool = False
     untrusted: int = 0
 
+    @property
+    def has_backups(self) -> bool:
+        """Whether engines have KV backups."""
+        return self.has_takeovers or self.has_silences
+
     @property
     def all_workers(self) -> range:
         """The numbers of all workers."""
@@ -156,11 +166,13 @@
     brittle: int = 0,
     workspaces: bool = False,
     untrusted: int = 0,
+    silences: int = 0,
 ) -> Plan:
     """Returns the plan of a seed.
 
     The other faults are the same for any number of restores, releases,
-    takeovers, losses of links and times in which workers are brittle.
+    takeovers, losses of links and times in which workers are brittle. With
+    silences only those of them remain over which no stream may break.
 
     Args:
         seed: Determines all random choices.
@@ -173,6 +185,7 @@
         brittle: How often plain workers are brittle.
         workspaces: Whether requests need keys of workspaces.
         untrusted: Clients that keep to no limit.
+        silences: How often sound engines are silent together.
     """
     rng = random.Random(f"{seed} {length_s} {processes}")
     gateways = max(2, round(GATEWAY_SHARE * processes))
@@ -198,9 +211,10 @@
         workers,
         length_s,
         (),
-        ADDED_ENGINES if releases or takeovers or stranded else 0,
+        ADDED_ENGINES if releases or takeovers or stranded or silences else 0,
         has_releases=releases > 0,
         has_takeovers=takeovers > 0,
+        has_silences=silences > 0,
         has_lost_links=stranded > 0,
         added_plain=ADDED_PLAIN if brittle else 0,
         has_workspaces=workspaces,
@@ -213,6 +227,9 @@
     faults += _make_takeovers(plan, takeovers)
     if releases:
         faults += _make_last_phase(plan)
+    if silences:
+        faults = [one for one in faults if one.kind in KINDS_WITHOUT_BREAKS]
+        faults += make_silences(seed, plan.engines, length_s, silences)
     faults.sort(key=lambda fault: fault.at_s)
     return msgspec.structs.replace(plan, faults=tuple(faults))
 
--- a/soak/streams.py
+++ b/soak/streams.py
@@ -45,6 +45,8 @@
         status: 0 without a response.
         deadline_s: When a gateway may give up, at the latest.
         events: The events that it brought, as the workers have written them.
+        last_event_s: When the last data came; 0 if none has.
+        longest_gap_s: The longest time between two events.
         is_complete: Whether the response looks complete.
         has_left: Whether the caller left it.
         problem: Why it did not look complete.
@@ -60,10 +62,19 @@
     status: int = 0
     retry_after_s: float = 0.0
     events: list[bytes] = []
+    last_event_s: float = 0.0
+    longest_gap_s: float = 0.0
     is_complete: bool = False
     has_left: bool = False
     problem: str = ""
 
+    def record_data(self, now_s: float) -> None:
+        """Records that data has come."""
+        if self.last_event_s:
+            gap_s = now_s - self.last_event_s
+            self.longest_gap_s = max(self.longest_gap_s, gap_s)
+        self.last_event_s = now_s
+
     @property
     def goes_on(self) -> bool:
         """Whether the stream goes on with it, or begins."""
@@ -216,6 +227,7 @@
         if one.status == 200:
             *events, received = (received + data).split(b"\n\n")
             one.events += events
+            one.record_data(time.monotonic())
     if received:
         # The response looks complete, but ends inside an event.
         one.events.append(received)
--- a/soak/takeovers.py
+++ b/soak/takeovers.py
@@ -1,7 +1,7 @@
 """Checks streams that may run only once and go on at other engines."""
 
 import itertools
-from collections.abc import Collection, Iterable, Iterator
+from collections.abc import Collection, Iterable, Iterator, Mapping, Sequence
 from typing import NamedTuple
 
 from soak.deployment import Outage
@@ -28,6 +28,10 @@
     end_s: float
 
 
+# The runs of each id in the order of their begins.
+Runs = Mapping[str, Sequence[EngineRun]]
+
+
 class Cut(NamedTuple):
     """A time in which connections to a worker were cut."""
 
--- a/test/soak/test_soak.py
+++ b/test/soak/test_soak.py
@@ -60,6 +60,7 @@
             )
             for seed in range(50)
         ]
+        plans += [make_plan(seed, 12, 8, silences=3) for seed in range(50)]
         kinds = {fault.kind for plan in plans for fault in plan.faults}
         self.assertEqual(set(FaultKind), kinds)
 
--- a/test/soak/test_takeovers.py
+++ b/test/soak/test_takeovers.py
@@ -6,7 +6,6 @@
 from soak.__main__ import run_seed
 from soak.fault_kinds import FaultKind
 from soak.plan import make_plan
-from soak.streams import Stream, Try
 from soak.takeovers import (
     Cut,
     find_takeover_violations,
@@ -14,7 +13,8 @@
     read_runs,
     summarize,
 )
-from standins.kv_engine import count_events, encode_event
+from standins.kv_engine import count_events
+from test.soak.builders import make_events, make_stream
 
 LENGTH_S = 12.0
 
@@ -31,28 +31,6 @@
 }
 
 
-def _events(last: int) -> list[bytes]:
-    numbers = range(1, last + 1)
-    return [encode_event("s0", one).removesuffix(b"\n\n") for one in numbers]
-
-
-def _stream(**changes) -> Stream:
-    one = Try(
-        id="s0-0",
-        gateway=0,
-        last_event=0,
-        resumes="",
-        sent_s=9.9,
-        ended_s=13.1,
-        status=200,
-        events=_events(count_events("s0")),
-        is_complete=True,
-    )
-    for name, value in changes.items():
-        setattr(one, name, value)
-    return Stream("s0", [one])
-
-
 def _runs(*changed: tuple[int, list[str]], kills=()):
     lines = LINES | dict(changed)
     return group_by_id(read_runs(lines, kills, 20.0))
@@ -62,7 +40,7 @@
     """Guards against violations that are missed or reported wrongly."""
 
     def _find(self, runs, stream=None, cuts=()) -> str:
-        streams = [stream or _stream()]
+        streams = [stream or make_stream()]
         found = find_takeover_violations(streams, runs, [], cuts)
         return "\n".join(found)
 
@@ -106,25 +84,25 @@
 
     def test_refused_stream_that_ran(self):
         for status in (408, 421, 429, 503):
-            refused = _stream(status=status, events=[], is_complete=False)
+            refused = make_stream(status=status, events=[], is_complete=False)
             self.assertIn("was answered", self._find(_runs(), refused))
             self.assertEqual("", self._find({}, refused))
 
     def test_status_that_is_not_allowed(self):
-        failed = _stream(status=404, events=[], is_complete=False)
+        failed = make_stream(status=404, events=[], is_complete=False)
         self.assertIn("was answered 404", self._find({}, failed))
 
     def test_stream_that_no_engine_ran(self):
         self.assertIn("not run", self._find({}))
 
     def test_request_without_an_answer(self):
-        lost = _stream(
+        lost = make_stream(
             status=0, events=[], is_complete=False, problem="ReadError: "
         )
         self.assertIn("ReadError", self._find({}, lost))
 
     def test_streams_with_a_gap_a_duplicate_or_no_end(self):
-        events = _events(count_events("s0"))
+        events = make_events(count_events("s0"))
         for wrong in (
             events[1:],
             [*events[:5], *events[6:]],
@@ -132,16 +110,18 @@
             events[:-1],
             [*events[:-1], events[-1][:4]],
         ):
-            found = self._find(_runs(), _stream(events=wrong))
+            found = self._find(_runs(), make_stream(events=wrong))
             self.assertEqual(1, len(found.splitlines()))
-        broken = _stream(events=events[:9], is_complete=False)
+        broken = make_stream(events=events[:9], is_complete=False)
         self.assertEqual("", self._find(_runs(), broken))
 
     def test_summary(self):
-        broken = _stream(events=_events(9), is_complete=False)
-        left = _stream(events=_events(9), is_complete=False, has_left=True)
-        refused = _stream(status=503, events=[], is_complete=False)
-        streams = [_stream(), broken, left, refused]
+        broken = make_stream(events=make_events(9), is_complete=False)
+        left = make_stream(
+            events=make_events(9), is_complete=False, has_left=True
+        )
+        refused = make_stream(status=503, events=[], is_complete=False)
+        streams = [make_stream(), broken, left, refused]
         self.assertEqual(
             "3 of 4 streams with copies began, 1 went on from a copy, 1 are"
             " complete, 1 broke off, 1 were left; 0 were at work at two"
