Soak: copies of runs that are not used have to be freed

A copy that is not freed holds a slot at a sound engine for twice handle_s, which no check would have seen.

From the lines of the engines: with silences, no copy of a run that ended whole at its first engine is held for over 3 s after that run. In other runs, whose calls may be lost with an engine or a gateway, it may lapse. The number of copies and how they ended are printed.

--- a/soak/checks.py
+++ b/soak/checks.py
@@ -8,7 +8,7 @@
 
 import httpcore
 
-from soak import falls, lost_links, silences, workspaces
+from soak import copies, falls, lost_links, silences, workspaces
 from soak import takeovers as takeover_checks
 from soak.callers import DEADLINE_S, Callers, Kind
 from soak.deployment import MEMORY_MB, Deployment
@@ -16,6 +16,7 @@
 from soak.joins import count_shares, find_refused, find_stream_violations
 from soak.promises import find_violations
 from soak.streams import StreamCallers
+from standins.kv_copies import LAPSE_S
 
 # Every route must answer through every gateway within this time after the last
 # fault.
@@ -219,6 +220,8 @@
     cuts = [takeover_checks.Cut(*cut) for cut in deployment.cuts]
     summary = takeover_checks.summarize(callers.streams, runs, cuts)
     print(f"seed {deployment.plan.seed}: {summary}", flush=True)
+    if deployment.plan.has_backups:
+        yield from _check_copies(deployment, callers, runs)
     if deployment.plan.has_silences:
         yield from _check_silences(deployment, injector, callers, runs)
     yield from takeover_checks.find_takeover_violations(
@@ -238,6 +241,25 @@
     yield from lost_links.find_late_stops(closes, runs, deployment.works_on)
 
 
+def _check_copies(
+    deployment: Deployment, callers: StreamCallers, runs: takeover_checks.Runs
+) -> Iterator[str]:
+    """Yields copies of runs that were not freed; prints their numbers."""
+    now_s = time.monotonic()
+    found = list(copies.read_copies(deployment.worker_lines()))
+    line = copies.summarize(found)
+    print(f"seed {deployment.plan.seed}: {line}", flush=True)
+    # Calls to free a copy may be lost with a gateway or an engine.
+    max_held_s = (
+        copies.MAX_HELD_S
+        if deployment.plan.has_silences
+        else LAPSE_S + copies.MAX_HELD_S
+    )
+    yield from copies.find_kept_copies(
+        found, callers.streams, runs, max_held_s, now_s
+    )
+
+
 def _check_silences(
     deployment: Deployment,
     injector: FaultInjector,
