Soak: time in which an engine stood still by itself is its silence

Workers now print each time of 0.1 s and more in which their event loop stood still, for whatever reason, and the check counts these as silences of the engine, besides the times of the faults; overlaps count once.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -16,11 +16,11 @@
 from soak.checks import check_all
 from soak.deployment import Deployment
 from soak.faults import FaultInjector
-from soak.loop_lag import LoopLag
 from soak.plan import MIN_PROCESSES, Plan, make_plan
 from soak.silence_plan import max_silences
 from soak.streams import StreamCallers
 from standins import kv_engine
+from standins.loop_lag import watch_lag
 
 LENGTH_S = 12.0
 
@@ -75,9 +75,14 @@
             BACKED_CALLERS_PER_GATEWAY * plan.has_backups
             + LEAVING_CALLERS_PER_GATEWAY * plan.has_lost_links
         )
-        lag = LoopLag()
+        longest_lag_s = 0.0
+
+        def record_lag(due_s: float, now_s: float) -> None:
+            nonlocal longest_lag_s
+            longest_lag_s = max(longest_lag_s, now_s - due_s)
+
         async with asyncio.TaskGroup() as tasks:
-            watching = tasks.create_task(lag.watch())
+            watching = tasks.create_task(watch_lag(record_lag))
             for _ in range(callers_per_gateway * plan.gateways):
                 tasks.create_task(callers.run_caller())
                 if plan.has_releases:
@@ -115,7 +120,7 @@
             f"seed {plan.seed}: {len(plan.faults)} faults,"
             f" {len(callers.outcomes)} requests, {answered} answered,"
             f" {len(violations)} promises broken; callers stood still for up"
-            f" to {lag.longest_s:.2f} s",
+            f" to {longest_lag_s:.2f} s",
             flush=True,
         )
         return violations
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -270,4 +270,5 @@
     found = silences.find_silences(injector.injected)
     line = silences.summarize(callers.streams, runs, found)
     print(f"seed {deployment.plan.seed}: {line}", flush=True)
+    found = silences.add_lags(found, deployment.worker_lines())
     yield from silences.find_cut_streams(callers.streams, runs, found)
--- a/soak/silences.py
+++ b/soak/silences.py
@@ -1,7 +1,7 @@
 """Checks streams of sound engines that were silent for a while."""
 
 import itertools
-from collections.abc import Collection, Iterable, Iterator
+from collections.abc import Collection, Iterable, Iterator, Mapping
 from typing import NamedTuple
 
 from soak.fault_kinds import SILENCE_KINDS
@@ -27,7 +27,7 @@
 
 
 def find_silences(injected: Iterable[InjectedFault]) -> list[Silence]:
-    """Returns the times in which engines were really silent."""
+    """Returns the times in which faults made engines silent."""
     return [
         Silence(one.fault.target, one.begin_s, one.end_s)
         for one in injected
@@ -35,6 +35,39 @@
     ]
 
 
+def add_lags(
+    silences: Iterable[Silence], lines: Mapping[int, Iterable[str]]
+) -> list[Silence]:
+    """Returns all times in which engines were silent; none overlap.
+
+    Args:
+        silences: Those of faults.
+        lines: The lines of each engine, by number, with the times in which it
+            stood still for any reason (``standins.worker_process``).
+    """
+    lags = [
+        Silence(engine, *map(float, line.split()[1:]))
+        for engine, of_engine in lines.items()
+        for line in of_engine
+        if line.startswith("stood-still ")
+    ]
+    return list(_merge(sorted([*silences, *lags])))
+
+
+def _merge(silences: Iterable[Silence]) -> Iterator[Silence]:
+    """Yields sorted silences with those that overlap as one."""
+    last = None
+    for one in silences:
+        if last and one.engine == last.engine and one.begin_s <= last.end_s:
+            last = last._replace(end_s=max(last.end_s, one.end_s))
+            continue
+        if last:
+            yield last
+        last = one
+    if last:
+        yield last
+
+
 def find_cut_streams(
     streams: Iterable[Stream],
     runs: Runs,
--- a/test/soak/test_silences.py
+++ b/test/soak/test_silences.py
@@ -16,6 +16,7 @@
 from soak.silence_plan import AFTER_CHANGE_S, max_silences
 from soak.silences import (
     Silence,
+    add_lags,
     find_cut_streams,
     find_silences,
     summarize,
@@ -162,6 +163,23 @@
             for kind in kinds
         ]
         self.assertEqual([SILENT], find_silences(injected))
+        lines = {
+            1: [
+                "stood-still 9.700 10.200",
+                "a line of something else",
+                "stood-still 11.300 11.350",
+                "stood-still 12.000 12.300",
+            ],
+            3: ["stood-still 11.000 11.500"],
+        }
+        self.assertEqual(
+            [
+                Silence(1, 9.7, 11.4),
+                Silence(1, 12.0, 12.3),
+                Silence(3, 11.0, 11.5),
+            ],
+            add_lags(find_silences(injected), lines),
+        )
 
     def test_summary(self):
         streams = [make_stream(), self._cut(), self._left()]
