Soak: single engines that hang for good, while others are sound

--takeovers draws silences of up to 1.9 s only, most of which sound engines may have, and other faults beside them, so that no run told whether a stream leaves an engine that hangs before its caller does.

Drawn apart; of the other faults only those remain over which no stream may break.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -16,8 +16,8 @@
 from soak.checks import check_all
 from soak.deployment import Deployment
 from soak.faults import FaultInjector
-from soak.plan import MIN_PROCESSES, Plan, make_plan
-from soak.silence_plan import max_silences
+from soak.plan import BACKED_CALLERS, MIN_PROCESSES, Plan, make_plan
+from soak.silence_plan import max_hangs, max_silences
 from soak.streams import StreamCallers
 from standins import kv_engine
 from standins.loop_lag import watch_lag
@@ -29,9 +29,6 @@
 # In runs with lost links, of which the last seconds count.
 MORE_CALLERS_PER_GATEWAY = 8
 
-# Of streams with KV backups.
-BACKED_CALLERS_PER_GATEWAY = 8
-
 # Of long streams that some of them leave.
 LEAVING_CALLERS_PER_GATEWAY = 4
 
@@ -72,7 +69,7 @@
             else CALLERS_PER_GATEWAY
         )
         backed_callers = (
-            BACKED_CALLERS_PER_GATEWAY * plan.has_backups
+            plan.backed_callers * plan.has_backups
             + LEAVING_CALLERS_PER_GATEWAY * plan.has_lost_links
         )
         longest_lag_s = 0.0
@@ -138,12 +135,15 @@
     has_workspaces: bool = False,
     untrusted: int = 0,
     silences: int = 0,
+    hangs: int = 0,
+    backed_callers: int = BACKED_CALLERS,
 ) -> list[str]:
     """Runs one seed; keeps its logs if a guarantee was violated."""
     folder = Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
     plan = make_plan(
         *(seed, length_s, processes, restores, releases, takeovers),
-        *(stranded, brittle, has_workspaces, untrusted, silences),
+        *(stranded, brittle, has_workspaces, untrusted),
+        *(silences, hangs, backed_callers),
     )
     violations = asyncio.run(_run(plan, folder))
     if violations:
@@ -229,6 +229,20 @@
     show_default=True,
     help="How often sound engines are silent together in each run.",
 )
+@click.option(
+    "--hangs",
+    type=click.IntRange(0, 100),
+    default=0,
+    show_default=True,
+    help="How often a single engine hangs or ends in each run.",
+)
+@click.option(
+    "--backed-callers",
+    type=click.IntRange(1, 100),
+    default=BACKED_CALLERS,
+    show_default=True,
+    help="Callers of streams with copies for each gateway.",
+)
 def main(
     seed: int | None,
     minutes: float,
@@ -243,6 +257,8 @@
     has_workspaces: bool,
     untrusted: int,
     silences: int,
+    hangs: int,
+    backed_callers: int,
 ) -> None:
     """Runs seeds one after the other; fails if a guarantee was violated."""
     if releases and takeovers:
@@ -251,11 +267,15 @@
         raise click.UsageError("--stranded and --takeovers exclude each other")
     if stranded and has_workspaces:
         raise click.UsageError("--stranded and --workspaces exclude each other")
-    if silences and (releases or takeovers or stranded or brittle):
+    if silences and hangs:
+        raise click.UsageError("--silences and --hangs exclude each other")
+    if (silences or hangs) and (releases or takeovers or stranded or brittle):
         raise click.UsageError(
-            "--silences excludes --releases, --takeovers, --stranded and"
-            " --brittle"
+            "--silences and --hangs exclude --releases, --takeovers, --stranded"
+            " and --brittle"
         )
+    if hangs > (most := max_hangs(length_s)):
+        raise click.UsageError(f"{length_s} s have room for {most} hangs")
     if silences > (most := max_silences(length_s)):
         raise click.UsageError(f"{length_s} s have room for {most} silences")
     # Unwinds like an interrupt, so that the started processes are killed.
@@ -276,7 +296,7 @@
             run_seed(
                 *(seed, length_s, processes),
                 *(restores, releases, takeovers, stranded, brittle),
-                *(has_workspaces, untrusted, silences),
+                *(has_workspaces, untrusted, silences, hangs, backed_callers),
             )
         )
         seed += 1
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -8,7 +8,7 @@
 
 import httpcore
 
-from soak import copies, falls, lost_links, silences, workspaces
+from soak import copies, falls, hangs, lost_links, silences, workspaces
 from soak import takeovers as takeover_checks
 from soak.callers import DEADLINE_S, Callers, Kind
 from soak.deployment import MEMORY_MB, Deployment
@@ -222,6 +222,9 @@
     print(f"seed {deployment.plan.seed}: {summary}", flush=True)
     if deployment.plan.has_backups:
         yield from _check_copies(deployment, callers, runs)
+    if deployment.plan.has_hangs:
+        for hang in hangs.count_hangs(injector.injected, callers.streams, runs):
+            print(f"seed {deployment.plan.seed}: {hang}", flush=True)
     if deployment.plan.has_silences:
         yield from _check_silences(deployment, injector, callers, runs)
     yield from takeover_checks.find_takeover_violations(
--- a/soak/fault_kinds.py
+++ b/soak/fault_kinds.py
@@ -84,6 +84,13 @@
 )
 BESIDE_SILENCES_KINDS = (*KV_FROM_KINDS, FaultKind.REFUSE_COPIES)
 
+# Faults of an engine that does not go on before callers leave.
+HANG_KINDS = (
+    FaultKind.PAUSE_ENGINE,
+    FaultKind.HOLD_EVENTS,
+    FaultKind.KILL_WORKER,
+)
+
 # Faults over which no stream that has begun may break.
 KINDS_WITHOUT_BREAKS = frozenset(
     [
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -131,7 +131,7 @@
         self._target.send_signal(f"worker{number}", signal.SIGKILL)
         self._target.kills.append((number, time.monotonic()))
         await asyncio.to_thread(self._target.processes[f"worker{number}"].wait)
-        if self._target.plan.has_takeovers:
+        if self._target.plan.has_backups:
             # A refused connection tells gateways that all runs have ended.
             self._target.worker_proxies[number].refuse()
 
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -15,7 +15,7 @@
     FaultKind,
 )
 from soak.links import LinkFault
-from soak.silence_plan import make_silences
+from soak.silence_plan import make_hangs, make_silences
 
 # A run of 12 s with 8 processes has about 20 faults, which overlap.
 FAULTS_PER_PROCESS_PER_S = 0.2
@@ -29,6 +29,10 @@
 # With releases or takeovers, engines are added to the processes.
 ADDED_ENGINES = 4
 
+# Callers of streams with KV backups for each gateway. So many leave hardly a
+# slot free.
+BACKED_CALLERS = 8
+
 # How soon one engine follows the other in a release.
 MIN_RELEASE_GAP_S = 0.1
 MAX_RELEASE_GAP_S = 0.6
@@ -109,6 +113,8 @@
         has_takeovers: Whether streams go on at other engines from copies.
         has_silences: Whether sound engines are silent, and no fault may break a
             stream.
+        has_hangs: Whether single engines hang or end while others are sound.
+        backed_callers: Callers of streams with KV backups for each gateway.
         has_lost_links: Whether gateways lose their links to workers.
         added_plain: Plain workers that are added if these are brittle.
         has_workspaces: Whether requests need keys of workspaces.
@@ -124,6 +130,8 @@
     has_releases: bool = False
     has_takeovers: bool = False
     has_silences: bool = False
+    has_hangs: bool = False
+    backed_callers: int = BACKED_CALLERS
     has_lost_links: bool = False
     added_plain: int = 0
     has_workspaces: bool = False
@@ -132,7 +140,7 @@
     @property
     def has_backups(self) -> bool:
         """Whether engines have KV backups."""
-        return self.has_takeovers or self.has_silences
+        return self.has_takeovers or self.has_silences or self.has_hangs
 
     @property
     def all_workers(self) -> range:
@@ -167,12 +175,14 @@
     workspaces: bool = False,
     untrusted: int = 0,
     silences: int = 0,
+    hangs: int = 0,
+    backed_callers: int = BACKED_CALLERS,
 ) -> Plan:
     """Returns the plan of a seed.
 
     The other faults are the same for any number of restores, releases,
     takeovers, losses of links and times in which workers are brittle. With
-    silences only those of them remain over which no stream may break.
+    silences or hangs only those of them remain over which no stream may break.
 
     Args:
         seed: Determines all random choices.
@@ -186,6 +196,8 @@
         workspaces: Whether requests need keys of workspaces.
         untrusted: Clients that keep to no limit.
         silences: How often sound engines are silent together.
+        hangs: How often a single engine hangs or ends.
+        backed_callers: Callers of streams with KV backups for each gateway.
     """
     rng = random.Random(f"{seed} {length_s} {processes}")
     gateways = max(2, round(GATEWAY_SHARE * processes))
@@ -211,10 +223,12 @@
         workers,
         length_s,
         (),
-        ADDED_ENGINES if releases or takeovers or stranded or silences else 0,
+        ADDED_ENGINES * any((releases, takeovers, stranded, silences, hangs)),
         has_releases=releases > 0,
         has_takeovers=takeovers > 0,
         has_silences=silences > 0,
+        has_hangs=hangs > 0,
+        backed_callers=backed_callers,
         has_lost_links=stranded > 0,
         added_plain=ADDED_PLAIN if brittle else 0,
         has_workspaces=workspaces,
@@ -227,9 +241,10 @@
     faults += _make_takeovers(plan, takeovers)
     if releases:
         faults += _make_last_phase(plan)
-    if silences:
+    if silences or hangs:
         faults = [one for one in faults if one.kind in KINDS_WITHOUT_BREAKS]
         faults += make_silences(seed, plan.engines, length_s, silences)
+        faults += make_hangs(seed, plan.engines, length_s, hangs)
     faults.sort(key=lambda fault: fault.at_s)
     return msgspec.structs.replace(plan, faults=tuple(faults))
 
--- a/soak/silence_plan.py
+++ b/soak/silence_plan.py
@@ -1,10 +1,14 @@
-"""Draws times in which engines are silent, apart from all other faults."""
+"""Draws times in which engines are silent, apart from all other faults.
+
+Silences are of sound engines and end before callers leave; hangs do not.
+"""
 
 import random
 from collections.abc import Iterator, Sequence
 
 from soak.fault_kinds import (
     BESIDE_SILENCES_KINDS,
+    HANG_KINDS,
     SILENCE_KINDS,
     Fault,
     FaultKind,
@@ -38,6 +42,44 @@
 MIN_ANSWER_DELAY_S = 0.2
 MAX_ANSWER_DELAY_S = 1.5
 
+# How long one engine hangs or is away while the others are sound.
+MIN_HANG_S = 3.0
+MAX_HANG_S = 5.0
+HANG_SLOT_S = MAX_HANG_S + MIN_GAP_S
+
+
+def max_hangs(length_s: float) -> int:
+    """Returns how many hangs a run of a length can have."""
+    return int((length_s - BEFORE_SILENCES_S) / HANG_SLOT_S)
+
+
+def make_hangs(
+    seed: int, engines: Sequence[int], length_s: float, count: int
+) -> Iterator[Fault]:
+    """Yields hangs and ends of single engines, one after the other.
+
+    Args:
+        seed: Determines all random choices.
+        engines: The numbers of the engines.
+        length_s: Duration in which faults are injected.
+        count: How often an engine hangs or ends.
+
+    Raises:
+        ValueError: If so many do not fit one after the other.
+    """
+    if count > max_hangs(length_s):
+        raise ValueError(f"{count} hangs do not fit into {length_s} s")
+    rng = random.Random(f"hangs of {seed}")
+    slot_s = (length_s - BEFORE_SILENCES_S) / max(1, count)
+    for number in range(count):
+        begin_s = BEFORE_SILENCES_S + number * slot_s
+        yield Fault(
+            at_s=begin_s + rng.uniform(0.0, slot_s - HANG_SLOT_S),
+            kind=rng.choice(HANG_KINDS),
+            target=rng.choice(engines),
+            duration_s=rng.uniform(MIN_HANG_S, MAX_HANG_S),
+        )
+
 
 def max_silences(length_s: float) -> int:
     """Returns how many silences a run of a length can have."""
