Stop a run without a copy when its caller is about to leave

What callers saw: streams of engines that hang for good while they answer calls were left after 2 s if no other engine had a free slot.

Cause: since a run is stopped only once the other engine has a copy and room. A full engine refuses the copy, though it admits a request that goes on with a run before others. Besides, a refused copy counted as an engine that answers no calls, so that two tries fit before the caller left.

Change: without a copy a run is stopped 0.25 s before callers leave, after 0.8 s of prompt answers, when it would be lost otherwise; a copy is asked for again every 0.3 s until then, and a refusal counts as an answer.

--- a/acaciaspoke/gateway/run_calls.py
+++ b/acaciaspoke/gateway/run_calls.py
@@ -28,6 +28,8 @@
 from acaciaspoke.ids import UpstreamId
 from acaciaspoke.platform.engine import (
     CONNECT_TIMEOUT_S,
+    CopyOutcome,
+    RunCopyAnswer,
     RunStop,
     StopOutcome,
     check_engine,
@@ -47,7 +49,7 @@
     run: Run,
     silent_s: Callable[[], float],
     acknowledgement_age_s: Callable[[], float | None],
-    make_copy: Callable[[], Awaitable[bool]],
+    make_copy: Callable[[], Awaitable[CopyOutcome]],
     order_stop: OrderStop,
     reserve_retry: Callable[[], bool],
     stop_after_s: float,
@@ -61,8 +63,7 @@
         silent_s: Returns the time since the last event.
         acknowledgement_age_s: Returns how long ago the engine's host has
             acknowledged anything to this one; None if it is not known.
-        make_copy: Copies the run to the other engine; returns whether that one
-            has the copy.
+        make_copy: Copies the run to the other engine.
         order_stop: Sends a stop order.
         reserve_retry: Reserves a retry at the other engine; returns whether
             that one may get the run.
@@ -88,7 +89,11 @@
             responsiveness,
         ),
         may_take_over,
-        _recorded(make_copy, bool, responsiveness),
+        _recorded(
+            make_copy,
+            lambda outcome: outcome is not CopyOutcome.UNKNOWN,
+            responsiveness,
+        ),
         functools.partial(order_stop, functools.partial(stop, run, deadline_s)),
     )
 
@@ -211,15 +216,12 @@
         )
 
 
-async def copy(run: Run, deadline_s: float) -> str:
+async def copy(run: Run, deadline_s: float) -> RunCopyAnswer:
     """Has the engine of a run copy it to the other engine.
 
     Args:
         run: The run, which goes on.
         deadline_s: Until when to wait for the answer.
-
-    Returns:
-        The name of the copy; empty if there is none.
     """
     async with _client(run.address) as http:
         return await copy_run(
--- a/acaciaspoke/gateway/run_copy.py
+++ b/acaciaspoke/gateway/run_copy.py
@@ -15,6 +15,9 @@
 from acaciaspoke.gateway import run_calls
 from acaciaspoke.gateway.background_calls import BackgroundCalls
 from acaciaspoke.gateway.takeover import Run
+from acaciaspoke.platform.engine import CopyOutcome, RunCopyAnswer
+
+_NO_COPY = RunCopyAnswer(CopyOutcome.UNKNOWN)
 
 
 class RunCopy:
@@ -37,7 +40,7 @@
         self._run = run
         self._deadline_s = deadline_s
         self._background = background
-        self._handle = ""
+        self._answer = _NO_COPY
         self._is_needed = True
 
     def __enter__(self) -> "RunCopy":
@@ -50,40 +53,39 @@
         traceback: TracebackType | None,
     ) -> None:
         self._is_needed = False
-        if self._handle:
+        if self._answer.handle:
             self._background.start(self._free)
 
-    async def make(self) -> bool:
-        """Copies the run; returns whether the other engine has the copy."""
-        if not self._handle:
-            answered = anyio.Event()
-            self._background.start(functools.partial(self._make, answered))
-            await answered.wait()
-        return bool(self._handle)
+    async def make(self) -> CopyOutcome:
+        """Copies the run, which has no copy yet."""
+        answered = anyio.Event()
+        self._background.start(functools.partial(self._make, answered))
+        await answered.wait()
+        return self._answer.outcome
 
     def keep(self) -> None:
         """Leaves the copy to the request that goes on with the run."""
-        self._handle = ""
+        self._answer = _NO_COPY
 
     async def _make(self, answered: anyio.Event) -> None:
         started_s = time.monotonic()
         try:
-            self._handle = await run_calls.copy(self._run, self._deadline_s)
+            self._answer = await run_calls.copy(self._run, self._deadline_s)
         finally:
             answered.set()
         logger.info(
             "copy of the run at {} to {}: {}",
             self._run.upstream,
             self._run.destination.upstream,
-            "made" if self._handle else "not made",
+            self._answer.outcome.value,
             request_id=self._run.request_id,
             took_ms=round((time.monotonic() - started_s) * 1000),
             is_needed=self._is_needed,
         )
-        if self._handle and not self._is_needed:
+        if self._answer.handle and not self._is_needed:
             await self._free()
 
     async def _free(self) -> None:
         # The copy is to be freed even if the request ends now.
         deadline_s = max(self._deadline_s, time.monotonic())
-        await run_calls.free_memory(self._run, self._handle, deadline_s)
+        await run_calls.free_memory(self._run, self._answer.handle, deadline_s)
--- a/acaciaspoke/gateway/takeover.py
+++ b/acaciaspoke/gateway/takeover.py
@@ -7,7 +7,8 @@
 reach it.
 
 A stop order cannot be undone. A silent engine gets it as late as callers allow,
-and only once another engine has a copy of the run and room to go on with it.
+and only once another engine has a copy of the run and room to go on with it, or
+has refused the copy until callers are about to leave.
 """
 
 from collections.abc import Awaitable, Callable, Iterator
@@ -18,7 +19,7 @@
 
 from acaciaspoke.gateway.types import BackupEngine, ResumePoint, Route
 from acaciaspoke.ids import RequestId, UpstreamId
-from acaciaspoke.platform.engine import RunStop, StopOutcome
+from acaciaspoke.platform.engine import CopyOutcome, RunStop, StopOutcome
 
 # Pause after a stop order without a clear answer.
 RETRY_INTERVAL_S = 0.1
@@ -44,6 +45,12 @@
 # The same before its run is stopped.
 MIN_RESPONSIVE_S = 0.4
 
+# The same if the other engine has no copy.
+MIN_RESPONSIVE_WITHOUT_COPY_S = 0.8
+
+# How much later a run is stopped then.
+LATER_WITHOUT_COPY_S = 0.15
+
 # How long a stop, the request to the other engine and its first event take at
 # most, so that callers are still there.
 TAKEOVER_TIME_S = 0.4
@@ -113,14 +120,13 @@
         check: Calls the engine of the run; changes nothing there.
         may_take_over: Returns whether the engine that has the KV backup answers
             promptly and may get the run; reserves a retry.
-        copy: Has the engine of the run copy it to the other one; returns
-            whether that one has the copy.
+        copy: Has the engine of the run copy it to the other one.
         stop: Orders the engine of the run to stop it.
     """
 
     check: Callable[[], Awaitable[StopOutcome]]
     may_take_over: Callable[[], Awaitable[bool]]
-    copy: Callable[[], Awaitable[bool]]
+    copy: Callable[[], Awaitable[CopyOutcome]]
     stop: Callable[[], Awaitable[RunStop]]
 
 
@@ -151,6 +157,10 @@
 ) -> RunStop:
     """Ends a run whose engine is silent; waits until that is certain.
 
+    A run that the other engine has no room to copy is stopped only when its
+    caller is about to leave: it would be lost, and requests that go on with a
+    run are admitted before others.
+
     An engine that is silent as a whole is only checked: it would execute a stop
     order when it goes on, and its streams with it. The connection of the stream
     is open, so that a process that refuses connections has not ended, one that
@@ -169,11 +179,9 @@
             return RunStop(outcome)
         if outcome is StopOutcome.ANSWERED:
             if not has_copy and silence.awake_s() >= COPY_AFTER_S:
-                has_copy = await calls.copy()
-            elif (
-                has_copy
-                and silence.awake_s() >= MIN_RESPONSIVE_S
-                and silence.silent_s() >= stop_after_s
+                has_copy = await calls.copy() is CopyOutcome.MADE
+            if (
+                _time_to_stop_s(silence, has_copy, stop_after_s) <= 0
                 and await calls.may_take_over()
             ):
                 stop = await calls.stop()
@@ -198,14 +206,23 @@
     silence: Silence, has_copy: bool, stop_after_s: float
 ) -> float:
     """Returns the time until the next step, but at most until a check."""
-    if has_copy:
-        step_s = max(
-            MIN_RESPONSIVE_S - silence.awake_s(),
-            stop_after_s - silence.silent_s(),
-        )
-    else:
-        step_s = COPY_AFTER_S - silence.awake_s()
-    return min(CHECK_INTERVAL_S, step_s if step_s > 0 else RETRY_INTERVAL_S)
+    steps_s = [_time_to_stop_s(silence, has_copy, stop_after_s)]
+    if not has_copy:
+        steps_s.append(COPY_AFTER_S - silence.awake_s())
+    return min(step_s for step_s in (CHECK_INTERVAL_S, *steps_s) if step_s > 0)
+
+
+def _time_to_stop_s(
+    silence: Silence, has_copy: bool, stop_after_s: float
+) -> float:
+    """Returns after which time a run is stopped if the silence lasts."""
+    responsive_s = MIN_RESPONSIVE_S
+    if not has_copy:
+        responsive_s = MIN_RESPONSIVE_WITHOUT_COPY_S
+        stop_after_s += LATER_WITHOUT_COPY_S
+    return max(
+        responsive_s - silence.awake_s(), stop_after_s - silence.silent_s()
+    )
 
 
 async def end_lost_run(
--- a/acaciaspoke/platform/engine.py
+++ b/acaciaspoke/platform/engine.py
@@ -92,6 +92,29 @@
     is_copied: bool = False
 
 
+class CopyOutcome(Enum):
+    """Result of a call to copy a run.
+
+    ``REFUSED``: the engine answered and made no copy. ``UNKNOWN``: there is no
+    answer.
+    """
+
+    MADE = "made"
+    REFUSED = "refused"
+    UNKNOWN = "unknown"
+
+
+class RunCopyAnswer(NamedTuple):
+    """The answer to a call to copy a run.
+
+    Attributes:
+        handle: The name of the copy; empty if there is none.
+    """
+
+    outcome: CopyOutcome
+    handle: str = ""
+
+
 class _StopAnswer(msgspec.Struct):
     handle: str | int = ""
 
@@ -166,7 +189,7 @@
     request_id: RequestId,
     destination: str,
     timeout_s: float,
-) -> str:
+) -> RunCopyAnswer:
     """Has an engine copy the memory of a run, which goes on.
 
     The other engine keeps a slot and memory for it.
@@ -177,16 +200,16 @@
         request_id: The request that runs.
         destination: Address of the engine that gets the copy.
         timeout_s: How long to wait for the answer.
-
-    Returns:
-        The name of the copy; empty if there is none.
     """
     body = {"id": request_id, "to": destination}
     try:
         response = await _move(http, upstream, body, timeout_s)
     except HttpError:
-        return ""
-    return _decode_handle(response.body) if response.status == 200 else ""
+        return RunCopyAnswer(CopyOutcome.UNKNOWN)
+    handle = _decode_handle(response.body)
+    if response.status != 200 or not handle:
+        return RunCopyAnswer(CopyOutcome.REFUSED)
+    return RunCopyAnswer(CopyOutcome.MADE, handle)
 
 
 async def _move(
