Ask engines for a stopped run until the deadline

Asking engines again ended 2 s after the last event.

Evidence: test_both_engines_refuse_for_long failed before and passes.

--- a/acaciaspoke/gateway/exchange.py
+++ b/acaciaspoke/gateway/exchange.py
@@ -28,7 +28,6 @@
     wait_to_ask_again,
 )
 from acaciaspoke.gateway.stream_store import StreamStore
-from acaciaspoke.gateway.takeover import caller_patience_s
 from acaciaspoke.gateway.types import Request
 from acaciaspoke.ids import HostId, RequestId
 
@@ -326,11 +325,10 @@
         The run has been stopped for this, so that the budget for retries does
         not keep it from the engines that have not been asked.
         """
-        leaves_s = relay.last_event_s + caller_patience_s(request.route)
         if not request.resume_later_at and not await wait_to_ask_again(
             request,
             self._dispatcher.fleet,
-            min(request.deadline_s, leaves_s),
+            request.deadline_s,
             lambda: self._dispatcher.reserve_retry(request, time.monotonic()),
         ):
             return False
--- a/acaciaspoke/gateway/resumption.py
+++ b/acaciaspoke/gateway/resumption.py
@@ -82,7 +82,7 @@
     Args:
         request: The request; the engine becomes its next one.
         fleet: The upstreams.
-        until_s: When its caller leaves.
+        until_s: When it must be answered.
         reserve_retry: Reserves a retry; returns whether there is one left.
         clock: Returns the time.
         sleep: Waits for some seconds.
--- a/test/gateway/test_given_up_while_the_caller_waits.py
+++ b/test/gateway/test_given_up_while_the_caller_waits.py
@@ -1,8 +1,9 @@
 """Streams were cut 2 s after their last event though their callers waited."""
 
 import asyncio
+import time
 
-from test.gateway.kv_engines import EVENTS, KvEngines, resumed
+from test.gateway.kv_engines import EVENTS, KvEngines, refuse, resumed
 from test.gateway.serving import GatewayTest
 
 
@@ -34,3 +35,19 @@
         self.kv.silence_s = 2.6
         await self._check_whole()
         self.assertEqual(1, len(resumed(self.engines)))
+
+    async def test_both_engines_refuse_for_long(self):
+        started_s = None
+
+        async def refuse_for_long(arrival):
+            nonlocal started_s
+            started_s = started_s or time.monotonic()
+            if time.monotonic() - started_s < 2.2:
+                await refuse(arrival)
+            else:
+                await self.kv.go_on(arrival)
+
+        self.kv.loses_connection = self.kv.answers_calls = True
+        self.kv.silence_s = 5.0
+        self.kv.at_backup = self.kv.at_source = refuse_for_long
+        await self._check_whole()
