Forward no request that may outlast a host that stops

What callers see where this acts: a request that was sent to a host without links late in its grace time is passed on by way of another host, and cut when the process is killed. Read in the code; the host was not killed in the test.

Change: the first host refuses them if they may outlast it. Those that came before and were declined by a host are still forwarded to the next one.

Evidence: test_forwarded_late_in_the_grace: one of two failed before (200 instead of 503). 53 tests of forwarding, dispatching and the end of the grace pass.

--- a/acaciaspoke/gateway/dispatch.py
+++ b/acaciaspoke/gateway/dispatch.py
@@ -135,14 +135,16 @@
 
     def submit(self, request: Request, now_s: float) -> Refusal | None:
         """Queues a new request, or returns why it is refused."""
+        latest_s = self.estimates.latest_start_s(request, now_s)
         if self.host_for(request, now_s) is not None:
+            if now_s >= latest_s:
+                return refuse(request, "late", 0.0, now_s)
             # The other host admits it.
             self._waiting[request.id] = request
             return None
         self.budget(request.service).record_request(now_s)
         self._demand.record(request, now_s)
         backlog = self._backlog(request, now_s)
-        latest_s = self.estimates.latest_start_s(request, now_s)
         start_s = self.order.latest_start_s(request, backlog, latest_s)
         refusal = admit(
             request, backlog, start_s, now_s
