Resume streams that break off late, also while the host stops

What callers saw: a stream that may be resumed ended without its end, though another engine was free to go on (`no upstream is free to resume at`), if it broke off 1.75 s or more after its arrival, or after the last start of a host that stops.

Cause: a stream that had begun counted as a new start. The latest start follows from how long callers wait for the first event since the arrival, and while the host stops, from the last start.

Change: a stream that broke off may go on for as long as its caller waits for the next event, up to its deadline.

Evidence: test_late_break_of_resumable_stream failed 2 of 2 before and passes; 150 more tests of streams, forwarding and dispatching pass.

--- a/acaciaspoke/gateway/admission.py
+++ b/acaciaspoke/gateway/admission.py
@@ -121,6 +121,20 @@
     return min(latest_s, request.deadline_s - SHORT_SERVICE_SHARE * service_s)
 
 
+def latest_resumption_s(request: Request, last_event_s: float) -> float:
+    """Returns the latest time at which a stream that broke off may go on.
+
+    After that, its caller would give up before the next event.
+
+    Args:
+        request: The request.
+        last_event_s: When its caller got the last event.
+    """
+    wait_s = patience_s(request.route)
+    latest_s = last_event_s + wait_s - min(FIRST_EVENT_S, 0.25 * wait_s)
+    return min(latest_s, request.deadline_s)
+
+
 def latest_start_before_s(end_s: float, longest_s: float | None) -> float:
     """Returns the latest start of a request that has to end by a time.
 
--- a/acaciaspoke/gateway/estimates.py
+++ b/acaciaspoke/gateway/estimates.py
@@ -10,6 +10,7 @@
 
 from acaciaspoke.gateway.admission import (
     Backlog,
+    latest_resumption_s,
     latest_start_before_s,
     latest_start_s,
 )
@@ -64,7 +65,13 @@
         return self.durations[request.route.name].mean_s or 0.0
 
     def latest_start_s(self, request: Request, now_s: float) -> float:
-        """Returns the latest time at which a request may start."""
+        """Returns the latest time at which a request may start.
+
+        A stream that broke off may go on for as long as its caller waits, also
+        while the host stops.
+        """
+        if request.last_event_s is not None:
+            return latest_resumption_s(request, request.last_event_s)
         latest_s = latest_start_s(request, self.service_s(request))
         if request.forwarded_by is None:
             latest_s = min(latest_s, self.last_start_s)
--- a/acaciaspoke/gateway/exchange.py
+++ b/acaciaspoke/gateway/exchange.py
@@ -250,7 +250,7 @@
                 )
                 return
             was_sent = attempt.ending is not Ending.NOT_SENT
-            self._dispatcher.resubmit(request, now_s, was_sent)
+            self._resubmit(request, relay, now_s, was_sent)
             self._metrics.repeats.inc()
 
     async def _forward(
@@ -271,11 +271,19 @@
                 else self._may_run_again(request)
             )
             if may_retry:
-                self._dispatcher.resubmit(request, now_s, not nothing_ran)
+                self._resubmit(request, relay, now_s, not nothing_ran)
                 return False
         await answers.answer_failed(self._metrics, request, relay, attempt)
         return True
 
+    def _resubmit(
+        self, request: Request, relay: Relay, now_s: float, was_sent: bool
+    ) -> None:
+        """Queues a request for another attempt."""
+        if relay.first_event_s is not None:
+            request.last_event_s = relay.last_event_s
+        self._dispatcher.resubmit(request, now_s, was_sent)
+
     async def _wait_for_decision(self, request: Request) -> Decision:
         pending = self._pending[request.id] = _PendingDecision()
         self.dispatch()
--- a/acaciaspoke/gateway/types.py
+++ b/acaciaspoke/gateway/types.py
@@ -308,6 +308,8 @@
         shared_parts: Parts of the prompt that other requests may share.
         tried: Upstreams that did not serve it.
         starts: Number of upstreams that may have run it.
+        last_event_s: When its caller got the last event of a stream that broke
+            off; None if there was none.
         has_retry: Whether a retry of it is counted already.
         wait_reason: Why it waits, or waited last.
         backup_engine: The engine with the KV backup of the current attempt.
@@ -350,6 +352,7 @@
     fingerprint: int = 0
     tried: set[UpstreamId] = msgspec.field(default_factory=set)
     starts: int = 0
+    last_event_s: float | None = None
     has_retry: bool = False
     sent_s: float = 0.0
     wait_reason: WaitReason | None = None
