--- a/test/gateway/silent_streams.py
+++ b/test/gateway/silent_streams.py
@@ -47,6 +47,7 @@
     """Scripts of engines that send events at an interval, unless all pause.
 
     Attributes:
+        interval_s: Time between their events.
         answers_calls: Whether they answer control calls in a silence.
         at_other: Answers requests that go on with a run elsewhere; None if
             engines take them.
@@ -54,6 +55,7 @@
     """
 
     def __init__(self, engines: list[Worker]):
+        self.interval_s = INTERVAL_S
         self.answers_calls = False
         self.at_other: Callable[[Arrival], Awaitable[None]] | None = None
         self.resumed: list[Arrival] = []
@@ -92,7 +94,7 @@
         await self._awake.wait()
         await arrival.stream(end=False)
         for event in EVENTS[start:]:
-            await asyncio.sleep(INTERVAL_S)
+            await asyncio.sleep(self.interval_s)
             await self._awake.wait()
             await arrival.send_events(event)
         arrival.writer.write(b"0\r\n\r\n")
@@ -110,9 +112,12 @@
     """Sends streams to engines that may fall silent.
 
     Attributes:
+        remaining_ms: How long callers wait.
         sent: The streams of this test.
     """
 
+    remaining_ms = 5000
+
     async def asyncSetUp(self):
         await super().asyncSetUp()
         # Only long runs get a KV backup.
@@ -145,9 +150,16 @@
             for arrival in engine.arrivals
         )
 
+    def all_are_accepted(self) -> bool:
+        """Returns whether the gateway has read all requests."""
+        return len(self.gateway.app._requests._requests) == len(self.sent)
+
     async def read(self, path: str, content, address: str) -> Stream:
         """Sends a request; reads its stream as far as it goes."""
-        headers = self.headers(Acaciaspoke_Model="m1")
+        headers = self.headers(
+            Acaciaspoke_Model="m1",
+            Acaciaspoke_Time_Remaining_Ms=str(self.remaining_ms),
+        )
         received, is_complete = bytearray(), True
         async with httpcore.AsyncConnectionPool() as pool:
             async with pool.stream(
