--- a/test/gateway/silent_streams.py
+++ b/test/gateway/silent_streams.py
@@ -51,6 +51,7 @@
         answers_calls: Whether they answer control calls in a silence.
         at_other: Answers requests that go on with a run elsewhere; None if
             engines take them.
+        takes_back: Whether engines go on with runs that they have stopped.
         resumed: The requests that go on with a run.
     """
 
@@ -58,19 +59,29 @@
         self.interval_s = INTERVAL_S
         self.answers_calls = False
         self.at_other: Callable[[Arrival], Awaitable[None]] | None = None
+        self.takes_back = True
         self.resumed: list[Arrival] = []
-        self._awake = asyncio.Event()
+        self._awake, self._flowing = asyncio.Event(), asyncio.Event()
         self._awake.set()
+        self._flowing.set()
         self._engines = engines
         for engine in engines:
             engine.script = functools.partial(self._run, engine)
             engine.before_control = self._answer
 
-    async def pause(self, silence_s: float) -> None:
-        """Keeps all engines silent for some time."""
+    async def pause(self, silence_s: float, event_delay_s: float = 0.0) -> None:
+        """Keeps all engines silent for some time.
+
+        Args:
+            silence_s: How long.
+            event_delay_s: How much later than calls are answered events come.
+        """
         self._awake.clear()
+        self._flowing.clear()
         await asyncio.sleep(silence_s)
         self._awake.set()
+        await asyncio.sleep(event_delay_s)
+        self._flowing.set()
 
     @property
     def stopped(self) -> list[str]:
@@ -84,18 +95,21 @@
     async def _run(self, engine: Worker, arrival: Arrival) -> None:
         if "kv-from" in arrival.headers:
             self.resumed.append(arrival)
-            if self.at_other is not None and arrival.id not in engine.stops:
+            is_own = arrival.id in engine.stops
+            if self.at_other is not None and not is_own:
                 await self.at_other(arrival)
                 return
-            if arrival.id not in self.stopped:
+            if arrival.id not in self.stopped or (
+                is_own and not self.takes_back
+            ):
                 await refuse(arrival)
                 return
         start = int(arrival.headers.get("last-event-id", 0))
-        await self._awake.wait()
+        await self._flowing.wait()
         await arrival.stream(end=False)
         for event in EVENTS[start:]:
             await asyncio.sleep(self.interval_s)
-            await self._awake.wait()
+            await self._flowing.wait()
             await arrival.send_events(event)
         arrival.writer.write(b"0\r\n\r\n")
         await arrival.writer.drain()
--- a/test/gateway/test_stop_amid_silences.py
+++ b/test/gateway/test_stop_amid_silences.py
@@ -82,6 +82,13 @@
         await asyncio.sleep(after_s)
         await self.silent.pause(silence_s)
 
+    async def test_engines_answer_calls_before_their_next_events(self):
+        self.silent.at_other, self.silent.takes_back = refuse, False
+        stopped_s = await self.stop()
+        await self.silent.pause(SILENCE_S, event_delay_s=0.15)
+        await self.check_stopped(stopped_s)
+        self.assertEqual([], self.silent.stopped)
+
     async def test_runs_are_moved_as_the_last_requests_start(self):
         self.silent.answers_calls = True
         self.silent.at_other = refuse
