--- a/acaciaspoke/gateway/types.py
+++ b/acaciaspoke/gateway/types.py
@@ -315,6 +315,8 @@
         unreached: Upstreams to which it could not be sent; once they can be
             reached, they get it if no other one can.
         starts: Number of upstreams that may have run it.
+        last_event_s: When its caller got the last event of a stream that broke
+            off; None if there was none.
         has_retry: Whether a retry of it is counted already.
         wait_reason: Why it waits, or waited last.
         backup_engine: The engine with the KV backup of the current attempt.
@@ -360,6 +362,7 @@
     tried: set[UpstreamId] = msgspec.field(default_factory=set)
     unreached: set[UpstreamId] = msgspec.field(default_factory=set)
     starts: int = 0
+    last_event_s: float | None = None
     has_retry: bool = False
     sent_s: float = 0.0
     wait_reason: WaitReason | None = None
