End attempts on lost links only for requests that can run elsewhere

What callers saw: after all upstreams of a host had stood still for 1.4 s with full accept queues, safe requests that ran got 502, though their upstreams went on and answered.

Cause: no probe connects then, which is taken for lost links of this host. Attempts that were silent for 0.3 s were ended before it was known whether a retry is left or a host is there that could serve the request.

Change: an attempt is ended only if another host can serve its request now and a retry is reserved for it. Others go on; where the links are really lost, the kernel closes a connection without acknowledgements after 2 s, so that the request runs again then, as far as the budget allows.

--- a/acaciaspoke/gateway/attempt_runner.py
+++ b/acaciaspoke/gateway/attempt_runner.py
@@ -67,13 +67,20 @@
         self._stream_store = streams
         self._on_event = on_event
         self.stall_watch = StallWatch(dispatcher.fleet)
-        self.lost_attempts = LostAttempts()
+        self.lost_attempts = LostAttempts(self._may_leave)
         self.background = BackgroundCalls()
         self.abandoned_runs = AbandonedRuns(self.background)
         self._notices = NoticeRecorder(dispatcher.fleet, metrics)
         self._pools: dict[str, ConnectionPool] = {}
         self._logged_invalid_loads: set[UpstreamId] = set()
 
+    def _may_leave(self, request: Request) -> bool:
+        """Returns whether another host can serve a request that runs here."""
+        now_s = time.monotonic()
+        return self._dispatcher.host_for(
+            request, now_s
+        ) is not None and self._dispatcher.reserve_retry(request, now_s)
+
     async def run(self, assignment: Assignment, relay: Relay) -> Attempt:
         """Makes one attempt; never raises for failures of the upstream."""
         request = assignment.request
--- a/acaciaspoke/gateway/lost_attempts.py
+++ b/acaciaspoke/gateway/lost_attempts.py
@@ -20,7 +20,19 @@
 class LostAttempts:
     """The running attempts of requests that may run again."""
 
-    def __init__(self, clock: Callable[[], float] = time.monotonic):
+    def __init__(
+        self,
+        may_leave: Callable[[Request], bool] = lambda request: True,
+        clock: Callable[[], float] = time.monotonic,
+    ):
+        """Creates an object without attempts.
+
+        Args:
+            may_leave: Returns whether a request can run elsewhere for certain;
+                called once its attempt is about to be ended.
+            clock: Returns the time.
+        """
+        self._may_leave = may_leave
         self._clock = clock
         self._running: dict[anyio.CancelScope, tuple[Request, Relay]] = {}
 
@@ -55,5 +67,6 @@
             received_s = max(
                 request.sent_s, relay.last_event_s, relay.reading_since_s
             )
-            if now_s - received_s >= MIN_SILENCE_S:
+            # If all upstreams stand still, the links seem to be lost.
+            if now_s - received_s >= MIN_SILENCE_S and self._may_leave(request):
                 scope.cancel()
