Soak: streams of hung engines have to go on where a slot is free

Cause: `--hangs` counted the streams that were left at engines which hold events back, but failed no run for them.

Change: a run fails for a stream that is left or cut at an engine which holds its events for 3 s or more and answers calls, though one other engine had a free slot and no fault all the time from 0.7 s to 2 s after the last event. Slots are those of the engines' own lines (runs and ordered copies, without those of the stream). Times of 0.1 s or more in which an engine stood still by itself are faults. Others are counted.

--- a/soak/checks.py
+++ b/soak/checks.py
@@ -11,6 +11,7 @@
 from soak import copies, falls, hangs, lost_links, silences, workspaces
 from soak import takeovers as takeover_checks
 from soak.callers import DEADLINE_S, Callers, Kind
+from soak.configuration import SLOTS_OF_LONG
 from soak.deployment import MEMORY_MB, Deployment
 from soak.faults import FaultInjector
 from soak.joins import count_shares, find_refused, find_stream_violations
@@ -223,8 +224,7 @@
     if deployment.plan.has_backups:
         yield from _check_copies(deployment, callers, runs)
     if deployment.plan.has_hangs:
-        for hang in hangs.count_hangs(injector.injected, callers.streams, runs):
-            print(f"seed {deployment.plan.seed}: {hang}", flush=True)
+        yield from _check_hangs(deployment, injector, callers, runs)
     if deployment.plan.has_silences:
         yield from _check_silences(deployment, injector, callers, runs)
     yield from takeover_checks.find_takeover_violations(
@@ -263,6 +263,30 @@
     )
 
 
+def _check_hangs(
+    deployment: Deployment,
+    injector: FaultInjector,
+    callers: StreamCallers,
+    runs: takeover_checks.Runs,
+) -> Iterator[str]:
+    """Yields streams that could have gone on elsewhere; prints numbers."""
+    lines = deployment.worker_lines()
+    losses = list(
+        hangs.find_losses(
+            injector.injected,
+            callers.streams,
+            runs,
+            list(copies.read_copies(lines)),
+            silences.add_lags([], lines),
+            dict.fromkeys(deployment.plan.engines, SLOTS_OF_LONG),
+        )
+    )
+    counted = hangs.count_hangs(injector.injected, callers.streams, runs)
+    for line in [*counted, hangs.summarize(losses)]:
+        print(f"seed {deployment.plan.seed}: {line}", flush=True)
+    yield from (str(one) for one in losses if not one.is_excused)
+
+
 def _check_silences(
     deployment: Deployment,
     injector: FaultInjector,
--- a/test/soak/test_hangs.py
+++ b/test/soak/test_hangs.py
@@ -3,6 +3,7 @@
 import itertools
 import unittest
 
+from soak.copies import Copy
 from soak.fault_kinds import (
     HANG_KINDS,
     KINDS_WITHOUT_BREAKS,
@@ -10,9 +11,10 @@
     FaultKind,
 )
 from soak.faults import InjectedFault
-from soak.hangs import Hang, count_hangs
+from soak.hangs import Hang, Loss, count_hangs, find_losses, summarize
 from soak.plan import make_plan
 from soak.silence_plan import max_hangs
+from soak.silences import Silence
 from soak.takeovers import group_by_id
 from test.soak.builders import make_run, make_stream
 
@@ -79,3 +81,95 @@
         counted = count_hangs(injected, self._streams(), group_by_id(runs))
         expected = Hang(FaultKind.HOLD_EVENTS, 1, 1, 1, 1, 1, 1.7)
         self.assertEqual([expected], list(counted))
+
+
+class LossTest(unittest.TestCase):
+    """An engine holds the events of a stream back from 10.0 s on."""
+
+    HOLD = InjectedFault(Fault(4.0, FaultKind.HOLD_EVENTS, 1, 3.5), 10.0, 13.5)
+
+    def _losses(
+        self, *others, copies=(), lags=(), hangs=(HOLD,), **changes
+    ) -> list[Loss]:
+        """Returns the losses of a stream that was left, with runs beside it."""
+        stream = make_stream(
+            **{
+                "is_complete": False,
+                "has_left": True,
+                "last_event_s": 10.0,
+                "ended_s": 12.0,
+            }
+            | changes
+        )
+        runs = group_by_id([make_run(), *others])
+        slots = {1: 2, 3: 2}
+        return list(find_losses(hangs, [stream], runs, copies, lags, slots))
+
+    def _is_excused(self, *others, **changes) -> bool:
+        (loss,) = self._losses(*others, **changes)
+        return loss.is_excused
+
+    def _run(self, number: int, begin_s: float, end_s: float):
+        return make_run(
+            id=f"other{number}", engine=3, begin_s=begin_s, end_s=end_s
+        )
+
+    def test_left_or_cut_with_a_free_slot_elsewhere(self):
+        self.assertFalse(self._is_excused())
+        self.assertFalse(self._is_excused(has_left=False, ended_s=11.1))
+        (loss,) = self._losses()
+        self.assertEqual([3], loss.free_engines)
+        self.assertIn("engines [3] had a free slot", str(loss))
+        self.assertIn("1 streams were left or cut", summarize([loss]))
+
+    def test_whole_stream(self):
+        self.assertEqual([], self._losses(is_complete=True))
+
+    def test_stream_that_had_events_of_another_engine(self):
+        self.assertEqual([], self._losses(self._run(0, 9.0, 13.0), id="other0"))
+        moved = make_run(engine=3, begin_s=11.0, end_s=14.0)
+        cut = {"last_event_s": 11.5, "ended_s": 13.5}
+        self.assertEqual([], self._losses(moved, **cut))
+
+    def test_stream_whose_next_engine_sent_nothing(self):
+        moved = make_run(engine=3, begin_s=11.9, end_s=14.0)
+        self.assertFalse(self._is_excused(moved))
+
+    def test_all_slots_taken_for_a_moment(self):
+        runs = [self._run(0, 9.0, 11.3), self._run(1, 11.2, 14.0)]
+        self.assertTrue(self._is_excused(*runs))
+        self.assertFalse(self._is_excused(runs[0]))
+
+    def test_slots_taken_one_after_the_other(self):
+        runs = [self._run(0, 9.0, 11.2), self._run(1, 11.2, 14.0)]
+        self.assertFalse(self._is_excused(*runs))
+
+    def test_slots_taken_before_and_after(self):
+        runs = [
+            *(self._run(0, 9.0, 10.6), self._run(1, 9.0, 10.6)),
+            *(self._run(2, 12.1, 13.0), self._run(3, 12.1, 13.0)),
+        ]
+        self.assertFalse(self._is_excused(*runs))
+
+    def test_slots_taken_by_copies(self):
+        run = self._run(0, 9.0, 14.0)
+        copies = [Copy("other1", 3, 11.0, 14.0)]
+        self.assertTrue(self._is_excused(run, copies=copies))
+        own = [Copy("s0-0", 3, 11.0, 14.0)]
+        self.assertFalse(self._is_excused(run, copies=own))
+
+    def test_fault_of_the_other_engine(self):
+        for begin_s, is_excused in ((8.0, False), (11.5, True), (12.5, False)):
+            hang = Fault(4.0, FaultKind.KILL_WORKER, 3, 2.0)
+            hangs = (self.HOLD, InjectedFault(hang, begin_s, begin_s + 2.0))
+            self.assertEqual(is_excused, self._is_excused(hangs=hangs))
+
+    def test_engines_that_stand_still(self):
+        self.assertTrue(self._is_excused(lags=[Silence(3, 11.5, 11.7)]))
+        self.assertFalse(self._is_excused(lags=[Silence(3, 10.1, 10.3)]))
+        self.assertTrue(self._is_excused(lags=[Silence(1, 10.1, 10.3)]))
+
+    def test_paused_engine(self):
+        pause = Fault(4.0, FaultKind.PAUSE_ENGINE, 1, 3.5)
+        hangs = (InjectedFault(pause, 10.0, 13.5),)
+        self.assertEqual([], self._losses(hangs=hangs))
