Stop a run without a copy in time for its caller to be served

Cause: the stop was due 0.25 s before callers leave, and in that time the engine was checked, asked for another copy (45 to 170 ms), the other engine was called, and the run stopped.

Change: runs with and without a copy are stopped at the same time, 0.4 s before callers leave; without one the engine has to have answered promptly for 0.8 s. Both engines are called just before that, and no copy is asked for in the last 0.3 s.

--- a/acaciaspoke/gateway/run_calls.py
+++ b/acaciaspoke/gateway/run_calls.py
@@ -73,7 +73,10 @@
     """
     responsiveness = Responsiveness(time.monotonic)
     silence = Silence(
-        silent_s, lambda: responsiveness.duration_s, acknowledgement_age_s
+        silent_s,
+        lambda: responsiveness.duration_s,
+        acknowledgement_age_s,
+        stop_after_s,
     )
 
     async def may_take_over() -> bool:
@@ -106,7 +109,7 @@
             "answered_ms_ago": _age_ms(responsiveness.answered_s),
         }
 
-    ending = end_silent_run(calls, silence, stop_after_s)
+    ending = end_silent_run(calls, silence)
     return await _end(run, "silent", ending, describe)
 
 
--- a/acaciaspoke/gateway/takeover.py
+++ b/acaciaspoke/gateway/takeover.py
@@ -48,8 +48,11 @@
 # The same if the other engine has no copy.
 MIN_RESPONSIVE_WITHOUT_COPY_S = 0.8
 
-# How much later a run is stopped then.
-LATER_WITHOUT_COPY_S = 0.15
+# How long before a run is stopped both engines are called for the last time.
+LAST_CALLS_S = 0.15
+
+# Timers may be this early.
+_TIMER_TOLERANCE_S = 0.001
 
 # How long a stop, the request to the other engine and its first event take at
 # most, so that callers are still there.
@@ -138,28 +141,52 @@
         responsive_s: Returns for how long it has answered calls promptly.
         acknowledgement_age_s: Returns how long ago its host has acknowledged
             anything on any connection; None if it is not known.
+        stop_after_s: Time without an event after which its run may be stopped.
     """
 
     silent_s: Callable[[], float]
     responsive_s: Callable[[], float]
     acknowledgement_age_s: Callable[[], float | None]
+    stop_after_s: float
 
     def awake_s(self) -> float:
         """Returns for how long it has been silent without standing still."""
         return min(self.silent_s(), self.responsive_s())
 
+    def time_to_stop_s(self, has_copy: bool) -> float:
+        """Returns after which time the run is stopped if the silence lasts.
+
+        Args:
+            has_copy: Whether the other engine has a copy of the run.
+        """
+        responsive_s = MIN_RESPONSIVE_S
+        if not has_copy:
+            responsive_s = MIN_RESPONSIVE_WITHOUT_COPY_S
+        return max(
+            responsive_s - self.awake_s(), self.stop_after_s - self.silent_s()
+        )
+
+    def time_to_step_s(self, has_copy: bool) -> float:
+        """Returns the time until the next step, but at most until a check."""
+        steps_s = [self.time_to_stop_s(has_copy) - LAST_CALLS_S]
+        if not has_copy:
+            steps_s.append(COPY_AFTER_S - self.awake_s())
+        next_s = min(
+            left_s for left_s in (CHECK_INTERVAL_S, *steps_s) if left_s > 0
+        )
+        return next_s + _TIMER_TOLERANCE_S
+
 
 async def end_silent_run(
     calls: EngineCalls,
     silence: Silence,
-    stop_after_s: float,
     sleep: Callable[[float], Awaitable[None]] = anyio.sleep,
 ) -> RunStop:
     """Ends a run whose engine is silent; waits until that is certain.
 
-    A run that the other engine has no room to copy is stopped only when its
-    caller is about to leave: it would be lost, and requests that go on with a
-    run are admitted before others.
+    A run that the other engine has no room to copy is stopped, too, if its
+    engine has answered for longer: its caller is about to leave, and requests
+    that go on with a run are admitted before others.
 
     An engine that is silent as a whole is only checked: it would execute a stop
     order when it goes on, and its streams with it. The connection of the stream
@@ -169,7 +196,6 @@
     Args:
         calls: Calls to the engine.
         silence: What is known of it.
-        stop_after_s: Time without an event after which the run may be stopped.
         sleep: Waits for some seconds.
     """
     timeouts, has_copy = 0, False
@@ -178,15 +204,15 @@
         if outcome is StopOutcome.OTHER_PROCESS:
             return RunStop(outcome)
         if outcome is StopOutcome.ANSWERED:
-            if not has_copy and silence.awake_s() >= COPY_AFTER_S:
-                has_copy = await calls.copy() is CopyOutcome.MADE
             if (
-                _time_to_stop_s(silence, has_copy, stop_after_s) <= 0
-                and await calls.may_take_over()
+                not has_copy
+                and silence.awake_s() >= COPY_AFTER_S
+                and silence.time_to_stop_s(has_copy) >= CHECK_INTERVAL_S
             ):
-                stop = await calls.stop()
-                if stop.outcome in _ENDED_WHILE_OPEN:
-                    return stop
+                has_copy = await calls.copy() is CopyOutcome.MADE
+            stop = await _stop_if_due(calls, silence, has_copy, sleep)
+            if stop.outcome in _ENDED_WHILE_OPEN:
+                return stop
         timeouts = _count_timeouts(timeouts, outcome)
         if (
             timeouts >= MAX_CONNECT_TIMEOUTS
@@ -196,33 +222,25 @@
         ):
             return RunStop(StopOutcome.UNREACHABLE)
         await sleep(
-            RETRY_INTERVAL_S
-            if timeouts
-            else _check_pause_s(silence, has_copy, stop_after_s)
+            RETRY_INTERVAL_S if timeouts else silence.time_to_step_s(has_copy)
         )
 
 
-def _check_pause_s(
-    silence: Silence, has_copy: bool, stop_after_s: float
-) -> float:
-    """Returns the time until the next step, but at most until a check."""
-    steps_s = [_time_to_stop_s(silence, has_copy, stop_after_s)]
-    if not has_copy:
-        steps_s.append(COPY_AFTER_S - silence.awake_s())
-    return min(step_s for step_s in (CHECK_INTERVAL_S, *steps_s) if step_s > 0)
-
-
-def _time_to_stop_s(
-    silence: Silence, has_copy: bool, stop_after_s: float
-) -> float:
-    """Returns after which time a run is stopped if the silence lasts."""
-    responsive_s = MIN_RESPONSIVE_S
-    if not has_copy:
-        responsive_s = MIN_RESPONSIVE_WITHOUT_COPY_S
-        stop_after_s += LATER_WITHOUT_COPY_S
-    return max(
-        responsive_s - silence.awake_s(), stop_after_s - silence.silent_s()
-    )
+async def _stop_if_due(
+    calls: EngineCalls,
+    silence: Silence,
+    has_copy: bool,
+    sleep: Callable[[float], Awaitable[None]],
+) -> RunStop:
+    """Stops a run; calls the other engine before it is due."""
+    if (
+        silence.time_to_stop_s(has_copy) <= LAST_CALLS_S
+        and await calls.may_take_over()
+    ):
+        await sleep(max(0.0, silence.time_to_stop_s(has_copy)))
+        if silence.time_to_stop_s(has_copy) <= _TIMER_TOLERANCE_S:
+            return await calls.stop()
+    return RunStop(StopOutcome.UNKNOWN)
 
 
 async def end_lost_run(
--- a/test/gateway/test_hung_engine_beside_full_one.py
+++ b/test/gateway/test_hung_engine_beside_full_one.py
@@ -3,8 +3,9 @@
 import time
 
 from acaciaspoke.gateway.takeover import MIN_CALLER_PATIENCE_S
+from standins.gateway_documents import gateway_route
 from test.gateway.kv_engines import EVENTS, KvEngines, refuse, resumed
-from test.gateway.serving import GatewayTest
+from test.gateway.serving import GatewayTest, configuration
 
 
 class HungEngineBesideFullOneTest(GatewayTest):
@@ -37,6 +38,12 @@
 
     async def test_room_that_is_found_late(self):
         # A refused copy counted as an engine that answers no calls.
+        route = gateway_route(
+            "/stream/", "streaming", "llm", **{"target-latency-ms": 1000}
+        )
+        self.store.put("op", "config", configuration(2, routes=[route]))
+        dispatcher = self.gateway._dispatcher
+        await self.eventually(lambda: dispatcher._configuration.version == 2)
         copied_s = []
 
         async def find_room():
--- a/test/gateway/test_stopped_after_a_silence.py
+++ b/test/gateway/test_stopped_after_a_silence.py
@@ -30,5 +30,5 @@
     async def test_other_engine_has_no_room(self):
         for engine in self.engines:
             engine.has_room = False
-        self.kv.silence_s, self.kv.answers_calls = 1.6, True
+        self.kv.silence_s, self.kv.answers_calls = 1.5, True
         await self._check_whole()
--- a/test/gateway/test_unreachable_engine_found_late.py
+++ b/test/gateway/test_unreachable_engine_found_late.py
@@ -37,8 +37,12 @@
 
         stop = await end_silent_run(
             EngineCalls(check, take_over, check, check),
-            Silence(lambda: now_s, lambda: 0.0, lambda: now_s),
-            MIN_CALLER_PATIENCE_S,
+            Silence(
+                lambda: now_s,
+                lambda: 0.0,
+                lambda: now_s,
+                MIN_CALLER_PATIENCE_S,
+            ),
             sleep,
         )
         self.assertIs(StopOutcome.UNREACHABLE, stop.outcome)
