--- a/acaciaspoke/gateway/attempt_runner.py
+++ b/acaciaspoke/gateway/attempt_runner.py
@@ -13,6 +13,7 @@
 from acaciaspoke.gateway.attempt import Relay
 from acaciaspoke.gateway.attempt_result import Attempt, Ending
 from acaciaspoke.gateway.background_calls import BackgroundCalls
+from acaciaspoke.gateway.backups import may_move, usable_backup
 from acaciaspoke.gateway.dispatch import Assignment, Dispatcher
 from acaciaspoke.gateway.lost_attempts import LostAttempts
 from acaciaspoke.gateway.metrics import GatewayMetrics
@@ -25,7 +26,6 @@
     EngineConnections,
     Run,
     Takeover,
-    caller_patience_s,
     stop_after_s,
 )
 from acaciaspoke.gateway.types import Request
@@ -50,6 +50,7 @@
         metrics: GatewayMetrics,
         streams: StreamStore,
         on_event: Callable[[Request], None],
+        is_allowed: Callable[[Request], bool],
         suspect_links: Callable[[], None] = lambda: None,
     ):
         """Creates a runner without any connection.
@@ -59,6 +60,7 @@
             metrics: Counts retries and invalid loads.
             streams: Records at which versions streams begin.
             on_event: Called at each event of a stream.
+            is_allowed: Whether a request may get a further attempt.
             suspect_links: Called if a connection failed or broke.
         """
         self._suspect_links = suspect_links
@@ -66,6 +68,7 @@
         self._metrics = metrics
         self._stream_store = streams
         self._on_event = on_event
+        self._is_allowed = is_allowed
         self.stall_watch = StallWatch(dispatcher.fleet)
         self.lost_attempts = LostAttempts(self._may_leave)
         self.background = BackgroundCalls()
@@ -212,6 +215,9 @@
                         if takeover.stop is not None:
                             # The engine has not ended it by itself.
                             attempt.is_closed = False
+                            attempt.is_stopped = (
+                                takeover.stop.outcome is StopOutcome.STOPPED
+                            )
                 except Exception as error:
                     # Raised outside the task group, which would wrap it.
                     failure = error
@@ -230,23 +236,16 @@
         async def order_stop(
             order: Callable[[], Awaitable[RunStop]],
         ) -> RunStop:
-            # The run could not come back to an engine that leaves.
-            if self._dispatcher.fleet.is_leaving(
-                assignment.upstream
-            ) or not self._dispatcher.reserve_retry(request, time.monotonic()):
+            own = self._dispatcher.fleet.upstreams.get(assignment.upstream)
+            if not may_move(request, own, time.monotonic()):
+                # The run could not come back.
                 return RunStop(StopOutcome.UNKNOWN)
             stop = await relay.takeover.order_stop(order)
             if stop.outcome is StopOutcome.STOPPED:
                 copy.keep()
             return stop
 
-        def reserve_retry() -> bool:
-            now_s = time.monotonic()
-            return self._has_usable_backup(
-                request
-            ) and self._dispatcher.reserve_retry(request, now_s)
-
-        while not self._has_usable_backup(request):
+        while not self._may_take_over(request):
             await anyio.sleep(RETRY_INTERVAL_S)
         with copy:
             return await end_silent(
@@ -255,15 +254,30 @@
                 pool.acknowledgement_age_s,
                 copy.make,
                 order_stop,
-                reserve_retry,
+                functools.partial(self._reserve_takeover, request),
                 stop_after_s(request.route),
                 request.deadline_s,
                 lambda end: self._metrics.silent_runs.labels(end).inc(),
             )
 
-    def _has_usable_backup(self, request: Request) -> bool:
-        now_s = time.monotonic()
-        return self._dispatcher.usable_backup(request, now_s) is not None
+    def _may_take_over(self, request: Request) -> bool:
+        """Returns whether the engine with the KV backup may get a request."""
+        fleet = self._dispatcher.fleet
+        budget = self._dispatcher.budget(request.service)
+        backup = usable_backup(request, fleet, budget, time.monotonic())
+        return backup is not None
+
+    def _reserve_takeover(self, request: Request) -> bool:
+        """Reserves a retry at the engine with the KV backup.
+
+        Returns:
+            Whether that engine may get the request.
+        """
+        return (
+            self._may_take_over(request)
+            and self._is_allowed(request)
+            and self._dispatcher.reserve_retry(request, time.monotonic())
+        )
 
     def _silent_s(self, assignment: Assignment, relay: Relay) -> float:
         """Returns the time since the last event of any stream of an engine."""
@@ -278,21 +292,16 @@
         """Ends a run whose connection is lost, before another engine goes on.
 
         Returns:
-            How it ended; None if that is not certain before the caller leaves.
+            How it ended; None if that is not certain before the deadline.
         """
         if relay.takeover.stop is not None:
             return relay.takeover.stop
-        now_s = time.monotonic()
-        patience_s = caller_patience_s(assignment.request.route)
-        until_s = min(
-            assignment.request.deadline_s,
-            max(now_s, relay.last_event_s + patience_s),
-        )
-        with anyio.move_on_after(until_s - now_s):
+        deadline_s = assignment.request.deadline_s
+        with anyio.move_on_after(deadline_s - time.monotonic()):
             return await end_lost(
                 run_of(assignment),
                 functools.partial(self._connections, assignment),
-                assignment.request.deadline_s,
+                deadline_s,
             )
         return None
 
--- a/acaciaspoke/gateway/backups.py
+++ b/acaciaspoke/gateway/backups.py
@@ -1,6 +1,8 @@
 """Which streams get a KV backup, and which engines may go on with them."""
 
 from acaciaspoke.gateway.estimates import Estimates
+from acaciaspoke.gateway.fleet import Fleet
+from acaciaspoke.gateway.retry_budget import RetryBudget
 from acaciaspoke.gateway.types import Configuration, Request
 from acaciaspoke.gateway.upstream import Upstream
 
@@ -37,3 +39,27 @@
         and now_s >= upstream.named_pause_until_s
         and request.version in (None, upstream.record.version)
     )
+
+
+def may_move(request: Request, upstream: Upstream | None, now_s: float) -> bool:
+    """Returns whether a run that still goes on may be moved to an engine.
+
+    What the engine holds is known late; a run that has ended is worth a try.
+    """
+    return may_continue(request, upstream, now_s) and upstream.holds(
+        request.artifact, now_s
+    )
+
+
+def usable_backup(
+    request: Request, fleet: Fleet, budget: RetryBudget, now_s: float
+) -> Upstream | None:
+    """Returns the engine with the KV backup if it may get the request."""
+    backup = request.backup_engine
+    upstream = backup and fleet.upstreams.get(backup.upstream)
+    has_retry = request.has_retry or budget.allows_retry(now_s)
+    if not has_retry or not may_move(request, upstream, now_s):
+        return None
+    # At a brittle engine the request would wait for a place.
+    has_place = fleet.places.free(now_s).get(backup.upstream) != 0
+    return upstream if has_place else None
--- a/acaciaspoke/gateway/run_calls.py
+++ b/acaciaspoke/gateway/run_calls.py
@@ -28,6 +28,8 @@
 from acaciaspoke.ids import UpstreamId
 from acaciaspoke.platform.engine import (
     CONNECT_TIMEOUT_S,
+    CopyOutcome,
+    RunCopyAnswer,
     RunStop,
     StopOutcome,
     check_engine,
@@ -47,7 +49,7 @@
     run: Run,
     silent_s: Callable[[], float],
     acknowledgement_age_s: Callable[[], float | None],
-    make_copy: Callable[[], Awaitable[bool]],
+    make_copy: Callable[[], Awaitable[CopyOutcome]],
     order_stop: OrderStop,
     reserve_retry: Callable[[], bool],
     stop_after_s: float,
@@ -61,11 +63,10 @@
         silent_s: Returns the time since the last event.
         acknowledgement_age_s: Returns how long ago the engine's host has
             acknowledged anything to this one; None if it is not known.
-        make_copy: Copies the run to the other engine; returns whether that one
-            has the copy.
+        make_copy: Copies the run to the other engine.
         order_stop: Sends a stop order.
-        reserve_retry: Reserves a retry; returns whether the other engine may
-            get the run.
+        reserve_retry: Reserves a retry at the other engine; returns whether
+            that one may get the run.
         stop_after_s: Time without an event after which the run may be stopped.
         deadline_s: When the request must be answered.
         on_end: Called with how it ended.
@@ -74,15 +75,12 @@
     silence = Silence(
         silent_s, lambda: responsiveness.duration_s, acknowledgement_age_s
     )
-    check_destination = functools.partial(
-        _check_promptly, *run.destination, deadline_s
-    )
 
-    async def may_go_on() -> bool:
-        return (
-            await check_destination() is StopOutcome.ANSWERED
-            and reserve_retry()
-        )
+    async def may_take_over() -> bool:
+        with anyio.move_on_after(PROMPT_ANSWER_S):
+            outcome = await check(*run.destination, deadline_s)
+            return outcome is StopOutcome.ANSWERED and reserve_retry()
+        return False
 
     calls = EngineCalls(
         _recorded(
@@ -90,10 +88,13 @@
             lambda outcome: outcome is StopOutcome.ANSWERED,
             responsiveness,
         ),
-        check_destination,
-        _recorded(make_copy, bool, responsiveness),
+        may_take_over,
+        _recorded(
+            make_copy,
+            lambda outcome: outcome is not CopyOutcome.UNKNOWN,
+            responsiveness,
+        ),
         functools.partial(order_stop, functools.partial(stop, run, deadline_s)),
-        may_go_on,
     )
 
     def describe(end: str) -> dict[str, int | None]:
@@ -109,14 +110,6 @@
     return await _end(run, "silent", ending, describe)
 
 
-async def _check_promptly(
-    upstream: UpstreamId, address: str, deadline_s: float
-) -> StopOutcome:
-    with anyio.move_on_after(PROMPT_ANSWER_S):
-        return await check(upstream, address, deadline_s)
-    return StopOutcome.UNKNOWN
-
-
 def _recorded(
     call: Callable[[], Awaitable[T]],
     is_answered: Callable[[T], bool],
@@ -223,15 +216,12 @@
         )
 
 
-async def copy(run: Run, deadline_s: float) -> str:
+async def copy(run: Run, deadline_s: float) -> RunCopyAnswer:
     """Has the engine of a run copy it to the other engine.
 
     Args:
         run: The run, which goes on.
         deadline_s: Until when to wait for the answer.
-
-    Returns:
-        The name of the copy; empty if there is none.
     """
     async with _client(run.address) as http:
         return await copy_run(
