--- a/acaciaspoke/gateway/attempt_runner.py
+++ b/acaciaspoke/gateway/attempt_runner.py
@@ -26,7 +26,6 @@
     EngineConnections,
     Run,
     Takeover,
-    caller_patience_s,
     stop_after_s,
 )
 from acaciaspoke.gateway.types import Request
@@ -230,7 +229,9 @@
         async def order_stop(
             order: Callable[[], Awaitable[RunStop]],
         ) -> RunStop:
-            if not self._can_go_on(assignment):
+            own = self._dispatcher.fleet.upstreams.get(assignment.upstream)
+            if not may_move(request, own, time.monotonic()):
+                # The run could not come back.
                 return RunStop(StopOutcome.UNKNOWN)
             stop = await relay.takeover.order_stop(order)
             if stop.outcome is StopOutcome.STOPPED:
@@ -246,6 +247,7 @@
                 pool.acknowledgement_age_s,
                 copy.make,
                 order_stop,
+                functools.partial(self._reserve_takeover, request),
                 stop_after_s(request.route),
                 request.deadline_s,
                 lambda end: self._metrics.silent_runs.labels(end).inc(),
@@ -258,19 +260,16 @@
         backup = usable_backup(request, fleet, budget, time.monotonic())
         return backup is not None
 
-    def _can_go_on(self, assignment: Assignment) -> bool:
-        """Returns whether a run can go on once it is stopped.
+    def _reserve_takeover(self, request: Request) -> bool:
+        """Reserves a retry at the engine with the KV backup.
 
-        Otherwise than at the engine with the copy, it can go on at its own one.
-        Reserves the retry for that.
+        Returns:
+            Whether that engine may get the request.
         """
-        request, now_s = assignment.request, time.monotonic()
-        own = self._dispatcher.fleet.upstreams.get(assignment.upstream)
         return (
-            may_move(request, own, now_s)
-            and self._may_take_over(request)
+            self._may_take_over(request)
             and self._is_allowed(request)
-            and self._dispatcher.reserve_retry(request, now_s)
+            and self._dispatcher.reserve_retry(request, time.monotonic())
         )
 
     def _silent_s(self, assignment: Assignment, relay: Relay) -> float:
@@ -286,21 +285,16 @@
         """Ends a run whose connection is lost, before another engine goes on.
 
         Returns:
-            How it ended; None if that is not certain before the caller leaves.
+            How it ended; None if that is not certain before the deadline.
         """
         if relay.takeover.stop is not None:
             return relay.takeover.stop
-        now_s = time.monotonic()
-        patience_s = caller_patience_s(assignment.request.route)
-        until_s = min(
-            assignment.request.deadline_s,
-            max(now_s, relay.last_event_s + patience_s),
-        )
-        with anyio.move_on_after(until_s - now_s):
+        deadline_s = assignment.request.deadline_s
+        with anyio.move_on_after(deadline_s - time.monotonic()):
             return await end_lost(
                 run_of(assignment),
                 functools.partial(self._connections, assignment),
-                assignment.request.deadline_s,
+                deadline_s,
             )
         return None
 
--- a/test/gateway/test_unreachable_engine_found_late.py
+++ b/test/gateway/test_unreachable_engine_found_late.py
@@ -28,12 +28,15 @@
             now_s += CONNECT_TIMEOUT_S
             return StopOutcome.UNREACHABLE
 
+        async def take_over():
+            return True
+
         async def sleep(pause_s):
             nonlocal now_s
             now_s += pause_s
 
         stop = await end_silent_run(
-            EngineCalls(check, check, check, check),
+            EngineCalls(check, take_over, check, check),
             Silence(lambda: now_s, lambda: 0.0, lambda: now_s),
             MIN_CALLER_PATIENCE_S,
             sleep,
