Ask again whether an engine is silent before its run is given up

What callers see where this acts: a stream of an engine that has just woken is moved, or cut if that fails.

Cause: the other engine is asked last, for up to 0.2 s. An event of another stream of the engine in that time, or an acknowledgement of its host, was not regarded: only an event of the same stream ends the checks.

Change: both are asked again before a stop order, or before an engine is taken for one that cannot be reached.

Evidence: test_event_that_comes_while_the_other_engine_is_asked and test_host_that_acknowledges_while_the_other_engine_is_asked failed before; they and 39 tests of takeovers pass.

--- a/acaciaspoke/gateway/takeover.py
+++ b/acaciaspoke/gateway/takeover.py
@@ -183,6 +183,8 @@
             if (
                 _time_to_stop_s(silence, has_copy, stop_after_s) <= 0
                 and await calls.may_take_over()
+                # An event may have come meanwhile.
+                and _time_to_stop_s(silence, has_copy, stop_after_s) <= 0
             ):
                 stop = await calls.stop()
                 if stop.outcome in _ENDED_WHILE_OPEN:
@@ -193,6 +195,7 @@
             and _is_unacknowledged(silence.acknowledgement_age_s())
             # It may be reachable again later, and its stream go on.
             and await calls.may_take_over()
+            and _is_unacknowledged(silence.acknowledgement_age_s())
         ):
             return RunStop(StopOutcome.UNREACHABLE)
         await sleep(
--- a/test/gateway/test_takeover.py
+++ b/test/gateway/test_takeover.py
@@ -96,6 +96,33 @@
                 responsive_s=MIN_RESPONSIVE_S - 0.1,
             )
 
+    async def _end_silent_until_asked(self, outcome):
+        """Ends a run whose engine is heard of while the other one is asked."""
+        age_s = 9.0
+
+        async def may_take_over():
+            nonlocal age_s
+            age_s = 0.0
+            return True
+
+        calls = EngineCalls(
+            _answers([outcome] * 9),
+            may_take_over,
+            _answers(itertools.repeat(CopyOutcome.MADE)),
+            _answers([STOPPED]),
+        )
+        silence = Silence(lambda: age_s, lambda: 9.0, lambda: age_s)
+        return await end_silent_run(calls, silence, STOP_AFTER_S, _skip)
+
+    async def test_event_that_comes_while_the_other_engine_is_asked(self):
+        """Another stream of the engine had it; the run was still stopped."""
+        with self.assertRaises(_NoEndError):
+            await self._end_silent_until_asked(StopOutcome.ANSWERED)
+
+    async def test_host_that_acknowledges_while_the_other_engine_is_asked(self):
+        with self.assertRaises(_NoEndError):
+            await self._end_silent_until_asked(StopOutcome.UNREACHABLE)
+
     async def test_run_stays_while_the_other_engine_is_silent(self):
         with self.assertRaises(_NoEndError):
             await self._end_silent(
