Count no run at an engine without contact as a crash

Cause: a stream whose engine cannot be reached is ended by this host. The attempt did not say that its upstream was unreachable, as one does whose connection the kernel gave up, and counted as a crash of its request.

Change: it says so.

Evidence: test_equal_requests_whose_engine_is_without_contact failed 3 of 3 before (one of six streams incomplete) and passes 3 of 3.

--- a/acaciaspoke/gateway/attempt_runner.py
+++ b/acaciaspoke/gateway/attempt_runner.py
@@ -207,9 +207,11 @@
                         await takeover.wait_for_stop()
                         if takeover.stop is not None:
                             # The engine has not ended it by itself.
+                            outcome = takeover.stop.outcome
                             attempt.is_closed = False
-                            attempt.is_stopped = (
-                                takeover.stop.outcome is StopOutcome.STOPPED
+                            attempt.is_stopped = outcome is StopOutcome.STOPPED
+                            attempt.is_unreachable |= (
+                                outcome is StopOutcome.UNREACHABLE
                             )
                 except Exception as error:
                     # Raised outside the task group, which would wrap it.
