--- a/test/gateway/test_copy_kept_by_stopped_host.py
+++ b/test/gateway/test_copy_kept_by_stopped_host.py
@@ -3,8 +3,6 @@
 import asyncio
 import functools
 
-import msgspec
-
 from acaciaspoke.gateway.process import DRAIN_NOTICE_S
 from test.gateway.kv_engines import EVENTS, send_rest
 from test.gateway.serving import GatewayTest
@@ -20,20 +18,11 @@
         await super().asyncSetUp()
         # Only long runs get a KV backup.
         self.gateway._dispatcher.estimates.durations["stream"].mean_s = 2.0
-        self.copies = []
         for engine in self.engines:
-            engine.stops_runs = False
-            engine.script = functools.partial(self._run, engine)
-
-    async def _run(self, engine, arrival):
-        if arrival.target == "/kv-move":
-            order = msgspec.json.decode(arrival.body)
-            handle = f"copy-{order['id']}"
-            self.copies.append((engine, handle))
-            await asyncio.sleep(COPY_S)
-            copied = {"handle": handle, "created": 2}
-            await arrival.answer(200, msgspec.json.encode(copied))
-            return
+            engine.script = self._run
+            engine.before_copy = functools.partial(asyncio.sleep, COPY_S)
+
+    async def _run(self, arrival):
         await arrival.stream(*EVENTS[:2], end=False)
         await asyncio.sleep(SILENCE_S)
         await send_rest(arrival, 2)
@@ -45,6 +34,7 @@
         answer = await self.ask("/stream/x", Acaciaspoke_Model="m1")
         self.assertEqual(b"".join(EVENTS), answer.content)
         await self.tasks[-1]
-        self.assertEqual(1, len(self.copies))
-        for engine, handle in self.copies:
-            self.assertEqual([handle], engine.freed)
+        await self.eventually(lambda: any(e.copied for e in self.engines))
+        (engine,) = (e for e in self.engines if e.copied)
+        (run,) = engine.copied
+        self.assertEqual([f"moved-{run}"], engine.freed)
