--- a/acaciaspoke/gateway/takeover.py
+++ b/acaciaspoke/gateway/takeover.py
@@ -219,6 +219,7 @@
             and _is_unacknowledged(silence.acknowledgement_age_s())
             # It may be reachable again later, and its stream go on.
             and await calls.may_take_over()
+            and _is_unacknowledged(silence.acknowledgement_age_s())
         ):
             return RunStop(StopOutcome.UNREACHABLE)
         await sleep(
@@ -237,7 +238,11 @@
         silence.time_to_stop_s(has_copy) <= LAST_CALLS_S
         and await calls.may_take_over()
     ):
-        await sleep(max(0.0, silence.time_to_stop_s(has_copy)))
+        left_s = silence.time_to_stop_s(has_copy)
+        if left_s > LAST_CALLS_S:
+            # Another stream of the engine had an event meanwhile.
+            return RunStop(StopOutcome.UNKNOWN)
+        await sleep(max(0.0, left_s))
         if silence.time_to_stop_s(has_copy) <= _TIMER_TOLERANCE_S:
             return await calls.stop()
     return RunStop(StopOutcome.UNKNOWN)
--- a/test/gateway/test_takeover.py
+++ b/test/gateway/test_takeover.py
@@ -58,12 +58,15 @@
     """An engine that sends no events; time passes only as the code waits.
 
     Attributes:
-        now_s: The time since its last event.
+        now_s: The time since the last event of the run's stream.
+        event_s: The time of the engine's last event.
         outcomes: Outcomes of the checks in turn; it answers all further ones.
         stands_until_s: Until when it answers nothing.
         copies: Outcomes of the asks for copies in turn; all further ones are
             made.
         may_take_over: Whether the other engine may get the run.
+        goes_on: Whether it sends an event to another stream, and its host
+            acknowledges, while the other engine is asked.
         stop: The answers to stop orders in turn.
         copied_s: When it was asked for copies.
         stopped_s: When it was told to stop the run.
@@ -71,10 +74,12 @@
 
     def __init__(self, outcomes=(), copies=(), stop=(STOPPED,), age_s=9.0):
         self.now_s = EVENT_TIMEOUT_S
+        self.event_s = 0.0
         self.outcomes = list(outcomes)
         self.stands_until_s = 0.0
         self.copies = list(copies)
         self.may_take_over = True
+        self.goes_on = False
         self.stop = list(map(_to_stop, stop))
         self.age_s = age_s
         self.copied_s = []
@@ -87,7 +92,7 @@
             self._check, self._ask_other, self._copy, self._stop
         )
         silence = Silence(
-            lambda: self.now_s,
+            lambda: self.now_s - self.event_s,
             lambda: self._responsiveness.duration_s,
             lambda: self.age_s,
             STOP_AFTER_S,
@@ -112,6 +117,8 @@
         return outcome
 
     async def _ask_other(self):
+        if self.goes_on:
+            self.event_s, self.age_s = self.now_s, 0.0
         return self.may_take_over
 
     async def _copy(self):
@@ -173,6 +180,17 @@
         engine.may_take_over = False
         await self._check_stays(engine)
 
+    async def test_event_that_comes_while_the_other_engine_is_asked(self):
+        """Another stream of the engine had it; the run was still stopped."""
+        engine = _SilentEngine()
+        engine.goes_on = True
+        await self._check_stays(engine)
+
+    async def test_host_that_acknowledges_while_the_other_engine_is_asked(self):
+        engine = _SilentEngine([StopOutcome.UNREACHABLE] * 99)
+        engine.goes_on = True
+        await self._check_stays(engine)
+
     async def test_engine_without_a_copy_has_to_answer_for_longer(self):
         for stands_until_s in (0.0, 1.0):
             with self.subTest(stands_until_s):
