Show that a late heartbeat brings a worker back that has left

Cause: a record that the feed brings is not compared with the last one of an upstream that was removed, unless the store was restored.

Case: review/9, a worker whose entry is removed without a report, and an earlier heartbeat of it that the store applies 5.7 s late.

--- a/review/common-2/worker.py
+++ b/review/common-2/worker.py
@@ -104,6 +104,14 @@
             await asyncio.sleep(0.05)
         self.end()
 
+    async def leave_silently(self, drain_s, linger_s):
+        """Leaves as workers do that never report it: only its entry goes."""
+        self.is_leaving, self.is_registered = True, False
+        self.store.remove("servers", self.name)
+        self.record(f"the entry of worker {self.name} is removed")
+        await asyncio.sleep(drain_s + linger_s)
+        self.end(remove=False)
+
     def end(self, remove=True):
         """Ends it."""
         for task in self._tasks:
