Show that records of streams are removed too early after a shorter timeout

Cause: a process derives the life of streams from the timeouts that it has seen. One that starts after a timeout was shortened removes the records of its streams while their consumers, which wait longer, still go on with them.

Case: review/10, two versions side by side, a configuration with a shorter timeout, and an added host.

--- /dev/null
+++ b/review/10/run.sh
@@ -0,0 +1,2 @@
+#!/bin/bash
+cd "$(dirname "$0")" && exec python3 -B case.py
