--- a/review/common-2/deployment.py
+++ b/review/common-2/deployment.py
@@ -29,6 +29,9 @@
 
 START_TIMEOUT_S = 30.0
 
+# A case ends within this time, and its processes with it.
+MAX_RUN_S = 112.0
+
 # As in the example of DEPLOY.md.
 BOUNDS = {
     "lease-ms": 3000,
@@ -308,7 +311,10 @@
     has_trouble = os.environ.get("TROUBLE", "1") != "0"
 
     async def run():
-        async with asyncio.timeout(115):
+        loop, task = asyncio.get_running_loop(), asyncio.current_task()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, task.cancel)
+        async with asyncio.timeout(MAX_RUN_S):
             return await main(record, has_trouble)
 
     try:
@@ -317,7 +323,7 @@
         record(f"not run: {error}")
         print(f"not run: {error}")
         sys.exit(2)
-    except Exception as error:  # noqa: BLE001 - the case could not run
+    except (Exception, asyncio.CancelledError) as error:  # noqa: BLE001
         record(f"not run: {error!r}")
         print(f"not run: {error!r}")
         sys.exit(2)
