--- a/review/6/case.py
+++ b/review/6/case.py
@@ -31,7 +31,7 @@
 TIME_LIMIT_S = 12.0
 PATH = "/night/summary"
 DRAIN_S = 2.0
-STREAMS = 8
+STREAMS = 10
 
 HOSTS = ["front-1", "front-2", "front-3", "front-4"]
 ADDED = "front-5"
@@ -79,11 +79,11 @@
             await asyncio.sleep(0.5)
 
 
-async def replace(deployment, old, new, version):
+async def replace(deployment, old, new, version, slots=6):
     """Replaces a worker: the new one starts first, the old one drains."""
     worker = deployment.workers[old]
     await deployment.add_worker(
-        new, "drafting", worker.zone, version=version, slots=6
+        new, "drafting", worker.zone, version=version, slots=slots
     )
     asyncio.create_task(worker.leave(DRAIN_S))
 
@@ -112,9 +112,12 @@
 
         await asyncio.sleep(3.0)
         record(f"default version: {default()}")
+        # Two releases, each of half of the workers.
         for number in range(1, 5):
             await replace(deployment, f"a{number}", f"b{number}", "v2")
             await asyncio.sleep(1.0)
+            if number == 2:
+                await asyncio.sleep(5.0)
         while any(
             document["version"] == "v1"
             for document in store.table("servers").values()
@@ -132,9 +135,13 @@
                 record("the default version did not change")
                 return False
         record(f"default version: {default()}")
-        # The release is undone at half of the workers.
+        # The release is undone at half of the workers, not before all hosts
+        # have seen the change.
+        await asyncio.sleep(2.5)
         for number in (1, 2):
-            await replace(deployment, f"b{number}", f"c{number}", "v1")
+            await replace(
+                deployment, f"b{number}", f"c{number}", "v1", slots=12
+            )
             await asyncio.sleep(1.0)
         end_s = time.monotonic() + 20
         while not all(
@@ -147,10 +154,13 @@
             record(f"{name} holds {list(worker.models)}")
         await asyncio.sleep(2.0)
         # Streams begin at the added machine, which is then killed.
-        model = next(iter(deployment.workers["c1"].models), "m0")
+        models = [
+            next(iter(deployment.workers[name].models), "m0")
+            for name in ("c1", "c2")
+        ]
         streams = [
             Stream(record, deployment, PATH, model, TIME_LIMIT_S)
-            for _ in range(STREAMS)
+            for model in models * (STREAMS // 2)
         ]
         first = [asyncio.create_task(s.take(ADDED)) for s in streams]
         await asyncio.sleep(1.5)
