Show that bytes without end in small chunks keep hosts from all else

Cause: read_body takes each chunk of a body as a part of its own and bounds only the bytes of all, so that one body without end keeps the event loop for seconds; the wrong mean of durations that follows can have a host refuse all requests of a route for good. Case: review/6, a script: one of seven workers answers so for 5 s.

--- a/review/10/case.py
+++ b/review/10/case.py
@@ -1,15 +1,17 @@
-"""The store is silent for all hosts, which are then all killed.
+"""A host believes in an earlier default version after a release is undone.
 
-Streams begin at a worker of another software version than the default one, as
-no worker of the default version holds their model. Their records cannot be
-written, and after a second they begin without. All processes are killed and
-start again, the store answers again, and no host knows where they began.
+Workers of software v1 are replaced by v2 one after the other. Once v1 has been
+away for the longest life of a stream, the system makes v2 the version whose
+streams need no record. A machine that was added shortly before goes on to
+believe that this version is v1, if workers of v1 come back: streams that begin
+there at v1 have no record, and another machine takes them for streams of v2.
 """
 
 import asyncio
 import os
 import signal
 import sys
+import time
 from pathlib import Path
 
 FOLDER = Path(__file__).resolve().parent
@@ -19,26 +21,20 @@
 from deployment import (  # noqa: E402
     LIMITS,
     Deployment,
-    NotRunError,
     engine,
     route,
     run_case,
     service,
 )
-from store import Away  # noqa: E402
 
 # The resumable route of hinokuni-rounds (night-summary).
 TIME_LIMIT_S = 12.0
 PATH = "/night/summary"
-STREAMS = 8
-
-# Streams begin this long after the store fell silent, and all processes are
-# killed this long after that.
-BEGIN_S = 0.5
-KILL_S = 2.5
-RESTART_S = 0.5
+DRAIN_S = 2.0
+STREAMS = 10
 
 HOSTS = ["front-1", "front-2", "front-3", "front-4"]
+ADDED = "front-5"
 
 
 def configuration():
@@ -62,56 +58,121 @@
     }
 
 
+class Background:
+    """Consumers that send streams all the time."""
+
+    def __init__(self, record, deployment):
+        self._record = record
+        self._deployment = deployment
+        self._tasks = []
+
+    async def run(self):
+        number = 0
+        while True:
+            for model in ("m0", "m1"):
+                host = HOSTS[number % len(HOSTS)]
+                number += 1
+                stream = Stream(
+                    self._record, self._deployment, PATH, model, TIME_LIMIT_S
+                )
+                self._tasks.append(asyncio.create_task(stream.take(host)))
+            await asyncio.sleep(0.5)
+
+
+async def replace(deployment, old, new, version, slots=6):
+    """Replaces a worker: the new one starts first, the old one drains."""
+    worker = deployment.workers[old]
+    await deployment.add_worker(
+        new, "drafting", worker.zone, version=version, slots=slots
+    )
+    asyncio.create_task(worker.leave(DRAIN_S))
+
+
 async def main(record, has_trouble):
     async with Deployment(record) as deployment:
         store = deployment.store
         store.put("op", "config", configuration())
-        for name, zone, version, model in (
-            ("a1", "fukuoka", "v1", "m0"),
-            ("a2", "kumamoto", "v1", "m0"),
-            ("b1", "kagoshima", "v2", "m1"),
-        ):
+        for number, zone in enumerate([*deployment.zones, "fukuoka"], 1):
             await deployment.add_worker(
-                name,
+                f"a{number}",
                 "drafting",
                 zone,
-                version=version,
-                models=(model,),
-                events=50,
+                version="v1",
+                models=("m0", "m1"),
+                slots=6,
             )
         await deployment.add_gateways(HOSTS)
-        await asyncio.sleep(4.0)
-        record(f"default versions: {store.table('stream-defaults')}")
-        if has_trouble or os.environ.get("SILENT"):
-            record("the store is silent for all")
-            for host in HOSTS:
-                store.turn_away(host, Away.SILENT)
-        await asyncio.sleep(BEGIN_S)
-        streams = [
-            Stream(record, deployment, PATH, "m1", TIME_LIMIT_S)
-            for _ in range(STREAMS)
+        if os.environ.get("EARLY"):
+            await deployment.add_gateways([ADDED], first=False)
+        load = asyncio.create_task(Background(record, deployment).run())
+
+        def default():
+            rows = store.table("stream-defaults").values()
+            return next(iter(rows), None)
+
+        await asyncio.sleep(3.0)
+        record(f"default version: {default()}")
+        # Two releases, each of half of the workers.
+        for number in range(1, 5):
+            await replace(deployment, f"a{number}", f"b{number}", "v2")
+            await asyncio.sleep(1.0)
+            if number == 2:
+                await asyncio.sleep(5.0)
+        while any(
+            document["version"] == "v1"
+            for document in store.table("servers").values()
+        ):
+            await asyncio.sleep(0.1)
+        absent_s = time.monotonic()
+        record("no worker of v1 is left")
+        # A machine is added.
+        await asyncio.sleep(18.0)
+        if not os.environ.get("EARLY"):
+            await deployment.add_gateways([ADDED], first=False)
+        while default()["version"] == "v1":
+            await asyncio.sleep(0.1)
+            if time.monotonic() - absent_s > 40:
+                record("the default version did not change")
+                return False
+        record(f"default version: {default()}")
+        # The release is undone at half of the workers, not before all hosts
+        # have seen the change.
+        await asyncio.sleep(2.5)
+        for number in (1, 2):
+            await replace(
+                deployment, f"b{number}", f"c{number}", "v1", slots=12
+            )
+            await asyncio.sleep(1.0)
+        end_s = time.monotonic() + 20
+        while not all(
+            deployment.workers[name].models for name in ("c1", "c2")
+        ):
+            await asyncio.sleep(0.1)
+            if time.monotonic() > end_s:
+                break
+        for name, worker in deployment.workers.items():
+            record(f"{name} holds {list(worker.models)}")
+        await asyncio.sleep(2.0)
+        # Streams begin at the added machine, which is then killed.
+        models = [
+            next(iter(deployment.workers[name].models), "m0")
+            for name in ("c1", "c2")
         ]
-        first = [
-            asyncio.create_task(stream.take(HOSTS[number % len(HOSTS)]))
-            for number, stream in enumerate(streams)
+        streams = [
+            Stream(record, deployment, PATH, model, TIME_LIMIT_S)
+            for model in models * (STREAMS // 2)
         ]
-        await asyncio.sleep(KILL_S)
+        first = [asyncio.create_task(s.take(ADDED)) for s in streams]
+        await asyncio.sleep(1.5)
+        records = store.table("streams")
         for stream in streams:
-            record(f"stream {stream.first_id}: {stream.describe()}")
-        if has_trouble or os.environ.get("KILL"):
-            for host in HOSTS:
-                deployment.signal(host, signal.SIGKILL)
-            for host in HOSTS:
-                deployment.processes[host].wait()
-            await asyncio.sleep(RESTART_S)
-        record("the store answers")
-        for host in HOSTS:
-            store.turn_away(host, None)
-        if has_trouble or os.environ.get("KILL"):
-            for host in HOSTS:
-                deployment.start_gateway(host)
-            for host in HOSTS:
-                await deployment.wait_until_ready(host)
+            known = any(stream.first_id in key for _, key in records)
+            record(
+                f"stream {stream.first_id}: {stream.describe()};"
+                f" {'has' if known else 'has no'} record in the store"
+            )
+        if has_trouble:
+            deployment.signal(ADDED, signal.SIGKILL)
         await asyncio.gather(*first)
         await asyncio.gather(
             *(
@@ -119,8 +180,7 @@
                 for n, stream in enumerate(streams)
             )
         )
-        if not any(stream.events for stream in streams):
-            raise NotRunError("no stream began")
+        load.cancel()
         mixed = [s for s in streams if len(s.versions) > 1]
         for stream in streams:
             record(
--- a/review/6/case.py
+++ b/review/6/case.py
@@ -1,15 +1,14 @@
-"""A host believes in an earlier default version after a release is undone.
+"""A worker in trouble sends bytes without end, and hosts get to nothing else.
 
-Workers of software v1 are replaced by v2 one after the other. Once v1 has been
-away for the longest life of a stream, the system makes v2 the version whose
-streams need no record. A machine that was added shortly before goes on to
-believe that this version is v1, if workers of v1 come back: streams that begin
-there at v1 have no record, and another machine takes them for streams of v2.
+Some answers of one of seven workers are bodies without end, in chunks of one
+byte. Each host that reads one is busy with it: it answers neither the requests
+to the other workers nor questions about its readiness in time.
 """
 
 import asyncio
+import collections
 import os
-import signal
+import random
 import sys
 import time
 from pathlib import Path
@@ -17,24 +16,72 @@
 FOLDER = Path(__file__).resolve().parent
 sys.path.insert(0, str(FOLDER.parent / "common-2"))
 
-from consumer import Stream  # noqa: E402
 from deployment import (  # noqa: E402
     LIMITS,
+    READY_PORT,
     Deployment,
-    engine,
+    new_id,
     route,
     run_case,
     service,
 )
+from http1 import request  # noqa: E402
+from worker import Worker  # noqa: E402
 
-# The resumable route of hinokuni-rounds (night-summary).
-TIME_LIMIT_S = 12.0
-PATH = "/night/summary"
-DRAIN_S = 2.0
-STREAMS = 10
+HOSTS = ["front-1", "front-2", "front-3"]
+ZONES = ("fukuoka", "kumamoto", "kagoshima")
+WORKERS = 7
 
-HOSTS = ["front-1", "front-2", "front-3", "front-4"]
-ADDED = "front-5"
+# As refill-booking and unit-lookup of hinokuni-rounds together.
+RATE_PER_S = 34.0
+TIMEOUT_S = 1.0
+
+# How long callers wait; longer than the operator wants them kept waiting.
+PATIENCE_S = 3.0
+SLACK_S = 0.5
+
+# As srv_grey: this share of the answers, for so long.
+TROUBLED_SHARE = 0.4
+TROUBLE_S = 5.0
+BEGIN_S = 4.0
+LENGTH_S = 16.0
+
+# How fast a body without end is sent: 80 of the 1,000 Mbit/s of a link.
+BYTES_PER_S = 10_000_000
+PAUSE_S = 0.01
+
+CHUNK_BYTES = int(os.environ.get("CHUNK", "1"))
+
+
+class TroubledWorker(Worker):
+    """A worker that can send bodies without end.
+
+    Attributes:
+        is_in_trouble: Whether it does so now.
+        endless: The ids of the requests that got one.
+    """
+
+    is_in_trouble = False
+
+    def __init__(self, *args, **options):
+        super().__init__(*args, **options)
+        self.endless = []
+
+    async def work(self, call, headers):
+        """Answers a request, or sends bytes until the caller closes."""
+        if not (self.is_in_trouble and random.random() < TROUBLED_SHARE):
+            await super().work(call, headers)
+            return
+        self.endless.append(call.headers["acaciaspoke-attempt-id"])
+        self.record(f"{self.name} sends {self.endless[-1]} bytes without end")
+        call.keeps_connection = False
+        call.head(200, {**headers, "Transfer-Encoding": "chunked"})
+        chunk = b"%x\r\n%s\r\n" % (CHUNK_BYTES, b"x" * CHUNK_BYTES)
+        part = chunk * (int(BYTES_PER_S * PAUSE_S) // len(chunk) + 1)
+        while not call.writer.is_closing():
+            call.writer.write(part)
+            await call.writer.drain()
+            await asyncio.sleep(PAUSE_S)
 
 
 def configuration():
@@ -42,154 +89,109 @@
         "version": 1,
         "routes": [
             route(
-                "night",
-                "streaming",
-                "drafting",
-                resumable=True,
-                **{
-                    "timeout-ms": int(TIME_LIMIT_S * 1000),
-                    "target-latency-ms": 3000,
-                    "target-gap-ms": 150,
-                },
+                "refill",
+                "unsafe",
+                "ledger",
+                **{"timeout-ms": int(TIMEOUT_S * 1000), "priority": 1},
             )
         ],
-        "services": [service("drafting", engine=engine(["m0", "m1"]))],
+        "services": [service("ledger")],
         "limits": LIMITS,
     }
 
 
-class Background:
-    """Consumers that send streams all the time."""
-
-    def __init__(self, record, deployment):
-        self._record = record
-        self._deployment = deployment
-        self._tasks = []
-
-    async def run(self):
-        number = 0
-        while True:
-            for model in ("m0", "m1"):
-                host = HOSTS[number % len(HOSTS)]
-                number += 1
-                stream = Stream(
-                    self._record, self._deployment, PATH, model, TIME_LIMIT_S
-                )
-                self._tasks.append(asyncio.create_task(stream.take(host)))
-            await asyncio.sleep(0.5)
-
-
-async def replace(deployment, old, new, version, slots=6):
-    """Replaces a worker: the new one starts first, the old one drains."""
-    worker = deployment.workers[old]
-    await deployment.add_worker(
-        new, "drafting", worker.zone, version=version, slots=slots
-    )
-    asyncio.create_task(worker.leave(DRAIN_S))
-
-
 async def main(record, has_trouble):
     async with Deployment(record) as deployment:
-        store = deployment.store
-        store.put("op", "config", configuration())
-        for number, zone in enumerate([*deployment.zones, "fukuoka"], 1):
+        deployment.store.put("op", "config", configuration())
+        for number in range(1, WORKERS + 1):
             await deployment.add_worker(
-                f"a{number}",
-                "drafting",
-                zone,
-                version="v1",
-                models=("m0", "m1"),
+                f"l{number}",
+                "ledger",
+                ZONES[number % 3],
+                make=TroubledWorker,
                 slots=6,
             )
         await deployment.add_gateways(HOSTS)
-        if os.environ.get("EARLY"):
-            await deployment.add_gateways([ADDED], first=False)
-        load = asyncio.create_task(Background(record, deployment).run())
-
-        def default():
-            rows = store.table("stream-defaults").values()
-            return next(iter(rows), None)
-
-        await asyncio.sleep(3.0)
-        record(f"default version: {default()}")
-        # Two releases, each of half of the workers.
-        for number in range(1, 5):
-            await replace(deployment, f"a{number}", f"b{number}", "v2")
-            await asyncio.sleep(1.0)
-            if number == 2:
-                await asyncio.sleep(5.0)
-        while any(
-            document["version"] == "v1"
-            for document in store.table("servers").values()
-        ):
-            await asyncio.sleep(0.1)
-        absent_s = time.monotonic()
-        record("no worker of v1 is left")
-        # A machine is added.
-        await asyncio.sleep(18.0)
-        if not os.environ.get("EARLY"):
-            await deployment.add_gateways([ADDED], first=False)
-        while default()["version"] == "v1":
-            await asyncio.sleep(0.1)
-            if time.monotonic() - absent_s > 40:
-                record("the default version did not change")
-                return False
-        record(f"default version: {default()}")
-        # The release is undone at half of the workers, not before all hosts
-        # have seen the change.
-        await asyncio.sleep(2.5)
-        for number in (1, 2):
-            await replace(
-                deployment, f"b{number}", f"c{number}", "v1", slots=12
+        await asyncio.sleep(4.0)
+        begin_s = time.monotonic()
+        answers, questions, sent_to = [], [], []
+
+        async def book(host):
+            id_, sent_s = new_id(), time.monotonic()
+            headers = {
+                "Host": "a.example",
+                "Acaciaspoke-Attempt-Id": id_,
+                "Acaciaspoke-Time-Remaining-Ms": int(PATIENCE_S * 1000),
+            }
+            record(f"sent {id_} to {host}")
+            reply = await request(
+                deployment.front(host),
+                "POST",
+                f"/refill/{id_}",
+                headers,
+                id_.encode() * 50,
+                timeout_s=PATIENCE_S,
             )
-            await asyncio.sleep(1.0)
-        end_s = time.monotonic() + 20
-        while not all(
-            deployment.workers[name].models for name in ("c1", "c2")
-        ):
-            await asyncio.sleep(0.1)
-            if time.monotonic() > end_s:
-                break
-        for name, worker in deployment.workers.items():
-            record(f"{name} holds {list(worker.models)}")
-        await asyncio.sleep(2.0)
-        # Streams begin at the added machine, which is then killed.
-        models = [
-            next(iter(deployment.workers[name].models), "m0")
-            for name in ("c1", "c2")
-        ]
-        streams = [
-            Stream(record, deployment, PATH, model, TIME_LIMIT_S)
-            for model in models * (STREAMS // 2)
-        ]
-        first = [asyncio.create_task(s.take(ADDED)) for s in streams]
-        await asyncio.sleep(1.5)
-        records = store.table("streams")
-        for stream in streams:
-            known = any(stream.first_id in key for _, key in records)
-            record(
-                f"stream {stream.first_id}: {stream.describe()};"
-                f" {'has' if known else 'has no'} record in the store"
-            )
-        if has_trouble:
-            deployment.signal(ADDED, signal.SIGKILL)
-        await asyncio.gather(*first)
-        await asyncio.gather(
-            *(
-                stream.take_up([HOSTS[n % 4], HOSTS[(n + 1) % 4]])
-                for n, stream in enumerate(streams)
+            took_s = time.monotonic() - sent_s
+            status = reply.status if reply.complete else 0
+            record(f"answered {id_} by {host}: {status} after {took_s:.2f} s")
+            answers.append((id_, status, took_s))
+            sent_to.append((sent_s - begin_s, host, status))
+
+        async def ask_if_ready(host):
+            while time.monotonic() < begin_s + LENGTH_S:
+                asked_s = time.monotonic()
+                address = f"{deployment.addresses[host][0]}:{READY_PORT}"
+                reply = await request(
+                    address, "GET", "/ready", {"Host": "x"}, timeout_s=10.0
+                )
+                took_s = time.monotonic() - asked_s
+                questions.append(took_s)
+                if took_s > 1.0:
+                    record(
+                        f"host {host} answered whether it is ready:"
+                        f" {reply.status} after {took_s:.2f} s"
+                    )
+                await asyncio.sleep(0.25)
+
+        asking = [asyncio.create_task(ask_if_ready(host)) for host in HOSTS]
+        tasks = []
+        troubled = deployment.workers["l1"]
+        while (now_s := time.monotonic() - begin_s) < LENGTH_S:
+            is_in_trouble = BEGIN_S <= now_s < BEGIN_S + TROUBLE_S
+            troubled.is_in_trouble = has_trouble and is_in_trouble
+            tasks.append(
+                asyncio.create_task(book(HOSTS[len(tasks) % len(HOSTS)]))
             )
+            await asyncio.sleep(random.expovariate(RATE_PER_S))
+        await asyncio.gather(*tasks, *asking)
+        lasting = [took_s for _, _, took_s in answers if took_s > TIMEOUT_S]
+        late = [
+            (id_, status)
+            for id_, status, took_s in answers
+            if took_s > TIMEOUT_S + SLACK_S
+        ]
+        others = [id_ for id_, _ in late if id_ not in troubled.endless]
+        served = sum(status == 200 for _, status, _ in answers)
+        unanswered = sum(not status for _, status, _ in answers)
+        record(
+            f"{len(answers)} requests, {served} served, {unanswered} without an"
+            f" answer after {PATIENCE_S} s; {len(troubled.endless)} answers"
+            f" without end; {len(lasting)} requests lasted longer than"
+            f" {TIMEOUT_S} s, {len(late)} of them had no answer {SLACK_S} s"
+            f" later, {len(others)} of these were not at the worker in trouble;"
+            f" the longest wait for a host's readiness was"
+            f" {max(questions):.2f} s"
         )
-        load.cancel()
-        mixed = [s for s in streams if len(s.versions) > 1]
-        for stream in streams:
-            record(
-                f"stream {stream.first_id}: {stream.describe()}, last status"
-                f" {stream.status}, complete: {stream.is_complete}"
+        for host in HOSTS:
+            last = collections.Counter(
+                status
+                for sent_s, at, status in sent_to
+                if at == host and sent_s >= LENGTH_S - 3.0
             )
-        record(f"{len(mixed)} streams hold events of two software versions")
-        # ORDER: more than two streams.
-        return len(mixed) > 2
+            record(f"statuses by {host} in the last 3 s: {dict(last)}")
+        # CONFIG: eight or more, and over a quarter.
+        return len(late) >= 8 and len(late) > len(lasting) / 4
 
 
 run_case(main, FOLDER)
