--- a/review/6/case.py
+++ b/review/6/case.py
@@ -143,7 +143,7 @@
                 asked_s = time.monotonic()
                 address = f"{deployment.addresses[host][0]}:{READY_PORT}"
                 reply = await request(
-                    address, "GET", "/ready", {"Host": "x"}, timeout_s=10.0
+                    address, "GET", "/ready", {"Host": "x"}, timeout_s=10
                 )
                 took_s = time.monotonic() - asked_s
                 questions.append(took_s)
